--- /dev/null
+++ b/bench/quickstart.ts
@@ -0,0 +1,62 @@
+/**
+ * `npm run quickstart`: stand-ins and three daemons, a Lakeshore morning replayed through the
+ * daemons in turn, every answer checked to the last token.
+ * @module
+ */
+import * as fs from 'node:fs/promises';
+import * as path from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { summarize } from '../src/core/replay/summary.js';
+import type { TraceRequest } from '../src/core/replay/types.js';
+import { traceRequestSchema } from '../src/core/replay/types.js';
+import { formatTable } from '../src/core/text/table.js';
+import { ReplayClient } from '../src/infra/replay-client.js';
+import type { EngineStats } from '../test/stand-ins/engine.js';
+import { configurationOf, lakeshore, targetsOf } from './deployments.js';
+import { Fleet, keyOf } from './fleet.js';
+
+const here = path.dirname(fileURLToPath(import.meta.url));
+const tracePath = path.resolve(here, '../../test/fixtures/lakeshore-morning.jsonl');
+const timeoutMs = 60_000;
+
+const fleet = new Fleet({ daemons: 3, domains: lakeshore.domains });
+try {
+	process.exitCode = await run();
+} finally {
+	await fleet.stop();
+}
+
+async function run(): Promise<number> {
+	const trace = await readTrace(tracePath);
+	process.stdout.write('starting the stand-ins and three daemons ...\n');
+	await fleet.startStandIns([{}, {}, {}, {}], 1);
+	await fleet.startDaemons();
+	const cfg = configurationOf(lakeshore, fleet, {});
+	await fleet.apply(cfg);
+	process.stdout.write(`replaying ${trace.length} requests ...\n`);
+	const keys = new Map(cfg.customers.map((customer) => [customer.name, keyOf(customer.name)]));
+	const client = new ReplayClient({ daemons: fleet.daemonUrls, keys, timeoutMs });
+	const results = await client.replay(trace);
+	const durationS = (trace.at(-1)?.at_ms ?? 0) / 1000;
+	process.stdout.write(`${formatTable(summarize(results, targetsOf(cfg), durationS))}\n`);
+	const generated = await totalGenerated();
+	const received = results.reduce((sum, result) => sum + result.tokens, 0);
+	process.stdout.write(`tokens generated ${generated}, received ${received}\n`);
+	const wrong = results.filter((result) => result.wrong || result.outcome !== 'complete');
+	for (const result of wrong.slice(0, 10)) {
+		process.stdout.write(`wrong: ${JSON.stringify(result)}\n`);
+	}
+	process.stdout.write(`${results.length - wrong.length} answers right, ${wrong.length} wrong\n`);
+	return wrong.length === 0 ? 0 : 1;
+}
+
+async function readTrace(file: string): Promise<TraceRequest[]> {
+	const text = await fs.readFile(file, 'utf8');
+	const lines = text.split('\n').filter((line) => line !== '');
+	return lines.map((line) => traceRequestSchema.parse(JSON.parse(line)));
+}
+
+async function totalGenerated(): Promise<number> {
+	const stats = await Promise.all(fleet.engines.map((engine) => fleet.stats<EngineStats>(engine)));
+	return stats.reduce((sum, one) => sum + one.generated, 0);
+}
--- /dev/null
+++ b/src/cli/fleet-client.ts
@@ -0,0 +1,42 @@
+/**
+ * Asks every daemon of the fleet, found through one of them.
+ * @module
+ */
+import type { ControlClient } from '../infra/control/control-client.js';
+import { createControlClient } from '../infra/control/control-client.js';
+import type { GlobalArgs } from './types.js';
+
+/** Time for one daemon's answer, in milliseconds. */
+const answerMs = 3000;
+
+/** Answers of the daemons that gave one, and the VMs that did not. */
+export interface FleetAnswer<T> {
+	answers: { vm: string; value: T }[];
+	missing: string[];
+}
+
+export class FleetClient {
+	readonly first: ControlClient;
+
+	constructor(private readonly args: GlobalArgs) {
+		this.first = createControlClient(args.daemon, args.token, answerMs);
+	}
+
+	/** Asks every live daemon at once. */
+	async askAll<T>(ask: (client: ControlClient) => Promise<T>): Promise<FleetAnswer<T>> {
+		const status = await this.first.status.query();
+		const result: FleetAnswer<T> = { answers: [], missing: [] };
+		const asks = status.members.map(async ({ vm, control }) => {
+			const client = createControlClient(control, this.args.token, answerMs);
+			try {
+				result.answers.push({ vm, value: await ask(client) });
+			} catch {
+				result.missing.push(vm);
+			}
+		});
+		await Promise.all(asks);
+		result.answers.sort((a, b) => a.vm.localeCompare(b.vm));
+		result.missing.sort();
+		return result;
+	}
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,50 @@
+#!/usr/bin/env node
+/**
+ * `slategauge`: the command-line tool.
+ * @module
+ */
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+import { configCommand } from './config/index.js';
+import { exitCodes } from './exit-codes.js';
+import { hashTokenCommand } from './hash-token/index.js';
+import { replayCommand } from './replay/index.js';
+import { statusCommand } from './status/index.js';
+import { timelineCommand } from './timeline/index.js';
+
+await yargs(hideBin(process.argv))
+	.scriptName('slategauge')
+	.usage('$0 COMMAND\n\nAsks and steers a running fleet, through any of its daemons.')
+	.env('SLATEGAUGE')
+	.option('daemon', {
+		type: 'string',
+		default: '127.0.0.1:8090',
+		describe: 'control address of any daemon, IP:port (or SLATEGAUGE_DAEMON)',
+		global: true,
+	})
+	.option('token', {
+		type: 'string',
+		default: '',
+		describe: 'operator token (better as SLATEGAUGE_TOKEN)',
+		global: true,
+	})
+	.command(statusCommand)
+	.command(configCommand)
+	.command(timelineCommand)
+	.command(replayCommand)
+	.command(hashTokenCommand)
+	.demandCommand(1, 'expected a command; see --help')
+	.strict()
+	.recommendCommands()
+	.completion('completion', 'print a script for shell completion')
+	.fail((message, err) => {
+		process.stderr.write(`${err ? describeError(err) : message}\n`);
+		process.exit(err ? exitCodes.failed : exitCodes.usage);
+	})
+	.help()
+	.parseAsync();
+
+function describeError(err: Error): string {
+	const cause = err.cause instanceof Error ? ` (${err.cause.message})` : '';
+	return `${err.message}${cause}`;
+}
--- /dev/null
+++ b/src/cli/timeline/index.ts
@@ -0,0 +1,72 @@
+/**
+ * `slategauge timeline`: events of all daemons in causal order.
+ * @module
+ */
+import type * as yargs from 'yargs';
+import type { TimelineEvent } from '../../core/timeline/index.js';
+import { mergeTimelines } from '../../core/timeline/index.js';
+import { formatFields } from '../../infra/line-log.js';
+import { exitCodes } from '../exit-codes.js';
+import { FleetClient } from '../fleet-client.js';
+import type { GlobalArgs } from '../types.js';
+
+interface TimelineArgs extends GlobalArgs {
+	request?: string;
+	endpoint?: string;
+	class?: string;
+	follow: boolean;
+	limit: number;
+}
+
+/** Time between two looks with --follow, in milliseconds. */
+const followMs = 500;
+
+export const timelineCommand: yargs.CommandModule<GlobalArgs, TimelineArgs> = {
+	command: 'timeline',
+	describe: 'show events of all daemons in causal order',
+	builder: (args) =>
+		args
+			.option('request', { type: 'string', describe: 'only this request' })
+			.option('endpoint', { type: 'string', describe: 'only this endpoint' })
+			.option('class', { type: 'string', describe: 'only this class' })
+			.option('limit', { type: 'number', default: 200, describe: 'newest events shown' })
+			.option('follow', { type: 'boolean', default: false, describe: 'go on until interrupted' }),
+	handler: async (args) => {
+		const fleet = new FleetClient(args);
+		const seen = new Map<string, number>();
+		do {
+			const { answers, missing } = await fleet.askAll(async (client) => {
+				const { vm } = await client.status.query();
+				return client.events.query({ since: seen.get(vm) ?? 0 });
+			});
+			for (const { vm, value } of answers) {
+				seen.set(vm, value.at(-1)?.seq ?? seen.get(vm) ?? 0);
+			}
+			print(
+				answers.map(({ value }) => value as TimelineEvent[]),
+				args,
+			);
+			if (missing.length > 0) {
+				process.stderr.write(`no answer from: ${missing.join(', ')}\n`);
+				process.exitCode = exitCodes.partial;
+			}
+			await new Promise((wake) => setTimeout(wake, args.follow ? followMs : 0));
+		} while (args.follow);
+	},
+};
+
+function print(timelines: TimelineEvent[][], args: TimelineArgs): void {
+	const merged = mergeTimelines(timelines).filter((event) => matches(event, args));
+	for (const event of merged.slice(-args.limit)) {
+		const { time, vm, kind, seq: _seq, ...fields } = event;
+		const at = new Date(time.wall).toISOString();
+		process.stdout.write(`${formatFields({ time: at, vm, event: kind, ...fields })}\n`);
+	}
+}
+
+function matches(event: TimelineEvent, args: TimelineArgs): boolean {
+	const request = args.request === undefined || event.request === args.request;
+	const endpoint = args.endpoint === undefined || event.endpoint === args.endpoint;
+	const cls = args.class === undefined || event.cls === args.class;
+	return request && endpoint && cls;
+}
--- /dev/null
+++ b/src/core/configuration/consts.ts
@@ -0,0 +1,2 @@
+/** Key of the configuration in the key-value service. */
+export const configurationKey = 'slategauge/configuration';
--- /dev/null
+++ b/src/core/requests/router.ts
@@ -0,0 +1,251 @@
+/**
+ * One daemon's requests: admission, waiting, starts, giving up.
+ * @module
+ */
+import type { ClaimStore } from '../claims/claims.js';
+import type { ConfigurationView } from '../configuration/index.js';
+import type { Clock, EndpointClient, Metrics } from '../definitions.js';
+import * as errors from '../errors/index.js';
+import type { EntryState, RunResult, Slot, SlotPolicy } from '../scheduling/definitions.js';
+import type { QueueLimits } from '../scheduling/request-queue.js';
+import { RequestQueue } from '../scheduling/request-queue.js';
+import type { Timeline } from '../timeline/index.js';
+import { eventKinds } from '../timeline/index.js';
+import type { CallerSink, CallTemplate } from './definitions.js';
+import { DurationEstimate } from './duration-estimate.js';
+import { RetryBudget } from './retry-budget.js';
+import type { RunHost } from './run.js';
+import { RequestRun } from './run.js';
+import type { Request } from './types.js';
+
+/** A request is given up on arrival only when its wait would be this many times too long. */
+const sureFactor = 2;
+/** Estimates of the wait below this do not lead to giving up, in milliseconds. */
+const sureAboveMs = 1000;
+/** Bounds of Retry-After, in seconds. */
+const minRetryAfterS = 1;
+const maxRetryAfterS = 120;
+
+export interface RouterOptions {
+	vm: string;
+	clock: Clock;
+	endpoints: EndpointClient;
+	claims: ClaimStore;
+	metrics: Metrics;
+	timeline: Timeline;
+	limits: QueueLimits;
+	stallMs: number;
+	/** Calls back soon, once, from the loop. */
+	soon: (callback: () => void) => void;
+}
+
+export class Router implements RunHost {
+	readonly clock: Clock;
+	readonly endpoints: EndpointClient;
+	readonly claims: ClaimStore;
+	readonly timeline: Timeline;
+	readonly vm: string;
+	readonly stallMs: number;
+	readonly retries = new RetryBudget();
+	readonly queue: RequestQueue;
+	private readonly runs = new Map<number, RequestRun>();
+	private readonly runningByCustomer = new Map<string, number>();
+	private readonly durations = new DurationEstimate();
+	private cfg?: ConfigurationView;
+	private policy?: SlotPolicy;
+	private pumpDue = false;
+	private pauseUntil = 0;
+
+	constructor(private readonly opts: RouterOptions) {
+		this.clock = opts.clock;
+		this.endpoints = opts.endpoints;
+		this.claims = opts.claims;
+		this.timeline = opts.timeline;
+		this.vm = opts.vm;
+		this.stallMs = opts.stallMs;
+		this.queue = new RequestQueue(opts.limits);
+	}
+
+	/** Puts a configuration and its policy in force. */
+	configure(cfg: ConfigurationView, policy: SlotPolicy): void {
+		this.cfg = cfg;
+		this.policy = policy;
+		this.pumpSoon();
+	}
+
+	get size(): number {
+		return this.runs.size;
+	}
+
+	/** Every request that this daemon holds. */
+	all(): Iterable<RequestRun> {
+		return this.runs.values();
+	}
+
+	/** Takes in a request. */
+	submit(req: Request, template: CallTemplate, sink: CallerSink): RequestRun {
+		const run = new RequestRun(req, template, sink, this);
+		this.runs.set(req.ticket, run);
+		this.retries.requestCame();
+		this.timeline.record(eventKinds.requestQueued, {
+			request: req.id,
+			cls: req.cls.name,
+			tier: req.cls.tier,
+			customer: req.customer,
+		});
+		if (this.isHopeless(req)) {
+			run.giveUp(errors.data.Shed);
+			return run;
+		}
+		this.enqueue(req);
+		return run;
+	}
+
+	/** Cuts off a run for work of a higher tier. */
+	preempt(ticket: number): void {
+		if (this.runs.get(ticket)?.preempt()) {
+			this.opts.metrics.count('requests.preempted', 1);
+		}
+	}
+
+	/** Nothing starts until the views are fresh again; called after a jump of the clock. */
+	holdUntil(at: number): void {
+		this.pauseUntil = Math.max(this.pauseUntil, at);
+	}
+
+	/** Gives up requests whose deadline can no longer be met. Called often. */
+	sweep(): void {
+		const now = this.clock.monotonic();
+		for (const req of [...this.queue]) {
+			const needs = this.durations.durationMs(req.cls.name, req.customer);
+			if (now + (req.offset > 0 ? 0 : needs) > req.deadlineAt) {
+				this.queue.remove(req);
+				this.giveUpWaiting(req, errors.data.DeadlinePassed);
+			}
+		}
+		this.pumpSoon();
+	}
+
+	/** Starts what may start, soon. */
+	pumpSoon(): void {
+		if (!this.pumpDue) {
+			this.pumpDue = true;
+			this.opts.soon(() => {
+				this.pumpDue = false;
+				this.pump();
+			});
+		}
+	}
+
+	/** State that policies decide on; undefined before a configuration came. */
+	state(): EntryState | undefined {
+		if (!this.cfg) {
+			return undefined;
+		}
+		return { now: this.clock.monotonic(), cfg: this.cfg, queue: this.queue, shares: this };
+	}
+
+	/** Running requests of a customer. */
+	of(customer: string): number {
+		return this.runningByCustomer.get(customer) ?? 0;
+	}
+
+	/** Estimated milliseconds from a dispatch to its first token. */
+	leadMs(req: Request): number {
+		return this.durations.firstTokenMs(req.cls.name, req.customer);
+	}
+
+	dispatchUrl(endpoint: string): string | undefined {
+		const known = this.cfg?.endpointNamed(endpoint);
+		const open = known?.state === 'active' && this.policy?.mayDispatch(endpoint);
+		return open ? known.url : undefined;
+	}
+
+	requeue(run: RequestRun): void {
+		this.forgiveWhenAlone(run.req);
+		this.queue.readd(run.req);
+		this.pumpSoon();
+	}
+
+	released(run: RequestRun, slot: Slot, result: RunResult): void {
+		const customer = run.req.customer;
+		this.runningByCustomer.set(customer, this.of(customer) - 1 / run.req.weight);
+		if (!result.failed && !result.cancelled && result.firstTokenMs !== undefined) {
+			const took = this.clock.monotonic() - slot.startedAt;
+			this.durations.add(run.req.cls.name, customer, took, result.firstTokenMs);
+		}
+		this.policy?.release(run.req, slot, result, this.clock.monotonic());
+		this.pumpSoon();
+	}
+
+	observed(run: RequestRun, slot: Slot, strain: number): void {
+		this.policy?.observe(run.req, slot, strain, this.clock.monotonic());
+	}
+
+	ended(run: RequestRun, outcome: string, tokens: number): void {
+		this.queue.remove(run.req);
+		this.runs.delete(run.req.ticket);
+		const tags = { class: run.req.cls.name, outcome };
+		this.opts.metrics.count('requests.ended', 1, tags);
+		this.opts.metrics.count('tokens.relayed', tokens, { class: run.req.cls.name });
+		this.opts.metrics.timing('requests.duration', this.clock.monotonic() - run.req.arrivedAt, tags);
+	}
+
+	retryAfterS(req: Request): number {
+		const state = this.state();
+		const waitMs = state && this.policy ? this.policy.estimateWaitMs(state, req) : 0;
+		const seconds = Math.ceil(waitMs / 1000);
+		return Math.min(Math.max(seconds, minRetryAfterS), maxRetryAfterS);
+	}
+
+	private enqueue(req: Request): void {
+		for (const evicted of this.queue.add(req)) {
+			this.giveUpWaiting(evicted, errors.data.Shed);
+		}
+		this.pumpSoon();
+	}
+
+	/**
+	 * An answer that has begun is never given up as "not run"; `RequestRun` tells the difference.
+	 */
+	private giveUpWaiting(req: Request, data: errors.ErrorData): void {
+		this.runs.get(req.ticket)?.giveUp(data);
+	}
+
+	/** True when even work of this and higher tiers alone would keep it waiting far too long. */
+	private isHopeless(req: Request): boolean {
+		const state = this.state();
+		if (!state || !this.policy) {
+			return false;
+		}
+		const patience =
+			req.deadlineAt - state.now - this.durations.durationMs(req.cls.name, req.customer);
+		const wait = this.policy.estimateWaitMs(state, req);
+		return wait > sureAboveMs && wait > patience * sureFactor;
+	}
+
+	/** A request that avoids every endpoint may ask them again. */
+	private forgiveWhenAlone(req: Request): void {
+		const eligible = this.cfg?.eligible(req.target, req.cls.name) ?? [];
+		if (eligible.every((endpoint) => req.avoid.has(endpoint.name))) {
+			req.avoid.clear();
+		}
+	}
+
+	private pump(): void {
+		const state = this.state();
+		if (!state || !this.policy || state.now < this.pauseUntil) {
+			return;
+		}
+		for (const { req, slot } of this.policy.takeStarts(state)) {
+			const run = this.runs.get(req.ticket);
+			this.runningByCustomer.set(req.customer, this.of(req.customer) + 1 / req.weight);
+			if (run) {
+				this.opts.metrics.timing('requests.waited', state.now - req.waitingSince, {
+					class: req.cls.name,
+				});
+				void run.start(slot);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/core/requests/run.ts
@@ -0,0 +1,404 @@
+/**
+ * One request from its admission to its outcome: claims, dispatch, relay, resume.
+ * @module
+ */
+import type { ClaimStore } from '../claims/claims.js';
+import { claimResults } from '../claims/claims.js';
+import type {
+	AnswerSink,
+	CallFailure,
+	Clock,
+	EndpointClient,
+	RunningCall,
+	StreamEvent,
+} from '../definitions.js';
+import { callFailures } from '../definitions.js';
+import * as errors from '../errors/index.js';
+import type { RunResult, Slot } from '../scheduling/definitions.js';
+import type { Timeline } from '../timeline/index.js';
+import { eventKinds } from '../timeline/index.js';
+import type { CallerSink, CallTemplate } from './definitions.js';
+import type { RetryBudget } from './retry-budget.js';
+import type { Request } from './types.js';
+import { outcomes } from './types.js';
+
+/** Last event of an OpenAI-compatible stream. */
+export const doneData = '[DONE]';
+/** Runs of one request, resumes included. */
+const maxAttempts = 6;
+/** Events without offsets that show that an endpoint gives none. */
+const eventsUntilPlain = 2;
+/** Least time between two observations of one run, in milliseconds. */
+const observeEveryMs = 200;
+/** Priority for work outside the limit; endpoints serve 0 first. */
+const floorPriority = 1000;
+/** Statuses by which an engine says that it takes no work now. */
+const refusals = new Set([429, 503]);
+
+/** What a run asks of its daemon. */
+export interface RunHost {
+	readonly clock: Clock;
+	readonly endpoints: EndpointClient;
+	readonly claims: ClaimStore;
+	readonly retries: RetryBudget;
+	readonly timeline: Timeline;
+	readonly vm: string;
+	readonly stallMs: number;
+	/** Base URL of an endpoint, undefined when it must not be given work. */
+	dispatchUrl(endpoint: string): string | undefined;
+	/** The run wants a slot again. */
+	requeue(run: RequestRun): void;
+	/** The run gave its slot back. */
+	released(run: RequestRun, slot: Slot, result: RunResult): void;
+	observed(run: RequestRun, slot: Slot, strain: number): void;
+	/** The run has its outcome. */
+	ended(run: RequestRun, outcome: string, tokens: number): void;
+	/** Seconds after which a caller should come back. */
+	retryAfterS(req: Request): number;
+}
+
+export class RequestRun implements AnswerSink {
+	private slot?: Slot;
+	private call?: RunningCall;
+	private attempts = 0;
+	private over = false;
+	/** A byte of the request may have reached an endpoint. */
+	private mayHaveRun = false;
+	private started = false;
+	private sawDone = false;
+	private status = 0;
+	private held: StreamEvent[] = [];
+	private eventsSeen = 0;
+	private offsetsSeen = false;
+	private plainForwarded = false;
+	private bytesForwarded = false;
+	private dispatchedAt = 0;
+	private firstTokenAt = 0;
+	private lastTokenAt = 0;
+	private attemptTokens = 0;
+	private totalTokens = 0;
+	private observedAt = 0;
+	private observedTokens = 0;
+
+	constructor(
+		readonly req: Request,
+		private readonly template: CallTemplate,
+		private readonly sink: CallerSink,
+		private readonly host: RunHost,
+	) {}
+
+	get isOver(): boolean {
+		return this.over;
+	}
+
+	/** Tokens given to the caller. */
+	get tokens(): number {
+		return this.totalTokens;
+	}
+
+	get running(): Slot | undefined {
+		return this.slot;
+	}
+
+	/** May be cut off and resumed later without loss. */
+	get preemptable(): boolean {
+		const resumable = this.offsetsSeen || this.eventsSeen === 0;
+		return this.req.repeatable && this.template.streamed && resumable && !this.sawDone;
+	}
+
+	/** Runs in a slot; claims first where that is needed. */
+	async start(slot: Slot): Promise<void> {
+		this.slot = slot;
+		this.attempts++;
+		if (this.req.key !== undefined && !this.req.repeatable) {
+			const claimed = await this.claim(this.req.key);
+			if (!claimed || this.over) {
+				return;
+			}
+		}
+		this.dispatch(slot);
+	}
+
+	/** The caller left. */
+	callerLeft(): void {
+		if (this.over) {
+			return;
+		}
+		this.over = true;
+		this.call?.cancel();
+		this.release(false, true);
+		this.host.ended(this, 'caller-left', this.totalTokens);
+	}
+
+	/** Given up while it waits; the final answer goes out at once. */
+	giveUp(data: errors.ErrorData): void {
+		if (this.over || this.slot) {
+			return;
+		}
+		const fields = { request: this.req.id, reason: data.name };
+		this.host.timeline.record(eventKinds.requestShed, { ...fields, ...this.labels() });
+		const retryAfterS = this.host.retryAfterS(this.req);
+		this.finishWith(new errors.UserError(data, [], { retryAfterS }));
+	}
+
+	/** Cut off for work of a higher tier; waits again and resumes. */
+	preempt(): boolean {
+		if (!this.slot || this.over || !this.call || !this.preemptable) {
+			return false;
+		}
+		this.call.cancel();
+		this.host.timeline.record(eventKinds.requestPreempted, {
+			request: this.req.id,
+			endpoint: this.slot.endpoint,
+			...this.labels(),
+		});
+		this.release(false, true);
+		this.waitAgain();
+		return true;
+	}
+
+	head(status: number, headers: Record<string, string>): void {
+		this.status = status;
+		if (refusals.has(status) && this.template.streamed && this.req.repeatable) {
+			this.call?.cancel();
+			this.failed(callFailures.refused, `status ${status}`);
+			return;
+		}
+		if (!this.started) {
+			this.started = true;
+			this.sink.start(status, headers);
+			this.sink.onDrain(() => this.call?.resume());
+		}
+	}
+
+	events(events: StreamEvent[]): void {
+		const ready: StreamEvent[] = [];
+		for (const event of events) {
+			this.sort(event, ready);
+		}
+		if (ready.length === 0) {
+			return;
+		}
+		this.noteTokens();
+		if (!this.sink.events(ready)) {
+			this.call?.pause();
+		}
+	}
+
+	bytes(chunk: Uint8Array): void {
+		this.bytesForwarded = true;
+		if (!this.sink.bytes(chunk)) {
+			this.call?.pause();
+		}
+	}
+
+	end(): void {
+		const whole = !this.template.streamed || this.sawDone || this.status >= 400;
+		if (!whole) {
+			this.failed(callFailures.broken, 'the stream ended early');
+			return;
+		}
+		if (this.held.length > 0) {
+			this.sink.events(this.held);
+			this.held = [];
+		}
+		this.over = true;
+		this.release(false, false);
+		this.sink.finish();
+		this.recordEnd(outcomes.complete);
+	}
+
+	fail(failure: CallFailure, detail: string): void {
+		this.failed(failure, detail);
+	}
+
+	private dispatch(slot: Slot): void {
+		const url = this.host.dispatchUrl(slot.endpoint);
+		if (url === undefined) {
+			this.release(false, true);
+			this.attempts--;
+			this.waitAgain();
+			return;
+		}
+		this.resetAttempt();
+		this.host.timeline.record(eventKinds.requestStarted, {
+			request: this.req.id,
+			endpoint: slot.endpoint,
+			floor: slot.floor,
+			value: this.req.offset,
+			...this.labels(),
+		});
+		this.call = this.host.endpoints.open(
+			{
+				id: this.req.id,
+				url,
+				method: this.template.method,
+				path: this.template.path,
+				headers: this.template.headers,
+				body: this.template.body,
+				priority: slot.floor ? floorPriority : this.req.cls.tier,
+				offset: this.req.offset,
+				stallMs: this.host.stallMs,
+			},
+			this,
+		);
+	}
+
+	private resetAttempt(): void {
+		this.held = [];
+		this.sawDone = false;
+		this.attemptTokens = 0;
+		this.firstTokenAt = 0;
+		this.dispatchedAt = this.host.clock.monotonic();
+	}
+
+	/** Events that carry no token wait for the next that does, so that a resume repeats none. */
+	private sort(event: StreamEvent, ready: StreamEvent[]): void {
+		this.eventsSeen++;
+		if (event.data === doneData) {
+			this.sawDone = true;
+		}
+		if (event.offset !== undefined) {
+			this.offsetsSeen = true;
+			if (event.offset <= this.req.offset) {
+				return;
+			}
+			this.req.offset = event.offset;
+			this.attemptTokens++;
+			this.totalTokens++;
+			ready.push(...this.held, event);
+			this.held = [];
+			return;
+		}
+		this.held.push(event);
+		if (!this.offsetsSeen && this.eventsSeen > eventsUntilPlain) {
+			this.plainForwarded = true;
+			this.attemptTokens++;
+			this.totalTokens++;
+			ready.push(...this.held);
+			this.held = [];
+		}
+	}
+
+	private noteTokens(): void {
+		const now = this.host.clock.monotonic();
+		if (this.firstTokenAt === 0) {
+			this.firstTokenAt = now;
+			this.observedAt = now;
+			this.observedTokens = this.attemptTokens;
+			const value = now - this.req.arrivedAt;
+			const fields = { request: this.req.id, endpoint: this.slot?.endpoint, value };
+			this.host.timeline.record(eventKinds.requestFirstToken, { ...fields, ...this.labels() });
+		}
+		this.lastTokenAt = now;
+		const since = now - this.observedAt;
+		const tokens = this.attemptTokens - this.observedTokens;
+		if (since >= observeEveryMs && tokens > 0 && this.slot) {
+			const strain = since / tokens / this.req.cls.between_tokens_ms;
+			this.host.observed(this, this.slot, strain);
+			this.observedAt = now;
+			this.observedTokens = this.attemptTokens;
+		}
+	}
+
+	private async claim(key: string): Promise<boolean> {
+		const record = { attempt: this.req.id, vm: this.host.vm };
+		const claim = await this.host.claims.claim(this.req.customer, key, record);
+		if (claim.result === claimResults.taken) {
+			this.host.timeline.record(eventKinds.claimTaken, { request: this.req.id, ...this.labels() });
+			return true;
+		}
+		if (this.over) {
+			return false;
+		}
+		this.host.timeline.record(eventKinds.claimRefused, {
+			request: this.req.id,
+			reason: claim.result,
+			...this.labels(),
+		});
+		this.release(false, true);
+		if (claim.result === claimResults.held) {
+			this.mayHaveRun = true;
+			this.finishWith(new errors.UserError(errors.data.ClaimedElsewhere));
+		} else {
+			this.finishWith(new errors.UserError(errors.data.ClaimUnavailable, [], { retryAfterS: 1 }));
+		}
+		return false;
+	}
+
+	private failed(failure: CallFailure, detail: string): void {
+		const endpoint = this.slot?.endpoint ?? '';
+		const sent = failure !== callFailures.notSent;
+		this.mayHaveRun = this.mayHaveRun || sent;
+		this.release(true, false);
+		this.call = undefined;
+		this.req.avoid.add(endpoint);
+		if (this.mayGoOn(sent)) {
+			this.host.timeline.record(eventKinds.requestResumed, {
+				request: this.req.id,
+				endpoint,
+				reason: `${failure}: ${detail}`,
+				value: this.req.offset,
+				...this.labels(),
+			});
+			this.waitAgain();
+			return;
+		}
+		this.finishWith(new errors.UserError(this.finalError()));
+	}
+
+	/** After a failure: may the request be given to an endpoint again? */
+	private mayGoOn(sent: boolean): boolean {
+		const safe = !sent || this.req.repeatable;
+		const resumable = !this.bytesForwarded && !this.plainForwarded;
+		return safe && resumable && this.attempts < maxAttempts && this.host.retries.take();
+	}
+
+	private finalError(): errors.ErrorData {
+		if (this.started) {
+			return errors.data.AnswerIncomplete;
+		}
+		return this.mayHaveRun ? errors.data.OutcomeUnknown : errors.data.EndpointUnavailable;
+	}
+
+	private finishWith(err: errors.UserError): void {
+		this.over = true;
+		const unstarted = this.mayHaveRun ? outcomes.unknown : outcomes.notRun;
+		const outcome = this.started ? outcomes.incomplete : unstarted;
+		this.sink.fail(err, outcome);
+		this.recordEnd(outcome, err.name);
+	}
+
+	private recordEnd(outcome: string, reason?: string): void {
+		this.host.timeline.record(eventKinds.requestEnded, {
+			request: this.req.id,
+			outcome,
+			reason,
+			value: this.totalTokens,
+			...this.labels(),
+		});
+		this.host.ended(this, outcome, this.totalTokens);
+	}
+
+	private waitAgain(): void {
+		this.call = undefined;
+		this.req.waitingSince = this.host.clock.monotonic();
+		this.host.requeue(this);
+	}
+
+	private release(failed: boolean, cancelled: boolean): void {
+		const slot = this.slot;
+		if (!slot) {
+			return;
+		}
+		this.slot = undefined;
+		const firstTokenMs = this.firstTokenAt > 0 ? this.firstTokenAt - this.dispatchedAt : undefined;
+		const streamedMs = this.firstTokenAt > 0 ? this.lastTokenAt - this.firstTokenAt : 0;
+		const result = { firstTokenMs, tokens: this.attemptTokens, streamedMs, failed, cancelled };
+		this.host.released(this, slot, result);
+	}
+
+	private labels(): { cls: string; tier: number; customer: string } {
+		return { cls: this.req.cls.name, tier: this.req.cls.tier, customer: this.req.customer };
+	}
+}
--- /dev/null
+++ b/src/core/scheduling/request-queue.ts
@@ -0,0 +1,175 @@
+/**
+ * Requests that wait on one daemon, bounded in number and bytes. Groups of one class, customer
+ * and target keep their own deadline order, so that picking looks at group heads only.
+ * @module
+ */
+import type { Request } from '../requests/types.js';
+import * as order from './order.js';
+
+interface Group {
+	/** By `firstTokenBy`, earliest first. */
+	items: Request[];
+}
+
+/** Bounds of the queue. */
+export interface QueueLimits {
+	requests: number;
+	bytes: number;
+}
+
+/** What the queue has to know of running work to be fair. */
+export interface Shares {
+	/** Running requests of the customer, over its weight. */
+	of(customer: string): number;
+}
+
+/** A waiting request with what decides its place. */
+export interface Candidate extends order.Orderable {
+	req: Request;
+}
+
+export class RequestQueue {
+	private readonly groups = new Map<string, Group>();
+	private count = 0;
+	private bytes = 0;
+
+	constructor(private readonly limits: QueueLimits) {}
+
+	get size(): number {
+		return this.count;
+	}
+
+	/**
+	 * Adds a request. When the queue is over a bound, the last of the lowest tier is taken out and
+	 * returned; it may be the request itself.
+	 */
+	add(req: Request): Request[] {
+		this.insert(req);
+		const evicted: Request[] = [];
+		while (this.count > this.limits.requests || this.bytes > this.limits.bytes) {
+			const victim = this.lastOfLowestTier();
+			if (!victim) {
+				break;
+			}
+			this.remove(victim);
+			evicted.push(victim);
+		}
+		return evicted;
+	}
+
+	/** Puts back a request that had a place already, whatever the bounds. */
+	readd(req: Request): void {
+		this.insert(req);
+	}
+
+	remove(req: Request): boolean {
+		const key = groupKey(req);
+		const group = this.groups.get(key);
+		const at = group ? group.items.indexOf(req) : -1;
+		if (!group || at < 0) {
+			return false;
+		}
+		group.items.splice(at, 1);
+		if (group.items.length === 0) {
+			this.groups.delete(key);
+		}
+		this.count--;
+		this.bytes -= req.bytes;
+		return true;
+	}
+
+	*[Symbol.iterator](): IterableIterator<Request> {
+		for (const group of this.groups.values()) {
+			yield* group.items;
+		}
+	}
+
+	/** Best waiting requests that pass `accepts`, in order; at most `perGroup` of each group. */
+	best(
+		now: number,
+		leadMs: number,
+		shares: Shares,
+		perGroup: number,
+		accepts: (head: Request) => boolean,
+	): Candidate[] {
+		const found: Candidate[] = [];
+		for (const group of this.groups.values()) {
+			const head = group.items[0];
+			if (head && accepts(head)) {
+				this.collect(group, now, leadMs, shares, perGroup, found);
+			}
+		}
+		return found.sort(order.compare);
+	}
+
+	/** Waiting requests by tier, of those whose group passes `accepts`. */
+	backlog(accepts: (head: Request) => boolean): Map<number, number> {
+		const byTier = new Map<number, number>();
+		for (const group of this.groups.values()) {
+			const head = group.items[0];
+			if (head && accepts(head)) {
+				byTier.set(head.cls.tier, (byTier.get(head.cls.tier) ?? 0) + group.items.length);
+			}
+		}
+		return byTier;
+	}
+
+	/** Late requests of a group come after those that can still be in time. */
+	private collect(
+		group: Group,
+		now: number,
+		leadMs: number,
+		shares: Shares,
+		perGroup: number,
+		found: Candidate[],
+	): void {
+		const firstInTime = group.items.findIndex((req) => req.firstTokenBy >= now + leadMs);
+		const start = Math.max(firstInTime, 0);
+		for (let taken = 0; taken < Math.min(perGroup, group.items.length); taken++) {
+			const req = group.items[(start + taken) % group.items.length];
+			if (req) {
+				const slack = req.firstTokenBy - now;
+				const share = shares.of(req.customer) + taken / req.weight;
+				found.push({ req, tier: req.cls.tier, late: slack < leadMs, share, slack });
+			}
+		}
+	}
+
+	private insert(req: Request): void {
+		const key = groupKey(req);
+		let group = this.groups.get(key);
+		if (!group) {
+			group = { items: [] };
+			this.groups.set(key, group);
+		}
+		let at = group.items.length;
+		while (at > 0 && (group.items[at - 1]?.firstTokenBy ?? 0) > req.firstTokenBy) {
+			at--;
+		}
+		group.items.splice(at, 0, req);
+		this.count++;
+		this.bytes += req.bytes;
+	}
+
+	private lastOfLowestTier(): Request | undefined {
+		let victim: Request | undefined;
+		for (const group of this.groups.values()) {
+			const last = group.items.at(-1);
+			if (last && (!victim || isLower(last, victim))) {
+				victim = last;
+			}
+		}
+		return victim;
+	}
+}
+
+function isLower(a: Request, b: Request): boolean {
+	if (a.cls.tier !== b.cls.tier) {
+		return a.cls.tier > b.cls.tier;
+	}
+	return a.firstTokenBy > b.firstTokenBy;
+}
+
+function groupKey(req: Request): string {
+	return `${req.cls.name} ${req.customer} ${req.target}`;
+}
--- /dev/null
+++ b/src/core/timeline/timeline.ts
@@ -0,0 +1,53 @@
+/**
+ * Bounded ring of a daemon's events, and the merge of several rings.
+ * @module
+ */
+import type { HybridClock } from './hybrid-clock.js';
+import { compareTimes } from './hybrid-clock.js';
+import type { EventFields, EventKind, TimelineEvent } from './types.js';
+
+export interface TimelineOptions {
+	vm: string;
+	clock: HybridClock;
+	/** Events kept. @default 20000 */
+	capacity?: number;
+}
+
+const defaultCapacity = 20_000;
+
+export class Timeline {
+	private readonly ring: TimelineEvent[] = [];
+	private readonly capacity: number;
+	private seq = 0;
+
+	constructor(private readonly opts: TimelineOptions) {
+		this.capacity = opts.capacity ?? defaultCapacity;
+	}
+
+	record(kind: EventKind, fields: EventFields = {}): void {
+		this.seq++;
+		const event = { vm: this.opts.vm, seq: this.seq, kind, time: this.opts.clock.now(), ...fields };
+		this.ring[(this.seq - 1) % this.capacity] = event;
+	}
+
+	/** Events behind `seq`, oldest first. */
+	since(seq: number): TimelineEvent[] {
+		const first = Math.max(seq + 1, this.seq - this.capacity + 1, 1);
+		const events: TimelineEvent[] = [];
+		for (let at = first; at <= this.seq; at++) {
+			const event = this.ring[(at - 1) % this.capacity];
+			if (event) {
+				events.push(event);
+			}
+		}
+		return events;
+	}
+}
+
+/** Events of several daemons in causal order. */
+export function mergeTimelines(timelines: readonly (readonly TimelineEvent[])[]): TimelineEvent[] {
+	const all = timelines.flat();
+	return all.sort(
+		(a, b) => compareTimes(a.time, b.time) || a.vm.localeCompare(b.vm) || a.seq - b.seq,
+	);
+}
--- /dev/null
+++ b/src/core/timeline/types.ts
@@ -0,0 +1,58 @@
+/**
+ * Events of the time line.
+ * @module
+ */
+
+/** Kinds of events; listed in docs/TIMELINE.md. */
+export const eventKinds = {
+	requestQueued: 'request.queued',
+	requestStarted: 'request.started',
+	requestFirstToken: 'request.first-token',
+	requestEnded: 'request.ended',
+	requestShed: 'request.shed',
+	requestPreempted: 'request.preempted',
+	requestResumed: 'request.resumed',
+	claimTaken: 'claim.taken',
+	claimRefused: 'claim.refused',
+	grant: 'slot.granted',
+	limitChanged: 'limit.changed',
+	ownerChanged: 'owner.changed',
+	memberChanged: 'member.changed',
+	configurationApplied: 'configuration.applied',
+	endpointLeaving: 'endpoint.leaving',
+	clockJumped: 'clock.jumped',
+	stopping: 'daemon.stopping',
+} as const;
+export type EventKind = (typeof eventKinds)[keyof typeof eventKinds];
+
+/**
+ * Hybrid logical time: wall milliseconds and a counter. Source: Kulkarni et al., "Logical
+ * Physical Clocks", 2014.
+ */
+export interface HybridTime {
+	wall: number;
+	counter: number;
+}
+
+/** What an event says; only the fields that its kind needs are set. */
+export interface EventFields {
+	request?: string;
+	cls?: string;
+	tier?: number;
+	customer?: string;
+	endpoint?: string;
+	member?: string;
+	outcome?: string;
+	reason?: string;
+	floor?: boolean;
+	value?: number;
+}
+
+/** One event of one daemon. */
+export interface TimelineEvent extends EventFields {
+	vm: string;
+	/** Number of the event on its daemon, from 1; a gap shows that the ring overflowed. */
+	seq: number;
+	kind: EventKind;
+	time: HybridTime;
+}
--- /dev/null
+++ b/src/daemon/daemon-control.ts
@@ -0,0 +1,89 @@
+/**
+ * What one daemon tells its control port.
+ * @module
+ */
+import * as crypto from 'node:crypto';
+import type { VersionedConfiguration } from '../core/configuration/index.js';
+import type { ChangeRequest } from '../core/configuration/writer.js';
+import type { RequestRun } from '../core/requests/run.js';
+import type { TimelineEvent } from '../core/timeline/index.js';
+import type { DaemonApi, EndpointRow, RequestRow, StatusReport } from '../infra/control/types.js';
+import type { Daemon } from './daemon.js';
+
+export class DaemonControl implements DaemonApi {
+	constructor(private readonly daemon: Daemon) {}
+
+	status(): StatusReport {
+		const { settings, router, kv, configuration } = this.daemon;
+		const cpu = process.cpuUsage();
+		const running = [...router.all()].filter((run) => run.running).length;
+		return {
+			vm: settings.vm.id,
+			failure_domain: settings.vm.failure_domain,
+			configuration_version: configuration?.version ?? 0,
+			policy: configuration?.document.policy.name ?? 'none',
+			ready: this.daemon.refusal()?.name ?? 'ready',
+			queued: router.queue.size,
+			running,
+			members: [],
+			kv_calls: kv.calls,
+			cpu_ms: (cpu.user + cpu.system) / 1000,
+			rss_bytes: process.memoryUsage.rss(),
+			peer_bytes_sent: 0,
+			peer_bytes_received: 0,
+			peer_datagrams_sent: 0,
+			peer_datagrams_received: 0,
+			uptime_ms: process.uptime() * 1000,
+		};
+	}
+
+	requests(): RequestRow[] {
+		return [...this.daemon.router.all()].map((run) => this.row(run));
+	}
+
+	endpoints(): EndpointRow[] {
+		return [];
+	}
+
+	events(since: number): TimelineEvent[] {
+		return this.daemon.timeline.since(since);
+	}
+
+	configuration(): VersionedConfiguration | undefined {
+		return this.daemon.follower.inForce;
+	}
+
+	async applyConfiguration(change: ChangeRequest): Promise<VersionedConfiguration> {
+		const versioned = await this.daemon.writer.write(change);
+		this.daemon.follower.offer(versioned);
+		return versioned;
+	}
+
+	isOperator(token: string): boolean {
+		const isPeer = equalSecrets(token, this.daemon.settings.peers.token);
+		return isPeer || this.daemon.configuration?.isOperator(token) === true;
+	}
+
+	private row(run: RequestRun): RequestRow {
+		const now = this.daemon.clock.monotonic();
+		const { req } = run;
+		return {
+			id: req.id,
+			vm: this.daemon.settings.vm.id,
+			state: run.running ? 'running' : 'queued',
+			class: req.cls.name,
+			tier: req.cls.tier,
+			customer: req.customer,
+			endpoint: run.running?.endpoint ?? '',
+			late: run.tokens === 0 && now > req.firstTokenBy,
+			age_ms: Math.round(now - req.arrivedAt),
+			tokens: run.tokens,
+		};
+	}
+}
+
+/** Compares in constant time, whatever the lengths. */
+function equalSecrets(a: string, b: string): boolean {
+	const hash = (text: string) => crypto.createHash('sha256').update(text).digest();
+	return crypto.timingSafeEqual(hash(a), hash(b));
+}
--- /dev/null
+++ b/src/infra/callers/callers-server.ts
@@ -0,0 +1,215 @@
+/**
+ * The callers' side: the OpenAI-compatible API, plain services, health and readiness.
+ * @module
+ */
+import * as http from 'node:http';
+import type { ConfigurationView, Target } from '../../core/configuration/index.js';
+import type { Clock, Log, Random } from '../../core/definitions.js';
+import * as errors from '../../core/errors/index.js';
+import * as callerRequest from '../../core/requests/caller-request.js';
+import type { CallerSink, CallTemplate } from '../../core/requests/definitions.js';
+import type { Router } from '../../core/requests/router.js';
+import type { Request } from '../../core/requests/types.js';
+import { outcomes } from '../../core/requests/types.js';
+import * as body from './body.js';
+import { answerHeaders, errorBody, errorHeaders } from './error-body.js';
+import { ServiceSink, StreamSink, WholeSink } from './sinks.js';
+
+/** Paths of the API that are routed to engines. */
+const modelPaths = {
+	chat: '/v1/chat/completions',
+	completion: '/v1/completions',
+} as const;
+const servicePattern = /^\/services\/([a-z0-9._-]+)(\/.*)?$/;
+/** Bytes that a waiting request costs beside its body. */
+const requestOverheadBytes = 1024;
+
+export interface CallersServerOptions {
+	router: Router;
+	clock: Clock;
+	random: Random;
+	log: Log;
+	limits: { body_bytes: number; header_bytes: number; answer_bytes: number };
+	/** The configuration in force. */
+	configuration: () => ConfigurationView | undefined;
+	/** Why no new requests are taken; undefined when they are. */
+	refuses: () => errors.ErrorData | undefined;
+	/** Hash of a prompt's start. */
+	hashPrefix: (text: string) => number;
+}
+
+export class CallersServer {
+	readonly server: http.Server;
+	private nextTicket = 1;
+
+	constructor(private readonly opts: CallersServerOptions) {
+		const serverOptions = { maxHeaderSize: opts.limits.header_bytes, keepAliveTimeout: 65_000 };
+		this.server = http.createServer(serverOptions, (req, res) => void this.handle(req, res));
+	}
+
+	private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		try {
+			await this.route(req, res);
+		} catch (err) {
+			this.refuse(res, err);
+		}
+	}
+
+	private async route(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const path = (req.url ?? '/').split('?')[0] ?? '/';
+		if (path === '/healthz') {
+			sendJson(res, 200, { status: 'alive' });
+			return;
+		}
+		if (path === '/readyz') {
+			const refusal = this.opts.refuses();
+			sendJson(res, refusal ? 503 : 200, { status: refusal ? refusal.name : 'ready' });
+			return;
+		}
+		const cfg = this.openConfiguration();
+		const service = servicePattern.exec(path);
+		if (path === '/v1/models' && req.method === 'GET') {
+			this.listModels(cfg, req, res);
+		} else if (path === modelPaths.chat && req.method === 'POST') {
+			await this.model(cfg, req, res, true);
+		} else if (path === modelPaths.completion && req.method === 'POST') {
+			await this.model(cfg, req, res, false);
+		} else if (service?.[1]) {
+			await this.service(cfg, service[1], req, res);
+		} else {
+			throw new errors.UserError(errors.data.NotFound, [`${req.method} ${path}`]);
+		}
+	}
+
+	private openConfiguration(): ConfigurationView {
+		const refusal = this.opts.refuses();
+		const cfg = this.opts.configuration();
+		if (refusal || !cfg) {
+			throw new errors.UserError(refusal ?? errors.data.NotReady, [], { retryAfterS: 1 });
+		}
+		return cfg;
+	}
+
+	private listModels(
+		cfg: ConfigurationView,
+		req: http.IncomingMessage,
+		res: http.ServerResponse,
+	): void {
+		callerRequest.readCustomer(cfg, req.headers);
+		const data = cfg
+			.models()
+			.map((id) => ({ id, object: 'model', created: 0, owned_by: 'slategauge' }));
+		sendJson(res, 200, { object: 'list', data });
+	}
+
+	private async model(
+		cfg: ConfigurationView,
+		req: http.IncomingMessage,
+		res: http.ServerResponse,
+		chat: boolean,
+	): Promise<void> {
+		const terms = callerRequest.readTerms(cfg, req.headers);
+		const raw = await body.readBody(req, this.opts.limits.body_bytes);
+		const read = body.readModelBody(raw, chat);
+		const target: Target = `model:${read.model}`;
+		const template: CallTemplate = {
+			method: 'POST',
+			path: chat ? modelPaths.chat : modelPaths.completion,
+			headers: { 'content-type': 'application/json' },
+			body: read.forEngine,
+			streamed: true,
+		};
+		const request = this.makeRequest(cfg, terms, target, raw.length, read.prefixText);
+		const sink = read.stream
+			? new StreamSink(res, request.id)
+			: new WholeSink(res, request.id, chat, this.opts.limits.answer_bytes);
+		this.submit(request, template, sink, res);
+	}
+
+	private async service(
+		cfg: ConfigurationView,
+		name: string,
+		req: http.IncomingMessage,
+		res: http.ServerResponse,
+	): Promise<void> {
+		const terms = callerRequest.readTerms(cfg, req.headers);
+		const raw = await body.readBody(req, this.opts.limits.body_bytes);
+		const path = (req.url ?? '').slice(`/services/${name}`.length) || '/';
+		const contentType = req.headers['content-type'];
+		const template: CallTemplate = {
+			method: req.method ?? 'GET',
+			path,
+			headers: contentType === undefined ? {} : { 'content-type': contentType },
+			body: raw.length > 0 ? raw : undefined,
+			streamed: false,
+		};
+		const request = this.makeRequest(cfg, terms, `service:${name}`, raw.length);
+		this.submit(request, template, new ServiceSink(res, request.id), res);
+	}
+
+	private makeRequest(
+		cfg: ConfigurationView,
+		terms: callerRequest.CallerTerms,
+		target: Target,
+		bytes: number,
+		prefixText?: string,
+	): Request {
+		if (cfg.eligible(target, terms.cls.name).length === 0) {
+			throw new errors.UserError(errors.data.NotFound, [`${target} for class ${terms.cls.name}`]);
+		}
+		const now = this.opts.clock.monotonic();
+		return {
+			id: this.opts.random.hex(12),
+			ticket: this.nextTicket++,
+			cls: terms.cls,
+			customer: terms.customer.name,
+			weight: terms.customer.weight,
+			target,
+			repeatable: callerRequest.isRepeatable(cfg, terms.cls, target, terms.repeatable),
+			key: terms.key,
+			arrivedAt: now,
+			firstTokenBy: now + Math.min(terms.cls.first_token_ms, terms.deadlineMs),
+			deadlineAt: now + terms.deadlineMs,
+			bytes: bytes + requestOverheadBytes,
+			prefix: prefixText === undefined ? undefined : this.opts.hashPrefix(prefixText),
+			waitingSince: now,
+			offset: 0,
+			avoid: new Set(),
+		};
+	}
+
+	private submit(
+		request: Request,
+		template: CallTemplate,
+		sink: CallerSink,
+		res: http.ServerResponse,
+	): void {
+		const run = this.opts.router.submit(request, template, sink);
+		res.on('close', () => run.callerLeft());
+	}
+
+	private refuse(res: http.ServerResponse, err: unknown): void {
+		if (res.headersSent || res.destroyed) {
+			res.destroy();
+			return;
+		}
+		if (!(err instanceof errors.UserError)) {
+			this.opts.log.error('callers.failed', { error: (err as Error).stack });
+			sendJson(res, 500, {
+				error: { message: 'internal error', type: 'Internal', code: 'Internal' },
+			});
+			return;
+		}
+		const headers = { ...errorHeaders(err, outcomes.notRun), connection: 'close' };
+		res.writeHead(err.data.status ?? 500, headers);
+		res.end(errorBody(err, outcomes.notRun));
+	}
+}
+
+function sendJson(res: http.ServerResponse, status: number, value: unknown): void {
+	res.writeHead(status, {
+		'content-type': 'application/json',
+		[answerHeaders.outcome]: outcomes.complete,
+	});
+	res.end(JSON.stringify(value));
+}
--- /dev/null
+++ b/src/infra/callers/error-body.ts
@@ -0,0 +1,39 @@
+/**
+ * Errors in the API's own shape.
+ * @module
+ */
+import type { UserError } from '../../core/errors/index.js';
+import type { Outcome } from '../../core/requests/types.js';
+
+/** Response headers of the router; listed in docs/CALLERS.md. */
+export const answerHeaders = {
+	outcome: 'x-slategauge-outcome',
+	request: 'x-slategauge-request-id',
+	retryAfter: 'retry-after',
+} as const;
+
+/** Body of an error answer and of an error event. */
+export function errorBody(err: UserError, outcome: Outcome): string {
+	const hint = err.data.hint ? ` ${err.data.hint}` : '';
+	return JSON.stringify({
+		error: {
+			message: `${err.message}${hint}`,
+			type: err.name,
+			code: err.name,
+			param: null,
+			outcome,
+		},
+	});
+}
+
+/** Headers that go with an error. */
+export function errorHeaders(err: UserError, outcome: Outcome): Record<string, string> {
+	const headers: Record<string, string> = {
+		'content-type': 'application/json',
+		[answerHeaders.outcome]: outcome,
+	};
+	if (err.retryAfterS !== undefined) {
+		headers[answerHeaders.retryAfter] = String(err.retryAfterS);
+	}
+	return headers;
+}
--- /dev/null
+++ b/src/infra/control/control-router.ts
@@ -0,0 +1,63 @@
+/**
+ * Procedures of the control port, by trpc.
+ * @module
+ */
+import * as trpc from '@trpc/server';
+import * as zod from 'zod';
+import { configurationSchema, crossCheck } from '../../core/configuration/index.js';
+import * as errors from '../../core/errors/index.js';
+import type { DaemonApi } from './types.js';
+
+/** What each call brings along. */
+export interface ControlContext {
+	api: DaemonApi;
+	token: string;
+}
+
+const t = trpc.initTRPC.context<ControlContext>().create();
+
+const guarded = t.procedure.use(({ ctx, next }) => {
+	if (!ctx.api.isOperator(ctx.token)) {
+		throw new trpc.TRPCError({ code: 'UNAUTHORIZED', message: 'the operator token is unknown' });
+	}
+	return next();
+});
+
+const changeSchema = zod.object({
+	document: configurationSchema,
+	base: zod.int().min(0),
+	by: zod.string().min(1).max(100),
+});
+
+export const controlRouter = t.router({
+	status: guarded.query(({ ctx }) => ctx.api.status()),
+	requests: guarded.query(({ ctx }) => ctx.api.requests()),
+	endpoints: guarded.query(({ ctx }) => ctx.api.endpoints()),
+	events: guarded
+		.input(zod.object({ since: zod.int().min(0) }))
+		.query(({ ctx, input }) => ctx.api.events(input.since)),
+	configuration: guarded.query(({ ctx }) => ctx.api.configuration() ?? null),
+	applyConfiguration: guarded.input(changeSchema).mutation(async ({ ctx, input }) => {
+		const problems = crossCheck(input.document);
+		if (problems.length > 0) {
+			const message = problems.map((problem) => problem.message).join('; ');
+			throw new trpc.TRPCError({ code: 'BAD_REQUEST', message });
+		}
+		return asTrpcError(() => ctx.api.applyConfiguration(input));
+	}),
+});
+
+export type ControlRouter = typeof controlRouter;
+
+async function asTrpcError<T>(call: () => Promise<T>): Promise<T> {
+	try {
+		return await call();
+	} catch (err) {
+		if (!(err instanceof errors.UserError)) {
+			throw err;
+		}
+		const hint = err.data.hint ? ` ${err.data.hint}` : '';
+		const code = err.data.status === 409 ? 'CONFLICT' : 'SERVICE_UNAVAILABLE';
+		throw new trpc.TRPCError({ code, message: `${err.name}: ${err.message}${hint}` });
+	}
+}
--- /dev/null
+++ b/src/infra/http-vm-list.ts
@@ -0,0 +1,34 @@
+/**
+ * Adapter of the platform's VM list; its wire format is in docs/PROTOCOLS.md.
+ * @module
+ */
+import * as undici from 'undici';
+import type { VmEntry, VmList } from '../core/definitions.js';
+
+export interface HttpVmListOptions {
+	url: string;
+	timeoutMs: number;
+}
+
+export class HttpVmList implements VmList {
+	constructor(private readonly opts: HttpVmListOptions) {}
+
+	async list(): Promise<VmEntry[]> {
+		const res = await undici.request(`${this.opts.url}/vms`, {
+			signal: AbortSignal.timeout(this.opts.timeoutMs),
+		});
+		const rows = (await res.body.json()) as Record<string, unknown>[];
+		return rows.map(entryOf);
+	}
+}
+
+function entryOf(row: Record<string, unknown>): VmEntry {
+	return {
+		id: String(row.id),
+		address: String(row.address),
+		callersPort: Number(row.callers_port),
+		controlPort: Number(row.control_port),
+		domain: String(row.failure_domain),
+		leaving: row.state === 'leaving',
+	};
+}
--- /dev/null
+++ b/test/features/callers.feature
@@ -0,0 +1,23 @@
+Feature: Callers get whole answers over the usual API
+
+	Scenario: The openai client gets a streamed and a whole answer
+		Given a fleet of 1 daemon and 1 engine
+		When the openai client of listener-app asks "hello len=25" as a stream
+		Then the answer is that of "hello len=25"
+		When the openai client of listener-app asks "again len=7"
+		Then the answer is that of "again len=7"
+
+	Scenario: The openai client gets readable errors
+		Given a fleet of 1 daemon and 1 engine
+		When the openai client of listener-app asks for model no-such
+		Then the error has status 404 and says "Nothing here serves model:no-such"
+		When the openai client of nobody asks for model station-1
+		Then the error has status 401 and says "belongs to no customer"
+
+	Scenario: A keyed post that must not be repeated runs once
+		Given a fleet of 2 daemons and 1 engine
+		When newsroom posts "total-1" to the portal with key "k1"
+		Then the post has status 200 and outcome "complete"
+		When newsroom posts "total-1" to the portal with key "k1"
+		Then the post has status 409 and outcome "unknown"
+		And the portal counted 1 effect of "total-1"
--- /dev/null
+++ b/test/steps/callers.steps.ts
@@ -0,0 +1,125 @@
+/**
+ * Steps of callers: the unchanged openai client, plain HTTP.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as cucumber from '@cucumber/cucumber';
+import OpenAI from 'openai';
+import { keyOf } from '../../bench/fleet.js';
+import { wholeAnswer } from '../stand-ins/engine-text.js';
+import type { FleetWorld } from './world.js';
+
+cucumber.Given(
+	'a fleet of {int} daemon(s) and {int} engine(s)',
+	async function (this: FleetWorld, daemons: number, engines: number) {
+		await this.start(
+			daemons,
+			Array.from({ length: engines }, () => ({})),
+		);
+	},
+);
+
+function client(world: FleetWorld, customer: string): OpenAI {
+	const url = world.running.daemonUrls[0];
+	return new OpenAI({ baseURL: `${url}/v1`, apiKey: keyOf(customer), maxRetries: 0 });
+}
+
+cucumber.When(
+	'the openai client of {word} asks {string} as a stream',
+	async function (this: FleetWorld, customer: string, prompt: string) {
+		const stream = await client(this, customer).chat.completions.create({
+			model: 'station-1',
+			messages: [{ role: 'user', content: prompt }],
+			stream: true,
+		});
+		let text = '';
+		try {
+			for await (const chunk of stream) {
+				text += chunk.choices[0]?.delta.content ?? '';
+			}
+		} catch (err) {
+			this.seen.set('error', err);
+		}
+		this.seen.set('answer', text);
+	},
+);
+
+cucumber.When(
+	'the openai client of {word} asks {string}',
+	async function (this: FleetWorld, customer: string, prompt: string) {
+		const answer = await client(this, customer).chat.completions.create({
+			model: 'station-1',
+			messages: [{ role: 'user', content: prompt }],
+		});
+		assert.equal(answer.choices[0]?.finish_reason, 'stop');
+		this.seen.set('answer', answer.choices[0]?.message.content);
+	},
+);
+
+cucumber.When(
+	'the openai client of {word} asks for model {word}',
+	async function (this: FleetWorld, customer: string, model: string) {
+		const call = client(this, customer).chat.completions.create({
+			model,
+			messages: [{ role: 'user', content: 'x' }],
+		});
+		this.seen.set('error', await call.then(() => undefined).catch((err: unknown) => err));
+	},
+);
+
+cucumber.Then('the answer is that of {string}', function (this: FleetWorld, prompt: string) {
+	assert.equal(this.seen.get('answer'), wholeAnswer(prompt));
+});
+
+cucumber.Then(
+	'the error has status {int} and says {string}',
+	function (this: FleetWorld, status: number, text: string) {
+		const err = this.seen.get('error') as InstanceType<typeof OpenAI.APIError>;
+		assert.equal(err.status, status);
+		assert.match(err.message, new RegExp(text));
+	},
+);
+
+cucumber.When(
+	'{word} posts {string} to the portal with key {string}',
+	async function (this: FleetWorld, customer: string, id: string, key: string) {
+		this.seen.set('post', await post(this, 0, customer, id, key));
+	},
+);
+
+/** Posts to the plain service through a daemon. */
+export async function post(
+	world: FleetWorld,
+	daemon: number,
+	customer: string,
+	id: string,
+	key?: string,
+): Promise<{ status: number; outcome: string | null }> {
+	const headers: Record<string, string> = { authorization: `Bearer ${keyOf(customer)}` };
+	if (key !== undefined) {
+		headers['idempotency-key'] = key;
+	}
+	const res = await fetch(`${world.running.daemonUrls[daemon]}/services/member-portal/post`, {
+		method: 'POST',
+		headers: { ...headers, 'x-slategauge-class': 'recap-post' },
+		body: JSON.stringify({ id }),
+	});
+	await res.text();
+	return { status: res.status, outcome: res.headers.get('x-slategauge-outcome') };
+}
+
+cucumber.Then(
+	'the post has status {int} and outcome {string}',
+	function (this: FleetWorld, status: number, outcome: string) {
+		assert.deepEqual(this.seen.get('post'), { status, outcome });
+	},
+);
+
+cucumber.Then(
+	'the portal counted {int} effect(s) of {string}',
+	async function (this: FleetWorld, count: number, id: string) {
+		const [service] = this.running.services;
+		const effects = await this.running.stats<Record<string, number>>(service, '/effects');
+		assert.equal(effects[id] ?? 0, count);
+	},
+);
--- /dev/null
+++ b/test/steps/programs.steps.ts
@@ -0,0 +1,64 @@
+/**
+ * Steps that run the two programs.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as cucumber from '@cucumber/cucumber';
+import { peerToken } from '../../bench/fleet.js';
+import type { FleetWorld } from './world.js';
+
+const programs = { slategauged: 'dist/src/daemon/main.js', slategauge: 'dist/src/cli/main.js' };
+
+interface Ran {
+	code: number | null;
+	output: string;
+}
+
+/** Runs a program to its end. */
+export async function run(program: keyof typeof programs, args: string[]): Promise<Ran> {
+	const child = childProcess.spawn(process.execPath, [programs[program], ...args]);
+	let output = '';
+	child.stdout.on('data', (chunk) => {
+		output += chunk;
+	});
+	child.stderr.on('data', (chunk) => {
+		output += chunk;
+	});
+	const code = await new Promise<number | null>((done) => child.on('close', done));
+	return { code, output };
+}
+
+cucumber.Given('a settings file', async function (this: FleetWorld, text: string) {
+	const dir = await fs.mkdtemp(path.join(os.tmpdir(), 'slategauge-'));
+	const file = path.join(dir, 'file.toml');
+	await fs.writeFile(file, text);
+	this.seen.set('file', file);
+});
+
+cucumber.When('slategauged checks it', async function (this: FleetWorld) {
+	this.seen.set('ran', await run('slategauged', ['check', String(this.seen.get('file'))]));
+});
+
+cucumber.When('slategauge checks it as a configuration', async function (this: FleetWorld) {
+	this.seen.set('ran', await run('slategauge', ['config', 'check', String(this.seen.get('file'))]));
+});
+
+cucumber.When('the operator runs {string}', async function (this: FleetWorld, line: string) {
+	const daemon = `127.0.0.1:${this.running.daemons[0]?.controlPort}`;
+	const args = [...line.split(' '), '--daemon', daemon, '--token', peerToken];
+	this.seen.set('ran', await run('slategauge', args));
+});
+
+cucumber.Then('it exits with {int}', function (this: FleetWorld, code: number) {
+	const ran = this.seen.get('ran') as Ran;
+	assert.equal(ran.code, code, ran.output);
+});
+
+cucumber.Then('it prints {string}', function (this: FleetWorld, text: string) {
+	const { output } = this.seen.get('ran') as Ran;
+	assert.ok(output.includes(text), output);
+});
