--- a/src/core/errors/errors-data.ts
+++ b/src/core/errors/errors-data.ts
@@ -172,3 +172,11 @@
 	message: (column: string, expected: string) => `Column ${column}: expected ${expected}.`,
 	hint: 'See `slategauge help query`.',
 } as const satisfies ErrorData;
+
+export const DrillsDisabled = {
+	name: 'DrillsDisabled',
+	title: 'Drills are not enabled',
+	message: 'This daemon takes no drills.',
+	hint: 'Set `enabled = true` under `[drills]` in its settings.',
+	status: 503,
+} as const satisfies ErrorData;
--- /dev/null
+++ b/src/core/membership/rendezvous.ts
@@ -0,0 +1,28 @@
+/**
+ * Rendezvous hashing: every daemon picks the same owner from the same members, and a change of
+ * members moves only what it must. Source: Thaler and Ravishankar, 1998.
+ * @module
+ */
+
+/** 32-bit FNV-1a with a final mix; fixed, since all daemons must agree on it. */
+export function hashText(text: string): number {
+	let hash = 0x811c9dc5;
+	for (let at = 0; at < text.length; at++) {
+		hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193);
+	}
+	hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+	hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+	return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/** The `count` names that score highest for a key, best first. */
+export function pickTop(key: string, names: readonly string[], count: number): string[] {
+	const scored = names.map((name) => ({ name, score: hashText(`${key}\u0000${name}`) }));
+	scored.sort((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1));
+	return scored.slice(0, count).map((item) => item.name);
+}
+
+/** The one name that scores highest. */
+export function pickOwner(key: string, names: readonly string[]): string | undefined {
+	return pickTop(key, names, 1)[0];
+}
--- a/src/core/requests/router.ts
+++ b/src/core/requests/router.ts
@@ -37,6 +37,8 @@
 	stallMs: number;
 	/** Calls back soon, once, from the loop. */
 	soon: (callback: () => void) => void;
+	/** Requests came, started or ended. */
+	onChange?: () => void;
 }
 
 export class Router implements RunHost {
@@ -108,6 +110,10 @@
 		}
 	}
 
+	isPreemptable(ticket: number): boolean {
+		return this.runs.get(ticket)?.preemptable ?? false;
+	}
+
 	/** Nothing starts until the views are fresh again; called after a jump of the clock. */
 	holdUntil(at: number): void {
 		this.pauseUntil = Math.max(this.pauseUntil, at);
@@ -247,5 +253,6 @@
 				void run.start(slot);
 			}
 		}
+		this.opts.onChange?.();
 	}
 }
--- /dev/null
+++ b/src/core/scheduling/granted-policy.ts
@@ -0,0 +1,319 @@
+/**
+ * The entry's side of granted slots: reports to each endpoint's owner what runs and what waits,
+ * and starts requests in the slots that owners grant. Slots stay with the entry while nobody
+ * waits for them, so that most requests start without a message.
+ * @module
+ */
+import type { Endpoint } from '../configuration/index.js';
+import type { Request } from '../requests/types.js';
+import type { EntryState, RunResult, Slot, SlotPolicy, Start } from './definitions.js';
+import { Holding } from './holding.js';
+import type { Candidate } from './request-queue.js';
+import type { HolderReport, OwnerReply, Ticket } from './types.js';
+
+/** Best waiting requests told to an owner. */
+const wantedBest = 4;
+/** Waiting requests of one class, customer and target that are looked at. */
+const wantedPerGroup = 3;
+/** A report without an answer is sent again after so long, in milliseconds. */
+const resendMs = 250;
+/** A report without a change is sent again after so long, in milliseconds. */
+const refreshMs = 5000;
+
+export interface GrantedPolicyOptions {
+	/** Sends a report to an endpoint's owner. */
+	send: (owner: string, report: HolderReport) => void;
+	/** Owner of an endpoint, undefined while there is none. */
+	ownerOf: (endpoint: string) => string | undefined;
+	/** Cuts off a run. */
+	preempt: (ticket: number) => void;
+	/** Whether a run could be cut off and resumed. */
+	isPreemptable: (ticket: number) => boolean;
+	/** Asks for `takeStarts`. */
+	wake: () => void;
+	/** First report number; higher than any of an earlier process of this VM. */
+	firstSeq: number;
+}
+
+export class GrantedPolicy implements SlotPolicy {
+	private readonly holdings = new Map<string, Holding>();
+	private cachedFor?: EntryState['cfg'];
+	private readonly groups = new Map<string, Endpoint[]>();
+
+	constructor(private readonly opts: GrantedPolicyOptions) {}
+
+	/** What this entry holds on an endpoint. */
+	holding(endpoint: string): Holding {
+		let holding = this.holdings.get(endpoint);
+		if (!holding) {
+			holding = new Holding(endpoint, this.opts.firstSeq);
+			this.holdings.set(endpoint, holding);
+		}
+		return holding;
+	}
+
+	takeStarts(state: EntryState): Start[] {
+		const starts: Start[] = [];
+		this.useGrants(state, starts);
+		this.useIdle(state, starts);
+		return starts;
+	}
+
+	/** Sends the reports that are due. Called after starts were taken, and in between. */
+	report(state: EntryState): void {
+		this.groupEndpoints(state);
+		for (const endpoints of this.groups.values()) {
+			this.reportGroup(state, endpoints);
+		}
+	}
+
+	/** Takes in what an owner said. */
+	receive(from: string, reply: OwnerReply, now: number): void {
+		const holding = this.holding(reply.endpoint);
+		if (from !== this.opts.ownerOf(reply.endpoint)) {
+			return;
+		}
+		if (holding.takeIn(reply, now)) {
+			for (const ticket of reply.preempt) {
+				this.opts.preempt(ticket);
+			}
+			this.opts.wake();
+		}
+	}
+
+	/** Members changed: endpoints with another owner are told to it at once. */
+	ownersChanged(): void {
+		for (const holding of this.holdings.values()) {
+			const owner = this.opts.ownerOf(holding.endpoint);
+			if (owner !== holding.owner) {
+				holding.owner = owner;
+				holding.unacknowledge();
+			}
+		}
+		this.opts.wake();
+	}
+
+	/** This process was paused: what owners granted before is no longer theirs to keep. */
+	dropGrants(): void {
+		for (const holding of this.holdings.values()) {
+			holding.dropUnused();
+		}
+	}
+
+	observe(_req: Request, slot: Slot, strain: number, now: number): void {
+		this.holding(slot.endpoint).noteStrain(strain, now);
+	}
+
+	release(req: Request, slot: Slot, result: RunResult, now: number): void {
+		const holding = this.holding(slot.endpoint);
+		holding.ended(req.ticket, slot, now);
+		if (result.failed) {
+			holding.observed.failures++;
+		} else if (!result.cancelled) {
+			holding.observed.completions++;
+		}
+	}
+
+	/** Work of this and higher tiers that waits over the fleet, over the rate of its endpoints. */
+	estimateWaitMs(state: EntryState, req: Request): number {
+		let rate = 0;
+		let ahead = 0;
+		for (const endpoint of state.cfg.eligible(req.target, req.cls.name)) {
+			const { reply } = this.holding(endpoint.name);
+			rate += reply?.rate ?? 0;
+			ahead = Math.max(ahead, countAhead(reply, req.cls.tier));
+		}
+		return rate > 0 ? (ahead / rate) * 1000 : 0;
+	}
+
+	mayDispatch(endpoint: string): boolean {
+		return this.holding(endpoint).reply?.closed !== true;
+	}
+
+	private useGrants(state: EntryState, starts: Start[]): void {
+		for (const holding of this.holdings.values()) {
+			const endpoint = state.cfg.endpointNamed(holding.endpoint);
+			for (const grant of holding.takeOffers()) {
+				const req = endpoint && this.bestFor(state, endpoint, grant.tier, grant.floor);
+				if (req) {
+					const floor = grant.floor !== undefined;
+					starts.push(this.start(state, holding, req, floor));
+				} else if (grant.floor === undefined) {
+					holding.keepOrReturn(state.now);
+				}
+			}
+		}
+	}
+
+	private bestFor(
+		state: EntryState,
+		endpoint: Endpoint,
+		tier: number,
+		floor: string | undefined,
+	): Request | undefined {
+		const accepts = (head: Request) => {
+			const fits = floor === undefined ? head.cls.tier <= tier : head.cls.name === floor;
+			return fits && isEligible(state, endpoint, head);
+		};
+		const candidates = state.queue.best(state.now, state.shares, wantedPerGroup, accepts);
+		return candidates.find(({ req }) => !req.avoid.has(endpoint.name))?.req;
+	}
+
+	private useIdle(state: EntryState, starts: Start[]): void {
+		let idle = 0;
+		for (const holding of this.holdings.values()) {
+			idle += holding.usableIdle;
+		}
+		if (idle === 0 || state.queue.size === 0) {
+			return;
+		}
+		const candidates = state.queue.best(state.now, state.shares, idle, () => true);
+		for (const { req } of candidates) {
+			const holding = this.leastLoadedIdle(state, req);
+			if (holding) {
+				holding.idle--;
+				starts.push(this.start(state, holding, req, false));
+			}
+		}
+	}
+
+	private leastLoadedIdle(state: EntryState, req: Request): Holding | undefined {
+		let best: Holding | undefined;
+		for (const endpoint of state.cfg.eligible(req.target, req.cls.name)) {
+			const holding = this.holding(endpoint.name);
+			const open = holding.usableIdle > 0 && !req.avoid.has(endpoint.name);
+			if (open && (!best || holding.load < best.load)) {
+				best = holding;
+			}
+		}
+		return best;
+	}
+
+	private start(state: EntryState, holding: Holding, req: Request, floor: boolean): Start {
+		state.queue.remove(req);
+		const slot: Slot = { endpoint: holding.endpoint, floor, startedAt: state.now };
+		holding.started(req, floor, state.now);
+		return { req, slot };
+	}
+
+	/** Endpoints that serve the same things want the same requests. */
+	private groupEndpoints(state: EntryState): void {
+		if (this.cachedFor === state.cfg) {
+			return;
+		}
+		this.cachedFor = state.cfg;
+		this.groups.clear();
+		for (const endpoint of state.cfg.document.endpoints) {
+			const { kind, models, service, classes, state: standing } = endpoint;
+			const key = JSON.stringify([kind, models, service, classes, standing]);
+			const group = this.groups.get(key);
+			if (group) {
+				group.push(endpoint);
+			} else {
+				this.groups.set(key, [endpoint]);
+			}
+		}
+	}
+
+	private reportGroup(state: EntryState, endpoints: Endpoint[]): void {
+		const [sample] = endpoints;
+		if (!sample) {
+			return;
+		}
+		const accepts = (head: Request) => isEligible(state, sample, head);
+		const candidates =
+			state.queue.size === 0
+				? []
+				: state.queue.best(state.now, state.shares, wantedPerGroup, accepts);
+		const wanted = pickWanted(candidates);
+		const backlog = [...state.queue.backlog(accepts).entries()];
+		const urgentAt = this.urgentEndpoint(endpoints);
+		const want = wanted.map((candidate) => ticketOf(state, candidate));
+		const calm = want.map((ticket) => ({ ...ticket, urgent: false }));
+		for (const endpoint of endpoints) {
+			const holding = this.holding(endpoint.name);
+			const told = endpoint.name === urgentAt ? want : calm;
+			holding.noteWanted(told, state.now);
+			if (isDue(holding, state.now)) {
+				this.sendReport(state, holding, told, backlog);
+			}
+		}
+	}
+
+	private sendReport(
+		state: EntryState,
+		holding: Holding,
+		want: Ticket[],
+		backlog: [number, number][],
+	): void {
+		const owner = this.opts.ownerOf(holding.endpoint);
+		if (owner === undefined) {
+			return;
+		}
+		holding.owner = owner;
+		const report = holding.makeReport(want, backlog, state.now, this.opts.isPreemptable);
+		this.opts.send(owner, report);
+	}
+
+	/** The endpoint that runs the lowest work; only its owner is asked to preempt. */
+	private urgentEndpoint(endpoints: readonly Endpoint[]): string | undefined {
+		let lowest = 0;
+		let name: string | undefined;
+		for (const endpoint of endpoints) {
+			const tier = this.holding(endpoint.name).reply?.lowest ?? 0;
+			if (tier > lowest) {
+				lowest = tier;
+				name = endpoint.name;
+			}
+		}
+		return name;
+	}
+}
+
+/** The best few, and the first of each class that is not among them. */
+function pickWanted(candidates: readonly Candidate[]): Candidate[] {
+	const wanted = candidates.slice(0, wantedBest);
+	const classes = new Set(wanted.map(({ req }) => req.cls.name));
+	for (const candidate of candidates.slice(wantedBest)) {
+		if (!classes.has(candidate.req.cls.name)) {
+			classes.add(candidate.req.cls.name);
+			wanted.push(candidate);
+		}
+	}
+	return wanted;
+}
+
+function isDue(holding: Holding, now: number): boolean {
+	const unanswered = holding.sentSeq > holding.ackedSeq;
+	const resend = unanswered && now - holding.sentAt > resendMs;
+	const refresh = !holding.isEmpty && now - holding.sentAt > refreshMs;
+	return holding.urgent || now >= holding.dueAt || resend || refresh;
+}
+
+function ticketOf(state: EntryState, candidate: Candidate): Ticket {
+	const { req } = candidate;
+	const waited = state.now - req.waitingSince;
+	const patience = state.cfg.document.policy.preempt_after * req.cls.first_token_ms;
+	return {
+		ticket: req.ticket,
+		tier: req.cls.tier,
+		cls: req.cls.name,
+		customer: req.customer,
+		slack: Math.round(candidate.slack - state.shares.leadMs(req)),
+		late: candidate.late,
+		waited: Math.round(waited),
+		urgent: waited > patience,
+	};
+}
+
+function isEligible(state: EntryState, endpoint: Endpoint, req: Request): boolean {
+	return state.cfg.eligible(req.target, req.cls.name).includes(endpoint);
+}
+
+function countAhead(reply: OwnerReply | undefined, tier: number): number {
+	let ahead = 0;
+	for (const [other, count] of reply?.ahead ?? []) {
+		ahead += other <= tier ? count : 0;
+	}
+	return ahead;
+}
--- /dev/null
+++ b/src/core/scheduling/holding.ts
@@ -0,0 +1,225 @@
+/**
+ * What one entry holds on one endpoint: granted slots, unused slots, running requests, and what
+ * its owner last said.
+ * @module
+ */
+import type { Request } from '../requests/types.js';
+import type { Slot } from './definitions.js';
+import type { Grant, HolderReport, Observed, OwnerReply, RunningSlot, Ticket } from './types.js';
+
+/** Unused slots are given back after so long, in milliseconds. */
+const idleMs = 5000;
+/** Changes that matter to waiting work of others are told within this time, in milliseconds. */
+const soonMs = 50;
+/** Other changes are told within this time, in milliseconds. */
+const laterMs = 500;
+
+interface Run {
+	tier: number;
+	cls: string;
+	customer: string;
+	floor: boolean;
+}
+
+export class Holding {
+	owner?: string;
+	reply?: OwnerReply;
+	/** Slots held unused. */
+	idle = 0;
+	sentSeq: number;
+	ackedSeq: number;
+	sentAt = 0;
+	/** When what is untold must be told at the latest. */
+	dueAt = Number.POSITIVE_INFINITY;
+	/** Something must be told at once. */
+	urgent = false;
+	observed: Observed = noObservation();
+	private epoch = 0;
+	private granted = 0;
+	private offers: Grant[] = [];
+	private readonly runs = new Map<number, Run>();
+	private readonly toldWanted = new Set<number>();
+	private readonly toldUrgent = new Set<number>();
+	private idleUsedAt = 0;
+
+	constructor(
+		readonly endpoint: string,
+		firstSeq: number,
+	) {
+		this.sentSeq = firstSeq;
+		this.ackedSeq = firstSeq;
+	}
+
+	/** Unused slots that a request may start in. */
+	get usableIdle(): number {
+		return this.reply?.closed ? 0 : this.idle;
+	}
+
+	/** Share of the endpoint's limit in use, as last heard. */
+	get load(): number {
+		const limit = Math.max(this.reply?.limit ?? 1, 1);
+		return (this.reply?.used ?? 0) / limit + this.runs.size / limit;
+	}
+
+	get runningCount(): number {
+		return this.runs.size;
+	}
+
+	get isEmpty(): boolean {
+		return this.runs.size === 0 && this.idle === 0 && this.toldWanted.size === 0;
+	}
+
+	/** Takes in a reply; false when it is of an older term. */
+	takeIn(reply: OwnerReply, now: number): boolean {
+		if (reply.epoch < this.epoch) {
+			return false;
+		}
+		if (reply.epoch > this.epoch) {
+			this.epoch = reply.epoch;
+			this.granted = 0;
+		}
+		this.ackedSeq = Math.max(this.ackedSeq, reply.seq);
+		for (const grant of reply.grants) {
+			if (grant.id > this.granted) {
+				this.granted = grant.id;
+				this.offers.push(grant);
+				this.changed(now);
+			}
+		}
+		const stale = reply.seq < this.sentSeq;
+		if (!stale && this.idle > reply.keepIdle) {
+			this.idle = reply.keepIdle;
+			this.urgent = true;
+		}
+		this.reply = reply;
+		return true;
+	}
+
+	takeOffers(): Grant[] {
+		const { offers } = this;
+		this.offers = [];
+		return offers;
+	}
+
+	started(req: Request, floor: boolean, now: number): void {
+		const { tier, name } = req.cls;
+		this.runs.set(req.ticket, { tier, cls: name, customer: req.customer, floor });
+		this.idleUsedAt = now;
+		this.changed(now);
+	}
+
+	ended(ticket: number, slot: Slot, now: number): void {
+		this.runs.delete(ticket);
+		this.changed(now);
+		if (!slot.floor) {
+			this.keepOrReturn(now);
+		}
+	}
+
+	/** A free slot stays here while nobody waits for it. */
+	keepOrReturn(now: number): void {
+		this.changed(now);
+		if (!this.reply || this.reply.contended || this.reply.closed) {
+			this.urgent = true;
+			return;
+		}
+		this.idle++;
+		this.idleUsedAt = now;
+	}
+
+	/** Another owner has heard nothing yet. */
+	unacknowledge(): void {
+		if (!this.isEmpty) {
+			this.urgent = true;
+		}
+	}
+
+	dropUnused(): void {
+		this.idle = 0;
+		this.offers = [];
+		this.urgent = true;
+	}
+
+	/** New and newly urgent requests are told at once, vanished ones when there is time. */
+	noteWanted(want: readonly Ticket[], now: number): void {
+		this.returnUnused(now);
+		for (const { ticket, urgent } of want) {
+			const untold = !this.toldWanted.has(ticket);
+			if (untold || (urgent && !this.toldUrgent.has(ticket))) {
+				this.urgent = true;
+			}
+		}
+		if (want.length < this.toldWanted.size) {
+			this.changed(now);
+		}
+	}
+
+	/** A run was observed; its figures go out with the next report. */
+	noteStrain(strain: number, now: number): void {
+		this.observed.strain = Math.max(this.observed.strain, strain);
+		this.dueAt = Math.min(this.dueAt, now + laterMs);
+	}
+
+	makeReport(
+		want: Ticket[],
+		backlog: [number, number][],
+		now: number,
+		isPreemptable: (ticket: number) => boolean,
+	): HolderReport {
+		this.sentSeq++;
+		this.sentAt = now;
+		this.dueAt = Number.POSITIVE_INFINITY;
+		this.urgent = false;
+		this.rememberTold(want);
+		const observed = this.observed;
+		this.observed = noObservation();
+		return {
+			endpoint: this.endpoint,
+			seq: this.sentSeq,
+			epoch: this.epoch,
+			granted: this.granted,
+			running: this.runningSlots(isPreemptable),
+			idle: this.idle + this.offers.length,
+			want,
+			backlog,
+			observed,
+			limit: this.reply?.limit ?? 0,
+		};
+	}
+
+	private runningSlots(isPreemptable: (ticket: number) => boolean): RunningSlot[] {
+		const slots: RunningSlot[] = [];
+		for (const [ticket, run] of this.runs) {
+			slots.push({ ticket, ...run, preemptable: isPreemptable(ticket) });
+		}
+		return slots;
+	}
+
+	private rememberTold(want: readonly Ticket[]): void {
+		this.toldWanted.clear();
+		this.toldUrgent.clear();
+		for (const { ticket, urgent } of want) {
+			this.toldWanted.add(ticket);
+			if (urgent) {
+				this.toldUrgent.add(ticket);
+			}
+		}
+	}
+
+	private returnUnused(now: number): void {
+		if (this.idle > 0 && now - this.idleUsedAt > idleMs) {
+			this.idle = Math.floor(this.idle / 2);
+			this.idleUsedAt = now;
+			this.changed(now);
+		}
+	}
+
+	private changed(now: number): void {
+		const delay = this.reply?.contended ? soonMs : laterMs;
+		this.dueAt = Math.min(this.dueAt, now + delay);
+	}
+}
+
+function noObservation(): Observed {
+	return { completions: 0, failures: 0, strain: 0, slotMs: 0 };
+}
--- a/src/core/scheduling/independent-policy.ts
+++ b/src/core/scheduling/independent-policy.ts
@@ -28,7 +28,7 @@
 	takeStarts(state: EntryState): Start[] {
 		const starts: Start[] = [];
 		const limit = state.queue.size;
-		const candidates = state.queue.best(state.now, 0, state.shares, limit, () => true);
+		const candidates = state.queue.best(state.now, state.shares, limit, () => true);
 		for (const { req } of candidates) {
 			const endpoint = this.leastLoaded(state, req);
 			if (endpoint) {
--- /dev/null
+++ b/src/core/scheduling/limit-learner.ts
@@ -0,0 +1,109 @@
+/**
+ * Learns how many requests an endpoint may run at once from what entries see: time between
+ * tokens against its target, and errors. Load reports play no part, since they lag.
+ * @module
+ */
+
+/** Time between two decisions, in milliseconds. */
+const windowMs = 500;
+/** Strain above which slots are taken away. */
+const highStrain = 1.0;
+/** Strain below which slots are added, while all are in use. */
+const lowStrain = 0.85;
+/** Largest share taken away at once. */
+const maxCut = 0.4;
+/** Failures in a row that close an endpoint. */
+const closingFailures = 3;
+/** Bounds of the time that an endpoint stays closed, in milliseconds. */
+const minClosedMs = 500;
+const maxClosedMs = 5000;
+/** Weight of the newest strain. */
+const strainWeight = 0.5;
+
+export interface LearnerOptions {
+	start: number;
+	max: number;
+	/** Without it the limit stays, errors apart. */
+	learns: boolean;
+}
+
+/** Decides on one endpoint's limit. */
+export class LimitLearner {
+	private value: number;
+	private strain = 0;
+	private samples = 0;
+	private failures = 0;
+	private windowEnd = 0;
+	private closedUntil = 0;
+	private closedMs = minClosedMs;
+	private probing = false;
+
+	constructor(private readonly opts: LearnerOptions) {
+		this.value = opts.start;
+	}
+
+	/** Requests that may run at once; 0 while the endpoint is closed, 1 while it is tried again. */
+	limit(now: number): number {
+		if (now < this.closedUntil) {
+			return 0;
+		}
+		return this.probing ? 1 : Math.floor(this.value);
+	}
+
+	/** Takes over what the owner before had learned. */
+	inherit(limit: number): void {
+		if (limit > 0) {
+			this.value = Math.min(limit, this.opts.max);
+		}
+	}
+
+	/** Takes in what one entry saw. */
+	observe(strain: number, completions: number, failures: number, now: number): void {
+		if (strain > 0) {
+			this.strain = this.samples === 0 ? strain : Math.max(this.strain, strain);
+			this.samples++;
+		}
+		if (completions > 0) {
+			this.failures = 0;
+			this.probing = false;
+			this.closedMs = minClosedMs;
+		}
+		this.failures += failures;
+		if (failures > 0 && (this.failures >= closingFailures || this.probing)) {
+			this.close(now);
+		}
+	}
+
+	/** Decides at the end of each window; true when the limit changed. */
+	decide(used: number, now: number): boolean {
+		if (now < this.windowEnd || !this.opts.learns || this.probing) {
+			return false;
+		}
+		this.windowEnd = now + windowMs;
+		if (this.samples === 0) {
+			return false;
+		}
+		const before = Math.floor(this.value);
+		this.adjust(used);
+		this.strain *= 1 - strainWeight;
+		this.samples = 0;
+		return Math.floor(this.value) !== before;
+	}
+
+	private adjust(used: number): void {
+		if (this.strain > highStrain) {
+			const share = Math.min((this.strain - 1) / 2 + 0.02, maxCut);
+			this.value = Math.max(Math.min(this.value, used) * (1 - share), 1);
+		} else if (this.strain < lowStrain && used >= Math.floor(this.value)) {
+			const step = Math.max(1, this.value * 0.05);
+			this.value = Math.min(this.value + step, this.opts.max);
+		}
+	}
+
+	private close(now: number): void {
+		this.closedUntil = now + this.closedMs;
+		this.closedMs = Math.min(this.closedMs * 2, maxClosedMs);
+		this.probing = true;
+		this.failures = 0;
+	}
+}
--- a/src/core/scheduling/order.ts
+++ b/src/core/scheduling/order.ts
@@ -16,8 +16,8 @@
 	slack: number;
 }
 
-/** Running requests of a customer that count as equal to another's. */
-const shareTolerance = 1;
+/** Shares within one step of this size count as equal, so that the deadline decides. */
+const shareStep = 2;
 
 /** Negative when `a` runs before `b`. */
 export function compare(a: Orderable, b: Orderable): number {
@@ -27,8 +27,20 @@
 	if (a.late !== b.late) {
 		return a.late ? 1 : -1;
 	}
-	if (Math.abs(a.share - b.share) > shareTolerance) {
-		return a.share - b.share;
+	const shares = Math.floor(a.share / shareStep) - Math.floor(b.share / shareStep);
+	return shares === 0 ? a.slack - b.slack : shares;
+}
+
+/** Position of the item that runs first; -1 for none. */
+export function first<T>(items: readonly T[], orderOf: (item: T) => Orderable): number {
+	let best = -1;
+	let bestOrder: Orderable | undefined;
+	for (const [at, item] of items.entries()) {
+		const itemOrder = orderOf(item);
+		if (!bestOrder || compare(itemOrder, bestOrder) < 0) {
+			best = at;
+			bestOrder = itemOrder;
+		}
 	}
-	return a.slack - b.slack;
+	return best;
 }
--- /dev/null
+++ b/src/core/scheduling/owner-desk.ts
@@ -0,0 +1,161 @@
+/**
+ * The ledgers of the endpoints that this daemon owns. Ownership follows from the live members
+ * alone: no lease, no call to the key-value service.
+ * @module
+ */
+import type { ConfigurationView, Endpoint, Target } from '../configuration/index.js';
+import * as rendezvous from '../membership/rendezvous.js';
+import { SlotLedger } from './slot-ledger.js';
+import type { HolderReport, OwnerReply } from './types.js';
+
+/** A part that sees less of the fleet than this claims only its share of each endpoint. */
+const majority = 0.5;
+
+export interface OwnerDeskOptions {
+	self: string;
+	send: (to: string, reply: OwnerReply) => void;
+	/** Names an owner's term: milliseconds since 1970. */
+	epoch: () => number;
+	onOwnedChanged?: (owned: readonly Endpoint[]) => void;
+}
+
+export class OwnerDesk {
+	private readonly ledgers = new Map<string, SlotLedger>();
+	private readonly owners = new Map<string, string>();
+	private cfg?: ConfigurationView;
+	private members: readonly string[] = [];
+	private share = 1;
+
+	constructor(private readonly opts: OwnerDeskOptions) {}
+
+	ownerOf(endpoint: string): string | undefined {
+		return this.owners.get(endpoint);
+	}
+
+	ledger(endpoint: string): SlotLedger | undefined {
+		return this.ledgers.get(endpoint);
+	}
+
+	configure(cfg: ConfigurationView, now: number): void {
+		this.cfg = cfg;
+		this.reassign(now);
+	}
+
+	/** Live members changed; `visible` is the share of the listed fleet that is seen. */
+	setMembers(live: readonly string[], visible: number, now: number): void {
+		this.members = live;
+		this.share = visible > majority ? 1 : visible;
+		this.reassign(now);
+	}
+
+	/** A member is gone for good. */
+	forget(member: string): void {
+		for (const ledger of this.ledgers.values()) {
+			ledger.forget(member);
+		}
+	}
+
+	/** This process was paused: what its ledgers say is out of date. */
+	drop(): void {
+		this.ledgers.clear();
+	}
+
+	/** An owned endpoint said whether it takes work. */
+	setClosed(endpoint: string, closed: boolean): void {
+		this.ledgers.get(endpoint)?.setClosed(closed);
+	}
+
+	receive(from: string, report: HolderReport, now: number): void {
+		this.ledgers.get(report.endpoint)?.report(from, report, now);
+	}
+
+	/** Decides on every owned endpoint and sends what is due. */
+	decide(now: number): void {
+		for (const ledger of this.ledgers.values()) {
+			ledger.decide(now);
+			for (const { to, reply } of ledger.takeReplies(now)) {
+				this.opts.send(to, reply);
+			}
+		}
+	}
+
+	private reassign(now: number): void {
+		const { cfg } = this;
+		if (!cfg) {
+			return;
+		}
+		this.owners.clear();
+		const owned: Endpoint[] = [];
+		for (const endpoint of cfg.document.endpoints) {
+			const owner = rendezvous.pickOwner(endpoint.name, this.members);
+			if (owner !== undefined) {
+				this.owners.set(endpoint.name, owner);
+			}
+			if (owner === this.opts.self) {
+				owned.push(endpoint);
+			}
+		}
+		this.keepLedgers(owned, now);
+		this.assignFloors(cfg);
+		this.opts.onOwnedChanged?.(owned);
+	}
+
+	private keepLedgers(owned: readonly Endpoint[], now: number): void {
+		const names = new Set(owned.map((endpoint) => endpoint.name));
+		for (const name of this.ledgers.keys()) {
+			if (!names.has(name)) {
+				this.ledgers.delete(name);
+			}
+		}
+		for (const endpoint of owned) {
+			const ledger = this.ledgers.get(endpoint.name) ?? this.makeLedger(endpoint, now);
+			this.ledgers.set(endpoint.name, ledger);
+			ledger.setShare(this.share);
+			ledger.setClosed(endpoint.state !== 'active');
+		}
+	}
+
+	private makeLedger(endpoint: Endpoint, now: number): SlotLedger {
+		const learns = this.cfg?.document.policy.learn_limits ?? true;
+		return new SlotLedger({
+			endpoint: endpoint.name,
+			slots: endpoint.slots,
+			maxSlots: endpoint.max_slots,
+			learns: learns && endpoint.kind === 'engine',
+			epoch: this.opts.epoch(),
+			now,
+		});
+	}
+
+	/** Each class's minimum is served by fixed endpoints, the same for every daemon. */
+	private assignFloors(cfg: ConfigurationView): void {
+		const floors = new Map<string, Set<string>>();
+		for (const target of targetsOf(cfg)) {
+			for (const cls of cfg.document.classes) {
+				const names = cfg.eligible(target, cls.name).map((endpoint) => endpoint.name);
+				const key = `floor ${cls.name} ${target}`;
+				for (const name of rendezvous.pickTop(key, names, cls.floor)) {
+					const classes = floors.get(name) ?? new Set();
+					classes.add(cls.name);
+					floors.set(name, classes);
+				}
+			}
+		}
+		for (const [name, ledger] of this.ledgers) {
+			ledger.setFloors([...(floors.get(name) ?? [])]);
+		}
+	}
+}
+
+function targetsOf(cfg: ConfigurationView): Set<Target> {
+	const targets = new Set<Target>();
+	for (const endpoint of cfg.document.endpoints) {
+		for (const model of endpoint.models) {
+			targets.add(`model:${model}`);
+		}
+		if (endpoint.service !== undefined) {
+			targets.add(`service:${endpoint.service}`);
+		}
+	}
+	return targets;
+}
--- a/src/core/scheduling/request-queue.ts
+++ b/src/core/scheduling/request-queue.ts
@@ -17,10 +17,12 @@
 	bytes: number;
 }
 
-/** What the queue has to know of running work to be fair. */
+/** What the queue has to know of running work to put waiting work in order. */
 export interface Shares {
 	/** Running requests of the customer, over its weight. */
 	of(customer: string): number;
+	/** Estimated milliseconds from a dispatch to the first token. */
+	leadMs(req: Request): number;
 }
 
 /** A waiting request with what decides its place. */
@@ -87,7 +89,6 @@
 	/** Best waiting requests that pass `accepts`, in order; at most `perGroup` of each group. */
 	best(
 		now: number,
-		leadMs: number,
 		shares: Shares,
 		perGroup: number,
 		accepts: (head: Request) => boolean,
@@ -96,7 +97,7 @@
 		for (const group of this.groups.values()) {
 			const head = group.items[0];
 			if (head && accepts(head)) {
-				this.collect(group, now, leadMs, shares, perGroup, found);
+				this.collect(group, now, shares, perGroup, found);
 			}
 		}
 		return found.sort(order.compare);
@@ -118,11 +119,11 @@
 	private collect(
 		group: Group,
 		now: number,
-		leadMs: number,
 		shares: Shares,
 		perGroup: number,
 		found: Candidate[],
 	): void {
+		const leadMs = shares.leadMs(group.items[0] as Request);
 		const firstInTime = group.items.findIndex((req) => req.firstTokenBy >= now + leadMs);
 		const start = Math.max(firstInTime, 0);
 		for (let taken = 0; taken < Math.min(perGroup, group.items.length); taken++) {
--- /dev/null
+++ b/src/core/scheduling/slot-ledger.ts
@@ -0,0 +1,447 @@
+/**
+ * One endpoint's slots, as its owner keeps them: who runs what, who waits, who gets the next
+ * slot. Pure: reports go in, replies come out. Soft state only; a new owner learns it from the
+ * entries' next reports.
+ * @module
+ */
+import { LimitLearner } from './limit-learner.js';
+import * as order from './order.js';
+import type { Grant, HolderReport, OwnerReply, RunningSlot, Ticket } from './types.js';
+
+/** A new owner listens for so long before it grants, in milliseconds. */
+const learnMs = 400;
+/** After the last waiting request, slots stay on demand for so long, in milliseconds. */
+const contentionMs = 1000;
+/** A class that waits so long without a slot here is given its minimum, in milliseconds. */
+const floorAfterMs = 1000;
+/** Least time between two preemptions on one endpoint, in milliseconds. */
+const preemptEveryMs = 100;
+/** Weight of the newest rate. */
+const rateWeight = 0.3;
+/** Time over which the rate is counted, in milliseconds. */
+const rateWindowMs = 1000;
+/** A grant that its entry has not confirmed after so long is taken back, in milliseconds. */
+const grantLostMs = 3000;
+
+/** What the ledger needs to know of the endpoint and its classes. */
+export interface LedgerOptions {
+	endpoint: string;
+	slots: number;
+	maxSlots: number;
+	learns: boolean;
+	/** Names the owner's term. */
+	epoch: number;
+	now: number;
+}
+
+interface PendingGrant extends Grant {
+	ticket: Ticket;
+	at: number;
+}
+
+interface Waiting {
+	holder: Holder;
+	ticket: Ticket;
+	/** Owner's time at which the first token is due. */
+	dueAt: number;
+	/** Owner's time at which it began to wait. */
+	since: number;
+}
+
+interface Holder {
+	id: string;
+	seq: number;
+	granted: number;
+	nextGrant: number;
+	pending: PendingGrant[];
+	running: RunningSlot[];
+	idle: number;
+	waiting: Waiting[];
+	backlog: [number, number][];
+	/** Something must be said to this entry. */
+	dirty: boolean;
+	preempt: Set<number>;
+	keepIdle: number;
+}
+
+export class SlotLedger {
+	private readonly holders = new Map<string, Holder>();
+	private readonly learner: LimitLearner;
+	private epoch: number;
+	private readonly grantFrom: number;
+	private inherited = false;
+	private contendedUntil = 0;
+	private lastPreemptAt = 0;
+	private completions = 0;
+	private rateSince: number;
+	private rate = 0;
+	private share = 1;
+	private closed = false;
+	/** Classes whose minimum this endpoint serves. */
+	private floors: readonly string[] = [];
+
+	constructor(private readonly opts: LedgerOptions) {
+		this.epoch = opts.epoch;
+		this.grantFrom = opts.now + learnMs;
+		this.rateSince = opts.now;
+		this.learner = new LimitLearner({
+			start: opts.slots,
+			max: opts.maxSlots,
+			learns: opts.learns,
+		});
+	}
+
+	/** Classes whose minimum is served here; decided by the daemon. */
+	setFloors(floors: readonly string[]): void {
+		this.floors = floors;
+	}
+
+	/** Share of the endpoint that this owner may claim; less than 1 when it may be cut off. */
+	setShare(share: number): void {
+		this.share = share;
+	}
+
+	/** The endpoint takes no new work. */
+	setClosed(closed: boolean): void {
+		if (closed !== this.closed) {
+			this.closed = closed;
+			this.touchAll();
+		}
+	}
+
+	limit(now: number): number {
+		const limit = this.learner.limit(now);
+		return limit === 0 || this.closed ? 0 : Math.max(1, Math.floor(limit * this.share));
+	}
+
+	/** Slots of the limit that are in use, held unused or on their way. */
+	used(): number {
+		let used = 0;
+		for (const holder of this.holders.values()) {
+			used += holder.idle + countRegular(holder);
+		}
+		return used;
+	}
+
+	/** Takes in one entry's state. */
+	report(from: string, report: HolderReport, now: number): void {
+		const holder = this.holder(from);
+		if (report.seq <= holder.seq) {
+			holder.dirty = true;
+			return;
+		}
+		if (report.epoch > this.epoch) {
+			this.epoch = report.epoch + 1;
+			this.forgetPending();
+		}
+		if (!this.inherited && report.limit > 0 && report.epoch !== this.epoch) {
+			this.inherited = true;
+			this.learner.inherit(report.limit);
+		}
+		this.takeIn(holder, report, now);
+		this.completions += report.observed.completions;
+		const { strain, completions, failures } = report.observed;
+		this.learner.observe(strain, completions, failures, now);
+	}
+
+	/** An entry is gone, and its requests with it. */
+	forget(id: string): void {
+		this.holders.delete(id);
+	}
+
+	/** Decides who gets what; entries to be told are marked. */
+	decide(now: number): void {
+		this.countRate(now);
+		this.dropLostGrants(now);
+		if (this.learner.decide(this.used(), now)) {
+			this.touchAll();
+		}
+		if (now < this.grantFrom) {
+			return;
+		}
+		const waiting = this.allWaiting();
+		this.grantFree(waiting, now);
+		this.updateContention(waiting, now);
+		this.grantFloors(now);
+		this.preemptFor(waiting, now);
+	}
+
+	/** Replies that are due, by entry. */
+	takeReplies(now: number): { to: string; reply: OwnerReply }[] {
+		const replies: { to: string; reply: OwnerReply }[] = [];
+		for (const holder of this.holders.values()) {
+			if (holder.dirty) {
+				holder.dirty = false;
+				replies.push({ to: holder.id, reply: this.reply(holder, now) });
+			}
+		}
+		return replies;
+	}
+
+	private takeIn(holder: Holder, report: HolderReport, now: number): void {
+		holder.seq = report.seq;
+		holder.dirty = true;
+		if (report.epoch === this.epoch) {
+			holder.granted = Math.max(holder.granted, report.granted);
+			holder.pending = holder.pending.filter((grant) => grant.id > holder.granted);
+		}
+		holder.running = report.running;
+		holder.idle = report.idle;
+		holder.backlog = report.backlog;
+		const running = new Set(report.running.map((slot) => slot.ticket));
+		for (const ticket of holder.preempt) {
+			if (!running.has(ticket)) {
+				holder.preempt.delete(ticket);
+			}
+		}
+		const promised = new Set(holder.pending.map((grant) => grant.ticket.ticket));
+		holder.waiting = report.want
+			.filter((ticket) => !promised.has(ticket.ticket))
+			.map((ticket) => ({
+				holder,
+				ticket,
+				dueAt: now + ticket.slack,
+				since: now - ticket.waited,
+			}));
+	}
+
+	private grantFree(waiting: Waiting[], now: number): void {
+		let free = this.limit(now) - this.used();
+		if (free <= 0 || waiting.length === 0) {
+			return;
+		}
+		const shares = this.runningByCustomer();
+		while (free > 0 && waiting.length > 0) {
+			const at = order.first(waiting, (item) => orderOf(item, shares, now));
+			const [next] = waiting.splice(at, 1);
+			if (next) {
+				this.grant(next, now);
+				const { customer } = next.ticket;
+				shares.set(customer, (shares.get(customer) ?? 0) + 1);
+			}
+			free--;
+		}
+	}
+
+	/** While requests wait, unused slots are called in and slots that end come back at once. */
+	private updateContention(waiting: readonly Waiting[], now: number): void {
+		const before = this.isContended(now);
+		if (waiting.length > 0) {
+			this.contendedUntil = now + contentionMs;
+		}
+		if (before !== this.isContended(now)) {
+			this.touchAll();
+		}
+		let needed = waiting.length;
+		const over = this.used() - this.limit(now);
+		needed = Math.max(needed, over);
+		for (const holder of this.holders.values()) {
+			const recall = Math.min(holder.idle, Math.max(needed, 0));
+			const keep = holder.idle - recall;
+			needed -= recall;
+			if (recall > 0 && keep !== holder.keepIdle) {
+				holder.dirty = true;
+			}
+			holder.keepIdle = recall > 0 ? keep : Number.MAX_SAFE_INTEGER;
+		}
+	}
+
+	/** One slot outside the limit for each class that waits here without any. */
+	private grantFloors(now: number): void {
+		if (this.closed || this.learner.limit(now) === 0) {
+			return;
+		}
+		for (const cls of this.floors) {
+			const first = this.oldestOf(cls);
+			if (first && now - first.since >= floorAfterMs && !this.floorBusy(cls)) {
+				this.grant(first, now, cls);
+			}
+		}
+	}
+
+	private floorBusy(cls: string): boolean {
+		for (const holder of this.holders.values()) {
+			const running = holder.running.some((slot) => slot.floor && slot.cls === cls);
+			if (running || holder.pending.some((grant) => grant.floor === cls)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private oldestOf(cls: string): Waiting | undefined {
+		let oldest: Waiting | undefined;
+		for (const holder of this.holders.values()) {
+			for (const waiting of holder.waiting) {
+				if (waiting.ticket.cls === cls && (!oldest || waiting.since < oldest.since)) {
+					oldest = waiting;
+				}
+			}
+		}
+		return oldest;
+	}
+
+	/** Cuts off the lowest work for an urgent request of a higher tier. */
+	private preemptFor(waiting: readonly Waiting[], now: number): void {
+		let urgent: Waiting | undefined;
+		for (const item of waiting) {
+			if (item.ticket.urgent && (!urgent || item.ticket.tier < urgent.ticket.tier)) {
+				urgent = item;
+			}
+		}
+		if (!urgent || now - this.lastPreemptAt < preemptEveryMs) {
+			return;
+		}
+		const victim = this.lowestRunning();
+		if (victim && victim.slot.tier > urgent.ticket.tier) {
+			this.lastPreemptAt = now;
+			victim.holder.preempt.add(victim.slot.ticket);
+			victim.holder.dirty = true;
+		}
+	}
+
+	private lowestRunning(): { holder: Holder; slot: RunningSlot } | undefined {
+		let lowest: { holder: Holder; slot: RunningSlot } | undefined;
+		for (const holder of this.holders.values()) {
+			for (const slot of holder.running) {
+				const open = slot.preemptable && !slot.floor && !holder.preempt.has(slot.ticket);
+				if (open && (!lowest || slot.tier > lowest.slot.tier)) {
+					lowest = { holder, slot };
+				}
+			}
+		}
+		return lowest;
+	}
+
+	private grant(waiting: Waiting, now: number, floor?: string): void {
+		const { holder, ticket } = waiting;
+		holder.pending.push({ id: holder.nextGrant++, tier: ticket.tier, floor, ticket, at: now });
+		holder.waiting = holder.waiting.filter((other) => other !== waiting);
+		holder.dirty = true;
+	}
+
+	private dropLostGrants(now: number): void {
+		for (const holder of this.holders.values()) {
+			const kept = holder.pending.filter((grant) => now - grant.at < grantLostMs);
+			if (kept.length < holder.pending.length) {
+				holder.pending = kept;
+			}
+		}
+	}
+
+	private allWaiting(): Waiting[] {
+		return [...this.holders.values()].flatMap((holder) => holder.waiting);
+	}
+
+	private runningByCustomer(): Map<string, number> {
+		const counts = new Map<string, number>();
+		const add = (customer: string) => counts.set(customer, (counts.get(customer) ?? 0) + 1);
+		for (const holder of this.holders.values()) {
+			for (const slot of holder.running) {
+				add(slot.customer);
+			}
+			for (const grant of holder.pending) {
+				add(grant.ticket.customer);
+			}
+		}
+		return counts;
+	}
+
+	private countRate(now: number): void {
+		const span = now - this.rateSince;
+		if (span >= rateWindowMs) {
+			const fresh = (this.completions / span) * 1000;
+			this.rate = this.rate === 0 ? fresh : this.rate + rateWeight * (fresh - this.rate);
+			this.completions = 0;
+			this.rateSince = now;
+		}
+	}
+
+	private isContended(now: number): boolean {
+		return now < this.contendedUntil;
+	}
+
+	/** Grants of another term of this owner are void. */
+	private forgetPending(): void {
+		for (const holder of this.holders.values()) {
+			holder.pending = [];
+			holder.dirty = true;
+		}
+	}
+
+	private touchAll(): void {
+		for (const holder of this.holders.values()) {
+			holder.dirty = true;
+		}
+	}
+
+	private reply(holder: Holder, now: number): OwnerReply {
+		return {
+			endpoint: this.opts.endpoint,
+			epoch: this.epoch,
+			seq: holder.seq,
+			grants: holder.pending.map(({ id, tier, floor }) => ({ id, tier, floor })),
+			keepIdle: holder.keepIdle,
+			contended: this.isContended(now),
+			preempt: [...holder.preempt],
+			limit: this.learner.limit(now),
+			used: this.used(),
+			rate: this.rate,
+			ahead: this.aheadByTier(),
+			lowest: this.lowestRunning()?.slot.tier ?? 0,
+			closed: this.closed,
+		};
+	}
+
+	private aheadByTier(): [number, number][] {
+		const byTier = new Map<number, number>();
+		for (const holder of this.holders.values()) {
+			for (const [tier, count] of holder.backlog) {
+				byTier.set(tier, (byTier.get(tier) ?? 0) + count);
+			}
+		}
+		return [...byTier.entries()];
+	}
+
+	private holder(id: string): Holder {
+		let holder = this.holders.get(id);
+		if (!holder) {
+			holder = {
+				id,
+				seq: 0,
+				granted: 0,
+				nextGrant: 1,
+				pending: [],
+				running: [],
+				idle: 0,
+				waiting: [],
+				backlog: [],
+				dirty: true,
+				preempt: new Set(),
+				keepIdle: Number.MAX_SAFE_INTEGER,
+			};
+			this.holders.set(id, holder);
+		}
+		return holder;
+	}
+}
+
+function countRegular(holder: Holder): number {
+	const running = holder.running.filter((slot) => !slot.floor).length;
+	const pending = holder.pending.filter((grant) => grant.floor === undefined).length;
+	return running + pending;
+}
+
+function orderOf(
+	waiting: Waiting,
+	shares: ReadonlyMap<string, number>,
+	now: number,
+): order.Orderable {
+	const slack = waiting.dueAt - now;
+	return {
+		tier: waiting.ticket.tier,
+		late: waiting.ticket.late || slack < 0,
+		share: shares.get(waiting.ticket.customer) ?? 0,
+		slack,
+	};
+}
--- /dev/null
+++ b/src/core/scheduling/types.ts
@@ -0,0 +1,101 @@
+/**
+ * Messages between entries and owners of endpoints. Both carry whole state, not changes: a lost,
+ * doubled or reordered message does no harm, the next one says it all again.
+ * @module
+ */
+
+/** A waiting request, as an owner sees it. */
+export interface Ticket {
+	/** Number of the request on its daemon. */
+	ticket: number;
+	tier: number;
+	cls: string;
+	customer: string;
+	/** Milliseconds until the first token is due, at sending. */
+	slack: number;
+	/** The first-token target can no longer be met. */
+	late: boolean;
+	/** Milliseconds that it waits already. */
+	waited: number;
+	/** Asks that lower work be preempted on this endpoint. */
+	urgent: boolean;
+}
+
+/** A request that runs on the endpoint. */
+export interface RunningSlot {
+	ticket: number;
+	tier: number;
+	cls: string;
+	customer: string;
+	floor: boolean;
+	preemptable: boolean;
+}
+
+/** What an entry saw of an endpoint since its last report. */
+export interface Observed {
+	completions: number;
+	failures: number;
+	/** Greatest mean of time between tokens over its target, by class. */
+	strain: number;
+	/** Mean slot time, in milliseconds. */
+	slotMs: number;
+}
+
+/** State of one entry on one endpoint, sent to the endpoint's owner. */
+export interface HolderReport {
+	endpoint: string;
+	/** Grows with each report of this entry on this endpoint. */
+	seq: number;
+	/** Owner's epoch that the entry knows; 0 for none. */
+	epoch: number;
+	/** Last grant that the entry has taken in. */
+	granted: number;
+	running: RunningSlot[];
+	/** Slots held unused. */
+	idle: number;
+	/** The best waiting requests, and the first of each class. */
+	want: Ticket[];
+	/** Waiting requests by tier. */
+	backlog: [tier: number, count: number][];
+	observed: Observed;
+	/** Limit as last heard, for an owner that is new. */
+	limit: number;
+}
+
+/** One slot given. */
+export interface Grant {
+	/** Grows by one with each grant of an epoch to one entry. */
+	id: number;
+	/** Work of this or a higher tier may use it. */
+	tier: number;
+	/** Class whose minimum this slot serves; it is outside the limit. */
+	floor?: string;
+}
+
+/** State of an endpoint's owner towards one entry. */
+export interface OwnerReply {
+	endpoint: string;
+	/** Names the owner's term; a higher one wins. */
+	epoch: number;
+	/** Last report taken in. */
+	seq: number;
+	/** Every grant that the entry has not confirmed. */
+	grants: Grant[];
+	/** The entry may keep this many unused slots. */
+	keepIdle: number;
+	/** Slots that end are given back at once. */
+	contended: boolean;
+	/** Requests to cut off, by ticket. */
+	preempt: number[];
+	limit: number;
+	/** Slots in use of the limit. */
+	used: number;
+	/** Requests ended a second, over all entries. */
+	rate: number;
+	/** Waiting requests by tier, over all entries. */
+	ahead: [tier: number, count: number][];
+	/** Lowest tier that runs and may be preempted; 0 for none. */
+	lowest: number;
+	/** The endpoint takes no work. */
+	closed: boolean;
+}
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -87,6 +87,11 @@
 	statsd_port: port.default(8125),
 });
 
+const drills = zod.strictObject({
+	/** Lets operators cut this daemon off from peers, to rehearse failures. @default false */
+	enabled: zod.boolean().default(false),
+});
+
 /** The whole settings file. */
 export const settingsSchema = zod.strictObject({
 	vm,
@@ -96,6 +101,7 @@
 	limits: limits.default(limits.parse({})),
 	log: log.default({ level: 'info' }),
 	metrics: metrics.default({ statsd_port: 8125 }),
+	drills: drills.default({ enabled: false }),
 });
 
 /** Settings after checks, defaults filled in. */
--- a/src/daemon/daemon-control.ts
+++ b/src/daemon/daemon-control.ts
@@ -5,6 +5,7 @@
 import * as crypto from 'node:crypto';
 import type { VersionedConfiguration } from '../core/configuration/index.js';
 import type { ChangeRequest } from '../core/configuration/writer.js';
+import * as errors from '../core/errors/index.js';
 import type { RequestRun } from '../core/requests/run.js';
 import type { TimelineEvent } from '../core/timeline/index.js';
 import type { DaemonApi, EndpointRow, RequestRow, StatusReport } from '../infra/control/types.js';
@@ -16,6 +17,7 @@
 	status(): StatusReport {
 		const { settings, router, kv, configuration } = this.daemon;
 		const cpu = process.cpuUsage();
+		const { traffic } = this.daemon.transport;
 		const running = [...router.all()].filter((run) => run.running).length;
 		return {
 			vm: settings.vm.id,
@@ -25,14 +27,14 @@
 			ready: this.daemon.refusal()?.name ?? 'ready',
 			queued: router.queue.size,
 			running,
-			members: [],
+			members: this.members(),
 			kv_calls: kv.calls,
 			cpu_ms: (cpu.user + cpu.system) / 1000,
 			rss_bytes: process.memoryUsage.rss(),
-			peer_bytes_sent: 0,
-			peer_bytes_received: 0,
-			peer_datagrams_sent: 0,
-			peer_datagrams_received: 0,
+			peer_bytes_sent: traffic.bytesSent,
+			peer_bytes_received: traffic.bytesReceived,
+			peer_datagrams_sent: traffic.datagramsSent,
+			peer_datagrams_received: traffic.datagramsReceived,
 			uptime_ms: process.uptime() * 1000,
 		};
 	}
@@ -42,7 +44,30 @@
 	}
 
 	endpoints(): EndpointRow[] {
-		return [];
+		const { fleet, configuration, settings } = this.daemon;
+		const endpoints = configuration?.document.endpoints ?? [];
+		return endpoints.map((endpoint) => {
+			const holding = fleet?.policy.holding(endpoint.name);
+			return {
+				endpoint: endpoint.name,
+				vm: settings.vm.id,
+				owner: fleet?.desk.ownerOf(endpoint.name) ?? '',
+				state: holding?.reply?.closed ? 'closed' : endpoint.state,
+				limit: holding?.reply?.limit ?? 0,
+				running: holding?.runningCount ?? 0,
+				idle: holding?.idle ?? 0,
+			};
+		});
+	}
+
+	cutPeers(peers: readonly string[]): void {
+		if (!this.daemon.settings.drills.enabled) {
+			throw new errors.UserError(errors.data.DrillsDisabled);
+		}
+		this.daemon.cut.clear();
+		for (const peer of peers) {
+			this.daemon.cut.add(peer);
+		}
 	}
 
 	events(since: number): TimelineEvent[] {
@@ -64,6 +89,15 @@
 		return isPeer || this.daemon.configuration?.isOperator(token) === true;
 	}
 
+	private members(): StatusReport['members'] {
+		const members = this.daemon.fleet?.membership.all() ?? [];
+		return members.map((member) => ({
+			vm: member.id,
+			state: member.state,
+			control: `${member.address}:${member.port}`,
+		}));
+	}
+
 	private row(run: RequestRun): RequestRow {
 		const now = this.daemon.clock.monotonic();
 		const { req } = run;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,11 +7,12 @@
 import xxhash from 'xxhash-wasm';
 import { KvClaimStore } from '../core/claims/claims.js';
 import { ConfigurationFollower } from '../core/configuration/follower.js';
-import type { VersionedConfiguration } from '../core/configuration/index.js';
-import { ConfigurationView } from '../core/configuration/index.js';
+import type { Endpoint, VersionedConfiguration } from '../core/configuration/index.js';
+import { ConfigurationView, policies } from '../core/configuration/index.js';
 import { ConfigurationWriter } from '../core/configuration/writer.js';
-import type { Log } from '../core/definitions.js';
+import type { LoadReport, Log } from '../core/definitions.js';
 import * as errors from '../core/errors/index.js';
+import * as rendezvous from '../core/membership/rendezvous.js';
 import { Router } from '../core/requests/router.js';
 import { IndependentPolicy } from '../core/scheduling/independent-policy.js';
 import type { Settings } from '../core/settings/index.js';
@@ -19,15 +20,23 @@
 import { CallersServer } from '../infra/callers/callers-server.js';
 import { createControlServer } from '../infra/control/control-server.js';
 import { HttpKvStore } from '../infra/http-kv-store.js';
+import { HttpVmList } from '../infra/http-vm-list.js';
+import { UdpTransport } from '../infra/peers/udp-transport.js';
 import { StatsdMetrics } from '../infra/statsd-metrics.js';
 import { SystemClock } from '../infra/system-clock.js';
 import { SystemRandom } from '../infra/system-random.js';
 import { UndiciEndpointClient } from '../infra/undici-endpoint-client.js';
 import { DaemonControl } from './daemon-control.js';
+import { FleetNode } from './fleet-node.js';
 import { LoadPoller } from './load-poller.js';
+import { PeerConfiguration } from './peer-configuration.js';
 
 /** Time between two looks for requests to give up, in milliseconds. */
 const sweepMs = 50;
+/** Daemons of each failure domain that watch the key-value service. */
+const watchersPerDomain = 2;
+/** Ports tried when the system chooses and another program has the UDP port. */
+const portTries = 20;
 /** Time between two looks whether a planned stop is done, in milliseconds. */
 const stopPollMs = 50;
 
@@ -43,7 +52,13 @@
 	private readonly endpoints = new UndiciEndpointClient();
 	private readonly independent = new IndependentPolicy();
 	private readonly loads: LoadPoller;
+	readonly transport: UdpTransport;
+	/** Peers that a drill has cut off. */
+	readonly cut = new Set<string>();
+	private fleetNode?: FleetNode;
 	private view?: ConfigurationView;
+	private owned: readonly Endpoint[] = [];
+	private readonly peerConfiguration: PeerConfiguration;
 	private callers?: CallersServer;
 	private control?: http.Server;
 	private stopping = false;
@@ -55,6 +70,7 @@
 	) {
 		const hybrid = new HybridClock(this.clock);
 		this.timeline = new Timeline({ vm: settings.vm.id, clock: hybrid });
+		this.transport = this.makeTransport(hybrid);
 		this.metrics = this.makeMetrics();
 		this.kv = new HttpKvStore({
 			url: settings.platform.kv,
@@ -66,8 +82,19 @@
 		this.loads = new LoadPoller({
 			endpoints: this.endpoints,
 			random: this.random,
-			report: (endpoint, report) => this.independent.reportLoad(endpoint, report),
+			report: (endpoint, report) => this.loadReported(endpoint, report),
 		});
+		this.peerConfiguration = new PeerConfiguration({
+			token: settings.peers.token,
+			log,
+			random: this.random,
+			offer: (versioned) => this.follower.offer(versioned),
+		});
+	}
+
+	/** The daemon's part in the fleet; undefined before the start. */
+	get fleet(): FleetNode | undefined {
+		return this.fleetNode;
 	}
 
 	get configuration(): ConfigurationView | undefined {
@@ -97,7 +124,9 @@
 		});
 		this.control = createControlServer(new DaemonControl(this));
 		const callersPort = await listenOn(this.callers.server, vm.address, ports.callers_port);
-		const controlPort = await listenOn(this.control, vm.address, ports.control_port);
+		const controlPort = await this.listenControl(this.control, vm.address, ports.control_port);
+		this.fleetNode = this.makeFleetNode(controlPort);
+		this.fleetNode.start();
 		this.timers.push(setInterval(() => this.router.sweep(), sweepMs));
 		void this.follower.follow();
 		this.log.info('daemon.listening', { callers_port: callersPort, control_port: controlPort });
@@ -126,7 +155,25 @@
 		}
 	}
 
+	/** TCP and UDP take the same number; the system chooses again when UDP is taken. */
+	private async listenControl(server: http.Server, address: string, port: number): Promise<number> {
+		for (let attempt = 1; ; attempt++) {
+			const chosen = await listenOn(server, address, port);
+			try {
+				await this.transport.bind(address, chosen);
+				return chosen;
+			} catch (err) {
+				if (port !== 0 || attempt >= portTries) {
+					throw err;
+				}
+				await new Promise((done) => server.close(done));
+			}
+		}
+	}
+
 	private async close(): Promise<void> {
+		this.fleetNode?.stop();
+		this.transport.close();
 		for (const timer of this.timers) {
 			clearInterval(timer);
 		}
@@ -144,12 +191,69 @@
 
 	private apply(versioned: VersionedConfiguration): void {
 		this.view = new ConfigurationView(versioned);
-		this.router.configure(this.view, this.independent);
-		this.loads.follow(this.view.document.endpoints);
+		this.fleetNode?.configure(this.view);
+		const granted = this.view.document.policy.name === policies.granted;
+		const policy = granted && this.fleetNode ? this.fleetNode.policy : this.independent;
+		this.router.configure(this.view, policy);
+		this.followLoads();
 		this.timeline.record(eventKinds.configurationApplied, { value: versioned.version });
 		this.log.info('configuration.applied', { version: versioned.version, by: versioned.by });
 	}
 
+	/** Alone, a daemon needs every report; in the fleet, owners read those of their endpoints. */
+	private followLoads(): void {
+		const document = this.view?.document;
+		const alone = document?.policy.name === policies.independent;
+		this.loads.follow(alone ? document.endpoints : this.owned);
+	}
+
+	private loadReported(endpoint: string, report: LoadReport): void {
+		this.independent.reportLoad(endpoint, report);
+		const drained = this.view?.endpointNamed(endpoint)?.state !== 'active';
+		this.fleetNode?.desk.setClosed(endpoint, report.leaving || drained);
+	}
+
+	/** A few daemons of each failure domain watch; the others hear of changes from peers. */
+	private isWatcher(): boolean {
+		const { id, failure_domain } = this.settings.vm;
+		const live = this.fleetNode?.membership.live() ?? [];
+		const near = live.filter((member) => member.domain === failure_domain);
+		const names = near.map((member) => member.id);
+		const watchers = rendezvous.pickTop('configuration', names, watchersPerDomain);
+		return watchers.length === 0 || watchers.includes(id);
+	}
+
+	private makeTransport(clock: HybridClock): UdpTransport {
+		return new UdpTransport({
+			self: this.settings.vm.id,
+			token: this.settings.peers.token,
+			tickMs: this.settings.peers.tick_ms,
+			clock,
+			onBatch: (batch) => this.fleetNode?.receive(batch),
+			isCut: (peer) => this.cut.has(peer),
+		});
+	}
+
+	private makeFleetNode(port: number): FleetNode {
+		const { vm, peers, platform } = this.settings;
+		return new FleetNode({
+			self: { id: vm.id, address: vm.address, port, domain: vm.failure_domain },
+			probeMs: peers.probe_ms,
+			clock: this.clock,
+			random: this.random,
+			log: this.log,
+			timeline: this.timeline,
+			router: this.router,
+			vmList: new HttpVmList({ url: platform.vm_list, timeoutMs: platform.timeout_ms }),
+			transport: this.transport,
+			onNewerVersion: (member) => this.peerConfiguration.fetchFrom(member),
+			onOwnedChanged: (owned) => {
+				this.owned = owned;
+				this.followLoads();
+			},
+		});
+	}
+
 	private makeMetrics(): StatsdMetrics {
 		const { vm, metrics } = this.settings;
 		return new StatsdMetrics({
@@ -172,6 +276,7 @@
 			limits: { requests: limits.queue_requests, bytes: limits.queue_bytes },
 			stallMs: limits.stall_ms,
 			soon: (callback) => void setImmediate(callback),
+			onChange: () => this.fleetNode?.reportSoon(),
 		});
 	}
 
@@ -182,7 +287,7 @@
 			random: this.random,
 			log: this.log,
 			apply: (versioned) => this.apply(versioned),
-			isWatcher: () => true,
+			isWatcher: () => this.isWatcher(),
 			sleep,
 		});
 	}
--- /dev/null
+++ b/src/daemon/fleet-node.ts
@@ -0,0 +1,220 @@
+/**
+ * One daemon's part in the fleet: membership, ownership of endpoints, granted slots.
+ * @module
+ */
+import type { ConfigurationView, Endpoint } from '../core/configuration/index.js';
+import type { Clock, Log, Random, VmList } from '../core/definitions.js';
+import { Membership } from '../core/membership/membership.js';
+import type { Member } from '../core/membership/types.js';
+import { memberStates } from '../core/membership/types.js';
+import type { PeerBatch, PeerMessage, PeerTransport } from '../core/peers.js';
+import type { Router } from '../core/requests/router.js';
+import { GrantedPolicy } from '../core/scheduling/granted-policy.js';
+import { OwnerDesk } from '../core/scheduling/owner-desk.js';
+import type { Timeline } from '../core/timeline/index.js';
+import { eventKinds } from '../core/timeline/index.js';
+
+/** Time between two looks at timers and ledgers, in milliseconds. */
+const tickMs = 25;
+/** Time between two reads of the VM list, in milliseconds. */
+const vmListMs = 5000;
+/** A tick that comes so late shows that the process was paused, in milliseconds. */
+const pausedMs = 1000;
+/** After a pause nothing starts for so long, so that views are fresh, in milliseconds. */
+const refreshMs = 500;
+
+export interface FleetNodeOptions {
+	self: { id: string; address: string; port: number; domain: string };
+	probeMs: number;
+	clock: Clock;
+	random: Random;
+	log: Log;
+	timeline: Timeline;
+	router: Router;
+	vmList: VmList;
+	transport: PeerTransport;
+	/** A member has a newer configuration in force. */
+	onNewerVersion: (member: Member) => void;
+	onOwnedChanged: (owned: readonly Endpoint[]) => void;
+}
+
+export class FleetNode {
+	readonly membership: Membership;
+	readonly desk: OwnerDesk;
+	readonly policy: GrantedPolicy;
+	private readonly timers: NodeJS.Timeout[] = [];
+	private lastTick: number;
+	private version = 0;
+	private appliedMembers = '';
+	private deskDue = false;
+	private reportDue = false;
+
+	constructor(private readonly opts: FleetNodeOptions) {
+		const { clock, random, self } = opts;
+		this.lastTick = clock.monotonic();
+		this.membership = new Membership({
+			self,
+			clock,
+			random,
+			probeMs: opts.probeMs,
+			send: ({ to, message }) => opts.transport.send(to, { type: 'membership', body: message }),
+			onChange: (member) => this.memberChanged(member),
+		});
+		this.desk = new OwnerDesk({
+			self: self.id,
+			send: (to, body) => this.send(to, { type: 'reply', body }),
+			epoch: () => Math.floor(clock.wall()),
+			onOwnedChanged: (owned) => opts.onOwnedChanged(owned),
+		});
+		this.policy = new GrantedPolicy({
+			send: (owner, body) => this.send(owner, { type: 'report', body }),
+			ownerOf: (endpoint) => this.desk.ownerOf(endpoint),
+			preempt: (ticket) => opts.router.preempt(ticket),
+			isPreemptable: (ticket) => opts.router.isPreemptable(ticket),
+			wake: () => opts.router.pumpSoon(),
+			firstSeq: Math.floor(clock.wall()),
+		});
+	}
+
+	start(): void {
+		this.applyMembers();
+		this.timers.push(setInterval(() => this.tick(), tickMs));
+		this.timers.push(setInterval(() => void this.readVmList(), vmListMs));
+		void this.readVmList();
+	}
+
+	stop(): void {
+		this.membership.leave();
+		for (const timer of this.timers) {
+			clearInterval(timer);
+		}
+	}
+
+	configure(cfg: ConfigurationView): void {
+		this.version = cfg.version;
+		this.membership.setVersion(cfg.version);
+		this.desk.configure(cfg, this.opts.clock.monotonic());
+		this.policy.ownersChanged();
+	}
+
+	/** Requests started or ended: tell the owners what they must know. */
+	reportSoon(): void {
+		if (!this.reportDue) {
+			this.reportDue = true;
+			setImmediate(() => {
+				this.reportDue = false;
+				this.report();
+			});
+		}
+	}
+
+	/** Takes in what a peer sent. */
+	receive(batch: PeerBatch): void {
+		for (const message of batch.messages) {
+			this.receiveOne(batch.from, message);
+		}
+	}
+
+	private receiveOne(from: string, message: PeerMessage): void {
+		const now = this.opts.clock.monotonic();
+		if (message.type === 'membership') {
+			this.membership.receive(message.body);
+			if (message.body.from.version > this.version) {
+				this.opts.onNewerVersion(message.body.from);
+			}
+		} else if (message.type === 'report') {
+			this.desk.receive(from, message.body, now);
+			this.decideSoon();
+		} else {
+			this.policy.receive(from, message.body, now);
+		}
+	}
+
+	/** Messages to this daemon itself take no way over the network. */
+	private send(to: string, message: PeerMessage): void {
+		if (to === this.opts.self.id) {
+			setImmediate(() => this.receiveOne(to, message));
+			return;
+		}
+		const member = this.membership.get(to);
+		if (member) {
+			this.opts.transport.send(member, message);
+		}
+	}
+
+	private decideSoon(): void {
+		if (!this.deskDue) {
+			this.deskDue = true;
+			setImmediate(() => {
+				this.deskDue = false;
+				this.desk.decide(this.opts.clock.monotonic());
+			});
+		}
+	}
+
+	private tick(): void {
+		const now = this.opts.clock.monotonic();
+		if (now - this.lastTick > pausedMs) {
+			this.wasPaused(now);
+		}
+		this.lastTick = now;
+		this.membership.tick();
+		this.desk.decide(now);
+		this.report();
+	}
+
+	private report(): void {
+		const state = this.opts.router.state();
+		if (state && state.cfg.document.policy.name === 'granted') {
+			this.policy.report(state);
+		}
+	}
+
+	/** What was believed before the pause is no longer true. */
+	private wasPaused(now: number): void {
+		const pausedFor = Math.round(now - this.lastTick);
+		this.opts.log.warn('clock.jumped', { paused_ms: pausedFor });
+		this.opts.timeline.record(eventKinds.clockJumped, { value: pausedFor });
+		this.opts.router.holdUntil(now + refreshMs);
+		this.policy.dropGrants();
+		this.membership.resumed();
+		this.desk.drop();
+		this.appliedMembers = '';
+		this.applyMembers();
+		void this.readVmList();
+	}
+
+	private memberChanged(member: Member): void {
+		this.opts.timeline.record(eventKinds.memberChanged, {
+			member: member.id,
+			reason: member.state,
+		});
+		if (member.state === memberStates.dead) {
+			this.opts.log.warn('member.dead', { member: member.id });
+			this.desk.forget(member.id);
+		}
+		this.applyMembers();
+	}
+
+	private applyMembers(): void {
+		const live = this.membership.live().map((member) => member.id);
+		const share = this.membership.visibleShare();
+		const key = `${share} ${live.join(' ')}`;
+		if (key === this.appliedMembers) {
+			return;
+		}
+		this.appliedMembers = key;
+		const now = this.opts.clock.monotonic();
+		this.desk.setMembers(live, share, now);
+		this.policy.ownersChanged();
+	}
+
+	private async readVmList(): Promise<void> {
+		try {
+			this.membership.candidates(await this.opts.vmList.list());
+			this.applyMembers();
+		} catch (err) {
+			this.opts.log.debug('vm-list.read-failed', { error: (err as Error).message });
+		}
+	}
+}
--- a/src/infra/control/control-router.ts
+++ b/src/infra/control/control-router.ts
@@ -37,6 +37,9 @@
 		.input(zod.object({ since: zod.int().min(0) }))
 		.query(({ ctx, input }) => ctx.api.events(input.since)),
 	configuration: guarded.query(({ ctx }) => ctx.api.configuration() ?? null),
+	cutPeers: guarded
+		.input(zod.object({ peers: zod.array(zod.string()) }))
+		.mutation(({ ctx, input }) => asTrpcError(async () => ctx.api.cutPeers(input.peers))),
 	applyConfiguration: guarded.input(changeSchema).mutation(async ({ ctx, input }) => {
 		const problems = crossCheck(input.document);
 		if (problems.length > 0) {
--- a/src/infra/control/types.ts
+++ b/src/infra/control/types.ts
@@ -67,6 +67,8 @@
 	events(since: number): TimelineEvent[];
 	configuration(): VersionedConfiguration | undefined;
 	applyConfiguration(change: ChangeRequest): Promise<VersionedConfiguration>;
+	/** Drill: peers that this daemon neither sends to nor hears. */
+	cutPeers(peers: readonly string[]): void;
 	/** Checks an operator's token, or the peers' own. */
 	isOperator(token: string): boolean;
 }
