Fewer and smaller messages between daemons

Cause: every change of a daemon's best waiting requests went to all owners at once, with names spelled out. Change: new waiting work is told at once only when the owner knows too little; names stand as 16-bit hashes; numbers are short. First tokens are estimated at a high quantile with a margin, classes have a patience.

--- /dev/null
+++ b/bench/oracle.ts
@@ -0,0 +1,146 @@
+/**
+ * Judges a run's time line by the promises: no request is shed or preempted for lower work, and
+ * every class makes progress. Knows nothing of how decisions are made.
+ * @module
+ */
+import type { TimelineEvent } from '../src/core/timeline/index.js';
+import { eventKinds } from '../src/core/timeline/index.js';
+
+/** Lower work that starts this soon after a request came is not held against it, in milliseconds. */
+const graceMs = 150;
+/** Windows in which every class must make progress, in milliseconds. */
+const windowMs = 10_000;
+const windowStepMs = 1000;
+
+/** What the oracle found. */
+export interface Findings {
+	/** Requests given up while lower work was started that could have made room. */
+	shedForLower: number;
+	/** Requests preempted though nothing higher waited. */
+	preemptedForLower: number;
+	preempted: number;
+	resumed: number;
+	/** Ten-second windows in which a class with waiting work got no first token. */
+	starvedWindows: string[];
+}
+
+interface Story {
+	tier: number;
+	cls: string;
+	queuedAt: number;
+	endedAt: number;
+	firstAt: number;
+	shed: boolean;
+	/** Given up on arrival: judged until its deadline. */
+	waitsUntil: number;
+}
+
+export function judge(
+	events: readonly TimelineEvent[],
+	deadlines: ReadonlyMap<string, number>,
+	endpoints: ReadonlySet<string>,
+): Findings {
+	const stories = collectStories(events, deadlines);
+	const starts = events.filter(
+		(event) =>
+			event.kind === eventKinds.requestStarted &&
+			!event.floor &&
+			endpoints.has(event.endpoint ?? ''),
+	);
+	const shed = [...stories.values()].filter((story) => story.shed);
+	const preempts = events.filter((event) => event.kind === eventKinds.requestPreempted);
+	return {
+		shedForLower: shed.filter((story) => lowerStarted(story, starts)).length,
+		preemptedForLower: preempts.filter((event) => !higherWaited(event, stories)).length,
+		preempted: preempts.length,
+		resumed: events.filter((event) => event.kind === eventKinds.requestResumed).length,
+		starvedWindows: starvedWindows(events, stories),
+	};
+}
+
+function collectStories(
+	events: readonly TimelineEvent[],
+	deadlines: ReadonlyMap<string, number>,
+): Map<string, Story> {
+	const stories = new Map<string, Story>();
+	for (const event of events) {
+		const id = event.request ?? '';
+		const at = event.time.wall;
+		const story = stories.get(id);
+		if (event.kind === eventKinds.requestQueued) {
+			const cls = event.cls ?? '';
+			const waitsUntil = at + (deadlines.get(cls) ?? 0);
+			const tier = event.tier ?? 0;
+			stories.set(id, {
+				tier,
+				cls,
+				queuedAt: at,
+				endedAt: Infinity,
+				firstAt: Infinity,
+				shed: false,
+				waitsUntil,
+			});
+		} else if (story && event.kind === eventKinds.requestShed) {
+			story.shed = true;
+			story.endedAt = at;
+		} else if (story && event.kind === eventKinds.requestFirstToken) {
+			story.firstAt = Math.min(story.firstAt, at);
+		} else if (story && event.kind === eventKinds.requestEnded) {
+			story.endedAt = at;
+		}
+	}
+	return stories;
+}
+
+/** Work of a lower tier was started while the request could still have been served. */
+function lowerStarted(story: Story, starts: readonly TimelineEvent[]): boolean {
+	const early = story.endedAt - story.queuedAt < graceMs;
+	const until = early ? story.waitsUntil : story.endedAt;
+	return starts.some(
+		(start) =>
+			(start.tier ?? 0) > story.tier &&
+			start.time.wall > story.queuedAt + graceMs &&
+			start.time.wall < until,
+	);
+}
+
+function higherWaited(event: TimelineEvent, stories: ReadonlyMap<string, Story>): boolean {
+	const at = event.time.wall;
+	for (const story of stories.values()) {
+		const higher = story.tier < (event.tier ?? 0);
+		if (higher && story.queuedAt <= at && story.endedAt >= at - graceMs) {
+			return true;
+		}
+	}
+	return false;
+}
+
+/** Windows in which requests of a class waited throughout, and none got a first token. */
+function starvedWindows(
+	events: readonly TimelineEvent[],
+	stories: ReadonlyMap<string, Story>,
+): string[] {
+	const firsts = events.filter((event) => event.kind === eventKinds.requestFirstToken);
+	const begin = events[0]?.time.wall ?? 0;
+	const end = events.at(-1)?.time.wall ?? 0;
+	const classes = new Set([...stories.values()].map((story) => story.cls));
+	const starved: string[] = [];
+	for (const cls of classes) {
+		for (let from = begin; from + windowMs <= end; from += windowStepMs) {
+			const until = from + windowMs;
+			const inside = (at: number) => at >= from && at < until;
+			const progressed = firsts.some((event) => event.cls === cls && inside(event.time.wall));
+			const waited = [...stories.values()].some(
+				(story) => story.cls === cls && story.queuedAt <= from && waitedUntil(story) >= until,
+			);
+			if (waited && !progressed) {
+				starved.push(`${cls}@${Math.round((from - begin) / 1000)}s`);
+			}
+		}
+	}
+	return starved;
+}
+
+function waitedUntil(story: Story): number {
+	return Math.min(story.firstAt, story.endedAt);
+}
--- a/src/cli/replay/index.ts
+++ b/src/cli/replay/index.ts
@@ -56,7 +56,12 @@
 		const targets = new Map(
 			(current?.document.classes ?? []).map((cls) => [
 				cls.name,
-				{ tier: cls.tier, firstTokenMs: cls.first_token_ms, deadlineMs: cls.deadline_ms },
+				{
+					tier: cls.tier,
+					firstTokenMs: cls.first_token_ms,
+					betweenTokensMs: cls.between_tokens_ms,
+					deadlineMs: cls.deadline_ms,
+				},
 			]),
 		);
 		const durationS = Math.max((trace.at(-1)?.at_ms ?? 0) / 1000, 1);
--- a/src/core/configuration/check.ts
+++ b/src/core/configuration/check.ts
@@ -2,6 +2,7 @@
  * Checks a configuration as a whole: its schema, then what its parts say of each other.
  * @module
  */
+import * as rendezvous from '../membership/rendezvous.js';
 import * as tomlDocument from '../settings/toml-document.js';
 import type { Configuration } from './schema.js';
 import { configurationSchema, endpointKinds } from './schema.js';
@@ -27,6 +28,7 @@
 		...duplicates('customers', cfg.customers),
 		...duplicates('endpoints', cfg.endpoints),
 		...duplicates('services', cfg.services),
+		...sharedHashes(cfg),
 		...sharedKeys(cfg),
 		...unknownClasses(cfg),
 		...endpointProblems(cfg),
@@ -45,6 +47,22 @@
 	return problems;
 }
 
+/** Classes stand as short hashes in messages between daemons. */
+function sharedHashes(cfg: Configuration): Problem[] {
+	const seen = new Map<number, string>();
+	const problems: Problem[] = [];
+	for (const [index, { name }] of cfg.classes.entries()) {
+		const hash = rendezvous.hashName(name);
+		const other = seen.get(hash);
+		if (other !== undefined && other !== name) {
+			const message = `cannot be told from ${other} between daemons; choose another name`;
+			problems.push({ path: ['classes', index, 'name'], message });
+		}
+		seen.set(hash, name);
+	}
+	return problems;
+}
+
 function sharedKeys(cfg: Configuration): Problem[] {
 	const owners = new Map<string, string>();
 	const problems: Problem[] = [];
--- a/src/core/configuration/schema.ts
+++ b/src/core/configuration/schema.ts
@@ -39,6 +39,8 @@
 	between_tokens_ms: millis.default(100),
 	/** An answer that ends later is of no use, in milliseconds after the request came. */
 	deadline_ms: millis,
+	/** A request that waits so long for a start is given up, in milliseconds. @default deadline_ms */
+	patience_ms: millis.optional(),
 	/** Requests may run more than once. @default true */
 	repeatable: zod.boolean().default(true),
 	/** Requests of this class that may always run, fleet-wide, whatever the burst. @default 1 */
--- a/src/core/membership/rendezvous.ts
+++ b/src/core/membership/rendezvous.ts
@@ -15,6 +15,11 @@
 	return (hash ^ (hash >>> 16)) >>> 0;
 }
 
+/** 16 bits that stand for a name in messages. */
+export function hashName(name: string): number {
+	return hashText(name) & 0xffff;
+}
+
 /** The `count` names that score highest for a key, best first. */
 export function pickTop(key: string, names: readonly string[], count: number): string[] {
 	const scored = names.map((name) => ({ name, score: hashText(`${key}\u0000${name}`) }));
--- a/src/core/replay/summary.ts
+++ b/src/core/replay/summary.ts
@@ -14,7 +14,7 @@
 	not_run: number;
 	unknown: number;
 	incomplete: number;
-	/** Complete, and the first token or the end came too late. */
+	/** Complete, and the first token, a token between or the end came too late. */
 	late: number;
 	/** Share of the sent that were complete and in time, in percent. */
 	attained: number;
@@ -52,9 +52,11 @@
 	return rows.sort((a, b) => a.tier - b.tier);
 }
 
-/** Whole, first token within its target, end before the deadline. */
+/** Whole, before the deadline, and for a stream its tokens within their targets. */
 export function isAttained(result: ReplayResult, target: ClassTargets): boolean {
-	return isUseful(result, target) && result.firstTokenMs <= target.firstTokenMs;
+	const inTime =
+		result.firstTokenMs <= target.firstTokenMs && result.betweenMs <= target.betweenTokensMs;
+	return isUseful(result, target) && (inTime || !result.streamed);
 }
 
 /** Whole, and before the deadline. */
@@ -68,7 +70,7 @@
 	target: ClassTargets,
 	durationS: number,
 ): ClassSummary {
-	const firsts = histogramOf(results.map((result) => result.firstTokenMs));
+	const firsts = histogramOf(results.map((result) => (result.streamed ? result.firstTokenMs : 0)));
 	const betweens = histogramOf(results.map((result) => result.betweenMs));
 	const useful = results.filter((result) => isUseful(result, target));
 	const attained = results.filter((result) => isAttained(result, target)).length;
--- a/src/core/replay/types.ts
+++ b/src/core/replay/types.ts
@@ -37,6 +37,7 @@
 export interface ClassTargets {
 	tier: number;
 	firstTokenMs: number;
+	betweenTokensMs: number;
 	deadlineMs: number;
 }
 
@@ -51,6 +52,8 @@
 	outcome: string;
 	status: number;
 	error?: string;
+	/** The caller asked for a stream; only then the first token counts. */
+	streamed: boolean;
 	/** The answer was not the one that the trace states. */
 	wrong: boolean;
 	tokens: number;
--- a/src/core/requests/duration-estimate.ts
+++ b/src/core/requests/duration-estimate.ts
@@ -4,13 +4,15 @@
  * @module
  */
 
-/** Weight of the newest answer. */
+/** Step of an estimate towards a new answer, as a share of the estimate. */
 const weight = 0.1;
-/** Step towards the lower quantile; gives about the 30th percentile. */
-const lowQuantile = 0.3;
+/** Durations are kept at this quantile, so that work is not given up too early. */
+const durationQuantile = 0.3;
+/** First tokens are kept at this quantile, so that work chosen as "in time" mostly is. */
+const firstTokenQuantile = 0.9;
 
 interface Estimate {
-	/** Milliseconds; a low quantile, so that work is not given up too early. */
+	/** Milliseconds. */
 	durationMs: number;
 	firstTokenMs: number;
 }
@@ -25,8 +27,8 @@
 			this.estimates.set(key, { durationMs, firstTokenMs });
 			return;
 		}
-		known.durationMs = towardsQuantile(known.durationMs, durationMs);
-		known.firstTokenMs += weight * (firstTokenMs - known.firstTokenMs);
+		known.durationMs = towardsQuantile(known.durationMs, durationMs, durationQuantile);
+		known.firstTokenMs = towardsQuantile(known.firstTokenMs, firstTokenMs, firstTokenQuantile);
 	}
 
 	/** Milliseconds that an answer takes at the least, with some likelihood; 0 when not known. */
@@ -34,16 +36,15 @@
 		return this.estimates.get(`${cls} ${customer}`)?.durationMs ?? 0;
 	}
 
-	/** Milliseconds from dispatch to the first token; 0 when not known. */
+	/** Milliseconds from dispatch to the first token, rarely more; 0 when not known. */
 	firstTokenMs(cls: string, customer: string): number {
 		return this.estimates.get(`${cls} ${customer}`)?.firstTokenMs ?? 0;
 	}
 }
 
-/** Moves an estimate up or down so that it settles at the low quantile. */
-function towardsQuantile(estimate: number, sample: number): number {
+/** Moves an estimate up or down so that it settles at the quantile. */
+function towardsQuantile(estimate: number, sample: number, quantile: number): number {
 	const step = weight * Math.max(estimate, 1);
-	const moved =
-		sample > estimate ? estimate + step * lowQuantile : estimate - step * (1 - lowQuantile);
+	const moved = sample > estimate ? estimate + step * quantile : estimate - step * (1 - quantile);
 	return Math.max(moved, 0);
 }
--- a/src/core/requests/router.ts
+++ b/src/core/requests/router.ts
@@ -26,6 +26,10 @@
 const minRetryAfterS = 1;
 const maxRetryAfterS = 120;
 
+/** Margin on the time from a dispatch to its first token, so that work chosen as in time is. */
+const leadFactor = 1.25;
+const leadMarginMs = 25;
+
 export interface RouterOptions {
 	vm: string;
 	clock: Clock;
@@ -123,8 +127,7 @@
 	sweep(): void {
 		const now = this.clock.monotonic();
 		for (const req of [...this.queue]) {
-			const needs = this.durations.durationMs(req.cls.name, req.customer);
-			if (now + (req.offset > 0 ? 0 : needs) > req.deadlineAt) {
+			if (now > this.latestStart(req)) {
 				this.queue.remove(req);
 				this.giveUpWaiting(req, errors.data.DeadlinePassed);
 			}
@@ -132,6 +135,13 @@
 		this.pumpSoon();
 	}
 
+	/** A waiting request that starts later than this is of no use. */
+	private latestStart(req: Request): number {
+		const needsMs = this.durations.durationMs(req.cls.name, req.customer);
+		const useful = req.deadlineAt - needsMs;
+		return req.offset > 0 ? req.deadlineAt : Math.min(req.patientUntil, useful);
+	}
+
 	/** Starts what may start, soon. */
 	pumpSoon(): void {
 		if (!this.pumpDue) {
@@ -158,7 +168,8 @@
 
 	/** Estimated milliseconds from a dispatch to its first token. */
 	leadMs(req: Request): number {
-		return this.durations.firstTokenMs(req.cls.name, req.customer);
+		const estimate = this.durations.firstTokenMs(req.cls.name, req.customer);
+		return estimate * leadFactor + leadMarginMs;
 	}
 
 	dispatchUrl(endpoint: string): string | undefined {
--- a/src/core/requests/types.ts
+++ b/src/core/requests/types.ts
@@ -36,6 +36,8 @@
 	readonly firstTokenBy: number;
 	/** The answer is of no use after that. */
 	readonly deadlineAt: number;
+	/** Without a start until then it is given up. */
+	readonly patientUntil: number;
 	/** Bytes kept while it waits. */
 	readonly bytes: number;
 	/** Hash of the start of the prompt; requests that share it may share a cached prefix. */
--- a/src/core/scheduling/granted-policy.ts
+++ b/src/core/scheduling/granted-policy.ts
@@ -5,11 +5,12 @@
  * @module
  */
 import type { Endpoint } from '../configuration/index.js';
+import * as rendezvous from '../membership/rendezvous.js';
 import type { Request } from '../requests/types.js';
 import type { EntryState, RunResult, Slot, SlotPolicy, Start } from './definitions.js';
 import { Holding } from './holding.js';
 import type { Candidate } from './request-queue.js';
-import type { HolderReport, OwnerReply, Ticket } from './types.js';
+import type { HolderReport, NameHash, OwnerReply, Ticket } from './types.js';
 
 /** Best waiting requests told to an owner. */
 const wantedBest = 4;
@@ -149,10 +150,11 @@
 		state: EntryState,
 		endpoint: Endpoint,
 		tier: number,
-		floor: string | undefined,
+		floor: NameHash | undefined,
 	): Request | undefined {
 		const accepts = (head: Request) => {
-			const fits = floor === undefined ? head.cls.tier <= tier : head.cls.name === floor;
+			const fits =
+				floor === undefined ? head.cls.tier <= tier : rendezvous.hashName(head.cls.name) === floor;
 			return fits && isEligible(state, endpoint, head);
 		};
 		const candidates = state.queue.best(state.now, state.shares, wantedPerGroup, accepts);
@@ -297,8 +299,8 @@
 	return {
 		ticket: req.ticket,
 		tier: req.cls.tier,
-		cls: req.cls.name,
-		customer: req.customer,
+		cls: rendezvous.hashName(req.cls.name),
+		customer: rendezvous.hashName(req.customer),
 		slack: Math.round(candidate.slack - state.shares.leadMs(req)),
 		late: candidate.late,
 		waited: Math.round(waited),
--- a/src/core/scheduling/holding.ts
+++ b/src/core/scheduling/holding.ts
@@ -3,21 +3,32 @@
  * its owner last said.
  * @module
  */
+import * as rendezvous from '../membership/rendezvous.js';
 import type { Request } from '../requests/types.js';
 import type { Slot } from './definitions.js';
-import type { Grant, HolderReport, Observed, OwnerReply, RunningSlot, Ticket } from './types.js';
+import type {
+	Grant,
+	HolderReport,
+	NameHash,
+	Observed,
+	OwnerReply,
+	RunningSlot,
+	Ticket,
+} from './types.js';
 
 /** Unused slots are given back after so long, in milliseconds. */
 const idleMs = 5000;
-/** Changes that matter to waiting work of others are told within this time, in milliseconds. */
+/** Waiting work that is gone is told within this time, in milliseconds. */
 const soonMs = 50;
+/** Waiting requests that an owner should know, so that a slot that ends finds its next. */
+const enoughKnown = 2;
 /** Other changes are told within this time, in milliseconds. */
 const laterMs = 500;
 
 interface Run {
 	tier: number;
-	cls: string;
-	customer: string;
+	cls: NameHash;
+	customer: NameHash;
 	floor: boolean;
 }
 
@@ -38,7 +49,8 @@
 	private granted = 0;
 	private offers: Grant[] = [];
 	private readonly runs = new Map<number, Run>();
-	private readonly toldWanted = new Set<number>();
+	/** Tiers of the waiting requests that the owner knows, by ticket. */
+	private readonly told = new Map<number, number>();
 	private readonly toldUrgent = new Set<number>();
 	private idleUsedAt = 0;
 
@@ -66,7 +78,7 @@
 	}
 
 	get isEmpty(): boolean {
-		return this.runs.size === 0 && this.idle === 0 && this.toldWanted.size === 0;
+		return this.runs.size === 0 && this.idle === 0 && this.told.size === 0;
 	}
 
 	/** Takes in a reply; false when it is of an older term. */
@@ -102,8 +114,9 @@
 	}
 
 	started(req: Request, floor: boolean, now: number): void {
-		const { tier, name } = req.cls;
-		this.runs.set(req.ticket, { tier, cls: name, customer: req.customer, floor });
+		const cls = rendezvous.hashName(req.cls.name);
+		const customer = rendezvous.hashName(req.customer);
+		this.runs.set(req.ticket, { tier: req.cls.tier, cls, customer, floor });
 		this.idleUsedAt = now;
 		this.changed(now);
 	}
@@ -140,24 +153,36 @@
 		this.urgent = true;
 	}
 
-	/** New and newly urgent requests are told at once, vanished ones when there is time. */
+	/**
+	 * What the owner has to know of waiting work. New work is told at once only if the owner knows
+	 * too little of it to give the next slots rightly; the rest rides on the next report.
+	 */
 	noteWanted(want: readonly Ticket[], now: number): void {
 		this.returnUnused(now);
-		for (const { ticket, urgent } of want) {
-			const untold = !this.toldWanted.has(ticket);
-			if (untold || (urgent && !this.toldUrgent.has(ticket))) {
+		let known = 0;
+		let untold = 0;
+		for (const { ticket, tier, urgent } of want) {
+			const told = this.told.has(ticket);
+			known += told ? 1 : 0;
+			untold += told ? 0 : 1;
+			const outranked = this.firstToldTier() > tier;
+			if (
+				(!told && (known < enoughKnown || outranked)) ||
+				(urgent && !this.toldUrgent.has(ticket))
+			) {
 				this.urgent = true;
 			}
 		}
-		if (want.length < this.toldWanted.size) {
-			this.changed(now);
+		const vanished = this.told.size - known;
+		if (vanished > 0) {
+			this.due(now + (untold >= vanished ? laterMs : soonMs));
 		}
 	}
 
 	/** A run was observed; its figures go out with the next report. */
 	noteStrain(strain: number, now: number): void {
 		this.observed.strain = Math.max(this.observed.strain, strain);
-		this.dueAt = Math.min(this.dueAt, now + laterMs);
+		this.due(now + laterMs);
 	}
 
 	makeReport(
@@ -196,10 +221,10 @@
 	}
 
 	private rememberTold(want: readonly Ticket[]): void {
-		this.toldWanted.clear();
+		this.told.clear();
 		this.toldUrgent.clear();
-		for (const { ticket, urgent } of want) {
-			this.toldWanted.add(ticket);
+		for (const { ticket, tier, urgent } of want) {
+			this.told.set(ticket, tier);
 			if (urgent) {
 				this.toldUrgent.add(ticket);
 			}
@@ -214,9 +239,20 @@
 		}
 	}
 
+	private firstToldTier(): number {
+		let first = Number.POSITIVE_INFINITY;
+		for (const tier of this.told.values()) {
+			first = Math.min(first, tier);
+		}
+		return first;
+	}
+
 	private changed(now: number): void {
-		const delay = this.reply?.contended ? soonMs : laterMs;
-		this.dueAt = Math.min(this.dueAt, now + delay);
+		this.due(now + laterMs);
+	}
+
+	private due(at: number): void {
+		this.dueAt = Math.min(this.dueAt, at);
 	}
 }
 
--- a/src/core/scheduling/limit-learner.ts
+++ b/src/core/scheduling/limit-learner.ts
@@ -9,7 +9,7 @@
 /** Strain above which slots are taken away. */
 const highStrain = 1.0;
 /** Strain below which slots are added, while all are in use. */
-const lowStrain = 0.85;
+const lowStrain = 0.92;
 /** Largest share taken away at once. */
 const maxCut = 0.4;
 /** Failures in a row that close an endpoint. */
--- a/src/core/scheduling/owner-desk.ts
+++ b/src/core/scheduling/owner-desk.ts
@@ -6,7 +6,7 @@
 import type { ConfigurationView, Endpoint, Target } from '../configuration/index.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import { SlotLedger } from './slot-ledger.js';
-import type { HolderReport, OwnerReply } from './types.js';
+import type { HolderReport, NameHash, OwnerReply } from './types.js';
 
 /** A part that sees less of the fleet than this claims only its share of each endpoint. */
 const majority = 0.5;
@@ -14,7 +14,7 @@
 export interface OwnerDeskOptions {
 	self: string;
 	send: (to: string, reply: OwnerReply) => void;
-	/** Names an owner's term: milliseconds since 1970. */
+	/** Names an owner's term; grows with time. */
 	epoch: () => number;
 	onOwnedChanged?: (owned: readonly Endpoint[]) => void;
 }
@@ -129,14 +129,14 @@
 
 	/** Each class's minimum is served by fixed endpoints, the same for every daemon. */
 	private assignFloors(cfg: ConfigurationView): void {
-		const floors = new Map<string, Set<string>>();
+		const floors = new Map<string, Set<NameHash>>();
 		for (const target of targetsOf(cfg)) {
 			for (const cls of cfg.document.classes) {
 				const names = cfg.eligible(target, cls.name).map((endpoint) => endpoint.name);
 				const key = `floor ${cls.name} ${target}`;
 				for (const name of rendezvous.pickTop(key, names, cls.floor)) {
 					const classes = floors.get(name) ?? new Set();
-					classes.add(cls.name);
+					classes.add(rendezvous.hashName(cls.name));
 					floors.set(name, classes);
 				}
 			}
--- a/src/core/scheduling/request-queue.ts
+++ b/src/core/scheduling/request-queue.ts
@@ -124,8 +124,7 @@
 		found: Candidate[],
 	): void {
 		const leadMs = shares.leadMs(group.items[0] as Request);
-		const firstInTime = group.items.findIndex((req) => req.firstTokenBy >= now + leadMs);
-		const start = Math.max(firstInTime, 0);
+		const start = firstDueFrom(group.items, now + leadMs) % group.items.length;
 		for (let taken = 0; taken < Math.min(perGroup, group.items.length); taken++) {
 			const req = group.items[(start + taken) % group.items.length];
 			if (req) {
@@ -174,3 +173,18 @@
 function groupKey(req: Request): string {
 	return `${req.cls.name} ${req.customer} ${req.target}`;
 }
+
+/** Position of the first request due at `time` or later; the length when there is none. */
+function firstDueFrom(items: readonly Request[], time: number): number {
+	let low = 0;
+	let high = items.length;
+	while (low < high) {
+		const middle = (low + high) >> 1;
+		if ((items[middle]?.firstTokenBy ?? 0) < time) {
+			low = middle + 1;
+		} else {
+			high = middle;
+		}
+	}
+	return low;
+}
--- a/src/core/scheduling/slot-ledger.ts
+++ b/src/core/scheduling/slot-ledger.ts
@@ -6,7 +6,7 @@
  */
 import { LimitLearner } from './limit-learner.js';
 import * as order from './order.js';
-import type { Grant, HolderReport, OwnerReply, RunningSlot, Ticket } from './types.js';
+import type { Grant, HolderReport, NameHash, OwnerReply, RunningSlot, Ticket } from './types.js';
 
 /** A new owner listens for so long before it grants, in milliseconds. */
 const learnMs = 400;
@@ -78,7 +78,7 @@
 	private share = 1;
 	private closed = false;
 	/** Classes whose minimum this endpoint serves. */
-	private floors: readonly string[] = [];
+	private floors: readonly NameHash[] = [];
 
 	constructor(private readonly opts: LedgerOptions) {
 		this.epoch = opts.epoch;
@@ -92,7 +92,7 @@
 	}
 
 	/** Classes whose minimum is served here; decided by the daemon. */
-	setFloors(floors: readonly string[]): void {
+	setFloors(floors: readonly NameHash[]): void {
 		this.floors = floors;
 	}
 
@@ -259,7 +259,7 @@
 		}
 	}
 
-	private floorBusy(cls: string): boolean {
+	private floorBusy(cls: NameHash): boolean {
 		for (const holder of this.holders.values()) {
 			const running = holder.running.some((slot) => slot.floor && slot.cls === cls);
 			if (running || holder.pending.some((grant) => grant.floor === cls)) {
@@ -269,7 +269,7 @@
 		return false;
 	}
 
-	private oldestOf(cls: string): Waiting | undefined {
+	private oldestOf(cls: NameHash): Waiting | undefined {
 		let oldest: Waiting | undefined;
 		for (const holder of this.holders.values()) {
 			for (const waiting of holder.waiting) {
@@ -313,7 +313,7 @@
 		return lowest;
 	}
 
-	private grant(waiting: Waiting, now: number, floor?: string): void {
+	private grant(waiting: Waiting, now: number, floor?: NameHash): void {
 		const { holder, ticket } = waiting;
 		holder.pending.push({ id: holder.nextGrant++, tier: ticket.tier, floor, ticket, at: now });
 		holder.waiting = holder.waiting.filter((other) => other !== waiting);
@@ -333,9 +333,9 @@
 		return [...this.holders.values()].flatMap((holder) => holder.waiting);
 	}
 
-	private runningByCustomer(): Map<string, number> {
-		const counts = new Map<string, number>();
-		const add = (customer: string) => counts.set(customer, (counts.get(customer) ?? 0) + 1);
+	private runningByCustomer(): Map<NameHash, number> {
+		const counts = new Map<NameHash, number>();
+		const add = (customer: NameHash) => counts.set(customer, (counts.get(customer) ?? 0) + 1);
 		for (const holder of this.holders.values()) {
 			for (const slot of holder.running) {
 				add(slot.customer);
@@ -434,7 +434,7 @@
 
 function orderOf(
 	waiting: Waiting,
-	shares: ReadonlyMap<string, number>,
+	shares: ReadonlyMap<NameHash, number>,
 	now: number,
 ): order.Orderable {
 	const slack = waiting.dueAt - now;
--- a/src/core/scheduling/types.ts
+++ b/src/core/scheduling/types.ts
@@ -4,13 +4,19 @@
  * @module
  */
 
+/**
+ * Names of classes and customers stand as 16-bit hashes in messages. Two customers that share one
+ * share a fair share, too; the configuration's check refuses classes that do.
+ */
+export type NameHash = number;
+
 /** A waiting request, as an owner sees it. */
 export interface Ticket {
 	/** Number of the request on its daemon. */
 	ticket: number;
 	tier: number;
-	cls: string;
-	customer: string;
+	cls: NameHash;
+	customer: NameHash;
 	/** Milliseconds until the first token is due, at sending. */
 	slack: number;
 	/** The first-token target can no longer be met. */
@@ -25,8 +31,8 @@
 export interface RunningSlot {
 	ticket: number;
 	tier: number;
-	cls: string;
-	customer: string;
+	cls: NameHash;
+	customer: NameHash;
 	floor: boolean;
 	preemptable: boolean;
 }
@@ -69,7 +75,7 @@
 	/** Work of this or a higher tier may use it. */
 	tier: number;
 	/** Class whose minimum this slot serves; it is outside the limit. */
-	floor?: string;
+	floor?: NameHash;
 }
 
 /** State of an endpoint's owner towards one entry. */
--- a/src/daemon/fleet-node.ts
+++ b/src/daemon/fleet-node.ts
@@ -23,6 +23,13 @@
 /** After a pause nothing starts for so long, so that views are fresh, in milliseconds. */
 const refreshMs = 500;
 
+/** Start of the numbers that stand for times in messages: 2026-01-01. */
+const numbersFromMs = 1_767_225_600_000;
+/** Terms of owners are told apart by this much time, in milliseconds. */
+const epochStepMs = 100;
+/** A process of a VM numbers its reports behind those of the one before, at up to 100 a second. */
+const seqStepMs = 10;
+
 export interface FleetNodeOptions {
 	self: { id: string; address: string; port: number; domain: string };
 	probeMs: number;
@@ -63,7 +70,7 @@
 		this.desk = new OwnerDesk({
 			self: self.id,
 			send: (to, body) => this.send(to, { type: 'reply', body }),
-			epoch: () => Math.floor(clock.wall()),
+			epoch: () => shortTime(clock.wall(), epochStepMs),
 			onOwnedChanged: (owned) => opts.onOwnedChanged(owned),
 		});
 		this.policy = new GrantedPolicy({
@@ -72,7 +79,7 @@
 			preempt: (ticket) => opts.router.preempt(ticket),
 			isPreemptable: (ticket) => opts.router.isPreemptable(ticket),
 			wake: () => opts.router.pumpSoon(),
-			firstSeq: Math.floor(clock.wall()),
+			firstSeq: shortTime(clock.wall(), seqStepMs),
 		});
 	}
 
@@ -218,3 +225,8 @@
 		}
 	}
 }
+
+/** Small numbers that grow with time, so that they take few bytes. */
+function shortTime(wallMs: number, stepMs: number): number {
+	return Math.floor((wallMs - numbersFromMs) / stepMs);
+}
--- a/src/infra/callers/callers-server.ts
+++ b/src/infra/callers/callers-server.ts
@@ -170,6 +170,7 @@
 			arrivedAt: now,
 			firstTokenBy: now + Math.min(terms.cls.first_token_ms, terms.deadlineMs),
 			deadlineAt: now + terms.deadlineMs,
+			patientUntil: now + Math.min(terms.cls.patience_ms ?? terms.deadlineMs, terms.deadlineMs),
 			bytes: bytes + requestOverheadBytes,
 			prefix: prefixText === undefined ? undefined : this.opts.hashPrefix(prefixText),
 			waitingSince: now,
--- a/src/infra/peers/codec.ts
+++ b/src/infra/peers/codec.ts
@@ -179,7 +179,7 @@
 }
 
 function decodeRunning(wire: Wire): RunningSlot {
-	const [ticket, tier, cls, customer, flags] = wire as [number, number, string, string, number];
+	const [ticket, tier, cls, customer, flags] = wire as [number, number, number, number, number];
 	return { ticket, tier, cls, customer, floor: (flags & 1) !== 0, preemptable: (flags & 2) !== 0 };
 }
 
@@ -193,8 +193,8 @@
 	const [ticket, tier, cls, customer, slack, waited, flags] = wire as [
 		number,
 		number,
-		string,
-		string,
+		number,
+		number,
 		number,
 		number,
 		number,
@@ -262,6 +262,6 @@
 }
 
 function decodeGrant(wire: Wire): Grant {
-	const [id, tier, floor] = wire as [number, number, string | undefined];
+	const [id, tier, floor] = wire as [number, number, number | undefined];
 	return { id, tier, floor };
 }
--- a/src/infra/replay-client.ts
+++ b/src/infra/replay-client.ts
@@ -50,7 +50,6 @@
 	}
 
 	private async send(item: TraceRequest): Promise<ReplayResult> {
-		const daemon = this.opts.daemons[this.turn++ % this.opts.daemons.length] ?? '';
 		const sentAt = Date.now();
 		const began = performance.now();
 		const reading: Reading = {
@@ -64,7 +63,7 @@
 		let status = 0;
 		let headers: Record<string, string | string[] | undefined> = {};
 		try {
-			const res = await this.request(daemon, item);
+			const res = await this.balance(item);
 			status = res.statusCode;
 			headers = res.headers;
 			await readAnswer(item, res, reading);
@@ -74,6 +73,21 @@
 		return judge(item, reading, { sentAt, began, status, headers });
 	}
 
+	/** As a balancer does: a daemon that cannot be reached is passed over. */
+	private async balance(item: TraceRequest): Promise<undici.Dispatcher.ResponseData> {
+		for (let tries = 1; ; tries++) {
+			const daemon = this.opts.daemons[this.turn++ % this.opts.daemons.length] ?? '';
+			try {
+				return await this.request(daemon, item);
+			} catch (err) {
+				const refused = (err as { code?: string }).code === 'ECONNREFUSED';
+				if (!refused || tries >= this.opts.daemons.length) {
+					throw err;
+				}
+			}
+		}
+	}
+
 	private request(daemon: string, item: TraceRequest): Promise<undici.Dispatcher.ResponseData> {
 		const headers: Record<string, string> = {
 			authorization: `Bearer ${this.opts.keys.get(item.customer) ?? ''}`,
@@ -119,6 +133,7 @@
 		outcome,
 		status: sent.status,
 		error: reading.error,
+		streamed: item.stream,
 		wrong: wrongOutcome || (outcome === 'complete' && (wrongText || sent.status >= 400)),
 		tokens: reading.tokens,
 		firstTokenMs: reading.firstAt > 0 ? reading.firstAt - sent.began : 0,
