--- a/src/core/scheduling/granted-policy.ts
+++ b/src/core/scheduling/granted-policy.ts
@@ -13,11 +13,11 @@
 import type { HolderReport, NameHash, OwnerReply, Ticket } from './types.js';
 
 /** Best waiting requests told to an owner. */
-const wantedBest = 4;
+const wantedBest = 8;
 /** Waiting requests of one class, customer and target that are looked at. */
-const wantedPerGroup = 3;
+const wantedPerGroup = 6;
 /** A report without an answer is sent again after so long, in milliseconds. */
-const resendMs = 250;
+const resendMs = 400;
 /** A report without a change is sent again after so long, in milliseconds. */
 const refreshMs = 5000;
 
--- a/src/core/scheduling/slot-ledger.ts
+++ b/src/core/scheduling/slot-ledger.ts
@@ -8,6 +8,8 @@
 import * as order from './order.js';
 import type { Grant, HolderReport, NameHash, OwnerReply, RunningSlot, Ticket } from './types.js';
 
+/** A report that changes nothing is acknowledged within this time, in milliseconds. */
+const acknowledgeMs = 150;
 /** A new owner listens for so long before it grants, in milliseconds. */
 const learnMs = 400;
 /** After the last waiting request, slots stay on demand for so long, in milliseconds. */
@@ -58,8 +60,8 @@
 	idle: number;
 	waiting: Waiting[];
 	backlog: [number, number][];
-	/** Something must be said to this entry. */
-	dirty: boolean;
+	/** When something must be said to this entry at the latest. */
+	dueAt: number;
 	preempt: Set<number>;
 	keepIdle: number;
 }
@@ -126,8 +128,8 @@
 	/** Takes in one entry's state. */
 	report(from: string, report: HolderReport, now: number): void {
 		const holder = this.holder(from);
+		holder.dueAt = Math.min(holder.dueAt, now + acknowledgeMs);
 		if (report.seq <= holder.seq) {
-			holder.dirty = true;
 			return;
 		}
 		if (report.epoch > this.epoch) {
@@ -170,8 +172,8 @@
 	takeReplies(now: number): { to: string; reply: OwnerReply }[] {
 		const replies: { to: string; reply: OwnerReply }[] = [];
 		for (const holder of this.holders.values()) {
-			if (holder.dirty) {
-				holder.dirty = false;
+			if (now >= holder.dueAt) {
+				holder.dueAt = Number.POSITIVE_INFINITY;
 				replies.push({ to: holder.id, reply: this.reply(holder, now) });
 			}
 		}
@@ -180,7 +182,6 @@
 
 	private takeIn(holder: Holder, report: HolderReport, now: number): void {
 		holder.seq = report.seq;
-		holder.dirty = true;
 		if (report.epoch === this.epoch) {
 			holder.granted = Math.max(holder.granted, report.granted);
 			holder.pending = holder.pending.filter((grant) => grant.id > holder.granted);
@@ -240,7 +241,7 @@
 			const keep = holder.idle - recall;
 			needed -= recall;
 			if (recall > 0 && keep !== holder.keepIdle) {
-				holder.dirty = true;
+				holder.dueAt = 0;
 			}
 			holder.keepIdle = recall > 0 ? keep : Number.MAX_SAFE_INTEGER;
 		}
@@ -296,7 +297,7 @@
 		if (victim && victim.slot.tier > urgent.ticket.tier) {
 			this.lastPreemptAt = now;
 			victim.holder.preempt.add(victim.slot.ticket);
-			victim.holder.dirty = true;
+			victim.holder.dueAt = 0;
 		}
 	}
 
@@ -317,7 +318,7 @@
 		const { holder, ticket } = waiting;
 		holder.pending.push({ id: holder.nextGrant++, tier: ticket.tier, floor, ticket, at: now });
 		holder.waiting = holder.waiting.filter((other) => other !== waiting);
-		holder.dirty = true;
+		holder.dueAt = 0;
 	}
 
 	private dropLostGrants(now: number): void {
@@ -365,13 +366,13 @@
 	private forgetPending(): void {
 		for (const holder of this.holders.values()) {
 			holder.pending = [];
-			holder.dirty = true;
+			holder.dueAt = 0;
 		}
 	}
 
 	private touchAll(): void {
 		for (const holder of this.holders.values()) {
-			holder.dirty = true;
+			holder.dueAt = 0;
 		}
 	}
 
@@ -416,7 +417,7 @@
 				idle: 0,
 				waiting: [],
 				backlog: [],
-				dirty: true,
+				dueAt: 0,
 				preempt: new Set(),
 				keepIdle: Number.MAX_SAFE_INTEGER,
 			};
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -42,8 +42,8 @@
 	token: zod.string().min(16, 'expected at least 16 characters'),
 	/** Time between two liveness probes, in milliseconds. @default 500 */
 	probe_ms: millis.default(500),
-	/** How long messages to one peer are collected into one datagram, in milliseconds. @default 2 */
-	tick_ms: millis.default(2),
+	/** Least time between two datagrams to one peer under load, in milliseconds. @default 5 */
+	tick_ms: millis.default(5),
 });
 
 const limits = zod.strictObject({
--- a/src/daemon/fleet-node.ts
+++ b/src/daemon/fleet-node.ts
@@ -16,6 +16,8 @@
 
 /** Time between two looks at timers and ledgers, in milliseconds. */
 const tickMs = 25;
+/** Least time between two decisions on owned endpoints, in milliseconds. */
+const decideMs = 5;
 /** Time between two reads of the VM list, in milliseconds. */
 const vmListMs = 5000;
 /** A tick that comes so late shows that the process was paused, in milliseconds. */
@@ -54,6 +56,7 @@
 	private version = 0;
 	private appliedMembers = '';
 	private deskDue = false;
+	private decidedAt = 0;
 	private reportDue = false;
 
 	constructor(private readonly opts: FleetNodeOptions) {
@@ -149,14 +152,20 @@
 		}
 	}
 
+	/** At once after a quiet time; under load several reports are decided on together. */
 	private decideSoon(): void {
-		if (!this.deskDue) {
-			this.deskDue = true;
-			setImmediate(() => {
-				this.deskDue = false;
-				this.desk.decide(this.opts.clock.monotonic());
-			});
+		if (this.deskDue) {
+			return;
 		}
+		this.deskDue = true;
+		const wait = this.decidedAt + decideMs - this.opts.clock.monotonic();
+		setTimeout(() => this.decide(), Math.max(wait, 0));
+	}
+
+	private decide(): void {
+		this.deskDue = false;
+		this.decidedAt = this.opts.clock.monotonic();
+		this.desk.decide(this.decidedAt);
 	}
 
 	private tick(): void {
@@ -166,7 +175,7 @@
 		}
 		this.lastTick = now;
 		this.membership.tick();
-		this.desk.decide(now);
+		this.decide();
 		this.report();
 	}
 
--- a/src/infra/peers/udp-transport.ts
+++ b/src/infra/peers/udp-transport.ts
@@ -51,6 +51,7 @@
 	private readonly outboxes = new Map<string, Outbox>();
 	private timer?: NodeJS.Timeout;
 	private closed = false;
+	private flushedAt = 0;
 
 	constructor(private readonly opts: UdpTransportOptions) {
 		this.secret = crypto.createSecretKey(Buffer.from(opts.token));
@@ -76,11 +77,12 @@
 		}
 		outbox.to = to;
 		outbox.messages.push(message);
-		this.timer ??= setTimeout(() => this.flush(), this.opts.tickMs);
+		this.timer ??= setTimeout(() => this.flush(), this.untilFlush());
 	}
 
 	/** Sends what is collected. */
 	flush(): void {
+		this.flushedAt = performance.now();
 		clearTimeout(this.timer);
 		this.timer = undefined;
 		for (const { to, messages } of this.outboxes.values()) {
@@ -97,6 +99,11 @@
 		this.socket.close();
 	}
 
+	/** After a quiet time a message leaves at once; under load messages wait for each other. */
+	private untilFlush(): number {
+		return Math.max(0, this.flushedAt + this.opts.tickMs - performance.now());
+	}
+
 	private sendPart(to: PeerAddress, messages: PeerMessage[]): void {
 		if (this.closed || this.opts.isCut?.(to.id)) {
 			return;
