Fuzz run over the core, and the faults it found

Cause and change, one each, found by the oracle over three daemons' core logic: - a preempted request was told 'not-run' though it had reached an endpoint; - a new owner said 'nobody waits' before it had heard from the entries, so a lower request kept a slot while a higher one waited at another daemon; - an owner that forgot an entry and heard of it again numbered grants from 1, which the entry ignored: its request waited for ever; - an owner granted without end slots that a request passed over after a failure; - passing over an endpoint never ended; - one slow answer made the estimate give up every later request at once.

--- a/src/core/requests/router.ts
+++ b/src/core/requests/router.ts
@@ -17,6 +17,7 @@
 import type { RunHost } from './run.js';
 import { RequestRun } from './run.js';
 import type { Request } from './types.js';
+import { avoids } from './types.js';
 
 /** A request is given up on arrival only when its wait would be this many times too long. */
 const sureFactor = 2;
@@ -26,6 +27,8 @@
 const minRetryAfterS = 1;
 const maxRetryAfterS = 120;
 
+/** An estimate shortens the wait for a start by at most this share of the deadline. */
+const trustedShare = 0.5;
 /** Margin on the time from a dispatch to its first token, so that work chosen as in time is. */
 const leadFactor = 1.25;
 const leadMarginMs = 25;
@@ -138,7 +141,8 @@
 	/** A waiting request that starts later than this is of no use. */
 	private latestStart(req: Request): number {
 		const needsMs = this.durations.durationMs(req.cls.name, req.customer);
-		const useful = req.deadlineAt - needsMs;
+		const trusted = (req.deadlineAt - req.arrivedAt) * trustedShare;
+		const useful = req.deadlineAt - Math.min(needsMs, trusted);
 		return req.offset > 0 ? req.deadlineAt : Math.min(req.patientUntil, useful);
 	}
 
@@ -244,7 +248,8 @@
 	/** A request that avoids every endpoint may ask them again. */
 	private forgiveWhenAlone(req: Request): void {
 		const eligible = this.cfg?.eligible(req.target, req.cls.name) ?? [];
-		if (eligible.every((endpoint) => req.avoid.has(endpoint.name))) {
+		const now = this.clock.monotonic();
+		if (eligible.every((endpoint) => avoids(req, endpoint.name, now))) {
 			req.avoid.clear();
 		}
 	}
--- a/src/core/requests/run.ts
+++ b/src/core/requests/run.ts
@@ -32,6 +32,8 @@
 const observeEveryMs = 200;
 /** Priority for work outside the limit; endpoints serve 0 first. */
 const floorPriority = 1000;
+/** An endpoint that failed a request is passed over by it for so long, in milliseconds. */
+const avoidMs = 1000;
 /** Statuses by which an engine says that it takes no work now. */
 const refusals = new Set([429, 503]);
 
@@ -64,6 +66,8 @@
 	private over = false;
 	/** A byte of the request may have reached an endpoint. */
 	private mayHaveRun = false;
+	/** The same, before the attempt that runs. */
+	private mayHaveRunBefore = false;
 	private started = false;
 	private sawDone = false;
 	private status = 0;
@@ -250,6 +254,8 @@
 		this.attemptTokens = 0;
 		this.firstTokenAt = 0;
 		this.dispatchedAt = this.host.clock.monotonic();
+		this.mayHaveRunBefore = this.mayHaveRun;
+		this.mayHaveRun = true;
 	}
 
 	/** Events that carry no token wait for the next that does, so that a resume repeats none. */
@@ -329,15 +335,19 @@
 	private failed(failure: CallFailure, detail: string): void {
 		const endpoint = this.slot?.endpoint ?? '';
 		const sent = failure !== callFailures.notSent;
-		this.mayHaveRun = this.mayHaveRun || sent;
+		this.mayHaveRun = this.mayHaveRunBefore || sent;
 		this.release(true, false);
 		this.call = undefined;
-		this.req.avoid.add(endpoint);
+		this.req.avoid.set(endpoint, this.host.clock.monotonic() + avoidMs);
+		this.host.timeline.record(eventKinds.requestFailed, {
+			request: this.req.id,
+			endpoint,
+			reason: `${failure}: ${detail}`,
+			...this.labels(),
+		});
 		if (this.mayGoOn(sent)) {
 			this.host.timeline.record(eventKinds.requestResumed, {
 				request: this.req.id,
-				endpoint,
-				reason: `${failure}: ${detail}`,
 				value: this.req.offset,
 				...this.labels(),
 			});
--- a/src/core/requests/types.ts
+++ b/src/core/requests/types.ts
@@ -46,6 +46,11 @@
 	waitingSince: number;
 	/** Tokens that the caller has; above 0 after a resume. */
 	offset: number;
-	/** Endpoints that failed it, not to be asked again. */
-	avoid: Set<string>;
+	/** Endpoints that failed it, and until when they are not asked again. */
+	avoid: Map<string, number>;
+}
+
+/** Whether a request passes over an endpoint that has just failed it. */
+export function avoids(req: Request, endpoint: string, now: number): boolean {
+	return (req.avoid.get(endpoint) ?? Number.NEGATIVE_INFINITY) > now;
 }
--- a/src/core/scheduling/granted-policy.ts
+++ b/src/core/scheduling/granted-policy.ts
@@ -7,6 +7,7 @@
 import type { Endpoint } from '../configuration/index.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type { Request } from '../requests/types.js';
+import { avoids } from '../requests/types.js';
 import type { EntryState, RunResult, Slot, SlotPolicy, Start } from './definitions.js';
 import { Holding } from './holding.js';
 import type { Candidate } from './request-queue.js';
@@ -101,8 +102,8 @@
 		}
 	}
 
-	observe(_req: Request, slot: Slot, strain: number, now: number): void {
-		this.holding(slot.endpoint).noteStrain(strain, now);
+	observe(req: Request, slot: Slot, strain: number, now: number): void {
+		this.holding(slot.endpoint).noteStrain(req.cls.name, strain, now);
 	}
 
 	release(req: Request, slot: Slot, result: RunResult, now: number): void {
@@ -158,7 +159,7 @@
 			return fits && isEligible(state, endpoint, head);
 		};
 		const candidates = state.queue.best(state.now, state.shares, wantedPerGroup, accepts);
-		return candidates.find(({ req }) => !req.avoid.has(endpoint.name))?.req;
+		return candidates.find(({ req }) => !avoids(req, endpoint.name, state.now))?.req;
 	}
 
 	private useIdle(state: EntryState, starts: Start[]): void {
@@ -183,7 +184,7 @@
 		let best: Holding | undefined;
 		for (const endpoint of state.cfg.eligible(req.target, req.cls.name)) {
 			const holding = this.holding(endpoint.name);
-			const open = holding.usableIdle > 0 && !req.avoid.has(endpoint.name);
+			const open = holding.usableIdle > 0 && !avoids(req, endpoint.name, state.now);
 			if (open && (!best || holding.load < best.load)) {
 				best = holding;
 			}
@@ -230,14 +231,15 @@
 		const wanted = pickWanted(candidates);
 		const backlog = [...state.queue.backlog(accepts).entries()];
 		const urgentAt = this.urgentEndpoint(endpoints);
-		const want = wanted.map((candidate) => ticketOf(state, candidate));
-		const calm = want.map((ticket) => ({ ...ticket, urgent: false }));
 		for (const endpoint of endpoints) {
 			const holding = this.holding(endpoint.name);
-			const told = endpoint.name === urgentAt ? want : calm;
-			holding.noteWanted(told, state.now);
+			const mayUrge = endpoint.name === urgentAt;
+			const want = wanted
+				.filter(({ req }) => !avoids(req, endpoint.name, state.now))
+				.map((candidate) => ticketOf(state, candidate, mayUrge));
+			holding.noteWanted(want, state.now);
 			if (isDue(holding, state.now)) {
-				this.sendReport(state, holding, told, backlog);
+				this.sendReport(state, holding, want, backlog);
 			}
 		}
 	}
@@ -292,7 +294,7 @@
 	return holding.urgent || now >= holding.dueAt || resend || refresh;
 }
 
-function ticketOf(state: EntryState, candidate: Candidate): Ticket {
+function ticketOf(state: EntryState, candidate: Candidate, mayUrge: boolean): Ticket {
 	const { req } = candidate;
 	const waited = state.now - req.waitingSince;
 	const patience = state.cfg.document.policy.preempt_after * req.cls.first_token_ms;
@@ -304,7 +306,7 @@
 		slack: Math.round(candidate.slack - state.shares.leadMs(req)),
 		late: candidate.late,
 		waited: Math.round(waited),
-		urgent: waited > patience,
+		urgent: mayUrge && waited > patience,
 	};
 }
 
--- a/src/core/scheduling/holding.ts
+++ b/src/core/scheduling/holding.ts
@@ -45,6 +45,8 @@
 	/** Something must be told at once. */
 	urgent = false;
 	observed: Observed = noObservation();
+	/** Strain by class since the last report. */
+	private readonly strains = new Map<string, { sum: number; count: number }>();
 	private epoch = 0;
 	private granted = 0;
 	private offers: Grant[] = [];
@@ -180,8 +182,11 @@
 	}
 
 	/** A run was observed; its figures go out with the next report. */
-	noteStrain(strain: number, now: number): void {
-		this.observed.strain = Math.max(this.observed.strain, strain);
+	noteStrain(cls: string, strain: number, now: number): void {
+		const mean = this.strains.get(cls) ?? { sum: 0, count: 0 };
+		mean.sum += strain;
+		mean.count++;
+		this.strains.set(cls, mean);
 		this.due(now + laterMs);
 	}
 
@@ -196,7 +201,7 @@
 		this.dueAt = Number.POSITIVE_INFINITY;
 		this.urgent = false;
 		this.rememberTold(want);
-		const observed = this.observed;
+		const observed = { ...this.observed, strain: this.takeStrain() };
 		this.observed = noObservation();
 		return {
 			endpoint: this.endpoint,
@@ -220,6 +225,16 @@
 		return slots;
 	}
 
+	/** The class that is strained most decides; one slow answer among many does not. */
+	private takeStrain(): number {
+		let worst = 0;
+		for (const { sum, count } of this.strains.values()) {
+			worst = Math.max(worst, sum / count);
+		}
+		this.strains.clear();
+		return worst;
+	}
+
 	private rememberTold(want: readonly Ticket[]): void {
 		this.told.clear();
 		this.toldUrgent.clear();
@@ -257,5 +272,5 @@
 }
 
 function noObservation(): Observed {
-	return { completions: 0, failures: 0, strain: 0, slotMs: 0 };
+	return { completions: 0, failures: 0, strain: 0 };
 }
--- a/src/core/scheduling/independent-policy.ts
+++ b/src/core/scheduling/independent-policy.ts
@@ -6,6 +6,7 @@
 import type { Endpoint } from '../configuration/index.js';
 import type { LoadReport } from '../definitions.js';
 import type { Request } from '../requests/types.js';
+import { avoids } from '../requests/types.js';
 import type { EntryState, RunResult, Slot, SlotPolicy, Start } from './definitions.js';
 
 /** An endpoint that failed is left alone for so long, in milliseconds. */
@@ -64,7 +65,7 @@
 		let bestLoad = Number.POSITIVE_INFINITY;
 		for (const endpoint of state.cfg.eligible(req.target, req.cls.name)) {
 			const load = this.loadOf(endpoint, state.now);
-			if (load < bestLoad && !req.avoid.has(endpoint.name)) {
+			if (load < bestLoad && !avoids(req, endpoint.name, state.now)) {
 				best = endpoint;
 				bestLoad = load;
 			}
--- a/src/core/scheduling/limit-learner.ts
+++ b/src/core/scheduling/limit-learner.ts
@@ -17,8 +17,6 @@
 /** Bounds of the time that an endpoint stays closed, in milliseconds. */
 const minClosedMs = 500;
 const maxClosedMs = 5000;
-/** Weight of the newest strain. */
-const strainWeight = 0.5;
 
 export interface LearnerOptions {
 	start: number;
@@ -30,7 +28,7 @@
 /** Decides on one endpoint's limit. */
 export class LimitLearner {
 	private value: number;
-	private strain = 0;
+	private strainSum = 0;
 	private samples = 0;
 	private failures = 0;
 	private windowEnd = 0;
@@ -60,7 +58,7 @@
 	/** Takes in what one entry saw. */
 	observe(strain: number, completions: number, failures: number, now: number): void {
 		if (strain > 0) {
-			this.strain = this.samples === 0 ? strain : Math.max(this.strain, strain);
+			this.strainSum += strain;
 			this.samples++;
 		}
 		if (completions > 0) {
@@ -84,17 +82,17 @@
 			return false;
 		}
 		const before = Math.floor(this.value);
-		this.adjust(used);
-		this.strain *= 1 - strainWeight;
+		this.adjust(this.strainSum / this.samples, used);
+		this.strainSum = 0;
 		this.samples = 0;
 		return Math.floor(this.value) !== before;
 	}
 
-	private adjust(used: number): void {
-		if (this.strain > highStrain) {
-			const share = Math.min((this.strain - 1) / 2 + 0.02, maxCut);
+	private adjust(strain: number, used: number): void {
+		if (strain > highStrain) {
+			const share = Math.min((strain - 1) / 2 + 0.02, maxCut);
 			this.value = Math.max(Math.min(this.value, used) * (1 - share), 1);
-		} else if (this.strain < lowStrain && used >= Math.floor(this.value)) {
+		} else if (strain < lowStrain && used >= Math.floor(this.value)) {
 			const step = Math.max(1, this.value * 0.05);
 			this.value = Math.min(this.value + step, this.opts.max);
 		}
--- a/src/core/scheduling/slot-ledger.ts
+++ b/src/core/scheduling/slot-ledger.ts
@@ -72,7 +72,7 @@
 	private epoch: number;
 	private readonly grantFrom: number;
 	private inherited = false;
-	private contendedUntil = 0;
+	private contendedUntil: number;
 	private lastPreemptAt = 0;
 	private completions = 0;
 	private rateSince: number;
@@ -85,6 +85,8 @@
 	constructor(private readonly opts: LedgerOptions) {
 		this.epoch = opts.epoch;
 		this.grantFrom = opts.now + learnMs;
+		// Until it has heard from the entries, an owner cannot know that nobody waits.
+		this.contendedUntil = this.grantFrom + contentionMs;
 		this.rateSince = opts.now;
 		this.learner = new LimitLearner({
 			start: opts.slots,
@@ -184,6 +186,8 @@
 		holder.seq = report.seq;
 		if (report.epoch === this.epoch) {
 			holder.granted = Math.max(holder.granted, report.granted);
+			// An entry that was forgotten and is back has taken in grants of this term before.
+			holder.nextGrant = Math.max(holder.nextGrant, report.granted + 1);
 			holder.pending = holder.pending.filter((grant) => grant.id > holder.granted);
 		}
 		holder.running = report.running;
--- a/src/core/scheduling/types.ts
+++ b/src/core/scheduling/types.ts
@@ -43,8 +43,6 @@
 	failures: number;
 	/** Greatest mean of time between tokens over its target, by class. */
 	strain: number;
-	/** Mean slot time, in milliseconds. */
-	slotMs: number;
 }
 
 /** State of one entry on one endpoint, sent to the endpoint's owner. */
--- a/src/core/timeline/types.ts
+++ b/src/core/timeline/types.ts
@@ -11,6 +11,7 @@
 	requestEnded: 'request.ended',
 	requestShed: 'request.shed',
 	requestPreempted: 'request.preempted',
+	requestFailed: 'request.failed',
 	requestResumed: 'request.resumed',
 	claimTaken: 'claim.taken',
 	claimRefused: 'claim.refused',
--- a/src/infra/callers/callers-server.ts
+++ b/src/infra/callers/callers-server.ts
@@ -175,7 +175,7 @@
 			prefix: prefixText === undefined ? undefined : this.opts.hashPrefix(prefixText),
 			waitingSince: now,
 			offset: 0,
-			avoid: new Set(),
+			avoid: new Map(),
 		};
 	}
 
--- a/src/infra/peers/codec.ts
+++ b/src/infra/peers/codec.ts
@@ -128,7 +128,7 @@
 }
 
 function encodeReport(report: HolderReport): Wire {
-	const { completions, failures, strain, slotMs } = report.observed;
+	const { completions, failures, strain } = report.observed;
 	return [
 		wireTypes.report,
 		report.endpoint,
@@ -139,7 +139,7 @@
 		report.idle,
 		report.want.map(encodeTicket),
 		report.backlog,
-		[completions, failures, Math.round(strain * 1000), slotMs],
+		[completions, failures, Math.round(strain * 1000)],
 		report.limit,
 	];
 }
@@ -155,10 +155,10 @@
 		number,
 		Wire[],
 		[number, number][],
-		[number, number, number, number],
+		[number, number, number],
 		number,
 	];
-	const [completions, failures, strain, slotMs] = observed;
+	const [completions, failures, strain] = observed;
 	return {
 		endpoint,
 		seq,
@@ -168,7 +168,7 @@
 		idle,
 		want: want.map(decodeTicket),
 		backlog,
-		observed: { completions, failures, strain: strain / 1000, slotMs },
+		observed: { completions, failures, strain: strain / 1000 },
 		limit,
 	};
 }
--- /dev/null
+++ b/test/fuzz/fakes.ts
@@ -0,0 +1,145 @@
+/**
+ * Small fakes at the ports: a clock moved by hand, endpoints whose answers are given by hand, a
+ * key-value service that is down or loses replies.
+ * @module
+ */
+import type {
+	AnswerSink,
+	Clock,
+	EndpointCall,
+	EndpointClient,
+	KvEntry,
+	KvStore,
+	KvSwap,
+	LoadReport,
+	Metrics,
+	RunningCall,
+} from '../../src/core/definitions.js';
+import { callFailures, KvError } from '../../src/core/definitions.js';
+
+export class FakeClock implements Clock {
+	now = 1000;
+
+	monotonic(): number {
+		return this.now;
+	}
+
+	wall(): number {
+		return 1_800_000_000_000 + this.now;
+	}
+}
+
+export const noMetrics: Metrics = { count: () => {}, timing: () => {}, gauge: () => {} };
+
+/** One run on a fake endpoint. */
+export interface FakeRun {
+	call: EndpointCall;
+	sink: AnswerSink;
+	/** Next token, from 0. */
+	index: number;
+	over: boolean;
+}
+
+/** Tokens of every answer. */
+export const answerTokens = 4;
+
+export class FakeEndpoints implements EndpointClient {
+	readonly runs: FakeRun[] = [];
+	/** Runs that reached an endpoint, by request id. */
+	readonly reached = new Map<string, number>();
+	readonly down = new Set<string>();
+
+	open(call: EndpointCall, sink: AnswerSink): RunningCall {
+		const run: FakeRun = { call, sink, index: call.offset, over: false };
+		if (this.down.has(call.url)) {
+			run.over = true;
+			queueMicrotask(() => sink.fail(callFailures.notSent, 'down'));
+		} else {
+			this.runs.push(run);
+			this.reached.set(call.id, (this.reached.get(call.id) ?? 0) + 1);
+		}
+		const cancel = () => {
+			run.over = true;
+		};
+		return { pause: () => {}, resume: () => {}, cancel };
+	}
+
+	load(): Promise<LoadReport> {
+		return Promise.resolve({ running: 0, waiting: 0, leaving: false });
+	}
+
+	close(): Promise<void> {
+		return Promise.resolve();
+	}
+
+	get live(): FakeRun[] {
+		return this.runs.filter((run) => !run.over);
+	}
+
+	/** Gives one token, or the end. */
+	advance(run: FakeRun): void {
+		run.sink.head(200, { 'content-type': 'text/event-stream' });
+		if (run.index < answerTokens) {
+			run.index++;
+			run.sink.events([{ data: `t${run.index - 1}`, offset: run.index }]);
+			return;
+		}
+		run.over = true;
+		run.sink.events([{ data: '[DONE]' }]);
+		run.sink.end();
+	}
+
+	break(run: FakeRun): void {
+		run.over = true;
+		run.sink.fail(callFailures.broken, 'cut');
+	}
+}
+
+export class FakeKv implements KvStore {
+	calls = 0;
+	down = false;
+	loseReplies = 0;
+	private readonly entries = new Map<string, KvEntry>();
+	private rev = 0;
+
+	async get(key: string): Promise<KvEntry | undefined> {
+		this.check();
+		return this.entries.get(key);
+	}
+
+	async swap(key: string, rev: number, value: string): Promise<KvSwap> {
+		this.check();
+		const current = this.entries.get(key);
+		if ((current?.rev ?? 0) !== rev) {
+			return { swapped: false, current };
+		}
+		this.rev++;
+		this.entries.set(key, { value, rev: this.rev });
+		if (this.loseReplies > 0) {
+			this.loseReplies--;
+			throw new KvError('the reply was lost');
+		}
+		return { swapped: true, rev: this.rev };
+	}
+
+	watch(key: string): Promise<KvEntry | undefined> {
+		return this.get(key);
+	}
+
+	grantLease(): Promise<string> {
+		return Promise.resolve('lease');
+	}
+
+	renewLease(): Promise<boolean> {
+		return Promise.resolve(true);
+	}
+
+	async endLease(): Promise<void> {}
+
+	private check(): void {
+		this.calls++;
+		if (this.down) {
+			throw new KvError('down');
+		}
+	}
+}
