--- /dev/null
+++ b/test/features/configuration.feature
@@ -0,0 +1,35 @@
+Feature: An accepted configuration is in force everywhere and never reverts
+
+	Scenario: Two operators race
+		Given a fleet of 3 daemons and 1 engine
+		When two operators change the deadline of chat at once through different daemons
+		Then one change is accepted and the other operator hears who won and what changed
+		And every daemon has version 2 in force
+
+	Scenario: The reply to an accepted change is lost
+		Given a fleet of 2 daemons and 1 engine
+		And the key-value service loses its next reply
+		When an operator changes the deadline of chat
+		Then the change is accepted as version 2
+		And every daemon has version 2 in force
+
+	Scenario: A daemon starts while the key-value service is down
+		Given a fleet of 3 daemons and 1 engine
+		And the key-value service is down
+		When daemon 3 is killed and started again
+		Then every daemon has version 1 in force
+		When the openai client of listener-app asks "outage len=9" as a stream
+		Then the answer is that of "outage len=9"
+
+	Scenario: A frozen daemon comes back to the newer version
+		Given a fleet of 3 daemons and 1 engine
+		When daemon 3 is frozen
+		And an operator changes the deadline of chat
+		And daemon 3 is thawed
+		Then every daemon has version 2 in force
+
+	Scenario: A configuration that does not fit is refused as a whole
+		Given a fleet of 1 daemon and 1 engine
+		When the operator runs "config show"
+		Then it exits with 0
+		And it prints "# version 1 by bench"
--- /dev/null
+++ b/test/steps/faults.steps.ts
@@ -0,0 +1,106 @@
+/**
+ * Steps that bring about failures of the platform, endpoints and daemons.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as cucumber from '@cucumber/cucumber';
+import { end, sleep } from '../../bench/fleet.js';
+import type { EngineStats } from '../stand-ins/engine.js';
+import { post } from './callers.steps.js';
+import type { FleetWorld } from './world.js';
+
+cucumber.Given('the key-value service loses its next reply', async function (this: FleetWorld) {
+	await this.running.fault(this.running.platform, { loseReplies: 1 });
+});
+
+cucumber.Given('the key-value service is down', async function (this: FleetWorld) {
+	await this.running.fault(this.running.platform, { down: true });
+});
+
+cucumber.Given('the portal cuts connections after the effect', async function (this: FleetWorld) {
+	await this.running.fault(this.running.services[0], { cutAfterEffect: true });
+});
+
+cucumber.Given('the portal is killed', async function (this: FleetWorld) {
+	const [portal] = this.running.services;
+	assert.ok(portal);
+	await end(portal);
+});
+
+cucumber.Given(
+	'engine {int} cuts its streams after {int} tokens',
+	async function (this: FleetWorld, engine: number, tokens: number) {
+		await this.running.fault(this.running.engines[engine - 1], { cutAfterTokens: tokens });
+	},
+);
+
+cucumber.When(
+	'{word} posts {string} to the portal',
+	async function (this: FleetWorld, customer: string, id: string) {
+		this.seen.set('post', await post(this, 0, customer, id));
+	},
+);
+
+cucumber.When(
+	'{word} posts {string} with key {string} through every daemon at once',
+	async function (this: FleetWorld, customer: string, id: string, key: string) {
+		await this.running.fault(this.running.services[0], { delayMs: 200 });
+		const posts = this.running.daemons.map((_daemon, at) => post(this, at, customer, id, key));
+		this.seen.set('posts', await Promise.all(posts));
+	},
+);
+
+cucumber.Then(
+	'one post is complete and the others are told {string}',
+	function (this: FleetWorld, outcome: string) {
+		const posts = this.seen.get('posts') as { outcome: string }[];
+		const outcomes = posts.map((one) => one.outcome).sort();
+		const others = posts.slice(1).map(() => outcome);
+		assert.deepEqual(outcomes, ['complete', ...others].sort());
+	},
+);
+
+cucumber.When(
+	'daemon {int} is killed and started again',
+	async function (this: FleetWorld, daemon: number) {
+		const proc = this.running.daemons[daemon - 1];
+		assert.ok(proc);
+		await end(proc);
+		await this.running.startDaemon(daemon - 1);
+	},
+);
+
+cucumber.When('daemon {int} is frozen', function (this: FleetWorld, daemon: number) {
+	this.running.daemons[daemon - 1]?.child.kill('SIGSTOP');
+});
+
+cucumber.When('daemon {int} is thawed', function (this: FleetWorld, daemon: number) {
+	this.running.daemons[daemon - 1]?.child.kill('SIGCONT');
+});
+
+cucumber.When(
+	'daemon {int} is cut off from its peers',
+	async function (this: FleetWorld, daemon: number) {
+		const names = this.running.daemons.map((proc) => proc.name);
+		const cutOff = names[daemon - 1] ?? '';
+		for (const [index, name] of names.entries()) {
+			const peers = name === cutOff ? names.filter((other) => other !== name) : [cutOff];
+			await this.running.control(index).cutPeers.mutate({ peers });
+		}
+		const isDead = (member: { state: string }) => member.state === 'dead';
+		await this.running.waitFor((status) => status.members.some(isDead));
+	},
+);
+
+cucumber.When(
+	'engine {int} says that it is leaving and {int} seconds pass',
+	async function (this: FleetWorld, engine: number, seconds: number) {
+		await this.running.fault(this.running.engines[engine - 1], { leaving: true });
+		await sleep(seconds * 1000);
+	},
+);
+
+cucumber.Then('engine {int} ran nothing', async function (this: FleetWorld, engine: number) {
+	const stats = await this.running.stats<EngineStats>(this.running.engines[engine - 1]);
+	assert.deepEqual(stats.runs, {});
+});
--- /dev/null
+++ b/test/steps/fleet.steps.ts
@@ -0,0 +1,136 @@
+/**
+ * Steps about the order over the whole fleet, judged by the oracle.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as cucumber from '@cucumber/cucumber';
+import { configurationOf, lakeshore } from '../../bench/deployments.js';
+import { end, keyOf } from '../../bench/fleet.js';
+import { makeTrace } from '../../bench/make-trace.js';
+import { judge } from '../../bench/oracle.js';
+import type { ReplayResult } from '../../src/core/replay/types.js';
+import type { TimelineEvent } from '../../src/core/timeline/index.js';
+import { mergeTimelines } from '../../src/core/timeline/index.js';
+import { ReplayClient } from '../../src/infra/replay-client.js';
+import { fuzz, fuzzSeed } from '../fuzz/commands.js';
+import type { FleetWorld } from './world.js';
+
+const burstMs = 6000;
+const faultAtMs = 1500;
+
+cucumber.Given(
+	'a fleet of {int} daemons and {int} engines of {int} slots',
+	async function (this: FleetWorld, daemons: number, engines: number, slots: number) {
+		const settings = () => '[drills]\nenabled = true';
+		await this.start(
+			daemons,
+			Array.from({ length: engines }, () => ({ stepBaseMs: 10 })),
+			1,
+			{ settings },
+		);
+		const policy = { name: 'granted', learn_limits: false };
+		const cfg = configurationOf(lakeshore, this.running, policy, { slots, max_slots: slots });
+		await this.running.apply(cfg);
+		await this.running.waitFor((status) => status.members.length === daemons);
+		this.cfg = cfg;
+	},
+);
+
+async function swamp(world: FleetWorld, fault: () => void | Promise<void>): Promise<void> {
+	const span = { fromMs: 0, untilMs: burstMs, stream: true };
+	const keys = new Map(lakeshore.customers.map(({ name }) => [name, keyOf(name)]));
+	const low = makeTrace(
+		lakeshore,
+		[{ class: 'archive', customers: ['archive-desk'], perSecond: 20, tokens: 30, ...span }],
+		1,
+	);
+	const high = makeTrace(
+		lakeshore,
+		[{ class: 'rundown', customers: ['newsroom'], perSecond: 2, tokens: 20, ...span }],
+		2,
+	);
+	const urls = world.running.daemonUrls;
+	const replay = (trace: typeof low, daemon: number) =>
+		new ReplayClient({ daemons: [urls[daemon] ?? ''], keys, timeoutMs: 130_000 }).replay(trace);
+	const timer = setTimeout(() => void fault(), faultAtMs);
+	const [archive, rundown] = await Promise.all([replay(low, 0), replay(high, 1)]);
+	clearTimeout(timer);
+	world.seen.set('archive', archive);
+	world.seen.set('rundown', rundown);
+}
+
+cucumber.When(
+	'archive swamps daemon 1 and rundown comes through daemon 2',
+	async function (this: FleetWorld) {
+		await swamp(this, () => {});
+	},
+);
+
+cucumber.When(
+	'archive swamps daemon 1 and rundown comes through daemon 2 while daemon 3 is killed',
+	async function (this: FleetWorld) {
+		await swamp(this, () => end(this.running.daemons[2] as never));
+	},
+);
+
+cucumber.When(
+	'archive swamps daemon 1 and rundown comes through daemon 2 while daemon 3 is frozen',
+	async function (this: FleetWorld) {
+		const child = this.running.daemons[2]?.child;
+		await swamp(this, () => void child?.kill('SIGSTOP'));
+		child?.kill('SIGCONT');
+	},
+);
+
+cucumber.Then('every rundown is complete', function (this: FleetWorld) {
+	const results = this.seen.get('rundown') as ReplayResult[];
+	assert.ok(results.length > 0);
+	const wrong = results.filter((result) => result.outcome !== 'complete' || result.wrong);
+	assert.deepEqual(wrong, []);
+});
+
+cucumber.Then('nothing was shed or preempted for lower work', async function (this: FleetWorld) {
+	const timelines: TimelineEvent[][] = [];
+	for (const [index, daemon] of this.running.daemons.entries()) {
+		if (daemon.child.exitCode === null && daemon.child.signalCode === null) {
+			const events = await this.running.control(index).events.query({ since: 0 });
+			timelines.push(events as TimelineEvent[]);
+		}
+	}
+	const deadlines = new Map((this.cfg?.classes ?? []).map((cls) => [cls.name, cls.deadline_ms]));
+	const engines = new Set(this.running.engines.map((engine) => engine.name));
+	const findings = judge(mergeTimelines(timelines), deadlines, engines);
+	assert.equal(findings.shedForLower, 0);
+	assert.equal(findings.preemptedForLower, 0);
+	assert.deepEqual(findings.starvedWindows, []);
+});
+
+cucumber.Then('archive made progress during the burst', function (this: FleetWorld) {
+	const results = this.seen.get('archive') as ReplayResult[];
+	assert.ok(results.some((result) => result.outcome === 'complete'));
+	assert.deepEqual(
+		results.filter((result) => result.wrong),
+		[],
+	);
+});
+
+cucumber.When('the fuzz run drives the baseline', async function (this: FleetWorld) {
+	const run = fuzz(200, fuzzSeed, 'independent');
+	this.seen.set('finding', await run.then(() => undefined).catch((err: unknown) => err));
+});
+
+cucumber.When(
+	'the fuzz run drives {int} command sequences',
+	async function (this: FleetWorld, runs: number) {
+		const run = fuzz(runs, fuzzSeed);
+		this.seen.set('finding', await run.then(() => undefined).catch((err: unknown) => err));
+	},
+);
+
+cucumber.Then('the oracle has a finding', function (this: FleetWorld) {
+	assert.match(String(this.seen.get('finding')), /Property failed/);
+});
+
+cucumber.Then('the oracle has no finding', function (this: FleetWorld) {
+	assert.equal(this.seen.get('finding'), undefined, String(this.seen.get('finding')));
+});
--- /dev/null
+++ b/test/steps/operators.steps.ts
@@ -0,0 +1,80 @@
+/**
+ * Steps of operators: changes of the configuration, races, drains.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as cucumber from '@cucumber/cucumber';
+import type { Configuration } from '../../src/core/configuration/index.js';
+import type { FleetWorld } from './world.js';
+
+function withChatDeadline(world: FleetWorld, deadlineMs: number): Configuration {
+	const { cfg } = world;
+	assert.ok(cfg);
+	const classes = cfg.classes.map((cls) =>
+		cls.name === 'chat' ? { ...cls, deadline_ms: deadlineMs } : cls,
+	);
+	return { ...cfg, classes };
+}
+
+cucumber.When(
+	'two operators change the deadline of chat at once through different daemons',
+	async function (this: FleetWorld) {
+		const change = (index: number, by: string, deadlineMs: number) =>
+			this.running.control(index).applyConfiguration.mutate({
+				document: withChatDeadline(this, deadlineMs),
+				base: 1,
+				by,
+			});
+		const both = [change(0, 'ann', 31_000), change(1, 'bob', 32_000)];
+		this.seen.set('changes', await Promise.allSettled(both));
+	},
+);
+
+cucumber.Then(
+	'one change is accepted and the other operator hears who won and what changed',
+	function (this: FleetWorld) {
+		const changes = this.seen.get('changes') as PromiseSettledResult<{ by: string }>[];
+		const won = changes.find((change) => change.status === 'fulfilled');
+		const lost = changes.find((change) => change.status === 'rejected');
+		assert.ok(won && lost, 'one wins and one loses');
+		const message = String((lost.reason as Error).message);
+		assert.match(message, new RegExp(`Version 2 by ${won.value.by} was accepted first`));
+		assert.match(message, /classes\.chat\.deadline_ms/);
+	},
+);
+
+cucumber.When('an operator changes the deadline of chat', async function (this: FleetWorld) {
+	const accepted = await this.running.control(0).applyConfiguration.mutate({
+		document: withChatDeadline(this, 33_000),
+		base: 1,
+		by: 'ann',
+	});
+	this.seen.set('accepted', accepted.version);
+});
+
+cucumber.Then(
+	'the change is accepted as version {int}',
+	function (this: FleetWorld, version: number) {
+		assert.equal(this.seen.get('accepted'), version);
+	},
+);
+
+cucumber.Then(
+	'every daemon has version {int} in force',
+	async function (this: FleetWorld, version: number) {
+		await this.running.waitFor((status) => status.configuration_version === version);
+	},
+);
+
+cucumber.When(
+	'the operator drains engine {int}',
+	async function (this: FleetWorld, engine: number) {
+		const { cfg } = this;
+		assert.ok(cfg);
+		const name = this.running.engines[engine - 1]?.name;
+		const endpoints = cfg.endpoints.map((endpoint) =>
+			endpoint.name === name ? { ...endpoint, state: 'drained' as const } : endpoint,
+		);
+		await this.running.apply({ ...cfg, endpoints });
+	},
+);
--- /dev/null
+++ b/test/steps/streams.steps.ts
@@ -0,0 +1,171 @@
+/**
+ * Steps with several streams at once, and a fault in between.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as cucumber from '@cucumber/cucumber';
+import OpenAI from 'openai';
+import { end, keyOf } from '../../bench/fleet.js';
+import { wholeAnswer } from '../stand-ins/engine-text.js';
+import type { FleetWorld } from './world.js';
+
+interface Answer {
+	prompt: string;
+	text: string;
+	error?: string;
+}
+
+/** A fault that is brought about once every stream has begun. */
+type Fault = () => void | Promise<void>;
+
+cucumber.Given(
+	'a fleet of {int} daemon(s) and {int} engines that are given up after {int} ms',
+	async function (this: FleetWorld, daemons: number, engines: number, stallMs: number) {
+		const settings = () => `[limits]\nstall_ms = ${stallMs}`;
+		const stalling = Array.from({ length: engines }, () => ({}));
+		await this.start(daemons, stalling, 1, { settings });
+	},
+);
+
+async function stream(
+	world: FleetWorld,
+	at: number,
+	tokens: number,
+	begun: () => void,
+): Promise<Answer> {
+	const prompt = `stream ${at} len=${tokens}`;
+	const answer: Answer = { prompt, text: '' };
+	const urls = world.running.daemonUrls;
+	const client = new OpenAI({
+		baseURL: `${urls[at % urls.length]}/v1`,
+		apiKey: keyOf('listener-app'),
+		maxRetries: 0,
+	});
+	try {
+		const chunks = await client.chat.completions.create({
+			model: 'station-1',
+			messages: [{ role: 'user', content: prompt }],
+			stream: true,
+		});
+		for await (const chunk of chunks) {
+			answer.text += chunk.choices[0]?.delta.content ?? '';
+			begun();
+		}
+	} catch (err) {
+		answer.error = (err as Error).message;
+		begun();
+	}
+	return answer;
+}
+
+async function streamAll(
+	world: FleetWorld,
+	callers: number,
+	tokens: number,
+	fault: Fault,
+): Promise<void> {
+	let waiting = callers;
+	const faulted = new Promise<void>((done, failed) => {
+		const seen = new Set<number>();
+		const begun = (at: number) => {
+			if (!seen.has(at)) {
+				seen.add(at);
+				waiting--;
+				if (waiting === 0) {
+					Promise.resolve(fault()).then(done, failed);
+				}
+			}
+		};
+		const all = Array.from({ length: callers }, (_, at) =>
+			stream(world, at, tokens, () => begun(at)),
+		);
+		world.seen.set('streams', Promise.all(all));
+	});
+	await faulted;
+	world.seen.set('answers', await world.seen.get('streams'));
+}
+
+cucumber.When(
+	'{int} callers stream answers of {int} tokens',
+	async function (this: FleetWorld, callers: number, tokens: number) {
+		await streamAll(this, callers, tokens, () => {});
+	},
+);
+
+cucumber.When(
+	'{int} callers stream answers of {int} tokens and engine {int} is killed in between',
+	async function (this: FleetWorld, callers: number, tokens: number, engine: number) {
+		const proc = this.running.engines[engine - 1];
+		assert.ok(proc);
+		await streamAll(this, callers, tokens, () => end(proc));
+	},
+);
+
+cucumber.When(
+	'{int} callers stream answers of {int} tokens and engine {int} stalls in between',
+	async function (this: FleetWorld, callers: number, tokens: number, engine: number) {
+		const proc = this.running.engines[engine - 1];
+		await streamAll(this, callers, tokens, () => this.running.fault(proc, { stalled: true }));
+	},
+);
+
+cucumber.When(
+	'{int} callers stream answers of {int} tokens and daemon {int} is told to stop in between',
+	async function (this: FleetWorld, callers: number, tokens: number, daemon: number) {
+		const proc = this.running.daemons[daemon - 1];
+		assert.ok(proc);
+		await streamAll(this, callers, tokens, async () => {
+			proc.child.kill('SIGTERM');
+			while (!proc.lines.some((line) => line.includes('event=daemon.stopping'))) {
+				await new Promise((wake) => setTimeout(wake, 5));
+			}
+			const res = await fetch(`http://127.0.0.1:${proc.port}/readyz`);
+			this.seen.set('ready while stopping', res.status);
+		});
+		if (proc.child.exitCode === null) {
+			await new Promise((done) => proc.child.once('exit', done));
+		}
+		this.seen.set('exit code', proc.child.exitCode);
+	},
+);
+
+cucumber.Then('every answer is whole', function (this: FleetWorld) {
+	for (const answer of this.seen.get('answers') as Answer[]) {
+		assert.equal(answer.error, undefined);
+		assert.equal(answer.text, wholeAnswer(answer.prompt));
+	}
+});
+
+cucumber.Then(
+	'every answer ends with an error that says {string} or is whole',
+	function (this: FleetWorld, _outcome: string) {
+		for (const answer of this.seen.get('answers') as Answer[]) {
+			const whole = answer.text === wholeAnswer(answer.prompt);
+			assert.ok(whole || answer.error?.includes('broke off'), JSON.stringify(answer));
+		}
+	},
+);
+
+cucumber.Then('no answer that is not whole ended cleanly', function (this: FleetWorld) {
+	const answers = this.seen.get('answers') as Answer[];
+	assert.ok(answers.some((answer) => answer.error !== undefined));
+	for (const answer of answers) {
+		const part = wholeAnswer(answer.prompt).startsWith(answer.text);
+		assert.ok(part, 'a part that is not the start of the answer');
+		assert.ok(answer.error !== undefined || answer.text === wholeAnswer(answer.prompt));
+	}
+});
+
+cucumber.Then(
+	'daemon {int} ended with exit code {int}',
+	function (this: FleetWorld, _daemon: number, code: number) {
+		assert.equal(this.seen.get('exit code'), code);
+	},
+);
+
+cucumber.Then(
+	'daemon {int} refused new requests while it stopped',
+	function (this: FleetWorld, _daemon: number) {
+		assert.equal(this.seen.get('ready while stopping'), 503);
+	},
+);
