Query and command language: one grammar for questions and changes

Cause: an operator could see a fleet's parts only. Change: show/set/drain/undrain with where, group by, sort by, limit; dry run; errors with column and nearest word; shell, files, table, JSON and key=value. A fleet that has just started reads the VM list more often (a scenario saw two of three members).

--- a/src/cli/config/index.ts
+++ b/src/cli/config/index.ts
@@ -13,10 +13,7 @@
 import { exitCodes } from '../exit-codes.js';
 import { FleetClient } from '../fleet-client.js';
 import type { GlobalArgs } from '../types.js';
-
-/** Longest wait for a version to be in force everywhere, in milliseconds. */
-const inForceMs = 5000;
-const pollMs = 100;
+import { waitInForce } from './in-force.js';
 
 interface FileArgs extends GlobalArgs {
 	file: string;
@@ -84,7 +81,7 @@
 		const base = args.base ?? current?.version ?? 0;
 		const accepted = await fleet.first.applyConfiguration.mutate({ document, base, by: args.by });
 		process.stdout.write(`version ${accepted.version} accepted\n`);
-		await waitInForce(fleet, accepted.version);
+		process.exitCode = await waitInForce(fleet, accepted.version);
 	},
 };
 
@@ -127,23 +124,3 @@
 	const lines = diffConfigurations(before, after);
 	process.stdout.write(`${lines.length === 0 ? 'no change' : lines.join('\n')}\n`);
 }
-
-/** Says on which VMs the version is in force, and on which not. */
-async function waitInForce(fleet: FleetClient, version: number): Promise<void> {
-	const until = performance.now() + inForceMs;
-	for (;;) {
-		const { answers, missing } = await fleet.askAll((client) => client.status.query());
-		const behind = answers.filter(({ value }) => value.configuration_version < version);
-		const done = behind.length === 0 && missing.length === 0;
-		if (done || performance.now() > until) {
-			const names = [...behind.map(({ vm }) => vm), ...missing];
-			const inForce = answers.length - behind.length;
-			process.stdout.write(
-				`in force on ${inForce} VMs${done ? '' : `, not on: ${names.join(', ')}`}\n`,
-			);
-			process.exitCode = done ? exitCodes.ok : exitCodes.partial;
-			return;
-		}
-		await new Promise((wake) => setTimeout(wake, pollMs));
-	}
-}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,7 +8,9 @@
 import { configCommand } from './config/index.js';
 import { exitCodes } from './exit-codes.js';
 import { hashTokenCommand } from './hash-token/index.js';
+import { queryCommand, runCommand } from './query/index.js';
 import { replayCommand } from './replay/index.js';
+import { shellCommand } from './shell/index.js';
 import { statusCommand } from './status/index.js';
 import { timelineCommand } from './timeline/index.js';
 
@@ -28,14 +30,15 @@
 		describe: 'operator token (better as SLATEGAUGE_TOKEN)',
 		global: true,
 	})
+	.command(queryCommand)
+	.command(shellCommand)
+	.command(runCommand)
 	.command(statusCommand)
 	.command(configCommand)
 	.command(timelineCommand)
 	.command(replayCommand)
 	.command(hashTokenCommand)
-	.demandCommand(1, 'expected a command; see --help')
 	.strict()
-	.recommendCommands()
 	.completion('completion', 'print a script for shell completion')
 	.fail((message, err) => {
 		process.stderr.write(`${err ? describeError(err) : message}\n`);
--- /dev/null
+++ b/src/cli/query/run-line.ts
@@ -0,0 +1,108 @@
+/**
+ * Runs one line of the query and command language and prints what came of it.
+ * @module
+ */
+
+import { diffConfigurations } from '../../core/configuration/diff.js';
+import * as errors from '../../core/errors/index.js';
+import { change } from '../../core/query/change.js';
+import { evaluate } from '../../core/query/evaluate.js';
+import { parseLine } from '../../core/query/parse.js';
+import type { DrainCommand, Query, QueryError, Row, SetCommand } from '../../core/query/types.js';
+import { formatTable } from '../../core/text/table.js';
+import { formatFields } from '../../infra/line-log.js';
+import { waitInForce } from '../config/in-force.js';
+import { exitCodes } from '../exit-codes.js';
+import type { FleetClient } from '../fleet-client.js';
+import { readSource, sourceFields } from './sources.js';
+
+/** Forms of output. */
+export const outputs = ['table', 'json', 'kv'] as const;
+export type Output = (typeof outputs)[number];
+
+export interface LineOptions {
+	output: Output;
+	dryRun: boolean;
+	by: string;
+}
+
+/** Resolves with the exit code. */
+export async function runLine(
+	fleet: FleetClient,
+	line: string,
+	opts: LineOptions,
+): Promise<number> {
+	const parsed = await parseLine(line);
+	if ('error' in parsed) {
+		return complain(line, parsed.error);
+	}
+	const { statement } = parsed;
+	return statement.kind === 'show'
+		? show(fleet, line, statement, opts)
+		: command(fleet, line, statement, opts);
+}
+
+async function show(
+	fleet: FleetClient,
+	line: string,
+	query: Query,
+	opts: LineOptions,
+): Promise<number> {
+	const { rows, missing } = await readSource(fleet, query.source);
+	const result = evaluate(query, rows, sourceFields[query.source]);
+	if ('error' in result) {
+		return complain(line, result.error);
+	}
+	process.stdout.write(`${format(result.rows, opts.output)}\n`);
+	if (missing.length > 0) {
+		process.stderr.write(`no answer from: ${missing.join(', ')}\n`);
+		return exitCodes.partial;
+	}
+	return exitCodes.ok;
+}
+
+async function command(
+	fleet: FleetClient,
+	line: string,
+	statement: SetCommand | DrainCommand,
+	opts: LineOptions,
+): Promise<number> {
+	const current = await fleet.first.configuration.query();
+	if (!current) {
+		throw new errors.UserError(errors.data.NotReady);
+	}
+	const changed = change(current.document, statement);
+	if ('error' in changed) {
+		return complain(line, changed.error);
+	}
+	const lines = diffConfigurations(current.document, changed.document);
+	process.stdout.write(`${lines.length === 0 ? 'no change' : lines.join('\n')}\n`);
+	if (opts.dryRun || lines.length === 0) {
+		process.stdout.write(`version ${current.version} stays in force\n`);
+		return exitCodes.ok;
+	}
+	const accepted = await fleet.first.applyConfiguration.mutate({
+		document: changed.document,
+		base: current.version,
+		by: opts.by,
+	});
+	process.stdout.write(`version ${accepted.version} accepted\n`);
+	return waitInForce(fleet, accepted.version);
+}
+
+function complain(line: string, error: QueryError): number {
+	const hint = error.suggestion === undefined ? '' : ` - did you mean ${error.suggestion}?`;
+	const pointer = `${' '.repeat(error.column - 1)}^`;
+	process.stderr.write(`${line}\n${pointer}\ncolumn ${error.column}: ${error.message}${hint}\n`);
+	return exitCodes.usage;
+}
+
+function format(rows: readonly Row[], output: Output): string {
+	if (output === 'json') {
+		return JSON.stringify(rows);
+	}
+	if (output === 'kv') {
+		return rows.map((row) => formatFields(row)).join('\n');
+	}
+	return formatTable(rows);
+}
--- /dev/null
+++ b/src/cli/query/sources.ts
@@ -0,0 +1,88 @@
+/**
+ * Rows that questions are asked of, from the whole fleet.
+ * @module
+ */
+import type { Row, Source, Value } from '../../core/query/types.js';
+import type { ControlClient } from '../../infra/control/control-client.js';
+import type { FleetAnswer, FleetClient } from '../fleet-client.js';
+
+/** Fields of each source, in the order in which they are shown. */
+export const sourceFields: Record<Source, string[]> = {
+	requests: [
+		'id',
+		'vm',
+		'state',
+		'class',
+		'tier',
+		'customer',
+		'endpoint',
+		'late',
+		'age_ms',
+		'tokens',
+	],
+	shed: ['time', 'vm', 'request', 'class', 'tier', 'customer', 'reason'],
+	endpoints: ['endpoint', 'vm', 'owner', 'state', 'limit', 'running', 'idle'],
+	vms: ['vm', 'failure_domain', 'ready', 'configuration', 'queued', 'running', 'kv_calls'],
+	classes: [
+		'name',
+		'tier',
+		'first_token_ms',
+		'between_tokens_ms',
+		'deadline_ms',
+		'patience_ms',
+		'repeatable',
+		'floor',
+	],
+	customers: ['name', 'default_class', 'weight'],
+};
+
+/** Rows, and the VMs that did not answer. */
+export interface SourceRows {
+	rows: Row[];
+	missing: string[];
+}
+
+export async function readSource(fleet: FleetClient, source: Source): Promise<SourceRows> {
+	if (source === 'classes' || source === 'customers') {
+		const current = await fleet.first.configuration.query();
+		const items = (current?.document[source] ?? []) as unknown as Row[];
+		return { rows: items.map((item) => pick(item, sourceFields[source])), missing: [] };
+	}
+	const asks: Record<Exclude<Source, 'classes' | 'customers'>, Ask> = {
+		requests: (client) => client.requests.query() as unknown as Promise<Row[]>,
+		endpoints: (client) => client.endpoints.query() as unknown as Promise<Row[]>,
+		shed: readShed,
+		vms: readVm,
+	};
+	const answer: FleetAnswer<Row[]> = await fleet.askAll(asks[source]);
+	const rows = answer.answers.flatMap(({ value }) => value);
+	return { rows, missing: answer.missing };
+}
+
+type Ask = (client: ControlClient) => Promise<Row[]>;
+
+async function readShed(client: ControlClient): Promise<Row[]> {
+	const events = await client.events.query({ since: 0 });
+	return events
+		.filter((event) => event.kind === 'request.shed')
+		.map((event) => ({
+			time: new Date(event.time.wall).toISOString(),
+			vm: event.vm,
+			request: event.request ?? '',
+			class: event.cls ?? '',
+			tier: event.tier ?? 0,
+			customer: event.customer ?? '',
+			reason: event.reason ?? '',
+		}));
+}
+
+async function readVm(client: ControlClient): Promise<Row[]> {
+	const status = await client.status.query();
+	const row = { ...status, configuration: status.configuration_version } as unknown as Row;
+	return [pick(row, sourceFields.vms)];
+}
+
+function pick(row: Row, fields: readonly string[]): Row {
+	const entries = fields.map((field) => [field, row[field] ?? ''] as [string, Value]);
+	return Object.fromEntries(entries);
+}
--- /dev/null
+++ b/src/core/query/change.ts
@@ -0,0 +1,61 @@
+/**
+ * Carries out a command on a configuration.
+ * @module
+ */
+import type { Configuration } from '../configuration/index.js';
+import { configurationSchema, crossCheck } from '../configuration/index.js';
+import { wordError } from './parse.js';
+import type { DrainCommand, QueryError, SetCommand, Subject } from './types.js';
+
+const lists = { class: 'classes', customer: 'customers', endpoint: 'endpoints' } as const;
+/** Settings that name the thing itself. */
+const fixed = new Set(['name', 'key_hashes']);
+
+export type Changed = { document: Configuration } | { error: QueryError };
+
+/** The configuration after a command; checked as a whole. */
+export function change(cfg: Configuration, command: SetCommand | DrainCommand): Changed {
+	if (command.kind !== 'set') {
+		const state = command.kind === 'drain' ? 'drained' : 'active';
+		return setField(cfg, 'endpoint', command.endpoint, 'state', state, command.column);
+	}
+	const { subject, name, field, value, column } = command;
+	return setField(cfg, subject, name, field, value, column);
+}
+
+function setField(
+	cfg: Configuration,
+	subject: Subject,
+	name: string,
+	field: string,
+	value: unknown,
+	column: number,
+): Changed {
+	const list = lists[subject];
+	const items = cfg[list] as { name: string }[];
+	const item = items.find((known) => known.name === name);
+	if (!item) {
+		return {
+			error: wordError(
+				name,
+				column,
+				items.map((known) => known.name),
+			),
+		};
+	}
+	const fields = fieldsOf(list).filter((known) => !fixed.has(known));
+	if (!fields.includes(field)) {
+		return { error: wordError(field, column, fields) };
+	}
+	const changed = items.map((known) => (known === item ? { ...known, [field]: value } : known));
+	const parsed = configurationSchema.safeParse({ ...cfg, [list]: changed });
+	const problem = parsed.success ? crossCheck(parsed.data)[0] : parsed.error.issues[0];
+	if (!parsed.success || problem) {
+		return { error: { column, message: `${field}: ${problem?.message}` } };
+	}
+	return { document: parsed.data };
+}
+
+function fieldsOf(list: 'classes' | 'customers' | 'endpoints'): string[] {
+	return Object.keys(configurationSchema.shape[list].element.shape);
+}
--- a/src/daemon/fleet-node.ts
+++ b/src/daemon/fleet-node.ts
@@ -20,6 +20,8 @@
 const decideMs = 5;
 /** Time between two reads of the VM list, in milliseconds. */
 const vmListMs = 5000;
+/** A fleet that has just started is read more often, in milliseconds after the start. */
+const firstReadsMs = [300, 700, 1200, 2000, 3500];
 /** A tick that comes so late shows that the process was paused, in milliseconds. */
 const pausedMs = 1000;
 /** After a pause nothing starts for so long, so that views are fresh, in milliseconds. */
@@ -92,6 +94,9 @@
 		this.applyMembers();
 		this.timers.push(setInterval(() => this.tick(), tickMs));
 		this.timers.push(setInterval(() => void this.readVmList(), vmListMs));
+		for (const wait of firstReadsMs) {
+			this.timers.push(setTimeout(() => void this.readVmList(), wait));
+		}
 		void this.readVmList();
 	}
 
--- /dev/null
+++ b/test/features/operators.feature
@@ -0,0 +1,55 @@
+Feature: The query and command language
+
+	Scenario: Questions over the whole fleet
+		Given a fleet of 3 daemons and 2 engines
+		When the operator runs "show vms where queued = 0 sort by vm desc limit 1"
+		Then it exits with 0
+		And it prints "vm-3"
+		When the operator runs "show endpoints where endpoint = engine-1 group by owner"
+		Then it exits with 0
+		And it prints "3"
+		When the operator runs "show requests --output json"
+		Then it exits with 0
+		And it prints "[]"
+
+	Scenario: Errors point at the column and suggest the nearest word
+		Given a fleet of 1 daemon and 1 engine
+		When the operator runs "show reqests"
+		Then it exits with 64
+		And it prints "column 6: unexpected \"reqests\""
+		And it prints "did you mean requests?"
+		When the operator runs "show vms where queud = 1"
+		Then it exits with 64
+		And it prints "column 16: unexpected \"queud\""
+		And it prints "did you mean queued?"
+		When the operator runs "show vms limit"
+		Then it exits with 64
+		And it prints "column 15: unexpected end of line"
+		When the operator runs "set class chat tier 99"
+		Then it exits with 64
+		And it prints "tier"
+
+	Scenario: Commands change the configuration, with a dry run
+		Given a fleet of 3 daemons and 2 engines
+		When the operator runs "drain engine-1 --dry-run"
+		Then it exits with 0
+		And it prints "version 1 stays in force"
+		When the operator runs "drain engine-1"
+		Then it exits with 0
+		And it prints "in force on 3 VMs"
+		And every daemon has version 2 in force
+
+	Scenario: The time line tells a request's story
+		Given a fleet of 2 daemons and 1 engine
+		When the openai client of listener-app asks "story len=5" as a stream
+		And the operator runs "timeline --class chat"
+		Then it exits with 0
+		And it prints "event=request.queued"
+		And it prints "event=request.started"
+		And it prints "outcome=complete"
+
+	Scenario: A wrong token is told
+		Given a fleet of 1 daemon and 1 engine
+		When the operator with a wrong token runs "status"
+		Then it exits with 1
+		And it prints "the operator token is unknown"
--- a/test/steps/programs.steps.ts
+++ b/test/steps/programs.steps.ts
@@ -53,6 +53,14 @@
 	this.seen.set('ran', await run('slategauge', args));
 });
 
+cucumber.When(
+	'the operator with a wrong token runs {string}',
+	async function (this: FleetWorld, line: string) {
+		const daemon = `127.0.0.1:${this.running.daemons[0]?.controlPort}`;
+		this.seen.set('ran', await run('slategauge', [line, '--daemon', daemon, '--token', 'wrong']));
+	},
+);
+
 cucumber.Then('it exits with {int}', function (this: FleetWorld, code: number) {
 	const ran = this.seen.get('ran') as Ran;
 	assert.equal(ran.code, code, ran.output);
--- a/test/steps/world.ts
+++ b/test/steps/world.ts
@@ -30,6 +30,7 @@
 		await fleet.startDaemons();
 		this.cfg = configurationOf(lakeshore, fleet, policy);
 		await fleet.apply(this.cfg);
+		await fleet.waitFor((status) => status.members.length === daemons);
 		return fleet;
 	}
 
