--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -53,8 +53,10 @@
 /** Figures of one experiment. */
 export interface ExperimentResult {
 	classes: ClassSummary[];
-	/** Useful tokens a second, all classes. */
+	/** Tokens a second of answers that were whole before their deadline. */
 	goodput: number;
+	/** Tokens a second of answers that met all their targets. */
+	goodputInTarget: number;
 	/** Tokens generated and of no use, in percent of those generated. */
 	wastedPercent: number;
 	wrong: number;
@@ -136,7 +138,8 @@
 	const durationS = (opts.trace.at(-1)?.at_ms ?? 1000) / 1000;
 	const targetOf = (result: ReplayResult) => targets.get(result.class) as ClassTargets;
 	const useful = results.filter((result) => isUseful(result, targetOf(result)));
-	const usefulTokens = useful.reduce((sum, result) => sum + result.tokens, 0);
+	const usefulTokens = sumTokens(useful);
+	const attained = results.filter((result) => isAttained(result, targetOf(result)));
 	const deadlines = new Map([...targets].map(([name, target]) => [name, target.deadlineMs]));
 	const engines = new Set(
 		cfg.endpoints.filter((endpoint) => endpoint.kind === 'engine').map((endpoint) => endpoint.name),
@@ -144,6 +147,7 @@
 	return {
 		classes: summarize(results, targets, durationS),
 		goodput: Math.round(usefulTokens / durationS),
+		goodputInTarget: Math.round(sumTokens(attained) / durationS),
 		wastedPercent: round((100 * (measured.generated - usefulTokens)) / measured.generated),
 		wrong: results.filter((result) => result.wrong).length,
 		findings: judge(events, deadlines, engines),
@@ -154,6 +158,10 @@
 	};
 }
 
+function sumTokens(results: readonly ReplayResult[]): number {
+	return results.reduce((sum, result) => sum + result.tokens, 0);
+}
+
 /** Requests of the top tiers by second: the last bad second after the fault. */
 function recovery(
 	results: readonly ReplayResult[],
--- a/src/core/configuration/schema.ts
+++ b/src/core/configuration/schema.ts
@@ -61,6 +61,7 @@
 
 const endpoint = zod.strictObject({
 	name,
+	/** `engine` or `service`. @default 'engine' */
 	kind: zod.enum(endpointKinds).default('engine'),
 	/** Base URL, by IP number. */
 	url: zod.url('expected a URL, such as http://10.0.1.5:9000'),
@@ -78,6 +79,7 @@
 	max_slots: zod.int().min(1).max(4096).default(256),
 	/** Whether the endpoint checks fencing tokens of orders. @default false */
 	checks_fencing: zod.boolean().default(false),
+	/** `active` or `drained`. @default 'active' */
 	state: zod.enum(endpointStates).default('active'),
 });
 
