--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -59,6 +59,8 @@
 	goodputInTarget: number;
 	/** Tokens generated and of no use, in percent of those generated. */
 	wastedPercent: number;
+	/** Prompts whose prefix the engine still had, in percent. */
+	cacheHitPercent: number;
 	wrong: number;
 	findings: Findings;
 	/** Seconds from the fault until the top tiers are attained again; 0 without a dent. */
@@ -109,10 +111,10 @@
 	await collector.collect();
 	const elapsedS = (Date.now() - began) / 1000;
 	const after = await totals(fleet);
-	const generated = await generatedTokens(fleet);
+	const engines = await engineTotals(fleet);
 	return figures(opts, cfg, results, collector.merged(), {
 		began,
-		generated,
+		...engines,
 		cpuPercent: (after.cpuMs - before.cpuMs) / elapsedS / 10 / opts.daemons,
 		bytesPerS: (after.bytes - before.bytes) / elapsedS / opts.daemons,
 		kvCalls: after.kvCalls - before.kvCalls,
@@ -122,6 +124,7 @@
 interface Measured {
 	began: number;
 	generated: number;
+	cacheHitPercent: number;
 	cpuPercent: number;
 	bytesPerS: number;
 	kvCalls: number;
@@ -149,6 +152,7 @@
 		goodput: Math.round(usefulTokens / durationS),
 		goodputInTarget: Math.round(sumTokens(attained) / durationS),
 		wastedPercent: round((100 * (measured.generated - usefulTokens)) / measured.generated),
+		cacheHitPercent: measured.cacheHitPercent,
 		wrong: results.filter((result) => result.wrong).length,
 		findings: judge(events, deadlines, engines),
 		recoveryS: opts.fault && recovery(results, targets, measured.began + opts.fault.atMs),
@@ -207,16 +211,22 @@
 	return sum;
 }
 
-async function generatedTokens(fleet: Fleet): Promise<number> {
-	let sum = 0;
+async function engineTotals(fleet: Fleet): Promise<{ generated: number; cacheHitPercent: number }> {
+	let generated = 0;
+	let hits = 0;
+	let prompts = 0;
 	for (const engine of fleet.engines) {
 		try {
-			sum += (await fleet.stats<EngineStats>(engine)).generated;
+			const stats = await fleet.stats<EngineStats>(engine);
+			generated += stats.generated;
+			hits += stats.cacheHits;
+			prompts += stats.cacheHits + stats.cacheMisses;
 		} catch {
-			// An engine that was killed gives no figures.
+			// An engine that was killed gives no figures; its tokens are not in the waste either.
+			generated = Number.NaN;
 		}
 	}
-	return sum;
+	return { generated, cacheHitPercent: round((100 * hits) / prompts) };
 }
 
 /** Reads the daemons' events while they run, since their rings are bounded. */
--- a/src/cli/fleet-client.ts
+++ b/src/cli/fleet-client.ts
@@ -9,6 +9,9 @@
 /** Time for one daemon's answer, in milliseconds. */
 const answerMs = 3000;
 
+/** Time for a call that may wait out a lease, in milliseconds. */
+const slowAnswerMs = 30_000;
+
 /** Answers of the daemons that gave one, and the VMs that did not. */
 export interface FleetAnswer<T> {
 	answers: { vm: string; value: T }[];
@@ -17,9 +20,12 @@
 
 export class FleetClient {
 	readonly first: ControlClient;
+	/** The same daemon, for calls that may wait out a lease. */
+	readonly slow: ControlClient;
 
 	constructor(private readonly args: GlobalArgs) {
 		this.first = createControlClient(args.daemon, args.token, answerMs);
+		this.slow = createControlClient(args.daemon, args.token, slowAnswerMs);
 	}
 
 	/** Asks every live daemon at once. */
--- a/src/cli/query/run-line.ts
+++ b/src/cli/query/run-line.ts
@@ -8,7 +8,14 @@
 import { change } from '../../core/query/change.js';
 import { evaluate } from '../../core/query/evaluate.js';
 import { parseLine } from '../../core/query/parse.js';
-import type { DrainCommand, Query, QueryError, Row, SetCommand } from '../../core/query/types.js';
+import type {
+	DrainCommand,
+	OrderCommand,
+	Query,
+	QueryError,
+	Row,
+	SetCommand,
+} from '../../core/query/types.js';
 import { formatTable } from '../../core/text/table.js';
 import { formatFields } from '../../infra/line-log.js';
 import { waitInForce } from '../config/in-force.js';
@@ -37,6 +44,9 @@
 		return complain(line, parsed.error);
 	}
 	const { statement } = parsed;
+	if (statement.kind === 'order') {
+		return order(fleet, statement, opts);
+	}
 	return statement.kind === 'show'
 		? show(fleet, line, statement, opts)
 		: command(fleet, line, statement, opts);
@@ -61,6 +71,22 @@
 	return exitCodes.ok;
 }
 
+async function order(
+	fleet: FleetClient,
+	statement: OrderCommand,
+	opts: LineOptions,
+): Promise<number> {
+	const what = `${statement.order} ${statement.argument}`.trim();
+	if (opts.dryRun) {
+		process.stdout.write(`would order ${statement.endpoint}: ${what}\n`);
+		return exitCodes.ok;
+	}
+	const { endpoint, order: kind, argument } = statement;
+	const token = await fleet.slow.order.mutate({ endpoint, kind, argument });
+	process.stdout.write(`${endpoint} took ${what}, fencing token ${token}\n`);
+	return exitCodes.ok;
+}
+
 async function command(
 	fleet: FleetClient,
 	line: string,
--- a/src/core/configuration/schema.ts
+++ b/src/core/configuration/schema.ts
@@ -97,7 +97,7 @@
 const policy = zod.strictObject({
 	/** @default 'granted' */
 	name: zod.enum(policies).default('granted'),
-	/** Send prompts with a shared prefix where it was last used. @default false */
+	/** Send prompts with a shared start where it ran last, unless that endpoint is much fuller. @default false */
 	prefix_affinity: zod.boolean().default(false),
 	/** Learn limits; else `slots` stays. @default true */
 	learn_limits: zod.boolean().default(true),
--- a/src/core/definitions.ts
+++ b/src/core/definitions.ts
@@ -149,12 +149,25 @@
 export interface EndpointClient {
 	open(call: EndpointCall, sink: AnswerSink): RunningCall;
 	load(url: string): Promise<LoadReport>;
+	/** Gives an order; resolves with the HTTP status. */
+	order(url: string, order: EndpointOrder, timeoutMs: number): Promise<number>;
 	close(): Promise<void>;
 }
 
+/** Orders that endpoints take. */
+export const orderKinds = [
+	'drain',
+	'undrain',
+	'load-model',
+	'load-adapter',
+	'set-version',
+	'set-role',
+] as const;
+export type OrderKind = (typeof orderKinds)[number];
+
 /** An order to an endpoint, given under a lease with a fencing token. */
 export interface EndpointOrder {
-	kind: 'drain' | 'undrain' | 'load-model' | 'load-adapter' | 'set-version' | 'set-role';
+	kind: OrderKind;
 	argument: string;
 	fencingToken: number;
 }
--- a/src/core/errors/errors-data.ts
+++ b/src/core/errors/errors-data.ts
@@ -173,6 +173,29 @@
 	hint: 'See `slategauge help query`.',
 } as const satisfies ErrorData;
 
+export const OrderInProgress = {
+	name: 'OrderInProgress',
+	title: 'Another order is being given',
+	message: (what: string, vm: string) => `${what} is held by ${vm} for another order.`,
+	hint: 'Give the order again in a few seconds.',
+	status: 409,
+} as const satisfies ErrorData;
+
+export const OrderRefused = {
+	name: 'OrderRefused',
+	title: 'The endpoint refused the order',
+	message: (endpoint: string, status: string) => `${endpoint} answered with status ${status}.`,
+	status: 502,
+} as const satisfies ErrorData;
+
+export const OrderLeaseLost = {
+	name: 'OrderLeaseLost',
+	title: 'The lease for the order ran out',
+	message: 'The lease ran out before the order could be sent safely; it was not sent.',
+	hint: 'Give the order again.',
+	status: 503,
+} as const satisfies ErrorData;
+
 export const DrillsDisabled = {
 	name: 'DrillsDisabled',
 	title: 'Drills are not enabled',
--- a/src/core/query/grammar.ts
+++ b/src/core/query/grammar.ts
@@ -14,6 +14,7 @@
 	set: keyword('set'),
 	drain: keyword('drain'),
 	undrain: keyword('undrain'),
+	order: keyword('order'),
 	where: keyword('where'),
 	and: keyword('and'),
 	group: keyword('group'),
@@ -43,6 +44,7 @@
 	tokens.set,
 	tokens.drain,
 	tokens.undrain,
+	tokens.order,
 	tokens.where,
 	tokens.and,
 	tokens.group,
@@ -82,7 +84,13 @@
 			field: chevrotain.IToken;
 			value: chevrotain.IToken;
 	  }
-	| { kind: 'drain' | 'undrain'; endpoint: chevrotain.IToken };
+	| { kind: 'drain' | 'undrain'; endpoint: chevrotain.IToken }
+	| {
+			kind: 'order';
+			endpoint: chevrotain.IToken;
+			order: chevrotain.IToken;
+			argument?: chevrotain.IToken;
+	  };
 
 class QueryParser extends chevrotain.EmbeddedActionsParser {
 	readonly statement: (index?: number) => StatementNode;
@@ -164,11 +172,19 @@
 			]);
 			return { kind, endpoint: this.CONSUME(tokens.word) };
 		});
+		const ordering = this.RULE('ordering', (): StatementNode => {
+			this.CONSUME(tokens.order);
+			const endpoint = this.CONSUME(tokens.word);
+			const order = this.CONSUME2(tokens.word);
+			const argument = this.OPTION(() => this.SUBRULE(value));
+			return { kind: 'order', endpoint, order, argument };
+		});
 		this.statement = this.RULE('statement', () =>
 			this.OR([
 				{ ALT: () => this.SUBRULE(show) },
 				{ ALT: () => this.SUBRULE(set) },
 				{ ALT: () => this.SUBRULE(drain) },
+				{ ALT: () => this.SUBRULE(ordering) },
 			]),
 		);
 		this.performSelfAnalysis();
--- a/src/core/query/parse.ts
+++ b/src/core/query/parse.ts
@@ -4,13 +4,14 @@
  */
 import type * as chevrotain from 'chevrotain';
 import * as levenshtein from 'fastest-levenshtein';
+import { orderKinds } from '../definitions.js';
 import type { StatementNode } from './grammar.js';
 import type { Operator, Parsed, QueryError, Source, Statement, Subject, Value } from './types.js';
 import { sources, subjects } from './types.js';
 
 /** Words further apart than this are not suggested. */
 const nearDistance = 3;
-const firstWords = ['show', 'set', 'drain', 'undrain'];
+const firstWords = ['show', 'set', 'drain', 'undrain', 'order'];
 const clauseWords = ['where', 'and', 'group by', 'sort by', 'desc', 'limit'];
 
 /** What the line says, or what is wrong with it and where. */
@@ -52,10 +53,22 @@
 		};
 		return { statement };
 	}
+	if (node.kind === 'order') {
+		return toOrder(node);
+	}
 	const column = node.endpoint.startOffset + 1;
 	return { statement: { kind: node.kind, endpoint: node.endpoint.image, column } };
 }
 
+function toOrder(node: StatementNode & { kind: 'order' }): Parsed {
+	const order = orderKinds.find((known) => known === node.order.image);
+	if (!order) {
+		return { error: unknownWord(node.order, [...orderKinds]) };
+	}
+	const argument = node.argument === undefined ? '' : String(tokenValue(node.argument));
+	return { statement: { kind: 'order', endpoint: node.endpoint.image, order, argument } };
+}
+
 function toQuery(node: StatementNode & { kind: 'show' }): Parsed {
 	const known = Object.values(sources);
 	const source = node.source.image as Source;
--- a/src/core/query/types.ts
+++ b/src/core/query/types.ts
@@ -2,6 +2,7 @@
  * What a line of the query and command language says.
  * @module
  */
+import type { OrderKind } from '../definitions.js';
 
 /** Things that can be asked for. */
 export const sources = {
@@ -59,7 +60,15 @@
 	column: number;
 }
 
-export type Statement = Query | SetCommand | DrainCommand;
+/** An order to an endpoint. */
+export interface OrderCommand {
+	kind: 'order';
+	endpoint: string;
+	order: OrderKind;
+	argument: string;
+}
+
+export type Statement = Query | SetCommand | DrainCommand | OrderCommand;
 
 /** What is wrong with a line. */
 export interface QueryError {
--- a/src/core/scheduling/granted-policy.ts
+++ b/src/core/scheduling/granted-policy.ts
@@ -11,6 +11,7 @@
 import type { EntryState, RunResult, Slot, SlotPolicy, Start } from './definitions.js';
 import { floorClasses } from './floors.js';
 import { Holding } from './holding.js';
+import { PrefixMemory } from './prefix-memory.js';
 import type { Candidate } from './request-queue.js';
 import type { HolderReport, NameHash, OwnerReply, Ticket } from './types.js';
 
@@ -18,6 +19,8 @@
 const minAsked = 16;
 /** Entries that should ask each endpoint, so that none is left without work. */
 const askersPerEndpoint = 4;
+/** Load, as a share of the limit, that a likely cached prefix outweighs. */
+const prefixBonus = 0.3;
 /** Best waiting requests told to an owner. */
 const wantedBest = 8;
 /** Waiting requests of one class, customer and target that are looked at. */
@@ -50,6 +53,7 @@
 	private readonly holdings = new Map<string, Holding>();
 	private cachedFor?: EntryState['cfg'];
 	private groups: Endpoint[][] = [];
+	private readonly prefixes = new PrefixMemory();
 
 	constructor(private readonly opts: GrantedPolicyOptions) {}
 
@@ -192,20 +196,33 @@
 
 	private leastLoadedIdle(state: EntryState, req: Request): Holding | undefined {
 		let best: Holding | undefined;
+		let bestLoad = Number.POSITIVE_INFINITY;
 		for (const endpoint of state.cfg.eligible(req.target, req.cls.name)) {
 			const holding = this.holding(endpoint.name);
 			const open = holding.usableIdle > 0 && !avoids(req, endpoint.name, state.now);
-			if (open && (!best || holding.load < best.load)) {
+			const load = open ? this.loadFor(state, holding, req) : Number.POSITIVE_INFINITY;
+			if (load < bestLoad) {
 				best = holding;
+				bestLoad = load;
 			}
 		}
 		return best;
 	}
 
+	/** An endpoint that likely holds the prompt's prefix counts as a little less loaded. */
+	private loadFor(state: EntryState, holding: Holding, req: Request): number {
+		const wanted = state.cfg.document.policy.prefix_affinity;
+		const likely = wanted && this.prefixes.holds(req.prefix, holding.endpoint);
+		return likely ? holding.load - prefixBonus : holding.load;
+	}
+
 	private start(state: EntryState, holding: Holding, req: Request, floor: boolean): Start {
 		state.queue.remove(req);
 		const slot: Slot = { endpoint: holding.endpoint, floor, startedAt: state.now };
 		holding.started(req, floor, state.now);
+		if (req.prefix !== undefined) {
+			this.prefixes.note(req.prefix, holding.endpoint);
+		}
 		return { req, slot };
 	}
 
--- a/src/daemon/daemon-control.ts
+++ b/src/daemon/daemon-control.ts
@@ -5,6 +5,7 @@
 import * as crypto from 'node:crypto';
 import type { VersionedConfiguration } from '../core/configuration/index.js';
 import type { ChangeRequest } from '../core/configuration/writer.js';
+import type { OrderKind } from '../core/definitions.js';
 import * as errors from '../core/errors/index.js';
 import type { RequestRun } from '../core/requests/run.js';
 import type { TimelineEvent } from '../core/timeline/index.js';
@@ -60,6 +61,15 @@
 		});
 	}
 
+	async order(name: string, kind: OrderKind, argument: string): Promise<number> {
+		const endpoint = this.daemon.configuration?.endpointNamed(name);
+		if (!endpoint) {
+			throw new errors.UserError(errors.data.NotFound, [`endpoint ${name}`]);
+		}
+		const { url, checks_fencing: checksFencing } = endpoint;
+		return this.daemon.orders.give({ endpoint: name, url, checksFencing, kind, argument });
+	}
+
 	cutPeers(peers: readonly string[]): void {
 		if (!this.daemon.settings.drills.enabled) {
 			throw new errors.UserError(errors.data.DrillsDisabled);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -13,6 +13,7 @@
 import type { LoadReport, Log } from '../core/definitions.js';
 import * as errors from '../core/errors/index.js';
 import * as rendezvous from '../core/membership/rendezvous.js';
+import { OrderGiver } from '../core/orders/order-giver.js';
 import { Router } from '../core/requests/router.js';
 import { IndependentPolicy } from '../core/scheduling/independent-policy.js';
 import type { Settings } from '../core/settings/index.js';
@@ -47,6 +48,7 @@
 	readonly router: Router;
 	readonly follower: ConfigurationFollower;
 	readonly writer: ConfigurationWriter;
+	readonly orders: OrderGiver;
 	readonly kv: HttpKvStore;
 	private readonly metrics: StatsdMetrics;
 	private readonly endpoints = new UndiciEndpointClient();
@@ -79,6 +81,15 @@
 		this.router = this.makeRouter();
 		this.follower = this.makeFollower();
 		this.writer = new ConfigurationWriter({ ...this, sleep });
+		this.orders = new OrderGiver({
+			kv: this.kv,
+			clock: this.clock,
+			random: this.random,
+			log,
+			endpoints: this.endpoints,
+			vm: settings.vm.id,
+			sleep,
+		});
 		this.loads = new LoadPoller({
 			endpoints: this.endpoints,
 			random: this.random,
--- a/src/infra/control/control-router.ts
+++ b/src/infra/control/control-router.ts
@@ -5,6 +5,7 @@
 import * as trpc from '@trpc/server';
 import * as zod from 'zod';
 import { configurationSchema, crossCheck } from '../../core/configuration/index.js';
+import { orderKinds } from '../../core/definitions.js';
 import * as errors from '../../core/errors/index.js';
 import type { DaemonApi } from './types.js';
 
@@ -37,6 +38,17 @@
 		.input(zod.object({ since: zod.int().min(0) }))
 		.query(({ ctx, input }) => ctx.api.events(input.since)),
 	configuration: guarded.query(({ ctx }) => ctx.api.configuration() ?? null),
+	order: guarded
+		.input(
+			zod.object({
+				endpoint: zod.string(),
+				kind: zod.enum(orderKinds),
+				argument: zod.string().max(200),
+			}),
+		)
+		.mutation(({ ctx, input }) =>
+			asTrpcError(() => ctx.api.order(input.endpoint, input.kind, input.argument)),
+		),
 	cutPeers: guarded
 		.input(zod.object({ peers: zod.array(zod.string()) }))
 		.mutation(({ ctx, input }) => asTrpcError(async () => ctx.api.cutPeers(input.peers))),
--- a/src/infra/control/types.ts
+++ b/src/infra/control/types.ts
@@ -4,6 +4,7 @@
  */
 import type { VersionedConfiguration } from '../../core/configuration/index.js';
 import type { ChangeRequest } from '../../core/configuration/writer.js';
+import type { EndpointOrder } from '../../core/definitions.js';
 import type { TimelineEvent } from '../../core/timeline/index.js';
 
 /** One request that a daemon holds. */
@@ -67,6 +68,8 @@
 	events(since: number): TimelineEvent[];
 	configuration(): VersionedConfiguration | undefined;
 	applyConfiguration(change: ChangeRequest): Promise<VersionedConfiguration>;
+	/** Gives an order to an endpoint; resolves with its fencing token. */
+	order(endpoint: string, kind: EndpointOrder['kind'], argument: string): Promise<number>;
 	/** Drill: peers that this daemon neither sends to nor hears. */
 	cutPeers(peers: readonly string[]): void;
 	/** Checks an operator's token, or the peers' own. */
--- a/src/infra/undici-endpoint-client.ts
+++ b/src/infra/undici-endpoint-client.ts
@@ -9,6 +9,7 @@
 	AnswerSink,
 	EndpointCall,
 	EndpointClient,
+	EndpointOrder,
 	LoadReport,
 	RunningCall,
 	StreamEvent,
@@ -51,6 +52,18 @@
 		};
 	}
 
+	async order(url: string, order: EndpointOrder, timeoutMs: number): Promise<number> {
+		const res = await this.pool(url).request({
+			method: 'POST',
+			path: '/orders',
+			headers: { 'content-type': 'application/json' },
+			body: JSON.stringify(order),
+			signal: AbortSignal.timeout(timeoutMs),
+		});
+		await res.body.dump();
+		return res.statusCode;
+	}
+
 	async close(): Promise<void> {
 		await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
 	}
--- a/test/fuzz/fakes.ts
+++ b/test/fuzz/fakes.ts
@@ -68,6 +68,10 @@
 		return Promise.resolve({ running: 0, waiting: 0, leaving: false });
 	}
 
+	order(): Promise<number> {
+		return Promise.resolve(200);
+	}
+
 	close(): Promise<void> {
 		return Promise.resolve();
 	}
@@ -136,6 +140,11 @@
 
 	async endLease(): Promise<void> {}
 
+	/** A lease lapsed. */
+	drop(key: string): void {
+		this.entries.delete(key);
+	}
+
 	private check(): void {
 		this.calls++;
 		if (this.down) {
