A second arrival with a key gets the answer of the attempt that holds the claim

Cause: a caller that came back was told 'unknown' though its answer was there. A caller that leaves no longer cancels a keyed single run.

--- a/src/core/requests/router.ts
+++ b/src/core/requests/router.ts
@@ -2,7 +2,7 @@
  * One daemon's requests: admission, waiting, starts, giving up.
  * @module
  */
-import type { ClaimStore } from '../claims/claims.js';
+import type { ClaimRecord, ClaimStore } from '../claims/claims.js';
 import type { ConfigurationView } from '../configuration/index.js';
 import type { Clock, EndpointClient, Metrics } from '../definitions.js';
 import * as errors from '../errors/index.js';
@@ -11,6 +11,8 @@
 import { RequestQueue } from '../scheduling/request-queue.js';
 import type { Timeline } from '../timeline/index.js';
 import { eventKinds } from '../timeline/index.js';
+import type { StoredAnswer } from './answer-store.js';
+import { AnswerStore } from './answer-store.js';
 import type { CallerSink, CallTemplate } from './definitions.js';
 import { DurationEstimate } from './duration-estimate.js';
 import { RetryBudget } from './retry-budget.js';
@@ -40,6 +42,8 @@
 	stallMs: number;
 	/** Calls back soon, once, from the loop. */
 	soon: (callback: () => void) => void;
+	/** Asks another daemon for the answer of an attempt that holds a claim. */
+	attachElsewhere: (holder: ClaimRecord) => Promise<StoredAnswer | undefined>;
 	/** Requests came, started or ended. */
 	onChange?: () => void;
 }
@@ -52,6 +56,8 @@
 	readonly vm: string;
 	readonly stallMs: number;
 	readonly retries = new RetryBudget();
+	/** Answers for second arrivals. */
+	readonly answers: AnswerStore;
 	readonly queue: RequestQueue;
 	private readonly runs = new Map<number, RequestRun>();
 	private readonly runningByCustomer = new Map<string, number>();
@@ -69,6 +75,7 @@
 		this.vm = opts.vm;
 		this.stallMs = opts.stallMs;
 		this.queue = new RequestQueue(opts.limits);
+		this.answers = new AnswerStore(opts.clock);
 	}
 
 	/** Puts a configuration and its policy in force. */
@@ -89,7 +96,9 @@
 
 	/** Takes in a request. */
 	submit(req: Request, template: CallTemplate, sink: CallerSink): RequestRun {
-		const run = new RequestRun(req, template, sink, this);
+		const once = req.key !== undefined && !req.repeatable;
+		const recording = once ? this.answers.record(req.id, sink) : undefined;
+		const run = new RequestRun(req, template, recording ?? sink, this, recording);
 		this.runs.set(req.ticket, run);
 		this.retries.requestCame();
 		this.timeline.record(eventKinds.requestQueued, {
@@ -204,6 +213,11 @@
 		this.opts.metrics.timing('requests.duration', this.clock.monotonic() - run.req.arrivedAt, tags);
 	}
 
+	attach(holder: ClaimRecord): Promise<StoredAnswer | undefined> {
+		const here = holder.vm === this.vm;
+		return here ? this.answers.wait(holder.attempt) : this.opts.attachElsewhere(holder);
+	}
+
 	retryAfterS(req: Request): number {
 		const state = this.state();
 		const waitMs = state && this.policy ? this.policy.estimateWaitMs(state, req) : 0;
--- a/src/core/requests/run.ts
+++ b/src/core/requests/run.ts
@@ -2,7 +2,7 @@
  * One request from its admission to its outcome: claims, dispatch, relay, resume.
  * @module
  */
-import type { ClaimStore } from '../claims/claims.js';
+import type { ClaimRecord, ClaimStore } from '../claims/claims.js';
 import { claimResults } from '../claims/claims.js';
 import type {
 	AnswerSink,
@@ -17,6 +17,8 @@
 import type { RunResult, Slot } from '../scheduling/definitions.js';
 import type { Timeline } from '../timeline/index.js';
 import { eventKinds } from '../timeline/index.js';
+import type { RecordingSink, StoredAnswer } from './answer-store.js';
+import { replayAnswer } from './answer-store.js';
 import type { CallerSink, CallTemplate } from './definitions.js';
 import type { RetryBudget } from './retry-budget.js';
 import type { Request } from './types.js';
@@ -57,6 +59,8 @@
 	ended(run: RequestRun, outcome: string, tokens: number): void;
 	/** Seconds after which a caller should come back. */
 	retryAfterS(req: Request): number;
+	/** Answer of the attempt that holds a claim; undefined when it cannot be reached. */
+	attach(holder: ClaimRecord): Promise<StoredAnswer | undefined>;
 }
 
 export class RequestRun implements AnswerSink {
@@ -89,6 +93,7 @@
 		private readonly template: CallTemplate,
 		private readonly sink: CallerSink,
 		private readonly host: RunHost,
+		private readonly recording?: RecordingSink,
 	) {}
 
 	get isOver(): boolean {
@@ -123,11 +128,15 @@
 		this.dispatch(slot);
 	}
 
-	/** The caller left. */
+	/** The caller left. What must run once goes on, for a second arrival with its key. */
 	callerLeft(): void {
 		if (this.over) {
 			return;
 		}
+		if (this.recording && this.call) {
+			this.recording.detach();
+			return;
+		}
 		this.over = true;
 		this.call?.cancel();
 		this.release(false, true);
@@ -324,14 +333,28 @@
 		});
 		this.release(false, true);
 		if (claim.result === claimResults.held) {
-			this.mayHaveRun = true;
-			this.finishWith(new errors.UserError(errors.data.ClaimedElsewhere));
+			await this.attach(claim.holder);
 		} else {
 			this.finishWith(new errors.UserError(errors.data.ClaimUnavailable, [], { retryAfterS: 1 }));
 		}
 		return false;
 	}
 
+	/** Another attempt ran or runs: its answer is this caller's, too, if it can be reached. */
+	private async attach(holder: ClaimRecord): Promise<void> {
+		this.mayHaveRun = true;
+		const answer = await this.host.attach(holder);
+		if (this.over) {
+			return;
+		}
+		if (!answer) {
+			this.finishWith(new errors.UserError(errors.data.ClaimedElsewhere));
+			return;
+		}
+		this.over = true;
+		this.recordEnd(replayAnswer(answer, this.sink));
+	}
+
 	private failed(failure: CallFailure, detail: string): void {
 		const endpoint = this.slot?.endpoint ?? '';
 		const sent = failure !== callFailures.notSent;
--- a/src/daemon/daemon-control.ts
+++ b/src/daemon/daemon-control.ts
@@ -7,6 +7,7 @@
 import type { ChangeRequest } from '../core/configuration/writer.js';
 import type { OrderKind } from '../core/definitions.js';
 import * as errors from '../core/errors/index.js';
+import type { StoredAnswer } from '../core/requests/answer-store.js';
 import type { RequestRun } from '../core/requests/run.js';
 import type { TimelineEvent } from '../core/timeline/index.js';
 import type { DaemonApi, EndpointRow, RequestRow, StatusReport } from '../infra/control/types.js';
@@ -61,6 +62,10 @@
 		});
 	}
 
+	answer(request: string): Promise<StoredAnswer | undefined> {
+		return this.daemon.router.answers.wait(request);
+	}
+
 	async order(name: string, kind: OrderKind, argument: string): Promise<number> {
 		const endpoint = this.daemon.configuration?.endpointNamed(name);
 		if (!endpoint) {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,6 +5,7 @@
 import type * as http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import xxhash from 'xxhash-wasm';
+import type { ClaimRecord } from '../core/claims/claims.js';
 import { KvClaimStore } from '../core/claims/claims.js';
 import { ConfigurationFollower } from '../core/configuration/follower.js';
 import type { Endpoint, VersionedConfiguration } from '../core/configuration/index.js';
@@ -14,11 +15,13 @@
 import * as errors from '../core/errors/index.js';
 import * as rendezvous from '../core/membership/rendezvous.js';
 import { OrderGiver } from '../core/orders/order-giver.js';
+import type { StoredAnswer } from '../core/requests/answer-store.js';
 import { Router } from '../core/requests/router.js';
 import { IndependentPolicy } from '../core/scheduling/independent-policy.js';
 import type { Settings } from '../core/settings/index.js';
 import { eventKinds, HybridClock, Timeline } from '../core/timeline/index.js';
 import { CallersServer } from '../infra/callers/callers-server.js';
+import { createControlClient } from '../infra/control/control-client.js';
 import { createControlServer } from '../infra/control/control-server.js';
 import { HttpKvStore } from '../infra/http-kv-store.js';
 import { HttpVmList } from '../infra/http-vm-list.js';
@@ -36,6 +39,8 @@
 const sweepMs = 50;
 /** Daemons of each failure domain that watch the key-value service. */
 const watchersPerDomain = 2;
+/** Longest wait for an answer that another daemon is getting, in milliseconds. */
+const attachMs = 60_000;
 /** Ports tried when the system chooses and another program has the UDP port. */
 const portTries = 20;
 /** Time between two looks whether a planned stop is done, in milliseconds. */
@@ -286,11 +291,29 @@
 			timeline: this.timeline,
 			limits: { requests: limits.queue_requests, bytes: limits.queue_bytes },
 			stallMs: limits.stall_ms,
+			attachElsewhere: (holder) => this.attachElsewhere(holder),
 			soon: (callback) => void setImmediate(callback),
 			onChange: () => this.fleetNode?.reportSoon(),
 		});
 	}
 
+	/** Waits for the answer at the daemon that dispatched the request. */
+	private async attachElsewhere(holder: ClaimRecord): Promise<StoredAnswer | undefined> {
+		const member = this.fleetNode?.membership.get(holder.vm);
+		if (!member || member.state === 'dead') {
+			return undefined;
+		}
+		const { token } = this.settings.peers;
+		const client = createControlClient(`${member.address}:${member.port}`, token, attachMs);
+		try {
+			const answer = await client.answer.query({ request: holder.attempt });
+			return answer ? { ...answer, body: Buffer.from(answer.body, 'base64') } : undefined;
+		} catch (err) {
+			this.log.warn('claim.attach-failed', { member: holder.vm, error: (err as Error).message });
+			return undefined;
+		}
+	}
+
 	private makeFollower(): ConfigurationFollower {
 		return new ConfigurationFollower({
 			kv: this.kv,
--- a/src/infra/control/control-router.ts
+++ b/src/infra/control/control-router.ts
@@ -38,6 +38,10 @@
 		.input(zod.object({ since: zod.int().min(0) }))
 		.query(({ ctx, input }) => ctx.api.events(input.since)),
 	configuration: guarded.query(({ ctx }) => ctx.api.configuration() ?? null),
+	answer: guarded.input(zod.object({ request: zod.string() })).query(async ({ ctx, input }) => {
+		const answer = await ctx.api.answer(input.request);
+		return answer ? { ...answer, body: Buffer.from(answer.body).toString('base64') } : null;
+	}),
 	order: guarded
 		.input(
 			zod.object({
--- a/src/infra/control/types.ts
+++ b/src/infra/control/types.ts
@@ -5,6 +5,7 @@
 import type { VersionedConfiguration } from '../../core/configuration/index.js';
 import type { ChangeRequest } from '../../core/configuration/writer.js';
 import type { EndpointOrder } from '../../core/definitions.js';
+import type { StoredAnswer } from '../../core/requests/answer-store.js';
 import type { TimelineEvent } from '../../core/timeline/index.js';
 
 /** One request that a daemon holds. */
@@ -68,6 +69,8 @@
 	events(since: number): TimelineEvent[];
 	configuration(): VersionedConfiguration | undefined;
 	applyConfiguration(change: ChangeRequest): Promise<VersionedConfiguration>;
+	/** Answer of a request that must run once, when it has ended. */
+	answer(request: string): Promise<StoredAnswer | undefined>;
 	/** Gives an order to an endpoint; resolves with its fencing token. */
 	order(endpoint: string, kind: EndpointOrder['kind'], argument: string): Promise<number>;
 	/** Drill: peers that this daemon neither sends to nor hears. */
--- a/test/features/callers.feature
+++ b/test/features/callers.feature
@@ -19,5 +19,5 @@
 		When newsroom posts "total-1" to the portal with key "k1"
 		Then the post has status 200 and outcome "complete"
 		When newsroom posts "total-1" to the portal with key "k1"
-		Then the post has status 409 and outcome "unknown"
+		Then the post has status 200 and outcome "complete"
 		And the portal counted 1 effect of "total-1"
--- a/test/fuzz/fleet-model.ts
+++ b/test/fuzz/fleet-model.ts
@@ -4,6 +4,7 @@
  */
 import * as assert from 'node:assert/strict';
 import { judge } from '../../bench/oracle.js';
+import type { ClaimRecord } from '../../src/core/claims/claims.js';
 import { KvClaimStore } from '../../src/core/claims/claims.js';
 import {
 	ConfigurationView,
@@ -12,6 +13,7 @@
 } from '../../src/core/configuration/index.js';
 import type { StreamEvent } from '../../src/core/definitions.js';
 import type { UserError } from '../../src/core/errors/index.js';
+import type { StoredAnswer } from '../../src/core/requests/answer-store.js';
 import type { CallerSink } from '../../src/core/requests/definitions.js';
 import { Router } from '../../src/core/requests/router.js';
 import type { Request } from '../../src/core/requests/types.js';
@@ -368,6 +370,12 @@
 		}
 	}
 
+	private attachElsewhere(holder: ClaimRecord): Promise<StoredAnswer | undefined> {
+		const node = this.nodes.find((other) => other.id === holder.vm);
+		const reachable = node?.alive && !node.frozen;
+		return reachable ? node.router.answers.wait(holder.attempt) : Promise.resolve(undefined);
+	}
+
 	private applyMembers(): void {
 		const seen = this.nodes.filter((node) => node.alive && !node.frozen).map((node) => node.id);
 		for (const node of this.nodes) {
@@ -391,6 +399,7 @@
 			timeline,
 			limits: { requests: 100, bytes: 100_000 },
 			stallMs: 1000,
+			attachElsewhere: (holder) => this.attachElsewhere(holder),
 			soon: (callback) => void node.due.push(callback),
 		});
 		const indexOf = (name: string) => this.nodes.findIndex((other) => other.id === name);
--- a/test/steps/callers.steps.ts
+++ b/test/steps/callers.steps.ts
@@ -94,6 +94,7 @@
 	customer: string,
 	id: string,
 	key?: string,
+	signal?: AbortSignal,
 ): Promise<{ status: number; outcome: string | null }> {
 	const headers: Record<string, string> = { authorization: `Bearer ${keyOf(customer)}` };
 	if (key !== undefined) {
@@ -101,6 +102,7 @@
 	}
 	const res = await fetch(`${world.running.daemonUrls[daemon]}/services/member-portal/post`, {
 		method: 'POST',
+		signal,
 		headers: { ...headers, 'x-slategauge-class': 'recap-post' },
 		body: JSON.stringify({ id }),
 	});
