Weight store, refusal of heads and bodies, a stricter test of leaving

Cause: a head over its limit got the runtime's bare 431; the weight store had a port in the plan only; the leaving scenario could not see requests that the engine itself refused.

--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -194,6 +194,7 @@
 			'[platform]',
 			`kv = "${this.platformUrl}"`,
 			`vm_list = "${this.platformUrl}"`,
+			`weights = "${this.platformUrl}"`,
 			'[peers]',
 			`token = "${peerToken}"`,
 			this.opts.settings?.(index) ?? '',
--- a/src/core/definitions.ts
+++ b/src/core/definitions.ts
@@ -83,6 +83,16 @@
 	list(): Promise<VmEntry[]>;
 }
 
+/** Answers of the weight store to a question for weights. */
+export const weightAnswers = { present: 'present', absent: 'absent', busy: 'busy' } as const;
+export type WeightAnswer = (typeof weightAnswers)[keyof typeof weightAnswers];
+
+/** The platform's weight store; rate-limited. */
+export interface WeightStore {
+	/** Whether it has weights of this name. */
+	find(name: string): Promise<WeightAnswer>;
+}
+
 /** How a call to an endpoint failed. */
 export const callFailures = {
 	/** No byte of the request left. */
--- a/src/core/errors/errors-data.ts
+++ b/src/core/errors/errors-data.ts
@@ -103,6 +103,28 @@
 	status: 413,
 } as const satisfies ErrorData;
 
+export const HeadTooLarge = {
+	name: 'HeadTooLarge',
+	title: 'The request head is too large',
+	message: (limit: string) => `The request line and headers are larger than ${limit} bytes.`,
+	status: 431,
+} as const satisfies ErrorData;
+
+export const NoSuchWeights = {
+	name: 'NoSuchWeights',
+	title: 'The weight store does not have these weights',
+	message: (name: string) => `The weight store has nothing named ${name}.`,
+	status: 404,
+} as const satisfies ErrorData;
+
+export const WeightStoreBusy = {
+	name: 'WeightStoreBusy',
+	title: 'The weight store is busy',
+	message: 'The weight store is at its rate or does not answer; the order was not given.',
+	hint: 'Give the order again later.',
+	status: 503,
+} as const satisfies ErrorData;
+
 export const Shed = {
 	name: 'Shed',
 	title: 'Given up under load',
--- a/src/core/orders/order-giver.ts
+++ b/src/core/orders/order-giver.ts
@@ -4,8 +4,16 @@
  * does not, the holder stops well before its lease ends, and the next waits out the lease.
  * @module
  */
-import type { Clock, EndpointClient, EndpointOrder, KvStore, Log, Random } from '../definitions.js';
-import { KvError } from '../definitions.js';
+import type {
+	Clock,
+	EndpointClient,
+	EndpointOrder,
+	KvStore,
+	Log,
+	Random,
+	WeightStore,
+} from '../definitions.js';
+import { KvError, weightAnswers } from '../definitions.js';
 import * as errors from '../errors/index.js';
 
 /** Life of an order's lease, in milliseconds. */
@@ -26,6 +34,8 @@
 	random: Random;
 	log: Log;
 	endpoints: Pick<EndpointClient, 'order'>;
+	/** Without one, load orders are given unasked. */
+	weights?: WeightStore;
 	vm: string;
 	sleep: (ms: number) => Promise<void>;
 }
@@ -62,6 +72,7 @@
 		try {
 			if (loadOrders.has(request.kind)) {
 				held.push(await this.acquire(weightsKey));
+				await this.checkWeights(request.argument);
 			}
 			const own = await this.acquire(`slategauge/orders/endpoint/${request.endpoint}`);
 			held.push(own);
@@ -75,6 +86,17 @@
 		}
 	}
 
+	/** Asked under the fleet's one lease for loads, so that the store's rate is kept. */
+	private async checkWeights(name: string): Promise<void> {
+		const answer = await this.opts.weights?.find(name);
+		if (answer === weightAnswers.absent) {
+			throw new errors.UserError(errors.data.NoSuchWeights, [name]);
+		}
+		if (answer === weightAnswers.busy) {
+			throw new errors.UserError(errors.data.WeightStoreBusy);
+		}
+	}
+
 	/** The endpoint cannot tell holders apart: one that was cut off may still be sending. */
 	private async sendUnchecked(request: OrderRequest, own: Held, askedAt: number): Promise<number> {
 		const doneKey = `slategauge/orders/done/${request.endpoint}`;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -25,6 +25,7 @@
 import { createControlServer } from '../infra/control/control-server.js';
 import { HttpKvStore } from '../infra/http-kv-store.js';
 import { HttpVmList } from '../infra/http-vm-list.js';
+import { HttpWeightStore } from '../infra/http-weight-store.js';
 import { UdpTransport } from '../infra/peers/udp-transport.js';
 import { StatsdMetrics } from '../infra/statsd-metrics.js';
 import { SystemClock } from '../infra/system-clock.js';
@@ -92,6 +93,7 @@
 			random: this.random,
 			log,
 			endpoints: this.endpoints,
+			weights: this.makeWeightStore(),
 			vm: settings.vm.id,
 			sleep,
 		});
@@ -297,6 +299,11 @@
 		});
 	}
 
+	private makeWeightStore(): HttpWeightStore | undefined {
+		const { weights, timeout_ms: timeoutMs } = this.settings.platform;
+		return weights === undefined ? undefined : new HttpWeightStore({ url: weights, timeoutMs });
+	}
+
 	/** Waits for the answer at the daemon that dispatched the request. */
 	private async attachElsewhere(holder: ClaimRecord): Promise<StoredAnswer | undefined> {
 		const member = this.fleetNode?.membership.get(holder.vm);
--- a/src/infra/callers/callers-server.ts
+++ b/src/infra/callers/callers-server.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as http from 'node:http';
+import type * as stream from 'node:stream';
 import type { ConfigurationView, Target } from '../../core/configuration/index.js';
 import type { Clock, Log, Random } from '../../core/definitions.js';
 import * as errors from '../../core/errors/index.js';
@@ -45,6 +46,9 @@
 	constructor(private readonly opts: CallersServerOptions) {
 		const serverOptions = { maxHeaderSize: opts.limits.header_bytes, keepAliveTimeout: 65_000 };
 		this.server = http.createServer(serverOptions, (req, res) => void this.handle(req, res));
+		this.server.on('clientError', (err, socket) =>
+			refuseSocket(err, socket, opts.limits.header_bytes),
+		);
 	}
 
 	private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
@@ -207,6 +211,26 @@
 	}
 }
 
+/** A head that is too large or cannot be read never becomes a request. */
+function refuseSocket(err: Error & { code?: string }, socket: stream.Duplex, limit: number): void {
+	if (!socket.writable) {
+		return;
+	}
+	const tooLarge = err.code === 'HPE_HEADER_OVERFLOW';
+	const told = tooLarge
+		? new errors.UserError(errors.data.HeadTooLarge, [String(limit)])
+		: new errors.UserError(errors.data.BadRequest, ['it is not valid HTTP']);
+	const body = errorBody(told, outcomes.notRun);
+	const head = [
+		`HTTP/1.1 ${told.data.status} ${told.data.title}`,
+		'content-type: application/json',
+		`${answerHeaders.outcome}: ${outcomes.notRun}`,
+		`content-length: ${Buffer.byteLength(body)}`,
+		'connection: close',
+	];
+	socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
+
 function sendJson(res: http.ServerResponse, status: number, value: unknown): void {
 	res.writeHead(status, {
 		'content-type': 'application/json',
--- a/test/features/callers.feature
+++ b/test/features/callers.feature
@@ -14,6 +14,13 @@
 		When the openai client of nobody asks for model station-1
 		Then the error has status 401 and says "belongs to no customer"
 
+	Scenario: What is too large or cannot be read is refused with a clear error
+		Given a fleet of 1 daemon and 1 engine
+		Then a request with a body of 5000000 bytes is refused with 413 and "TooLarge"
+		And a request with a head of 40000 bytes is refused with 431 and "HeadTooLarge"
+		And a request with the body "{nonsense" is refused with 400 and "BadRequest"
+		And a request with the class "no-such" is refused with 403 and "ClassNotAllowed"
+
 	Scenario: A keyed post that must not be repeated runs once
 		Given a fleet of 2 daemons and 1 engine
 		When newsroom posts "total-1" to the portal with key "k1"
--- a/test/features/orders.feature
+++ b/test/features/orders.feature
@@ -9,6 +9,12 @@
 		Then it exits with 64
 		And it prints "column 16: unexpected \"fly\""
 
+	Scenario: The weight store is asked before a load order
+		Given a fleet of 1 daemon and 1 engine
+		When the operator runs "order engine-1 load-model no-such"
+		Then it exits with 1
+		And it prints "The weight store has nothing named no-such"
+
 	Scenario: A holder that was overtaken is refused by the endpoint
 		Given a fleet of 2 daemons and 1 engine
 		When the operator runs "order engine-1 set-role prefill"
--- a/test/stand-ins/engine.ts
+++ b/test/stand-ins/engine.ts
@@ -41,6 +41,8 @@
 	generated: number;
 	/** Runs by request id. */
 	runs: Record<string, number>;
+	/** Requests refused while it was leaving or told to refuse. */
+	refused: number;
 	cacheHits: number;
 	cacheMisses: number;
 	/** Most requests that ran at once. */
@@ -82,6 +84,7 @@
 	readonly stats: EngineStats = {
 		generated: 0,
 		runs: {},
+		refused: 0,
 		cacheHits: 0,
 		cacheMisses: 0,
 		peakBatch: 0,
@@ -153,6 +156,7 @@
 	): void {
 		const model = String(body.model);
 		if (this.faults.refusing || this.faults.leaving) {
+			this.stats.refused++;
 			sendJson(res, 503, { error: { message: 'taking no work' } });
 			return;
 		}
--- a/test/stand-ins/platform.ts
+++ b/test/stand-ins/platform.ts
@@ -19,6 +19,9 @@
 	/** This many next writes take effect, and their reply is lost. */
 	loseReplies: number;
 	vmListLagMs: number;
+	/** Weights that the store has, and its rate. */
+	weights: string[];
+	weightsPerSecond: number;
 	/** Calls taken in a second; more are answered with 429. */
 	callsPerSecond: number;
 }
@@ -42,6 +45,8 @@
 		delayMs: 0,
 		loseReplies: 0,
 		vmListLagMs: 0,
+		weights: ['station-2'],
+		weightsPerSecond: 10,
 		callsPerSecond: 2000,
 	};
 	private readonly entries = new Map<string, Entry>();
@@ -49,6 +54,7 @@
 	private readonly watchers = new Set<() => void>();
 	private rev = 0;
 	private leaseSeq = 0;
+	private weightsFreeAt = 0;
 	private second = 0;
 	private callsThisSecond = 0;
 	private shownVms: Vm[] = [];
@@ -75,6 +81,8 @@
 			send(res, 200, this.faults);
 		} else if (url.pathname === '/stats') {
 			send(res, 200, { calls: this.calls, writes: this.writes });
+		} else if (url.pathname.startsWith('/weights/')) {
+			this.weights(res, url.pathname.slice('/weights/'.length));
 		} else if (url.pathname === '/vms') {
 			this.vmList(req, res, body);
 		} else {
@@ -82,6 +90,16 @@
 		}
 	}
 
+	private weights(res: http.ServerResponse, name: string): void {
+		const now = performance.now();
+		if (now < this.weightsFreeAt) {
+			send(res, 429, {});
+			return;
+		}
+		this.weightsFreeAt = now + 1000 / this.faults.weightsPerSecond;
+		send(res, this.faults.weights.includes(name) ? 200 : 404, { name });
+	}
+
 	private vmList(req: http.IncomingMessage, res: http.ServerResponse, body: string): void {
 		if (req.method === 'POST') {
 			const vm = JSON.parse(body) as Vm;
--- a/test/steps/callers.steps.ts
+++ b/test/steps/callers.steps.ts
@@ -125,3 +125,50 @@
 		assert.equal(effects[id] ?? 0, count);
 	},
 );
+
+/** A chat request by plain HTTP; resolves with status and error name. */
+async function refusal(
+	world: FleetWorld,
+	body: string,
+	headers: Record<string, string> = {},
+): Promise<{ status: number; name: string; outcome: string | null }> {
+	const res = await fetch(`${world.running.daemonUrls[0]}/v1/chat/completions`, {
+		method: 'POST',
+		headers: { authorization: `Bearer ${keyOf('listener-app')}`, ...headers },
+		body,
+	});
+	const json = (await res.json()) as { error: { code: string } };
+	const outcome = res.headers.get('x-slategauge-outcome');
+	return { status: res.status, name: json.error.code, outcome };
+}
+
+cucumber.Then(
+	'a request with a body of {int} bytes is refused with {int} and {string}',
+	async function (this: FleetWorld, bytes: number, status: number, name: string) {
+		const refused = await refusal(this, 'x'.repeat(bytes));
+		assert.deepEqual(refused, { status, name, outcome: 'not-run' });
+	},
+);
+
+cucumber.Then(
+	'a request with a head of {int} bytes is refused with {int} and {string}',
+	async function (this: FleetWorld, bytes: number, status: number, name: string) {
+		const refused = await refusal(this, '{}', { 'x-filler': 'x'.repeat(bytes) });
+		assert.deepEqual(refused, { status, name, outcome: 'not-run' });
+	},
+);
+
+cucumber.Then(
+	'a request with the body {string} is refused with {int} and {string}',
+	async function (this: FleetWorld, body: string, status: number, name: string) {
+		assert.deepEqual(await refusal(this, body), { status, name, outcome: 'not-run' });
+	},
+);
+
+cucumber.Then(
+	'a request with the class {string} is refused with {int} and {string}',
+	async function (this: FleetWorld, cls: string, status: number, name: string) {
+		const refused = await refusal(this, '{}', { 'x-slategauge-class': cls });
+		assert.deepEqual(refused, { status, name, outcome: 'not-run' });
+	},
+);
--- a/test/steps/faults.steps.ts
+++ b/test/steps/faults.steps.ts
@@ -142,4 +142,5 @@
 cucumber.Then('engine {int} ran nothing', async function (this: FleetWorld, engine: number) {
 	const stats = await this.running.stats<EngineStats>(this.running.engines[engine - 1]);
 	assert.deepEqual(stats.runs, {});
+	assert.equal(stats.refused, 0);
 });
