Limits follow the strictest class that runs on an endpoint

Cause: owners took the mean of each entry's most strained class; where few entries had chat (60 ms between tokens) beside lot tagging (200 ms) the mean stayed under 1 and chat ran at 72 ms. Ruled out: too few slots for chat (its first tokens came in 110 ms). Change: one mean time between tokens over the strictest target seen of late.

--- a/src/core/requests/router.ts
+++ b/src/core/requests/router.ts
@@ -200,8 +200,8 @@
 		this.pumpSoon();
 	}
 
-	observed(run: RequestRun, slot: Slot, strain: number): void {
-		this.policy?.observe(run.req, slot, strain, this.clock.monotonic());
+	observed(run: RequestRun, slot: Slot, gapMs: number): void {
+		this.policy?.observe(run.req, slot, gapMs, this.clock.monotonic());
 	}
 
 	ended(run: RequestRun, outcome: string, tokens: number): void {
--- a/src/core/requests/run.ts
+++ b/src/core/requests/run.ts
@@ -54,7 +54,7 @@
 	requeue(run: RequestRun): void;
 	/** The run gave its slot back. */
 	released(run: RequestRun, slot: Slot, result: RunResult): void;
-	observed(run: RequestRun, slot: Slot, strain: number): void;
+	observed(run: RequestRun, slot: Slot, gapMs: number): void;
 	/** The run has its outcome. */
 	ended(run: RequestRun, outcome: string, tokens: number): void;
 	/** Seconds after which a caller should come back. */
@@ -309,8 +309,7 @@
 		const since = now - this.observedAt;
 		const tokens = this.attemptTokens - this.observedTokens;
 		if (since >= observeEveryMs && tokens > 0 && this.slot) {
-			const strain = since / tokens / this.req.cls.between_tokens_ms;
-			this.host.observed(this, this.slot, strain);
+			this.host.observed(this, this.slot, since / tokens);
 			this.observedAt = now;
 			this.observedTokens = this.attemptTokens;
 		}
--- a/src/core/scheduling/definitions.ts
+++ b/src/core/scheduling/definitions.ts
@@ -45,8 +45,8 @@
 export interface SlotPolicy {
 	/** Takes the starts that are possible now; taken requests have left the queue. */
 	takeStarts(state: EntryState): Start[];
-	/** A run has given its first token or more tokens; called a few times a second at most. */
-	observe(req: Request, slot: Slot, strain: number, now: number): void;
+	/** Mean milliseconds between a run's newest tokens; called a few times a second at most. */
+	observe(req: Request, slot: Slot, gapMs: number, now: number): void;
 	/** A run has ended. */
 	release(req: Request, slot: Slot, result: RunResult, now: number): void;
 	/** Milliseconds a request of this tier and target would wait; 0 when not known. */
--- a/src/core/scheduling/granted-policy.ts
+++ b/src/core/scheduling/granted-policy.ts
@@ -116,8 +116,8 @@
 		}
 	}
 
-	observe(req: Request, slot: Slot, strain: number, now: number): void {
-		this.holding(slot.endpoint).noteStrain(req.cls.name, strain, now);
+	observe(req: Request, slot: Slot, gapMs: number, now: number): void {
+		this.holding(slot.endpoint).noteGap(gapMs, req.cls.between_tokens_ms, now);
 	}
 
 	release(req: Request, slot: Slot, result: RunResult, now: number): void {
--- a/src/core/scheduling/holding.ts
+++ b/src/core/scheduling/holding.ts
@@ -45,8 +45,9 @@
 	/** Something must be told at once. */
 	urgent = false;
 	observed: Observed = noObservation();
-	/** Strain by class since the last report. */
-	private readonly strains = new Map<string, { sum: number; count: number }>();
+	private gapSum = 0;
+	private gapCount = 0;
+	private strictestMs = Number.POSITIVE_INFINITY;
 	private epoch = 0;
 	private granted = 0;
 	private offers: Grant[] = [];
@@ -182,11 +183,10 @@
 	}
 
 	/** A run was observed; its figures go out with the next report. */
-	noteStrain(cls: string, strain: number, now: number): void {
-		const mean = this.strains.get(cls) ?? { sum: 0, count: 0 };
-		mean.sum += strain;
-		mean.count++;
-		this.strains.set(cls, mean);
+	noteGap(gapMs: number, targetMs: number, now: number): void {
+		this.gapSum += gapMs;
+		this.gapCount++;
+		this.strictestMs = Math.min(this.strictestMs, targetMs);
 		this.due(now + laterMs);
 	}
 
@@ -201,7 +201,7 @@
 		this.dueAt = Number.POSITIVE_INFINITY;
 		this.urgent = false;
 		this.rememberTold(want);
-		const observed = { ...this.observed, strain: this.takeStrain() };
+		const observed = { ...this.observed, ...this.takeGap() };
 		this.observed = noObservation();
 		return {
 			endpoint: this.endpoint,
@@ -225,14 +225,15 @@
 		return slots;
 	}
 
-	/** The class that is strained most decides; one slow answer among many does not. */
-	private takeStrain(): number {
-		let worst = 0;
-		for (const { sum, count } of this.strains.values()) {
-			worst = Math.max(worst, sum / count);
-		}
-		this.strains.clear();
-		return worst;
+	private takeGap(): { gapMs: number; targetMs: number } {
+		const seen = this.gapCount > 0;
+		const gap = seen
+			? { gapMs: this.gapSum / this.gapCount, targetMs: this.strictestMs }
+			: { gapMs: 0, targetMs: 0 };
+		this.gapSum = 0;
+		this.gapCount = 0;
+		this.strictestMs = Number.POSITIVE_INFINITY;
+		return gap;
 	}
 
 	private rememberTold(want: readonly Ticket[]): void {
@@ -272,5 +273,5 @@
 }
 
 function noObservation(): Observed {
-	return { completions: 0, failures: 0, strain: 0 };
+	return { completions: 0, failures: 0, gapMs: 0, targetMs: 0 };
 }
--- a/src/core/scheduling/limit-learner.ts
+++ b/src/core/scheduling/limit-learner.ts
@@ -4,14 +4,18 @@
  * @module
  */
 
+import type { Observed } from './types.js';
+
 /** Time between two decisions, in milliseconds. */
 const windowMs = 500;
-/** Strain above which slots are taken away. */
+/** Strain (time between tokens over the strictest target) above which slots are taken away. */
 const highStrain = 1.0;
 /** Strain below which slots are added, while all are in use. */
 const lowStrain = 0.92;
 /** Largest share taken away at once. */
 const maxCut = 0.4;
+/** A strict class that was not seen for so long no longer decides, in milliseconds. */
+const targetKeptMs = 3000;
 /** Failures in a row that close an endpoint. */
 const closingFailures = 3;
 /** Bounds of the time that an endpoint stays closed, in milliseconds. */
@@ -28,7 +32,10 @@
 /** Decides on one endpoint's limit. */
 export class LimitLearner {
 	private value: number;
-	private strainSum = 0;
+	private gapSum = 0;
+	/** Strictest target of late, and when it was seen last, in milliseconds. */
+	private targetMs = Number.POSITIVE_INFINITY;
+	private targetSeenAt = 0;
 	private samples = 0;
 	private failures = 0;
 	private windowEnd = 0;
@@ -56,10 +63,12 @@
 	}
 
 	/** Takes in what one entry saw. */
-	observe(strain: number, completions: number, failures: number, now: number): void {
-		if (strain > 0) {
-			this.strainSum += strain;
+	observe(observed: Observed, now: number): void {
+		const { gapMs, targetMs, completions, failures } = observed;
+		if (gapMs > 0) {
+			this.gapSum += gapMs;
 			this.samples++;
+			this.noteTarget(targetMs, now);
 		}
 		if (completions > 0) {
 			this.failures = 0;
@@ -82,12 +91,21 @@
 			return false;
 		}
 		const before = Math.floor(this.value);
-		this.adjust(this.strainSum / this.samples, used);
-		this.strainSum = 0;
+		this.adjust(this.gapSum / this.samples / this.targetMs, used);
+		this.gapSum = 0;
 		this.samples = 0;
 		return Math.floor(this.value) !== before;
 	}
 
+	/** All requests of a batch have the same pace, so the strictest of them decides for all. */
+	private noteTarget(targetMs: number, now: number): void {
+		const stale = now - this.targetSeenAt > targetKeptMs;
+		if (targetMs <= this.targetMs || stale) {
+			this.targetMs = targetMs;
+			this.targetSeenAt = now;
+		}
+	}
+
 	private adjust(strain: number, used: number): void {
 		if (strain > highStrain) {
 			const share = Math.min((strain - 1) / 2 + 0.02, maxCut);
--- a/src/core/scheduling/slot-ledger.ts
+++ b/src/core/scheduling/slot-ledger.ts
@@ -144,8 +144,7 @@
 		}
 		this.takeIn(holder, report, now);
 		this.completions += report.observed.completions;
-		const { strain, completions, failures } = report.observed;
-		this.learner.observe(strain, completions, failures, now);
+		this.learner.observe(report.observed, now);
 	}
 
 	/** An entry is gone, and its requests with it. */
--- a/src/core/scheduling/types.ts
+++ b/src/core/scheduling/types.ts
@@ -41,8 +41,10 @@
 export interface Observed {
 	completions: number;
 	failures: number;
-	/** Greatest mean of time between tokens over its target, by class. */
-	strain: number;
+	/** Mean time between tokens; 0 when no token was seen. */
+	gapMs: number;
+	/** Strictest target between tokens among the requests seen, in milliseconds. */
+	targetMs: number;
 }
 
 /** State of one entry on one endpoint, sent to the endpoint's owner. */
--- a/src/infra/peers/codec.ts
+++ b/src/infra/peers/codec.ts
@@ -19,6 +19,8 @@
 /** Types of message, as they stand on the wire. */
 const wireTypes = { ping: 0, ack: 1, pingReq: 2, report: 3, reply: 4 } as const;
 const stateCodes = ['alive', 'suspect', 'dead'] as const;
+/** Times between tokens go as hundredths of a millisecond. */
+const gapScale = 100;
 /** Slots that may be kept without bound, as it stands on the wire. */
 const keepAll = -1;
 
@@ -128,7 +130,7 @@
 }
 
 function encodeReport(report: HolderReport): Wire {
-	const { completions, failures, strain } = report.observed;
+	const { completions, failures, gapMs, targetMs } = report.observed;
 	return [
 		wireTypes.report,
 		report.endpoint,
@@ -139,7 +141,7 @@
 		report.idle,
 		report.want.map(encodeTicket),
 		report.backlog,
-		[completions, failures, Math.round(strain * 1000)],
+		[completions, failures, Math.round(gapMs * gapScale), targetMs],
 		report.limit,
 	];
 }
@@ -155,10 +157,10 @@
 		number,
 		Wire[],
 		[number, number][],
-		[number, number, number],
+		[number, number, number, number],
 		number,
 	];
-	const [completions, failures, strain] = observed;
+	const [completions, failures, gap, targetMs] = observed;
 	return {
 		endpoint,
 		seq,
@@ -168,7 +170,7 @@
 		idle,
 		want: want.map(decodeTicket),
 		backlog,
-		observed: { completions, failures, strain: strain / 1000 },
+		observed: { completions, failures, gapMs: gap / gapScale, targetMs },
 		limit,
 	};
 }
