--- a/src/core/requests/run.ts
+++ b/src/core/requests/run.ts
@@ -19,19 +19,15 @@
 import { eventKinds } from '../timeline/index.js';
 import type { RecordingSink, StoredAnswer } from './answer-store.js';
 import { replayAnswer } from './answer-store.js';
+import { AnswerStream } from './answer-stream.js';
 import type { CallerSink, CallTemplate } from './definitions.js';
+import { Pace } from './pace.js';
 import type { RetryBudget } from './retry-budget.js';
 import type { Request } from './types.js';
 import { outcomes } from './types.js';
 
-/** Last event of an OpenAI-compatible stream. */
-export const doneData = '[DONE]';
 /** Runs of one request, resumes included. */
 const maxAttempts = 6;
-/** Events without offsets that show that an endpoint gives none. */
-const eventsUntilPlain = 2;
-/** Least time between two observations of one run, in milliseconds. */
-const observeEveryMs = 200;
 /** Priority for work outside the limit; endpoints serve 0 first. */
 const floorPriority = 1000;
 /** An endpoint that failed a request is passed over by it for so long, in milliseconds. */
@@ -73,20 +69,10 @@
 	/** The same, before the attempt that runs. */
 	private mayHaveRunBefore = false;
 	private started = false;
-	private sawDone = false;
 	private status = 0;
-	private held: StreamEvent[] = [];
-	private eventsSeen = 0;
-	private offsetsSeen = false;
-	private plainForwarded = false;
 	private bytesForwarded = false;
-	private dispatchedAt = 0;
-	private firstTokenAt = 0;
-	private lastTokenAt = 0;
-	private attemptTokens = 0;
-	private totalTokens = 0;
-	private observedAt = 0;
-	private observedTokens = 0;
+	private readonly stream: AnswerStream;
+	private pace = new Pace(0);
 
 	constructor(
 		readonly req: Request,
@@ -94,7 +80,9 @@
 		private readonly sink: CallerSink,
 		private readonly host: RunHost,
 		private readonly recording?: RecordingSink,
-	) {}
+	) {
+		this.stream = new AnswerStream(req);
+	}
 
 	get isOver(): boolean {
 		return this.over;
@@ -102,7 +90,7 @@
 
 	/** Tokens given to the caller. */
 	get tokens(): number {
-		return this.totalTokens;
+		return this.stream.totalTokens;
 	}
 
 	get running(): Slot | undefined {
@@ -111,8 +99,7 @@
 
 	/** May be cut off and resumed later without loss. */
 	get preemptable(): boolean {
-		const resumable = this.offsetsSeen || this.eventsSeen === 0;
-		return this.req.repeatable && this.template.streamed && resumable && !this.sawDone;
+		return this.req.repeatable && this.template.streamed && this.stream.isResumable;
 	}
 
 	/** Runs in a slot; claims first where that is needed. */
@@ -140,7 +127,7 @@
 		this.over = true;
 		this.call?.cancel();
 		this.release(false, true);
-		this.host.ended(this, 'caller-left', this.totalTokens);
+		this.host.ended(this, 'caller-left', this.stream.totalTokens);
 	}
 
 	/** Given up while it waits; the final answer goes out at once. */
@@ -185,10 +172,7 @@
 	}
 
 	events(events: StreamEvent[]): void {
-		const ready: StreamEvent[] = [];
-		for (const event of events) {
-			this.sort(event, ready);
-		}
+		const ready = this.stream.take(events);
 		if (ready.length === 0) {
 			return;
 		}
@@ -206,14 +190,14 @@
 	}
 
 	end(): void {
-		const whole = !this.template.streamed || this.sawDone || this.status >= 400;
+		const whole = !this.template.streamed || this.stream.isDone || this.status >= 400;
 		if (!whole) {
 			this.failed(callFailures.broken, 'the stream ended early');
 			return;
 		}
-		if (this.held.length > 0) {
-			this.sink.events(this.held);
-			this.held = [];
+		const rest = this.stream.takeRest();
+		if (rest.length > 0) {
+			this.sink.events(rest);
 		}
 		this.over = true;
 		this.release(false, false);
@@ -258,60 +242,22 @@
 	}
 
 	private resetAttempt(): void {
-		this.held = [];
-		this.sawDone = false;
-		this.attemptTokens = 0;
-		this.firstTokenAt = 0;
-		this.dispatchedAt = this.host.clock.monotonic();
+		this.stream.restart();
+		this.pace = new Pace(this.host.clock.monotonic());
 		this.mayHaveRunBefore = this.mayHaveRun;
 		this.mayHaveRun = true;
 	}
 
-	/** Events that carry no token wait for the next that does, so that a resume repeats none. */
-	private sort(event: StreamEvent, ready: StreamEvent[]): void {
-		this.eventsSeen++;
-		if (event.data === doneData) {
-			this.sawDone = true;
-		}
-		if (event.offset !== undefined) {
-			this.offsetsSeen = true;
-			if (event.offset <= this.req.offset) {
-				return;
-			}
-			this.req.offset = event.offset;
-			this.attemptTokens++;
-			this.totalTokens++;
-			ready.push(...this.held, event);
-			this.held = [];
-			return;
-		}
-		this.held.push(event);
-		if (!this.offsetsSeen && this.eventsSeen > eventsUntilPlain) {
-			this.plainForwarded = true;
-			this.attemptTokens++;
-			this.totalTokens++;
-			ready.push(...this.held);
-			this.held = [];
-		}
-	}
-
 	private noteTokens(): void {
 		const now = this.host.clock.monotonic();
-		if (this.firstTokenAt === 0) {
-			this.firstTokenAt = now;
-			this.observedAt = now;
-			this.observedTokens = this.attemptTokens;
+		if (this.pace.note(this.stream.runTokens, now)) {
 			const value = now - this.req.arrivedAt;
 			const fields = { request: this.req.id, endpoint: this.slot?.endpoint, value };
 			this.host.timeline.record(eventKinds.requestFirstToken, { ...fields, ...this.labels() });
 		}
-		this.lastTokenAt = now;
-		const since = now - this.observedAt;
-		const tokens = this.attemptTokens - this.observedTokens;
-		if (since >= observeEveryMs && tokens > 0 && this.slot) {
-			this.host.observed(this, this.slot, since / tokens);
-			this.observedAt = now;
-			this.observedTokens = this.attemptTokens;
+		const gapMs = this.pace.takeGapMs(this.stream.runTokens, now);
+		if (gapMs !== undefined && this.slot) {
+			this.host.observed(this, this.slot, gapMs);
 		}
 	}
 
@@ -382,7 +328,7 @@
 	/** After a failure: may the request be given to an endpoint again? */
 	private mayGoOn(sent: boolean): boolean {
 		const safe = !sent || this.req.repeatable;
-		const resumable = !this.bytesForwarded && !this.plainForwarded;
+		const resumable = !this.bytesForwarded && !this.stream.plainForwarded;
 		return safe && resumable && this.attempts < maxAttempts && this.host.retries.take();
 	}
 
@@ -406,10 +352,10 @@
 			request: this.req.id,
 			outcome,
 			reason,
-			value: this.totalTokens,
+			value: this.stream.totalTokens,
 			...this.labels(),
 		});
-		this.host.ended(this, outcome, this.totalTokens);
+		this.host.ended(this, outcome, this.stream.totalTokens);
 	}
 
 	private waitAgain(): void {
@@ -424,9 +370,8 @@
 			return;
 		}
 		this.slot = undefined;
-		const firstTokenMs = this.firstTokenAt > 0 ? this.firstTokenAt - this.dispatchedAt : undefined;
-		const streamedMs = this.firstTokenAt > 0 ? this.lastTokenAt - this.firstTokenAt : 0;
-		const result = { firstTokenMs, tokens: this.attemptTokens, streamedMs, failed, cancelled };
+		const { firstTokenMs, streamedMs } = this.pace;
+		const result = { firstTokenMs, tokens: this.stream.runTokens, streamedMs, failed, cancelled };
 		this.host.released(this, slot, result);
 	}
 
--- a/src/core/scheduling/granted-policy.ts
+++ b/src/core/scheduling/granted-policy.ts
@@ -11,7 +11,7 @@
 import type { EntryState, RunResult, Slot, SlotPolicy, Start } from './definitions.js';
 import { floorClasses } from './floors.js';
 import { Holding } from './holding.js';
-import { PrefixMemory } from './prefix-memory.js';
+import { RecentPrefixes } from './recent-prefixes.js';
 import type { Candidate } from './request-queue.js';
 import type { HolderReport, NameHash, OwnerReply, Ticket } from './types.js';
 
@@ -53,7 +53,7 @@
 	private readonly holdings = new Map<string, Holding>();
 	private cachedFor?: EntryState['cfg'];
 	private groups: Endpoint[][] = [];
-	private readonly prefixes = new PrefixMemory();
+	private readonly prefixes = new RecentPrefixes();
 
 	constructor(private readonly opts: GrantedPolicyOptions) {}
 
--- a/src/core/scheduling/prefix-memory.ts
+++ b/src/core/scheduling/recent-prefixes.ts
@@ -9,7 +9,7 @@
 /** Endpoints remembered for each prefix. */
 const perPrefix = 4;
 
-export class PrefixMemory {
+export class RecentPrefixes {
 	private readonly endpoints = new Map<number, string[]>();
 
 	/** A request with this prefix was started on an endpoint. */
--- a/src/core/scheduling/slot-ledger.ts
+++ b/src/core/scheduling/slot-ledger.ts
@@ -4,9 +4,13 @@
  * entries' next reports.
  * @module
  */
+
+import type { Waiting } from './ledger-holder.js';
+import { LedgerHolder } from './ledger-holder.js';
+import * as search from './ledger-search.js';
 import { LimitLearner } from './limit-learner.js';
 import * as order from './order.js';
-import type { Grant, HolderReport, NameHash, OwnerReply, RunningSlot, Ticket } from './types.js';
+import type { HolderReport, NameHash, OwnerReply } from './types.js';
 
 /** A report that changes nothing is acknowledged within this time, in milliseconds. */
 const acknowledgeMs = 150;
@@ -22,8 +26,6 @@
 const rateWeight = 0.3;
 /** Time over which the rate is counted, in milliseconds. */
 const rateWindowMs = 1000;
-/** A grant that its entry has not confirmed after so long is taken back, in milliseconds. */
-const grantLostMs = 3000;
 
 /** What the ledger needs to know of the endpoint and its classes. */
 export interface LedgerOptions {
@@ -36,38 +38,8 @@
 	now: number;
 }
 
-interface PendingGrant extends Grant {
-	ticket: Ticket;
-	at: number;
-}
-
-interface Waiting {
-	holder: Holder;
-	ticket: Ticket;
-	/** Owner's time at which the first token is due. */
-	dueAt: number;
-	/** Owner's time at which it began to wait. */
-	since: number;
-}
-
-interface Holder {
-	id: string;
-	seq: number;
-	granted: number;
-	nextGrant: number;
-	pending: PendingGrant[];
-	running: RunningSlot[];
-	idle: number;
-	waiting: Waiting[];
-	backlog: [number, number][];
-	/** When something must be said to this entry at the latest. */
-	dueAt: number;
-	preempt: Set<number>;
-	keepIdle: number;
-}
-
 export class SlotLedger {
-	private readonly holders = new Map<string, Holder>();
+	private readonly holders = new Map<string, LedgerHolder>();
 	private readonly learner: LimitLearner;
 	private epoch: number;
 	private readonly grantFrom: number;
@@ -122,7 +94,7 @@
 	used(): number {
 		let used = 0;
 		for (const holder of this.holders.values()) {
-			used += holder.idle + countRegular(holder);
+			used += holder.used;
 		}
 		return used;
 	}
@@ -136,13 +108,13 @@
 		}
 		if (report.epoch > this.epoch) {
 			this.epoch = report.epoch + 1;
-			this.forgetPending();
+			this.forgetGrants();
 		}
 		if (!this.inherited && report.limit > 0 && report.epoch !== this.epoch) {
 			this.inherited = true;
 			this.learner.inherit(report.limit);
 		}
-		this.takeIn(holder, report, now);
+		holder.takeReport(report, this.epoch, now);
 		this.completions += report.observed.completions;
 		this.learner.observe(report.observed, now);
 	}
@@ -181,45 +153,17 @@
 		return replies;
 	}
 
-	private takeIn(holder: Holder, report: HolderReport, now: number): void {
-		holder.seq = report.seq;
-		if (report.epoch === this.epoch) {
-			holder.granted = Math.max(holder.granted, report.granted);
-			// An entry that was forgotten and is back has taken in grants of this term before.
-			holder.nextGrant = Math.max(holder.nextGrant, report.granted + 1);
-			holder.pending = holder.pending.filter((grant) => grant.id > holder.granted);
-		}
-		holder.running = report.running;
-		holder.idle = report.idle;
-		holder.backlog = report.backlog;
-		const running = new Set(report.running.map((slot) => slot.ticket));
-		for (const ticket of holder.preempt) {
-			if (!running.has(ticket)) {
-				holder.preempt.delete(ticket);
-			}
-		}
-		const promised = new Set(holder.pending.map((grant) => grant.ticket.ticket));
-		holder.waiting = report.want
-			.filter((ticket) => !promised.has(ticket.ticket))
-			.map((ticket) => ({
-				holder,
-				ticket,
-				dueAt: now + ticket.slack,
-				since: now - ticket.waited,
-			}));
-	}
-
 	private grantFree(waiting: Waiting[], now: number): void {
 		let free = this.limit(now) - this.used();
 		if (free <= 0 || waiting.length === 0) {
 			return;
 		}
-		const shares = this.runningByCustomer();
+		const shares = search.runningByCustomer(this.holders.values());
 		while (free > 0 && waiting.length > 0) {
-			const at = order.first(waiting, (item) => orderOf(item, shares, now));
+			const at = order.first(waiting, (item) => search.orderOf(item, shares, now));
 			const [next] = waiting.splice(at, 1);
 			if (next) {
-				this.grant(next, now);
+				next.holder.grant(next, now);
 				const { customer } = next.ticket;
 				shares.set(customer, (shares.get(customer) ?? 0) + 1);
 			}
@@ -256,47 +200,24 @@
 			return;
 		}
 		for (const cls of this.floors) {
-			const first = this.oldestOf(cls);
+			const first = search.oldestOf(this.holders.values(), cls);
 			if (first && now - first.since >= floorAfterMs && !this.floorBusy(cls)) {
-				this.grant(first, now, cls);
+				first.holder.grant(first, now, cls);
 			}
 		}
 	}
 
 	private floorBusy(cls: NameHash): boolean {
-		for (const holder of this.holders.values()) {
-			const running = holder.running.some((slot) => slot.floor && slot.cls === cls);
-			if (running || holder.pending.some((grant) => grant.floor === cls)) {
-				return true;
-			}
-		}
-		return false;
-	}
-
-	private oldestOf(cls: NameHash): Waiting | undefined {
-		let oldest: Waiting | undefined;
-		for (const holder of this.holders.values()) {
-			for (const waiting of holder.waiting) {
-				if (waiting.ticket.cls === cls && (!oldest || waiting.since < oldest.since)) {
-					oldest = waiting;
-				}
-			}
-		}
-		return oldest;
+		return [...this.holders.values()].some((holder) => holder.servesFloor(cls));
 	}
 
 	/** Cuts off the lowest work for an urgent request of a higher tier. */
 	private preemptFor(waiting: readonly Waiting[], now: number): void {
-		let urgent: Waiting | undefined;
-		for (const item of waiting) {
-			if (item.ticket.urgent && (!urgent || item.ticket.tier < urgent.ticket.tier)) {
-				urgent = item;
-			}
-		}
+		const urgent = search.mostUrgent(waiting);
 		if (!urgent || now - this.lastPreemptAt < preemptEveryMs) {
 			return;
 		}
-		const victim = this.lowestRunning();
+		const victim = search.lowestRunning(this.holders.values());
 		if (victim && victim.slot.tier > urgent.ticket.tier) {
 			this.lastPreemptAt = now;
 			victim.holder.preempt.add(victim.slot.ticket);
@@ -304,32 +225,9 @@
 		}
 	}
 
-	private lowestRunning(): { holder: Holder; slot: RunningSlot } | undefined {
-		let lowest: { holder: Holder; slot: RunningSlot } | undefined;
-		for (const holder of this.holders.values()) {
-			for (const slot of holder.running) {
-				const open = slot.preemptable && !slot.floor && !holder.preempt.has(slot.ticket);
-				if (open && (!lowest || slot.tier > lowest.slot.tier)) {
-					lowest = { holder, slot };
-				}
-			}
-		}
-		return lowest;
-	}
-
-	private grant(waiting: Waiting, now: number, floor?: NameHash): void {
-		const { holder, ticket } = waiting;
-		holder.pending.push({ id: holder.nextGrant++, tier: ticket.tier, floor, ticket, at: now });
-		holder.waiting = holder.waiting.filter((other) => other !== waiting);
-		holder.dueAt = 0;
-	}
-
 	private dropLostGrants(now: number): void {
 		for (const holder of this.holders.values()) {
-			const kept = holder.pending.filter((grant) => now - grant.at < grantLostMs);
-			if (kept.length < holder.pending.length) {
-				holder.pending = kept;
-			}
+			holder.dropLostGrants(now);
 		}
 	}
 
@@ -337,20 +235,6 @@
 		return [...this.holders.values()].flatMap((holder) => holder.waiting);
 	}
 
-	private runningByCustomer(): Map<NameHash, number> {
-		const counts = new Map<NameHash, number>();
-		const add = (customer: NameHash) => counts.set(customer, (counts.get(customer) ?? 0) + 1);
-		for (const holder of this.holders.values()) {
-			for (const slot of holder.running) {
-				add(slot.customer);
-			}
-			for (const grant of holder.pending) {
-				add(grant.ticket.customer);
-			}
-		}
-		return counts;
-	}
-
 	private countRate(now: number): void {
 		const span = now - this.rateSince;
 		if (span >= rateWindowMs) {
@@ -366,10 +250,9 @@
 	}
 
 	/** Grants of another term of this owner are void. */
-	private forgetPending(): void {
+	private forgetGrants(): void {
 		for (const holder of this.holders.values()) {
-			holder.pending = [];
-			holder.dueAt = 0;
+			holder.dropGrants();
 		}
 	}
 
@@ -379,73 +262,30 @@
 		}
 	}
 
-	private reply(holder: Holder, now: number): OwnerReply {
+	private reply(holder: LedgerHolder, now: number): OwnerReply {
 		return {
 			endpoint: this.opts.endpoint,
 			epoch: this.epoch,
 			seq: holder.seq,
-			grants: holder.pending.map(({ id, tier, floor }) => ({ id, tier, floor })),
+			grants: holder.grants.map(({ id, tier, floor }) => ({ id, tier, floor })),
 			keepIdle: holder.keepIdle,
 			contended: this.isContended(now),
 			preempt: [...holder.preempt],
 			limit: this.learner.limit(now),
 			used: this.used(),
 			rate: this.rate,
-			ahead: this.aheadByTier(),
-			lowest: this.lowestRunning()?.slot.tier ?? 0,
+			ahead: search.aheadByTier(this.holders.values()),
+			lowest: search.lowestRunning(this.holders.values())?.slot.tier ?? 0,
 			closed: this.closed,
 		};
 	}
 
-	private aheadByTier(): [number, number][] {
-		const byTier = new Map<number, number>();
-		for (const holder of this.holders.values()) {
-			for (const [tier, count] of holder.backlog) {
-				byTier.set(tier, (byTier.get(tier) ?? 0) + count);
-			}
-		}
-		return [...byTier.entries()];
-	}
-
-	private holder(id: string): Holder {
+	private holder(id: string): LedgerHolder {
 		let holder = this.holders.get(id);
 		if (!holder) {
-			holder = {
-				id,
-				seq: 0,
-				granted: 0,
-				nextGrant: 1,
-				pending: [],
-				running: [],
-				idle: 0,
-				waiting: [],
-				backlog: [],
-				dueAt: 0,
-				preempt: new Set(),
-				keepIdle: Number.MAX_SAFE_INTEGER,
-			};
+			holder = new LedgerHolder(id);
 			this.holders.set(id, holder);
 		}
 		return holder;
 	}
 }
-
-function countRegular(holder: Holder): number {
-	const running = holder.running.filter((slot) => !slot.floor).length;
-	const pending = holder.pending.filter((grant) => grant.floor === undefined).length;
-	return running + pending;
-}
-
-function orderOf(
-	waiting: Waiting,
-	shares: ReadonlyMap<NameHash, number>,
-	now: number,
-): order.Orderable {
-	const slack = waiting.dueAt - now;
-	return {
-		tier: waiting.ticket.tier,
-		late: waiting.ticket.late || slack < 0,
-		share: shares.get(waiting.ticket.customer) ?? 0,
-		slack,
-	};
-}
--- a/src/infra/callers/sinks.ts
+++ b/src/infra/callers/sinks.ts
@@ -6,8 +6,8 @@
 import type * as http from 'node:http';
 import type { StreamEvent } from '../../core/definitions.js';
 import * as errors from '../../core/errors/index.js';
+import { doneData } from '../../core/requests/answer-stream.js';
 import type { CallerSink } from '../../core/requests/definitions.js';
-import { doneData } from '../../core/requests/run.js';
 import type { Outcome } from '../../core/requests/types.js';
 import { outcomes } from '../../core/requests/types.js';
 import { AnswerAssembler } from './answer-assembler.js';
