--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -4,15 +4,12 @@
  * @module
  */
 import type { Clock, Random, VmEntry } from '../definitions.js';
+import { News } from './news.js';
 import type { Member, MembershipMessage, MemberUpdate, Outgoing } from './types.js';
 import { memberStates } from './types.js';
 
 /** Members asked to probe for us when a probe gets no answer. */
 const helpers = 3;
-/** News that ride on one message. */
-const updatesPerMessage = 6;
-/** News is passed on this many times the logarithm of the fleet's size. */
-const spreadFactor = 4;
 /** A probe is answered within this share of the probe time, else helpers are asked. */
 const directShare = 0.4;
 /** A suspect is dead after this many probe times, unless it speaks up. */
@@ -49,7 +46,7 @@
 export class Membership {
 	private readonly members = new Map<string, Member>();
 	private readonly changedAt = new Map<string, number>();
-	private readonly news = new Map<string, number>();
+	private readonly news = new News();
 	private order: string[] = [];
 	private readonly relays = new Map<number, Relay>();
 	private probe?: Probe;
@@ -243,7 +240,7 @@
 				this.merge({ ...member, state: memberStates.dead });
 			} else if (member.state === memberStates.dead && since > forgetMs) {
 				this.members.delete(member.id);
-				this.news.delete(member.id);
+				this.news.forget(member.id);
 			}
 		}
 	}
@@ -337,26 +334,12 @@
 	}
 
 	private spread(id: string): void {
-		const times = Math.ceil(spreadFactor * Math.log2(this.members.size + 1));
-		this.news.set(id, times);
+		this.news.add(id, this.members.size);
 	}
 
-	/** The news that was passed on least. */
 	private takeNews(): MemberUpdate[] {
-		const fresh = [...this.news.entries()].sort((a, b) => b[1] - a[1]).slice(0, updatesPerMessage);
-		const updates: MemberUpdate[] = [];
-		for (const [id, left] of fresh) {
-			if (left <= 1) {
-				this.news.delete(id);
-			} else {
-				this.news.set(id, left - 1);
-			}
-			const member = this.members.get(id);
-			if (member) {
-				updates.push({ ...member });
-			}
-		}
-		return updates;
+		const members = this.news.take().map((id) => this.members.get(id));
+		return members.filter((member) => member !== undefined).map((member) => ({ ...member }));
 	}
 }
 
--- a/src/core/scheduling/granted-policy.ts
+++ b/src/core/scheduling/granted-policy.ts
@@ -8,17 +8,13 @@
 import * as rendezvous from '../membership/rendezvous.js';
 import type { Request } from '../requests/types.js';
 import { avoids } from '../requests/types.js';
+import { askedEndpoints } from './asked-endpoints.js';
 import type { EntryState, RunResult, Slot, SlotPolicy, Start } from './definitions.js';
-import { floorClasses } from './floors.js';
 import { Holding } from './holding.js';
 import { RecentPrefixes } from './recent-prefixes.js';
 import type { Candidate } from './request-queue.js';
 import type { HolderReport, NameHash, OwnerReply, Ticket } from './types.js';
 
-/** Endpoints of one kind that an entry asks at the least, if there are so many. */
-const minAsked = 16;
-/** Entries that should ask each endpoint, so that none is left without work. */
-const askersPerEndpoint = 4;
 /** Load, as a share of the limit, that a likely cached prefix outweighs. */
 const prefixBonus = 0.3;
 /** Best waiting requests told to an owner. */
@@ -226,35 +222,11 @@
 		return { req, slot };
 	}
 
-	/** Endpoints that serve the same things want the same requests. */
 	private groupEndpoints(state: EntryState): void {
-		if (this.cachedFor === state.cfg) {
-			return;
-		}
-		this.cachedFor = state.cfg;
-		const groups = new Map<string, Endpoint[]>();
-		for (const endpoint of state.cfg.document.endpoints) {
-			const { kind, models, service, classes, state: standing } = endpoint;
-			const key = JSON.stringify([kind, models, service, classes, standing]);
-			groups.set(key, [...(groups.get(key) ?? []), endpoint]);
-		}
-		const floors = floorClasses(state.cfg);
-		this.groups = [...groups.values()].map((group) => this.chooseAsked(group, floors));
-	}
-
-	/**
-	 * Of many endpoints an entry asks a fixed few, so that its messages do not grow with the fleet;
-	 * those that serve a class's minimum are always among them.
-	 */
-	private chooseAsked(group: Endpoint[], floors: ReadonlyMap<string, unknown>): Endpoint[] {
-		const perEntry = Math.ceil((askersPerEndpoint * group.length) / this.opts.fleetSize());
-		const count = Math.max(minAsked, perEntry);
-		if (group.length <= count) {
-			return group;
+		if (this.cachedFor !== state.cfg) {
+			this.cachedFor = state.cfg;
+			this.groups = askedEndpoints(state.cfg, this.opts.self, this.opts.fleetSize());
 		}
-		const names = group.map((endpoint) => endpoint.name);
-		const asked = new Set(rendezvous.pickTop(this.opts.self, names, count));
-		return group.filter(({ name }) => asked.has(name) || floors.has(name));
 	}
 
 	private reportGroup(state: EntryState, endpoints: Endpoint[]): void {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,9 +3,7 @@
  * @module
  */
 import type * as http from 'node:http';
-import type { AddressInfo } from 'node:net';
 import xxhash from 'xxhash-wasm';
-import type { ClaimRecord } from '../core/claims/claims.js';
 import { KvClaimStore } from '../core/claims/claims.js';
 import { ConfigurationFollower } from '../core/configuration/follower.js';
 import type { Endpoint, VersionedConfiguration } from '../core/configuration/index.js';
@@ -15,13 +13,11 @@
 import * as errors from '../core/errors/index.js';
 import * as rendezvous from '../core/membership/rendezvous.js';
 import { OrderGiver } from '../core/orders/order-giver.js';
-import type { StoredAnswer } from '../core/requests/answer-store.js';
 import { Router } from '../core/requests/router.js';
 import { IndependentPolicy } from '../core/scheduling/independent-policy.js';
 import type { Settings } from '../core/settings/index.js';
 import { eventKinds, HybridClock, Timeline } from '../core/timeline/index.js';
 import { CallersServer } from '../infra/callers/callers-server.js';
-import { createControlClient } from '../infra/control/control-client.js';
 import { createControlServer } from '../infra/control/control-server.js';
 import { HttpKvStore } from '../infra/http-kv-store.js';
 import { HttpVmList } from '../infra/http-vm-list.js';
@@ -33,17 +29,15 @@
 import { UndiciEndpointClient } from '../infra/undici-endpoint-client.js';
 import { DaemonControl } from './daemon-control.js';
 import { FleetNode } from './fleet-node.js';
+import { listenOn, listenOnBoth } from './listen.js';
 import { LoadPoller } from './load-poller.js';
+import { PeerAnswers } from './peer-answers.js';
 import { PeerConfiguration } from './peer-configuration.js';
 
 /** Time between two looks for requests to give up, in milliseconds. */
 const sweepMs = 50;
 /** Daemons of each failure domain that watch the key-value service. */
 const watchersPerDomain = 2;
-/** Longest wait for an answer that another daemon is getting, in milliseconds. */
-const attachMs = 60_000;
-/** Ports tried when the system chooses and another program has the UDP port. */
-const portTries = 20;
 /** Time between two looks whether a planned stop is done, in milliseconds. */
 const stopPollMs = 50;
 
@@ -67,6 +61,7 @@
 	private view?: ConfigurationView;
 	private owned: readonly Endpoint[] = [];
 	private readonly peerConfiguration: PeerConfiguration;
+	private readonly peerAnswers: PeerAnswers;
 	private callers?: CallersServer;
 	private control?: http.Server;
 	private stopping = false;
@@ -102,6 +97,11 @@
 			random: this.random,
 			report: (endpoint, report) => this.loadReported(endpoint, report),
 		});
+		this.peerAnswers = new PeerAnswers({
+			token: settings.peers.token,
+			log,
+			membership: () => this.fleetNode?.membership,
+		});
 		this.peerConfiguration = new PeerConfiguration({
 			token: settings.peers.token,
 			log,
@@ -142,7 +142,12 @@
 		});
 		this.control = createControlServer(new DaemonControl(this));
 		const callersPort = await listenOn(this.callers.server, vm.address, ports.callers_port);
-		const controlPort = await this.listenControl(this.control, vm.address, ports.control_port);
+		const controlPort = await listenOnBoth(
+			this.control,
+			this.transport,
+			vm.address,
+			ports.control_port,
+		);
 		this.fleetNode = this.makeFleetNode(controlPort);
 		this.fleetNode.start();
 		this.timers.push(setInterval(() => this.router.sweep(), sweepMs));
@@ -173,22 +178,6 @@
 		}
 	}
 
-	/** TCP and UDP take the same number; the system chooses again when UDP is taken. */
-	private async listenControl(server: http.Server, address: string, port: number): Promise<number> {
-		for (let attempt = 1; ; attempt++) {
-			const chosen = await listenOn(server, address, port);
-			try {
-				await this.transport.bind(address, chosen);
-				return chosen;
-			} catch (err) {
-				if (port !== 0 || attempt >= portTries) {
-					throw err;
-				}
-				await new Promise((done) => server.close(done));
-			}
-		}
-	}
-
 	private async close(): Promise<void> {
 		this.fleetNode?.stop();
 		this.transport.close();
@@ -293,7 +282,7 @@
 			timeline: this.timeline,
 			limits: { requests: limits.queue_requests, bytes: limits.queue_bytes },
 			stallMs: limits.stall_ms,
-			attachElsewhere: (holder) => this.attachElsewhere(holder),
+			attachElsewhere: (holder) => this.peerAnswers.wait(holder),
 			soon: (callback) => void setImmediate(callback),
 			onChange: () => this.fleetNode?.reportSoon(),
 		});
@@ -304,23 +293,6 @@
 		return weights === undefined ? undefined : new HttpWeightStore({ url: weights, timeoutMs });
 	}
 
-	/** Waits for the answer at the daemon that dispatched the request. */
-	private async attachElsewhere(holder: ClaimRecord): Promise<StoredAnswer | undefined> {
-		const member = this.fleetNode?.membership.get(holder.vm);
-		if (!member || member.state === 'dead') {
-			return undefined;
-		}
-		const { token } = this.settings.peers;
-		const client = createControlClient(`${member.address}:${member.port}`, token, attachMs);
-		try {
-			const answer = await client.answer.query({ request: holder.attempt });
-			return answer ? { ...answer, body: Buffer.from(answer.body, 'base64') } : undefined;
-		} catch (err) {
-			this.log.warn('claim.attach-failed', { member: holder.vm, error: (err as Error).message });
-			return undefined;
-		}
-	}
-
 	private makeFollower(): ConfigurationFollower {
 		return new ConfigurationFollower({
 			kv: this.kv,
@@ -337,11 +309,3 @@
 function sleep(ms: number): Promise<void> {
 	return new Promise((done) => setTimeout(done, ms));
 }
-
-async function listenOn(server: http.Server, address: string, port: number): Promise<number> {
-	await new Promise<void>((done, failed) => {
-		server.once('error', failed);
-		server.listen(port, address, done);
-	});
-	return (server.address() as AddressInfo).port;
-}
