--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
 import { hashTokenCommand } from './hash-token/index.js';
 import { queryCommand, runCommand } from './query/index.js';
 import { replayCommand } from './replay/index.js';
+import { reportCommand } from './report/index.js';
 import { shellCommand } from './shell/index.js';
 import { statusCommand } from './status/index.js';
 import { timelineCommand } from './timeline/index.js';
@@ -37,6 +38,7 @@
 	.command(configCommand)
 	.command(timelineCommand)
 	.command(replayCommand)
+	.command(reportCommand)
 	.command(hashTokenCommand)
 	.strict()
 	.completion('completion', 'print a script for shell completion')
--- a/src/cli/replay/index.ts
+++ b/src/cli/replay/index.ts
@@ -13,12 +13,14 @@
 import { exitCodes } from '../exit-codes.js';
 import { FleetClient } from '../fleet-client.js';
 import type { GlobalArgs } from '../types.js';
+import { readTargets } from './targets.js';
 
 interface ReplayArgs extends GlobalArgs {
 	trace: string;
 	to: string[];
 	keys: string;
 	timeout: number;
+	results?: string;
 }
 
 const barWidth = 40;
@@ -40,12 +42,13 @@
 				demandOption: true,
 				describe: 'JSON file: bearer key of each customer',
 			})
+			.option('results', { type: 'string', describe: 'file for the results, for `report`' })
 			.option('timeout', { type: 'number', default: 120, describe: 'longest wait in seconds' }),
 
 	handler: async (args) => {
 		const trace = await readTrace(args.trace);
 		const keys = new Map(Object.entries(JSON.parse(await fs.readFile(args.keys, 'utf8'))));
-		const current = await new FleetClient(args).first.configuration.query();
+		const targets = await readTargets(new FleetClient(args));
 		const client = new ReplayClient({
 			daemons: args.to,
 			keys: keys as Map<string, string>,
@@ -53,18 +56,11 @@
 			onResult: (_result, done, total) => drawBar(done, total),
 		});
 		const results = await client.replay(trace);
-		const targets = new Map(
-			(current?.document.classes ?? []).map((cls) => [
-				cls.name,
-				{
-					tier: cls.tier,
-					firstTokenMs: cls.first_token_ms,
-					betweenTokensMs: cls.between_tokens_ms,
-					deadlineMs: cls.deadline_ms,
-				},
-			]),
-		);
 		const durationS = Math.max((trace.at(-1)?.at_ms ?? 0) / 1000, 1);
+		if (args.results !== undefined) {
+			const text = results.map((result) => JSON.stringify(result)).join('\n');
+			await fs.writeFile(args.results, `${text}\n`);
+		}
 		process.stdout.write(`${formatTable(summarize(results, targets, durationS))}\n`);
 		const wrong = results.filter((result) => result.wrong);
 		for (const result of wrong) {
--- /dev/null
+++ b/src/cli/replay/targets.ts
@@ -0,0 +1,22 @@
+/**
+ * Targets of the classes, from the configuration in force.
+ * @module
+ */
+import type { ClassTargets } from '../../core/replay/types.js';
+import type { FleetClient } from '../fleet-client.js';
+
+export async function readTargets(fleet: FleetClient): Promise<Map<string, ClassTargets>> {
+	const current = await fleet.first.configuration.query();
+	const classes = current?.document.classes ?? [];
+	return new Map(
+		classes.map((cls) => [
+			cls.name,
+			{
+				tier: cls.tier,
+				firstTokenMs: cls.first_token_ms,
+				betweenTokensMs: cls.between_tokens_ms,
+				deadlineMs: cls.deadline_ms,
+			},
+		]),
+	);
+}
--- /dev/null
+++ b/src/cli/report/index.ts
@@ -0,0 +1,36 @@
+/**
+ * `slategauge report`: a replay's results as a page with plots.
+ * @module
+ */
+import * as fs from 'node:fs/promises';
+import type * as yargs from 'yargs';
+import { reportPage } from '../../core/replay/report-page.js';
+import type { ReplayResult } from '../../core/replay/types.js';
+import { FleetClient } from '../fleet-client.js';
+import { readTargets } from '../replay/targets.js';
+import type { GlobalArgs } from '../types.js';
+
+interface ReportArgs extends GlobalArgs {
+	results: string;
+	out: string;
+	title: string;
+}
+
+export const reportCommand: yargs.CommandModule<GlobalArgs, ReportArgs> = {
+	command: 'report <results>',
+	describe: 'make a page of the results that `replay --results` wrote',
+	builder: (args) =>
+		args
+			.positional('results', { type: 'string', demandOption: true, describe: 'JSON lines' })
+			.option('out', { type: 'string', demandOption: true, describe: 'HTML file' })
+			.option('title', { type: 'string', default: 'Replay', describe: 'title of the page' }),
+	handler: async (args) => {
+		const lines = (await fs.readFile(args.results, 'utf8')).split('\n');
+		const results = lines
+			.filter((line) => line !== '')
+			.map((line) => JSON.parse(line) as ReplayResult);
+		const targets = await readTargets(new FleetClient(args));
+		await fs.writeFile(args.out, reportPage(args.title, results, targets));
+		process.stdout.write(`${args.out}: ${results.length} requests\n`);
+	},
+};
--- a/src/cli/timeline/index.ts
+++ b/src/cli/timeline/index.ts
@@ -2,9 +2,11 @@
  * `slategauge timeline`: events of all daemons in causal order.
  * @module
  */
+import * as fs from 'node:fs/promises';
 import type * as yargs from 'yargs';
 import type { TimelineEvent } from '../../core/timeline/index.js';
 import { mergeTimelines } from '../../core/timeline/index.js';
+import { timelinePage } from '../../core/timeline/timeline-page.js';
 import { formatFields } from '../../infra/line-log.js';
 import { exitCodes } from '../exit-codes.js';
 import { FleetClient } from '../fleet-client.js';
@@ -15,6 +17,7 @@
 	endpoint?: string;
 	class?: string;
 	follow: boolean;
+	html?: string;
 	limit: number;
 }
 
@@ -30,6 +33,7 @@
 			.option('endpoint', { type: 'string', describe: 'only this endpoint' })
 			.option('class', { type: 'string', describe: 'only this class' })
 			.option('limit', { type: 'number', default: 200, describe: 'newest events shown' })
+			.option('html', { type: 'string', describe: 'write a page with a lane for each process' })
 			.option('follow', { type: 'boolean', default: false, describe: 'go on until interrupted' }),
 	handler: async (args) => {
 		const fleet = new FleetClient(args);
@@ -42,7 +46,7 @@
 			for (const { vm, value } of answers) {
 				seen.set(vm, value.at(-1)?.seq ?? seen.get(vm) ?? 0);
 			}
-			print(
+			await print(
 				answers.map(({ value }) => value as TimelineEvent[]),
 				args,
 			);
@@ -55,8 +59,13 @@
 	},
 };
 
-function print(timelines: TimelineEvent[][], args: TimelineArgs): void {
+async function print(timelines: TimelineEvent[][], args: TimelineArgs): Promise<void> {
 	const merged = mergeTimelines(timelines).filter((event) => matches(event, args));
+	if (args.html !== undefined) {
+		await fs.writeFile(args.html, timelinePage(merged));
+		process.stdout.write(`${args.html}: ${merged.length} events\n`);
+		return;
+	}
 	for (const event of merged.slice(-args.limit)) {
 		const { time, vm, kind, seq: _seq, ...fields } = event;
 		const at = new Date(time.wall).toISOString();
--- a/test/features/operators.feature
+++ b/test/features/operators.feature
@@ -53,3 +53,21 @@
 		When the operator with a wrong token runs "status"
 		Then it exits with 1
 		And it prints "the operator token is unknown"
+
+	Scenario: A trace is replayed, judged and reported, and the time line drawn
+		Given a fleet of 2 daemons and 2 engines
+		When the operator replays the first 12 requests of the morning
+		Then it exits with 0
+		And it prints "rundown"
+		When the operator makes a report of it
+		Then it exits with 0
+		And the page has a chart of "Attainment"
+		When the operator draws the time line
+		Then it exits with 0
+		And the page has a lane for "vm-2"
+
+	Scenario: A trace that cannot be read is told line by line
+		Given a fleet of 1 daemon and 1 engine
+		When the operator replays a trace with the line "{}"
+		Then it exits with 78
+		And it prints ":1:1: (line): at_ms"
