Decisions and reports are collected for 10 ms under load

Cause: a profile of one daemon in the burst showed 6.7 % of a core in ticks, decisions and reports and 6.1 % in datagrams. Tried first, no gain: a look for due reports every 5 ms at most (27.9 %, 26.2 % before, noise of the machine). Change: 10 ms, and a tick of 50 ms instead of 25. Also: a request that finds the queue empty starts in the same turn; the hot-path runs before and after differ by less than their noise (3.66 ms and 4.47 ms at the median, bare relay 2.94 and 3.53).

--- a/src/core/requests/router.ts
+++ b/src/core/requests/router.ts
@@ -229,7 +229,16 @@
 		for (const evicted of this.queue.add(req)) {
 			this.giveUpWaiting(evicted, errors.data.Shed);
 		}
-		this.pumpSoon();
+		this.pumpAfterArrival();
+	}
+
+	/** A request that finds the queue empty does not wait for the loop's next turn. */
+	private pumpAfterArrival(): void {
+		if (this.queue.size === 1) {
+			this.pump();
+		} else {
+			this.pumpSoon();
+		}
 	}
 
 	/**
--- a/src/daemon/fleet-node.ts
+++ b/src/daemon/fleet-node.ts
@@ -15,9 +15,11 @@
 import { eventKinds } from '../core/timeline/index.js';
 
 /** Time between two looks at timers and ledgers, in milliseconds. */
-const tickMs = 25;
+const tickMs = 50;
+/** Least time between two looks for reports that are due, in milliseconds. */
+const reportMs = 10;
 /** Least time between two decisions on owned endpoints, in milliseconds. */
-const decideMs = 5;
+const decideMs = 10;
 /** Time between two reads of the VM list, in milliseconds. */
 const vmListMs = 5000;
 /** A fleet that has just started is read more often, in milliseconds after the start. */
@@ -60,6 +62,7 @@
 	private deskDue = false;
 	private decidedAt = 0;
 	private reportDue = false;
+	private reportedAt = 0;
 
 	constructor(private readonly opts: FleetNodeOptions) {
 		const { clock, random, self } = opts;
@@ -116,13 +119,12 @@
 
 	/** Requests started or ended: tell the owners what they must know. */
 	reportSoon(): void {
-		if (!this.reportDue) {
-			this.reportDue = true;
-			setImmediate(() => {
-				this.reportDue = false;
-				this.report();
-			});
+		if (this.reportDue) {
+			return;
 		}
+		this.reportDue = true;
+		const wait = this.reportedAt + reportMs - this.opts.clock.monotonic();
+		setTimeout(() => this.report(), Math.max(wait, 0));
 	}
 
 	/** Takes in what a peer sent. */
@@ -187,6 +189,8 @@
 	}
 
 	private report(): void {
+		this.reportDue = false;
+		this.reportedAt = this.opts.clock.monotonic();
 		const state = this.opts.router.state();
 		if (state && state.cfg.document.policy.name === 'granted') {
 			this.policy.report(state);
--- a/src/infra/peers/udp-transport.ts
+++ b/src/infra/peers/udp-transport.ts
@@ -20,6 +20,8 @@
 /** Payload that fits a usual path without fragments, in bytes. */
 const maxPayload = 1400;
 const batchOverhead = 60;
+/** So many messages are sent together without a look at their size. */
+const surelyFits = 3;
 /** Bytes that the system may hold for a process that is busy. */
 const receiveBuffer = 1024 * 1024;
 
@@ -135,7 +137,7 @@
 
 /** Parts that fit one datagram each. */
 function split(messages: readonly PeerMessage[]): PeerMessage[][] {
-	if (messages.length === 1) {
+	if (messages.length <= surelyFits) {
 		return [[...messages]];
 	}
 	const parts: PeerMessage[][] = [];
