--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -31,6 +31,7 @@
 	port: number;
 	/** Daemons only. */
 	controlPort: number;
+	domain: string;
 	lines: string[];
 }
 
@@ -88,15 +89,21 @@
 		proc.port = Number(/callers_port=(\d+)/.exec(line)?.[1]);
 		proc.controlPort = Number(/control_port=(\d+)/.exec(line)?.[1]);
 		this.daemons[index] = proc;
+		proc.domain = domain;
+		await this.list(proc, 'live');
+		return proc;
+	}
+
+	/** Puts a daemon into the platform's list. */
+	async list(proc: Proc, state: 'live' | 'leaving'): Promise<void> {
 		await this.post(this.platformUrl, '/vms', {
-			id,
+			id: proc.name,
 			address: '127.0.0.1',
 			callers_port: proc.port,
 			control_port: proc.controlPort,
-			failure_domain: domain,
-			state: 'live',
+			failure_domain: proc.domain,
+			state,
 		});
-		return proc;
 	}
 
 	control(index: number): ControlClient {
@@ -248,7 +255,7 @@
 
 function spawn(name: string, args: string[]): Proc {
 	const child = childProcess.spawn(process.execPath, args, { stdio: ['pipe', 'pipe', 'inherit'] });
-	const proc: Proc = { name, child, port: 0, controlPort: 0, lines: [] };
+	const proc: Proc = { name, child, port: 0, controlPort: 0, domain: '', lines: [] };
 	readline.createInterface({ input: child.stdout }).on('line', (line) => proc.lines.push(line));
 	return proc;
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -65,6 +65,8 @@
 	private callers?: CallersServer;
 	private control?: http.Server;
 	private stopping = false;
+	/** The platform's list says that this VM is leaving. */
+	private listedLeaving = false;
 	private readonly timers: NodeJS.Timeout[] = [];
 
 	constructor(
@@ -121,7 +123,7 @@
 
 	/** Why no new requests are taken. */
 	refusal(): errors.ErrorData | undefined {
-		if (this.stopping) {
+		if (this.stopping || this.listedLeaving) {
 			return errors.data.Stopping;
 		}
 		return this.view ? undefined : errors.data.NotReady;
@@ -253,6 +255,9 @@
 			router: this.router,
 			vmList: new HttpVmList({ url: platform.vm_list, timeoutMs: platform.timeout_ms }),
 			transport: this.transport,
+			onListedLeaving: (leaving) => {
+				this.listedLeaving = leaving;
+			},
 			onNewerVersion: (member) => this.peerConfiguration.fetchFrom(member),
 			onOwnedChanged: (owned) => {
 				this.owned = owned;
--- a/src/daemon/fleet-node.ts
+++ b/src/daemon/fleet-node.ts
@@ -49,6 +49,8 @@
 	/** A member has a newer configuration in force. */
 	onNewerVersion: (member: Member) => void;
 	onOwnedChanged: (owned: readonly Endpoint[]) => void;
+	/** Whether the platform's list says that this VM is leaving. */
+	onListedLeaving: (leaving: boolean) => void;
 }
 
 export class FleetNode {
@@ -238,7 +240,10 @@
 
 	private async readVmList(): Promise<void> {
 		try {
-			this.membership.candidates(await this.opts.vmList.list());
+			const vms = await this.opts.vmList.list();
+			this.membership.candidates(vms);
+			const own = vms.find((vm) => vm.id === this.opts.self.id);
+			this.opts.onListedLeaving(own?.leaving === true);
 			this.applyMembers();
 		} catch (err) {
 			this.opts.log.debug('vm-list.read-failed', { error: (err as Error).message });
--- a/test/features/leaving.feature
+++ b/test/features/leaving.feature
@@ -14,6 +14,12 @@
 		Then every answer is whole
 		And engine 1 ran nothing
 
+	Scenario: A VM that the platform lists as leaving takes no new requests and finishes the others
+		Given a fleet of 2 daemons and 1 engine
+		When 4 callers stream answers of 100 tokens and the list says that VM 1 is leaving
+		Then every answer is whole
+		And daemon 1 refused new requests while it stopped
+
 	Scenario: A planned stop cuts off no request in flight
 		Given a fleet of 2 daemons and 2 engines
 		When 8 callers stream answers of 100 tokens and daemon 1 is told to stop in between
--- a/test/features/settings.feature
+++ b/test/features/settings.feature
@@ -52,3 +52,9 @@
 		Then it exits with 78
 		And it prints "11:1: customers[0].default_class: no class is named chatt"
 		And it prints "12:1: endpoints[0].models: an engine needs a model"
+
+	Scenario: The examples are in order
+		When slategauged checks the file "docs/examples/settings.toml"
+		Then it exits with 0
+		When slategauge checks the configuration "docs/examples/lakeshore.toml"
+		Then it exits with 0
--- a/test/steps/programs.steps.ts
+++ b/test/steps/programs.steps.ts
@@ -70,3 +70,17 @@
 	const { output } = this.seen.get('ran') as Ran;
 	assert.ok(output.includes(text), output);
 });
+
+cucumber.When(
+	'slategauged checks the file {string}',
+	async function (this: FleetWorld, file: string) {
+		this.seen.set('ran', await run('slategauged', ['check', file]));
+	},
+);
+
+cucumber.When(
+	'slategauge checks the configuration {string}',
+	async function (this: FleetWorld, file: string) {
+		this.seen.set('ran', await run('slategauge', ['config', 'check', file]));
+	},
+);
--- a/test/steps/streams.steps.ts
+++ b/test/steps/streams.steps.ts
@@ -129,6 +129,20 @@
 	},
 );
 
+cucumber.When(
+	'{int} callers stream answers of {int} tokens and the list says that VM {int} is leaving',
+	async function (this: FleetWorld, callers: number, tokens: number, vm: number) {
+		const proc = this.running.daemons[vm - 1];
+		assert.ok(proc);
+		await streamAll(this, callers, tokens, () => this.running.list(proc, 'leaving'));
+		const ready = `http://127.0.0.1:${proc.port}/readyz`;
+		while ((await fetch(ready)).status === 200) {
+			await new Promise((wake) => setTimeout(wake, 50));
+		}
+		this.seen.set('ready while stopping', (await fetch(ready)).status);
+	},
+);
+
 cucumber.Then('every answer is whole', function (this: FleetWorld) {
 	for (const answer of this.seen.get('answers') as Answer[]) {
 		assert.equal(answer.error, undefined);
