--- a/src/core/requests/router.ts
+++ b/src/core/requests/router.ts
@@ -129,6 +129,9 @@
 
 	/** Gives up requests whose deadline can no longer be met. Called often. */
 	sweep(): void {
+		if (this.queue.size === 0) {
+			return;
+		}
 		const now = this.clock.monotonic();
 		for (const req of [...this.queue]) {
 			if (now > this.latestStart(req)) {
--- a/src/daemon/fleet-node.ts
+++ b/src/daemon/fleet-node.ts
@@ -15,7 +15,7 @@
 import { eventKinds } from '../core/timeline/index.js';
 
 /** Time between two looks at timers and ledgers, in milliseconds. */
-const tickMs = 50;
+const tickMs = 100;
 /** Least time between two looks for reports that are due, in milliseconds. */
 const reportMs = 10;
 /** Least time between two decisions on owned endpoints, in milliseconds. */
