--- a/test/features/whole-answers.feature
+++ b/test/features/whole-answers.feature
@@ -11,6 +11,12 @@
 		When 4 callers stream answers of 40 tokens
 		Then every answer is whole
 
+	Scenario: An engine ends its streams early as if they were whole
+		Given a fleet of 1 daemon and 1 engine
+		And engine 1 ends its streams cleanly after 30 tokens
+		When 4 callers stream answers of 40 tokens
+		Then every answer is whole
+
 	Scenario: An engine stalls in mid-stream
 		Given a fleet of 1 daemon and 2 engines that are given up after 500 ms
 		When 6 callers stream answers of 80 tokens and engine 1 stalls in between
--- a/test/stand-ins/engine.ts
+++ b/test/stand-ins/engine.ts
@@ -72,6 +72,8 @@
 	stalled: boolean;
 	/** Streams are cut after this many more tokens in all; 0 for never. */
 	cutAfterTokens: number;
+	/** They end cleanly, though early, in place of being cut. */
+	endsCleanly: boolean;
 	leaving: boolean;
 	/** New requests are refused with 503. */
 	refusing: boolean;
@@ -93,6 +95,7 @@
 		slowFactor: 1,
 		stalled: false,
 		cutAfterTokens: 0,
+		endsCleanly: false,
 		leaving: false,
 		refusing: false,
 	};
@@ -246,7 +249,11 @@
 	private emit(): void {
 		const now = performance.now();
 		for (const sequence of [...this.batch]) {
-			if (sequence.readyAt <= now && !sequence.res.writableNeedDrain) {
+			if (
+				sequence.readyAt <= now &&
+				!sequence.res.writableEnded &&
+				!sequence.res.writableNeedDrain
+			) {
 				this.emitToken(sequence);
 			}
 		}
@@ -281,7 +288,11 @@
 		this.faults.cutAfterTokens--;
 		if (this.faults.cutAfterTokens === 0) {
 			for (const sequence of [...this.batch, ...this.waiting]) {
-				sequence.res.destroy();
+				if (this.faults.endsCleanly) {
+					sequence.res.end();
+				} else {
+					sequence.res.destroy();
+				}
 			}
 		}
 	}
--- a/test/steps/faults.steps.ts
+++ b/test/steps/faults.steps.ts
@@ -34,6 +34,14 @@
 	},
 );
 
+cucumber.Given(
+	'engine {int} ends its streams cleanly after {int} tokens',
+	async function (this: FleetWorld, engine: number, tokens: number) {
+		const faults = { cutAfterTokens: tokens, endsCleanly: true };
+		await this.running.fault(this.running.engines[engine - 1], faults);
+	},
+);
+
 cucumber.When(
 	'{word} posts {string} to the portal',
 	async function (this: FleetWorld, customer: string, id: string) {
