A changed limit of an endpoint holds at once; scenarios of overtaking and minimum

Cause: an owner kept the ledger that it made under the configuration before, so changed slots had no effect until the owner moved; and the fleet scenarios, which set 2 slots in a second configuration, ran with 16. Found by a new scenario for the minimum that did not fail when it should and failed when it should not. Change: ledgers take in changed limits; the oracle counts requests that were overtaken by lower work.

--- a/bench/oracle.ts
+++ b/bench/oracle.ts
@@ -19,6 +19,8 @@
 export interface Findings {
 	/** Requests given up while lower work was started that could have made room. */
 	shedForLower: number;
+	/** Requests, whatever came of them, that waited while lower work was started. */
+	overtaken: number;
 	/** Requests preempted though nothing higher waited. */
 	preemptedForLower: number;
 	preempted: number;
@@ -55,6 +57,7 @@
 	const preempts = events.filter((event) => event.kind === eventKinds.requestPreempted);
 	return {
 		shedForLower: shed.filter((story) => lowerStarted(story, starts)).length,
+		overtaken: [...stories.values()].filter((story) => lowerStarted(story, starts)).length,
 		preemptedForLower: preempts.filter((event) => !higherWaited(event, stories)).length,
 		preempted: preempts.length,
 		resumed: events.filter((event) => event.kind === eventKinds.requestResumed).length,
@@ -152,7 +155,7 @@
 
 /** Work of a lower tier was started while the request waited and could have been served. */
 function lowerStarted(story: Story, starts: readonly TimelineEvent[]): boolean {
-	const early = story.endedAt - story.queuedAt < graceMs;
+	const early = story.shed && story.endedAt - story.queuedAt < graceMs;
 	const end = early ? story.waitsUntil : story.endedAt;
 	return starts.some((start) => {
 		const at = start.time.wall;
--- a/src/core/scheduling/limit-learner.ts
+++ b/src/core/scheduling/limit-learner.ts
@@ -43,10 +43,16 @@
 	private closedMs = minClosedMs;
 	private probing = false;
 
-	constructor(private readonly opts: LearnerOptions) {
+	constructor(private opts: LearnerOptions) {
 		this.value = opts.start;
 	}
 
+	/** Takes in a changed configuration; what was learned stays, within the new bounds. */
+	configure(opts: LearnerOptions): void {
+		this.opts = opts;
+		this.value = opts.learns ? Math.min(this.value, opts.max) : opts.start;
+	}
+
 	/** Requests that may run at once; 0 while the endpoint is closed, 1 while it is tried again. */
 	limit(now: number): number {
 		if (now < this.closedUntil) {
@@ -57,7 +63,7 @@
 
 	/** Takes over what the owner before had learned. */
 	inherit(limit: number): void {
-		if (limit > 0) {
+		if (limit > 0 && this.opts.learns) {
 			this.value = Math.min(limit, this.opts.max);
 		}
 	}
--- a/src/core/scheduling/owner-desk.ts
+++ b/src/core/scheduling/owner-desk.ts
@@ -6,6 +6,7 @@
 import type { ConfigurationView, Endpoint } from '../configuration/index.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import { floorClasses } from './floors.js';
+import type { LearnerOptions } from './limit-learner.js';
 import { SlotLedger } from './slot-ledger.js';
 import type { HolderReport, OwnerReply } from './types.js';
 
@@ -40,6 +41,7 @@
 	configure(cfg: ConfigurationView, now: number): void {
 		this.cfg = cfg;
 		this.reassign(now);
+		this.configureLedgers(cfg);
 	}
 
 	/** Live members changed; `visible` is the share of the listed fleet that is seen. */
@@ -116,16 +118,25 @@
 		}
 	}
 
+	/** A changed configuration holds for endpoints that were owned before, too. */
+	private configureLedgers(cfg: ConfigurationView): void {
+		for (const [name, ledger] of this.ledgers) {
+			const endpoint = cfg.endpointNamed(name);
+			if (endpoint) {
+				ledger.configure(this.limitsOf(endpoint));
+			}
+		}
+	}
+
 	private makeLedger(endpoint: Endpoint, now: number): SlotLedger {
+		const limits = this.limitsOf(endpoint);
+		return new SlotLedger({ endpoint: endpoint.name, limits, epoch: this.opts.epoch(), now });
+	}
+
+	private limitsOf(endpoint: Endpoint): LearnerOptions {
 		const learns = this.cfg?.document.policy.learn_limits ?? true;
-		return new SlotLedger({
-			endpoint: endpoint.name,
-			slots: endpoint.slots,
-			maxSlots: endpoint.max_slots,
-			learns: learns && endpoint.kind === 'engine',
-			epoch: this.opts.epoch(),
-			now,
-		});
+		const isEngine = endpoint.kind === 'engine';
+		return { start: endpoint.slots, max: endpoint.max_slots, learns: learns && isEngine };
 	}
 
 	private assignFloors(cfg: ConfigurationView): void {
--- a/src/core/scheduling/slot-ledger.ts
+++ b/src/core/scheduling/slot-ledger.ts
@@ -8,6 +8,7 @@
 import type { Waiting } from './ledger-holder.js';
 import { LedgerHolder } from './ledger-holder.js';
 import * as search from './ledger-search.js';
+import type { LearnerOptions } from './limit-learner.js';
 import { LimitLearner } from './limit-learner.js';
 import * as order from './order.js';
 import type { HolderReport, NameHash, OwnerReply } from './types.js';
@@ -27,12 +28,10 @@
 /** Time over which the rate is counted, in milliseconds. */
 const rateWindowMs = 1000;
 
-/** What the ledger needs to know of the endpoint and its classes. */
+/** What the ledger needs to know of the endpoint. */
 export interface LedgerOptions {
 	endpoint: string;
-	slots: number;
-	maxSlots: number;
-	learns: boolean;
+	limits: LearnerOptions;
 	/** Names the owner's term. */
 	epoch: number;
 	now: number;
@@ -60,11 +59,13 @@
 		// Until it has heard from the entries, an owner cannot know that nobody waits.
 		this.contendedUntil = this.grantFrom + contentionMs;
 		this.rateSince = opts.now;
-		this.learner = new LimitLearner({
-			start: opts.slots,
-			max: opts.maxSlots,
-			learns: opts.learns,
-		});
+		this.learner = new LimitLearner(opts.limits);
+	}
+
+	/** Takes in a changed configuration of the endpoint. */
+	configure(limits: LearnerOptions): void {
+		this.learner.configure(limits);
+		this.touchAll();
 	}
 
 	/** Classes whose minimum is served here; decided by the daemon. */
--- a/test/features/configuration.feature
+++ b/test/features/configuration.feature
@@ -28,6 +28,13 @@
 		And daemon 3 is thawed
 		Then every daemon has version 2 in force
 
+	Scenario: Changed limits of an endpoint hold at once
+		Given a fleet of 3 daemons and 1 engine
+		When an operator bounds engine 1 to 2 slots
+		And 12 callers stream answers of 40 tokens
+		Then every answer is whole
+		And engine 1 never ran more than 3 requests at once
+
 	Scenario: A configuration that does not fit is refused as a whole
 		Given a fleet of 1 daemon and 1 engine
 		When the operator runs "config show"
--- a/test/features/fleet.feature
+++ b/test/features/fleet.feature
@@ -7,6 +7,17 @@
 		And nothing was shed or preempted for lower work
 		And archive made progress during the burst
 
+	Scenario: Lower work with an earlier deadline does not overtake
+		Given a fleet of 3 daemons and 2 engines of 2 slots
+		When chat swamps daemon 1 and rundown comes through daemon 2
+		Then every rundown is complete
+		And no rundown was overtaken by lower work
+
+	Scenario: A burst of higher work leaves lower work its minimum
+		Given a fleet of 3 daemons and 2 engines of 2 slots
+		When chat swamps daemon 1 and archive comes through daemon 2
+		Then archive ran as a minimum during the burst
+
 	Scenario: The order holds when an owner dies
 		Given a fleet of 3 daemons and 2 engines of 2 slots
 		When archive swamps daemon 1 and rundown comes through daemon 2 while daemon 3 is killed
--- a/test/steps/decisions.steps.ts
+++ b/test/steps/decisions.steps.ts
@@ -21,8 +21,8 @@
 const quiet: Observed = { completions: 0, failures: 0, gapMs: 0, targetMs: 0 };
 
 function newLedger(slots: number): SlotLedger {
-	const limits = { slots, maxSlots: slots, learns: false };
-	return new SlotLedger({ endpoint: 'e1', ...limits, epoch: 1, now: 0 });
+	const limits = { start: slots, max: slots, learns: false };
+	return new SlotLedger({ endpoint: 'e1', limits, epoch: 1, now: 0 });
 }
 
 function ticket(number: number, part: Partial<Ticket>): Ticket {
--- a/test/steps/fleet.steps.ts
+++ b/test/steps/fleet.steps.ts
@@ -7,6 +7,7 @@
 import { configurationOf, lakeshore } from '../../bench/deployments.js';
 import { end, keyOf } from '../../bench/fleet.js';
 import { makeTrace } from '../../bench/make-trace.js';
+import type { Findings } from '../../bench/oracle.js';
 import { judge } from '../../bench/oracle.js';
 import type { ReplayResult } from '../../src/core/replay/types.js';
 import type { TimelineEvent } from '../../src/core/timeline/index.js';
@@ -36,17 +37,22 @@
 	},
 );
 
-async function swamp(world: FleetWorld, fault: () => void | Promise<void>): Promise<void> {
+async function swamp(
+	world: FleetWorld,
+	fault: () => void | Promise<void>,
+	cls = 'archive',
+	other = { class: 'rundown', customer: 'newsroom' },
+): Promise<void> {
 	const span = { fromMs: 0, untilMs: burstMs, stream: true };
 	const keys = new Map(lakeshore.customers.map(({ name }) => [name, keyOf(name)]));
 	const low = makeTrace(
 		lakeshore,
-		[{ class: 'archive', customers: ['archive-desk'], perSecond: 20, tokens: 30, ...span }],
+		[{ class: cls, customers: ['archive-desk'], perSecond: 20, tokens: 30, ...span }],
 		1,
 	);
 	const high = makeTrace(
 		lakeshore,
-		[{ class: 'rundown', customers: ['newsroom'], perSecond: 2, tokens: 20, ...span }],
+		[{ class: other.class, customers: [other.customer], perSecond: 2, tokens: 20, ...span }],
 		2,
 	);
 	const urls = world.running.daemonUrls;
@@ -66,6 +72,27 @@
 	},
 );
 
+cucumber.When(
+	'chat swamps daemon 1 and rundown comes through daemon 2',
+	async function (this: FleetWorld) {
+		await swamp(this, () => {}, 'chat');
+	},
+);
+
+cucumber.When(
+	'chat swamps daemon 1 and archive comes through daemon 2',
+	async function (this: FleetWorld) {
+		const archive = { class: 'archive', customer: 'archive-desk' };
+		await swamp(this, () => {}, 'chat', archive);
+	},
+);
+
+cucumber.Then('archive ran as a minimum during the burst', async function (this: FleetWorld) {
+	const events = await eventsOf(this);
+	const floors = events.filter((event) => event.cls === 'archive' && event.floor === true);
+	assert.ok(floors.length > 0);
+});
+
 cucumber.When(
 	'archive swamps daemon 1 and rundown comes through daemon 2 while daemon 3 is killed',
 	async function (this: FleetWorld) {
@@ -89,22 +116,43 @@
 	assert.deepEqual(wrong, []);
 });
 
-cucumber.Then('nothing was shed or preempted for lower work', async function (this: FleetWorld) {
+/** Events of the daemons that still run. */
+async function eventsOf(world: FleetWorld): Promise<TimelineEvent[]> {
 	const timelines: TimelineEvent[][] = [];
-	for (const [index, daemon] of this.running.daemons.entries()) {
+	for (const [index, daemon] of world.running.daemons.entries()) {
 		if (daemon.child.exitCode === null && daemon.child.signalCode === null) {
-			const events = await this.running.control(index).events.query({ since: 0 });
+			const events = await world.running.control(index).events.query({ since: 0 });
 			timelines.push(events as TimelineEvent[]);
 		}
 	}
-	const deadlines = new Map((this.cfg?.classes ?? []).map((cls) => [cls.name, cls.deadline_ms]));
-	const engines = new Set(this.running.engines.map((engine) => engine.name));
-	const findings = judge(mergeTimelines(timelines), deadlines, engines);
+	return mergeTimelines(timelines);
+}
+
+async function findingsOf(world: FleetWorld, cls?: string): Promise<Findings> {
+	const merged = await eventsOf(world);
+	// Of other classes only the starts count when one class is asked about.
+	const events = merged.filter(
+		(event) => cls === undefined || event.cls === cls || event.kind === 'request.started',
+	);
+	const deadlines = new Map(
+		(world.cfg?.classes ?? []).map((item) => [item.name, item.deadline_ms]),
+	);
+	const engines = new Set(world.running.engines.map((engine) => engine.name));
+	return judge(events, deadlines, engines);
+}
+
+cucumber.Then('nothing was shed or preempted for lower work', async function (this: FleetWorld) {
+	const findings = await findingsOf(this);
 	assert.equal(findings.shedForLower, 0);
 	assert.equal(findings.preemptedForLower, 0);
 	assert.deepEqual(findings.starvedWindows, []);
 });
 
+cucumber.Then('no rundown was overtaken by lower work', async function (this: FleetWorld) {
+	const findings = await findingsOf(this, 'rundown');
+	assert.equal(findings.overtaken, 0);
+});
+
 cucumber.Then('archive made progress during the burst', function (this: FleetWorld) {
 	const results = this.seen.get('archive') as ReplayResult[];
 	assert.ok(results.some((result) => result.outcome === 'complete'));
--- a/test/steps/operators.steps.ts
+++ b/test/steps/operators.steps.ts
@@ -5,6 +5,7 @@
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
 import type { Configuration } from '../../src/core/configuration/index.js';
+import type { EngineStats } from '../stand-ins/engine.js';
 import type { FleetWorld } from './world.js';
 
 function withChatDeadline(world: FleetWorld, deadlineMs: number): Configuration {
@@ -78,3 +79,24 @@
 		await this.running.apply({ ...cfg, endpoints });
 	},
 );
+
+cucumber.When(
+	'an operator bounds engine {int} to {int} slots',
+	async function (this: FleetWorld, engine: number, slots: number) {
+		const { cfg } = this;
+		assert.ok(cfg);
+		const name = this.running.engines[engine - 1]?.name;
+		const endpoints = cfg.endpoints.map((endpoint) =>
+			endpoint.name === name ? { ...endpoint, slots, max_slots: slots } : endpoint,
+		);
+		await this.running.apply({ ...cfg, endpoints });
+	},
+);
+
+cucumber.Then(
+	'engine {int} never ran more than {int} requests at once',
+	async function (this: FleetWorld, engine: number, most: number) {
+		const stats = await this.running.stats<EngineStats>(this.running.engines[engine - 1]);
+		assert.ok(stats.peakBatch <= most, String(stats.peakBatch));
+	},
+);
