--- a/src/core/requests/run.ts
+++ b/src/core/requests/run.ts
@@ -251,7 +251,7 @@
 	private noteTokens(): void {
 		const now = this.host.clock.monotonic();
 		if (this.pace.note(this.stream.runTokens, now)) {
-			const value = now - this.req.arrivedAt;
+			const value = Math.round(now - this.req.arrivedAt);
 			const fields = { request: this.req.id, endpoint: this.slot?.endpoint, value };
 			this.host.timeline.record(eventKinds.requestFirstToken, { ...fields, ...this.labels() });
 		}
