--- a/src/core/configuration/view.ts
+++ b/src/core/configuration/view.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as crypto from 'node:crypto';
+import { KeyIndex } from './key-index.js';
 import type { Configuration, Customer, Endpoint, Service, ServiceClass } from './schema.js';
 import { endpointStates } from './schema.js';
 import type { VersionedConfiguration } from './types.js';
@@ -17,6 +18,7 @@
 	private readonly classes: Map<string, ServiceClass>;
 	private readonly services: Map<string, Service>;
 	private readonly endpoints: Map<string, Endpoint>;
+	private readonly keys: KeyIndex;
 	private readonly eligibleCache = new Map<string, readonly Endpoint[]>();
 
 	constructor(versioned: VersionedConfiguration) {
@@ -25,6 +27,7 @@
 		this.classes = byName(versioned.document.classes);
 		this.services = byName(versioned.document.services);
 		this.endpoints = byName(versioned.document.endpoints);
+		this.keys = new KeyIndex(versioned.document.customers);
 	}
 
 	classNamed(name: string): ServiceClass | undefined {
@@ -39,16 +42,9 @@
 		return this.endpoints.get(name);
 	}
 
-	/** Customer of a bearer key. Every hash is compared, in constant time. */
+	/** Customer of a bearer key. */
 	customerOfKey(key: string): Customer | undefined {
-		const hash = hashToken(key);
-		let found: Customer | undefined;
-		for (const customer of this.document.customers) {
-			if (anyEqual(customer.key_hashes, hash)) {
-				found = customer;
-			}
-		}
-		return found;
+		return this.keys.find(hashToken(key));
 	}
 
 	isOperator(token: string): boolean {
--- a/src/core/membership/rendezvous.ts
+++ b/src/core/membership/rendezvous.ts
@@ -20,14 +20,14 @@
 	return hashText(name) & 0xffff;
 }
 
+/** Score of a name for a key; the highest wins, of equal ones the first name. */
+export function scoreOf(key: string, name: string): number {
+	return hashText(`${key}\u0000${name}`);
+}
+
 /** The `count` names that score highest for a key, best first. */
 export function pickTop(key: string, names: readonly string[], count: number): string[] {
-	const scored = names.map((name) => ({ name, score: hashText(`${key}\u0000${name}`) }));
+	const scored = names.map((name) => ({ name, score: scoreOf(key, name) }));
 	scored.sort((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1));
 	return scored.slice(0, count).map((item) => item.name);
 }
-
-/** The one name that scores highest. */
-export function pickOwner(key: string, names: readonly string[]): string | undefined {
-	return pickTop(key, names, 1)[0];
-}
--- a/src/core/scheduling/owner-desk.ts
+++ b/src/core/scheduling/owner-desk.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ConfigurationView, Endpoint } from '../configuration/index.js';
+import { OwnerMap } from '../membership/owner-map.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import { floorClasses } from './floors.js';
 import type { LearnerOptions } from './limit-learner.js';
@@ -23,15 +24,14 @@
 
 export class OwnerDesk {
 	private readonly ledgers = new Map<string, SlotLedger>();
-	private readonly owners = new Map<string, string>();
+	private readonly owners = new OwnerMap();
 	private cfg?: ConfigurationView;
-	private members: readonly string[] = [];
 	private share = 1;
 
 	constructor(private readonly opts: OwnerDeskOptions) {}
 
 	ownerOf(endpoint: string): string | undefined {
-		return this.owners.get(endpoint);
+		return this.owners.ownerOf(endpoint);
 	}
 
 	ledger(endpoint: string): SlotLedger | undefined {
@@ -40,13 +40,14 @@
 
 	configure(cfg: ConfigurationView, now: number): void {
 		this.cfg = cfg;
+		this.owners.setKeys(cfg.document.endpoints.map((endpoint) => endpoint.name));
 		this.reassign(now);
 		this.configureLedgers(cfg);
 	}
 
 	/** Live members changed; `visible` is the share of the listed fleet that is seen. */
 	setMembers(live: readonly string[], visible: number, now: number): void {
-		this.members = live;
+		this.owners.setMembers(live);
 		this.share = visible > majority ? 1 : visible;
 		this.reassign(now);
 	}
@@ -87,17 +88,9 @@
 		if (!cfg) {
 			return;
 		}
-		this.owners.clear();
-		const owned: Endpoint[] = [];
-		for (const endpoint of cfg.document.endpoints) {
-			const owner = rendezvous.pickOwner(endpoint.name, this.members);
-			if (owner !== undefined) {
-				this.owners.set(endpoint.name, owner);
-			}
-			if (owner === this.opts.self) {
-				owned.push(endpoint);
-			}
-		}
+		const owned = cfg.document.endpoints.filter(
+			(endpoint) => this.owners.ownerOf(endpoint.name) === this.opts.self,
+		);
 		this.keepLedgers(owned, now);
 		this.assignFloors(cfg);
 		this.opts.onOwnedChanged?.(owned);
--- a/test/features/decisions.feature
+++ b/test/features/decisions.feature
@@ -35,3 +35,9 @@
 		Then its limit is 0 at once and 1 after 500 ms
 		When one request completes
 		Then its limit is 20 again
+
+	Scenario: Owners that are kept up to date are those that would be chosen anew
+		Then after each of 200 changes of members every endpoint has the owner that scores highest
+
+	Scenario: A bearer key finds its customer among many, and no other key does
+		Then each of 300 keys finds its own customer and 300 other keys find none
--- /dev/null
+++ b/test/steps/lookups.steps.ts
@@ -0,0 +1,51 @@
+/**
+ * Steps about look-ups that are kept up to date or indexed, against the plain way.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as cucumber from '@cucumber/cucumber';
+import { seeded } from '../../bench/random.js';
+import { hashToken } from '../../src/core/configuration/index.js';
+import { KeyIndex } from '../../src/core/configuration/key-index.js';
+import { OwnerMap } from '../../src/core/membership/owner-map.js';
+import * as rendezvous from '../../src/core/membership/rendezvous.js';
+
+const seed = 7;
+
+cucumber.Then(
+	'after each of {int} changes of members every endpoint has the owner that scores highest',
+	(changes: number) => {
+		const rng = seeded(seed);
+		const keys = Array.from({ length: 40 }, (_, at) => `engine-${at}`);
+		const all = Array.from({ length: 12 }, (_, at) => `vm-${at}`);
+		const owners = new OwnerMap();
+		owners.setKeys(keys);
+		for (let change = 0; change < changes; change++) {
+			const members = all.filter(() => rng() < 0.7);
+			owners.setMembers(members);
+			for (const key of keys) {
+				assert.equal(owners.ownerOf(key), rendezvous.pickTop(key, members, 1)[0]);
+			}
+		}
+	},
+);
+
+cucumber.Then(
+	'each of {int} keys finds its own customer and {int} other keys find none',
+	(many: number, others: number) => {
+		const customers = Array.from({ length: many }, (_, at) => ({
+			name: `customer-${at}`,
+			key_hashes: [hashToken(`key-${at}`)],
+			default_class: 'chat',
+			classes: [],
+			weight: 1,
+		}));
+		const index = new KeyIndex(customers);
+		for (const [at, customer] of customers.entries()) {
+			assert.equal(index.find(hashToken(`key-${at}`)), customer);
+		}
+		for (let at = 0; at < others; at++) {
+			assert.equal(index.find(hashToken(`other-${at}`)), undefined);
+		}
+	},
+);
