--- a/src/core/membership/owner-map.ts
+++ b/src/core/membership/owner-map.ts
@@ -12,6 +12,7 @@
 
 export class OwnerMap {
 	private readonly choices = new Map<string, Choice>();
+	private keys: readonly string[] = [];
 	private members: readonly string[] = [];
 
 	ownerOf(key: string): string | undefined {
@@ -20,6 +21,7 @@
 
 	/** Sets the keys; owners of those that stay do not move. */
 	setKeys(keys: readonly string[]): void {
+		this.keys = keys;
 		const wanted = new Set(keys);
 		for (const key of this.choices.keys()) {
 			if (!wanted.has(key)) {
@@ -38,8 +40,9 @@
 		const now = new Set(members);
 		const came = members.filter((member) => !before.has(member));
 		this.members = members;
-		for (const [key, choice] of [...this.choices]) {
-			if (now.has(choice.owner)) {
+		for (const key of this.keys) {
+			const choice = this.choices.get(key);
+			if (choice && now.has(choice.owner)) {
 				this.choose(key, came, choice);
 			} else {
 				this.choices.delete(key);
