--- a/src/core/scheduling/owner-desk.ts
+++ b/src/core/scheduling/owner-desk.ts
@@ -6,8 +6,10 @@
 import type { ConfigurationView, Endpoint } from '../configuration/index.js';
 import { OwnerMap } from '../membership/owner-map.js';
 import * as rendezvous from '../membership/rendezvous.js';
+import { eventKinds } from '../timeline/index.js';
 import { floorClasses } from './floors.js';
 import type { LearnerOptions } from './limit-learner.js';
+import type { RecordEvent } from './slot-ledger.js';
 import { SlotLedger } from './slot-ledger.js';
 import type { HolderReport, OwnerReply } from './types.js';
 
@@ -20,6 +22,7 @@
 	/** Names an owner's term; grows with time. */
 	epoch: () => number;
 	onOwnedChanged?: (owned: readonly Endpoint[]) => void;
+	record: RecordEvent;
 }
 
 export class OwnerDesk {
@@ -123,7 +126,9 @@
 
 	private makeLedger(endpoint: Endpoint, now: number): SlotLedger {
 		const limits = this.limitsOf(endpoint);
-		return new SlotLedger({ endpoint: endpoint.name, limits, epoch: this.opts.epoch(), now });
+		const { record, epoch } = this.opts;
+		record(eventKinds.ownerChanged, { endpoint: endpoint.name, member: this.opts.self });
+		return new SlotLedger({ endpoint: endpoint.name, limits, record, epoch: epoch(), now });
 	}
 
 	private limitsOf(endpoint: Endpoint): LearnerOptions {
--- a/src/core/scheduling/slot-ledger.ts
+++ b/src/core/scheduling/slot-ledger.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import type { EventFields, EventKind } from '../timeline/index.js';
+import { eventKinds } from '../timeline/index.js';
 import type { Waiting } from './ledger-holder.js';
 import { LedgerHolder } from './ledger-holder.js';
 import * as search from './ledger-search.js';
@@ -28,10 +30,15 @@
 /** Time over which the rate is counted, in milliseconds. */
 const rateWindowMs = 1000;
 
+/** Records an event of the time line. */
+export type RecordEvent = (kind: EventKind, fields: EventFields) => void;
+
 /** What the ledger needs to know of the endpoint. */
 export interface LedgerOptions {
 	endpoint: string;
 	limits: LearnerOptions;
+	/** Takes in events for the time line. */
+	record: RecordEvent;
 	/** Names the owner's term. */
 	epoch: number;
 	now: number;
@@ -82,6 +89,8 @@
 	setClosed(closed: boolean): void {
 		if (closed !== this.closed) {
 			this.closed = closed;
+			const reason = closed ? 'takes no work' : 'takes work again';
+			this.record(eventKinds.endpointLeaving, { reason });
 			this.touchAll();
 		}
 	}
@@ -130,6 +139,7 @@
 		this.countRate(now);
 		this.dropLostGrants(now);
 		if (this.learner.decide(this.used(), now)) {
+			this.record(eventKinds.limitChanged, { value: this.learner.limit(now) });
 			this.touchAll();
 		}
 		if (now < this.grantFrom) {
@@ -164,7 +174,7 @@
 			const at = order.first(waiting, (item) => search.orderOf(item, shares, now));
 			const [next] = waiting.splice(at, 1);
 			if (next) {
-				next.holder.grant(next, now);
+				this.grant(next, now);
 				const { customer } = next.ticket;
 				shares.set(customer, (shares.get(customer) ?? 0) + 1);
 			}
@@ -203,7 +213,7 @@
 		for (const cls of this.floors) {
 			const first = search.oldestOf(this.holders.values(), cls);
 			if (first && now - first.since >= floorAfterMs && !this.floorBusy(cls)) {
-				first.holder.grant(first, now, cls);
+				this.grant(first, now, cls);
 			}
 		}
 	}
@@ -226,6 +236,17 @@
 		}
 	}
 
+	private grant(waiting: Waiting, now: number, floor?: NameHash): void {
+		const { holder, ticket } = waiting;
+		holder.grant(waiting, now, floor);
+		const isFloor = floor !== undefined;
+		this.record(eventKinds.grant, { member: holder.id, tier: ticket.tier, floor: isFloor });
+	}
+
+	private record(kind: EventKind, fields: EventFields): void {
+		this.opts.record(kind, { endpoint: this.opts.endpoint, ...fields });
+	}
+
 	private dropLostGrants(now: number): void {
 		for (const holder of this.holders.values()) {
 			holder.dropLostGrants(now);
--- a/src/core/timeline/timeline-page.ts
+++ b/src/core/timeline/timeline-page.ts
@@ -4,10 +4,12 @@
  * @module
  */
 import * as svg from '../html/svg.js';
-import type { TimelineEvent } from './types.js';
+import type { EventKind, TimelineEvent } from './types.js';
 import { eventKinds } from './types.js';
 
 const layout = { left: 90, width: 1200, laneGap: 14, row: 7, top: 30 } as const;
+/** Kinds that come too often to be marked. */
+const frequentKinds: ReadonlySet<EventKind> = new Set([eventKinds.grant, eventKinds.limitChanged]);
 /** Rows of one lane; requests beyond share rows. */
 const rowsPerLane = 24;
 
@@ -57,7 +59,7 @@
 }
 
 function isMark(event: TimelineEvent): boolean {
-	return event.request === undefined;
+	return event.request === undefined && !frequentKinds.has(event.kind);
 }
 
 /** Waiting and running spans of each request. */
--- a/src/daemon/fleet-node.ts
+++ b/src/daemon/fleet-node.ts
@@ -84,6 +84,7 @@
 			send: (to, body) => this.send(to, { type: 'reply', body }),
 			epoch: () => shortTime(clock.wall(), epochStepMs),
 			onOwnedChanged: (owned) => opts.onOwnedChanged(owned),
+			record: (kind, fields) => opts.timeline.record(kind, fields),
 		});
 		this.policy = new GrantedPolicy({
 			self: self.id,
--- a/test/fuzz/fleet-model.ts
+++ b/test/fuzz/fleet-model.ts
@@ -423,6 +423,7 @@
 			send: (to, reply) =>
 				this.packets.push({ from: index, to: indexOf(to), reply: structuredClone(reply) }),
 			epoch: () => this.clock.now,
+			record: () => {},
 		});
 		node.granted = new GrantedPolicy({
 			self: id,
--- a/test/steps/decisions.steps.ts
+++ b/test/steps/decisions.steps.ts
@@ -22,7 +22,7 @@
 
 function newLedger(slots: number): SlotLedger {
 	const limits = { start: slots, max: slots, learns: false };
-	return new SlotLedger({ endpoint: 'e1', limits, epoch: 1, now: 0 });
+	return new SlotLedger({ endpoint: 'e1', limits, record: () => {}, epoch: 1, now: 0 });
 }
 
 function ticket(number: number, part: Partial<Ticket>): Ticket {
