Whoever waits for the answer of a request that was never dispatched is told

Cause: read in review: a caller that leaves while its claim is written left an answer that never ends, and a second arrival waited for it. Change: the kept answer is abandoned.

--- a/src/core/requests/answer-store.ts
+++ b/src/core/requests/answer-store.ts
@@ -89,6 +89,11 @@
 		this.callerGone = true;
 	}
 
+	/** There will be no answer; whoever waits for it is told so. */
+	abandon(): void {
+		this.settle(undefined);
+	}
+
 	start(status: number, headers: Record<string, string>): void {
 		this.kept.status = status;
 		this.kept.headers = headers;
--- a/src/core/requests/run.ts
+++ b/src/core/requests/run.ts
@@ -125,6 +125,7 @@
 			return;
 		}
 		this.over = true;
+		this.recording?.abandon();
 		this.call?.cancel();
 		this.release(false, true);
 		this.host.ended(this, 'caller-left', this.stream.totalTokens);
--- a/test/features/single-run.feature
+++ b/test/features/single-run.feature
@@ -43,6 +43,14 @@
 		Then the post has status 200 and outcome "complete"
 		And the portal counted 1 effect of "total-8"
 
+	Scenario: The caller leaves while the claim is being written
+		Given a fleet of 2 daemons and 1 engine
+		And the key-value service takes 400 ms for each call
+		When newsroom posts "total-9" with key "k9" through daemon 1 and leaves during the claim
+		And newsroom comes back with "total-9" and key "k9" through daemon 2
+		Then the post has status 409 and outcome "unknown"
+		And the portal counted 0 effects of "total-9"
+
 	Scenario: The service cannot be reached
 		Given a fleet of 1 daemon and 1 engine
 		And the portal is killed
--- a/test/stand-ins/platform.ts
+++ b/test/stand-ins/platform.ts
@@ -134,6 +134,7 @@
 			return;
 		}
 		this.calls++;
+		this.writes += req.method === 'PUT' ? 1 : 0;
 		await new Promise((done) => setTimeout(done, this.faults.delayMs));
 		const path = url.pathname.split('/').slice(1).map(decodeURIComponent);
 		if (path[0] === 'leases') {
@@ -175,7 +176,6 @@
 	}
 
 	private swap(res: http.ServerResponse, key: string, url: URL, value: string): void {
-		this.writes++;
 		const current = this.entries.get(key);
 		if ((current?.rev ?? 0) !== Number(url.searchParams.get('rev'))) {
 			send(res, 409, current ? { value: current.value, rev: current.rev } : {});
--- a/test/steps/faults.steps.ts
+++ b/test/steps/faults.steps.ts
@@ -17,6 +17,30 @@
 	await this.running.fault(this.running.platform, { down: true });
 });
 
+cucumber.Given(
+	'the key-value service takes {int} ms for each call',
+	async function (this: FleetWorld, delayMs: number) {
+		await this.running.fault(this.running.platform, { delayMs });
+	},
+);
+
+cucumber.When(
+	'newsroom posts {string} with key {string} through daemon 1 and leaves during the claim',
+	async function (this: FleetWorld, id: string, key: string) {
+		const { platform } = this.running;
+		const writes = async () => (await this.running.stats<{ writes: number }>(platform)).writes;
+		const before = await writes();
+		const caller = new AbortController();
+		const left = post(this, 0, 'newsroom', id, key, caller.signal).catch(() => undefined);
+		while ((await writes()) === before) {
+			await sleep(10);
+		}
+		caller.abort();
+		await left;
+		await sleep(1000);
+	},
+);
+
 cucumber.Given('the portal cuts connections after the effect', async function (this: FleetWorld) {
 	await this.running.fault(this.running.services[0], { cutAfterEffect: true });
 });
