The oracle judges a cut fleet without the VM that was cut off, too

Cause: cut-daemon showed 814 requests shed for lower work and 1553 overtaken over both sides of the cut, where neither side can know of the other; whether the order held on the larger side was not told.

--- a/bench/burst.ts
+++ b/bench/burst.ts
@@ -84,9 +84,12 @@
 }
 
 async function report(labels: object, args: BenchArgs, result: ExperimentResult): Promise<void> {
-	const { classes, findings, ...totals } = result;
+	const { classes, findings, findingsOfRest, ...totals } = result;
 	process.stdout.write(`\n${JSON.stringify(labels)}\n${formatTable(classes)}\n`);
 	process.stdout.write(`${JSON.stringify(totals)}\n${JSON.stringify(findings)}\n`);
+	if (findingsOfRest) {
+		process.stdout.write(`without the VM that was cut off: ${JSON.stringify(findingsOfRest)}\n`);
+	}
 	if (args.out !== '') {
 		const line = { ...labels, daemons: args.daemons, endpoints: args.endpoints, ...result };
 		await fs.appendFile(args.out, `${JSON.stringify(line)}\n`);
--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -31,6 +31,8 @@
 export interface Fault {
 	name: string;
 	atMs: number;
+	/** VM that a cut sets apart. */
+	cutOff?: string;
 	begin: (fleet: Fleet) => Promise<void>;
 	/** Ends the fault, after `forMs`. */
 	forMs?: number;
@@ -63,6 +65,8 @@
 	cacheHitPercent: number;
 	wrong: number;
 	findings: Findings;
+	/** The same for the daemons that no cut set apart. */
+	findingsOfRest?: Findings;
 	/** Seconds from the fault until the top tiers are attained again; 0 without a dent. */
 	recoveryS?: number;
 	daemonCpuPercent: number;
@@ -155,6 +159,10 @@
 		cacheHitPercent: measured.cacheHitPercent,
 		wrong: results.filter((result) => result.wrong).length,
 		findings: judge(events, deadlines, engines),
+		findingsOfRest:
+			opts.fault?.cutOff === undefined
+				? undefined
+				: judge(without(events, opts.fault.cutOff), deadlines, engines),
 		recoveryS: opts.fault && recovery(results, targets, measured.began + opts.fault.atMs),
 		daemonCpuPercent: round(measured.cpuPercent),
 		peerBytesPerS: Math.round(measured.bytesPerS),
@@ -162,6 +170,10 @@
 	};
 }
 
+function without(events: TimelineEvent[], vm: string): TimelineEvent[] {
+	return events.filter((event) => event.vm !== vm);
+}
+
 function sumTokens(results: readonly ReplayResult[]): number {
 	return results.reduce((sum, result) => sum + result.tokens, 0);
 }
--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -52,6 +52,7 @@
 	},
 	'cut-daemon': {
 		name: 'cut-daemon',
+		cutOff: `vm-${victim + 1}`,
 		atMs,
 		begin: (fleet) => cut(fleet, true),
 		forMs,
