--- /dev/null
+++ b/bench/control-cost.ts
@@ -0,0 +1,197 @@
+/**
+ * What control costs a daemon as the fleet grows: bytes on the wire, processor time, memory and
+ * calls to the key-value service, idle and under load; then a straight line through the figures.
+ * @module
+ */
+
+import { formatTable } from '../src/core/text/table.js';
+import type { StatusReport } from '../src/infra/control/types.js';
+import { ReplayClient } from '../src/infra/replay-client.js';
+import { configurationOf, lakeshore } from './deployments.js';
+import { Fleet, keyOf, sleep, spawnIdle } from './fleet.js';
+import type { Stream } from './make-trace.js';
+import { makeTrace } from './make-trace.js';
+import { writeResult } from './output.js';
+
+/** Engines for each daemon, as in the target (940 before 340). */
+const enginesPerDaemon = 940 / 340;
+const engineProcesses = 8;
+const settleMs = 4000;
+const idleMs = 15_000;
+const loadMs = 15_000;
+/** Requests a second for each daemon under load; what one machine bears. */
+const perDaemon = 4;
+const target = 340;
+
+/** Cost of one daemon, the mean over the fleet. */
+interface Cost {
+	daemons: number;
+	phase: string;
+	policy: string;
+	sent_bytes_s: number;
+	received_bytes_s: number;
+	datagrams_s: number;
+	cpu_percent: number;
+	rss_mb: number;
+	rss_over_idle_mb: number;
+	kv_calls_s: number;
+}
+
+export async function controlCostBench(sizes: number[], out: string): Promise<void> {
+	const idleRss = await idleRuntimeBytes();
+	const costs: Cost[] = [];
+	for (const daemons of sizes) {
+		for (const policy of ['granted', 'independent']) {
+			const measured = await measureSize(daemons, policy, idleRss);
+			for (const cost of measured) {
+				costs.push(cost);
+				await writeResult(out, { bench: 'control-cost', ...cost });
+			}
+			process.stdout.write(`${formatTable(measured)}\n`);
+		}
+	}
+	const fits = fitAll(costs);
+	process.stdout.write(`${formatTable(fits)}\n`);
+	await writeResult(out, { bench: 'control-cost-fit', target, fits });
+}
+
+async function measureSize(daemons: number, policy: string, idleRss: number): Promise<Cost[]> {
+	const fleet = new Fleet({ daemons, domains: lakeshore.domains });
+	try {
+		const engines = Math.ceil(daemons * enginesPerDaemon);
+		const processes = Math.min(engineProcesses, engines);
+		const count = Math.ceil(engines / processes);
+		await fleet.startStandIns(
+			Array.from({ length: processes }, () => ({ count })),
+			1,
+		);
+		await fleet.startDaemons();
+		const cfg = configurationOf(lakeshore, fleet, { name: policy });
+		await fleet.apply(cfg);
+		await fleet.waitFor((status) => status.members.length === daemons, 60_000);
+		await sleep(settleMs);
+		const labels = { daemons, policy };
+		const idle = await phase(fleet, { ...labels, phase: 'idle' }, idleRss, () => sleep(idleMs));
+		const load = await phase(fleet, { ...labels, phase: 'load' }, idleRss, () =>
+			drive(fleet, daemons),
+		);
+		return [idle, load];
+	} finally {
+		await fleet.stop();
+	}
+}
+
+async function drive(fleet: Fleet, daemons: number): Promise<void> {
+	const stream: Stream = {
+		class: 'chat',
+		customers: ['listener-app'],
+		perSecond: perDaemon * daemons,
+		fromMs: 0,
+		untilMs: loadMs,
+		tokens: 20,
+		stream: true,
+	};
+	const trace = makeTrace(lakeshore, [stream], daemons);
+	const keys = new Map(lakeshore.customers.map(({ name }) => [name, keyOf(name)]));
+	const client = new ReplayClient({ daemons: fleet.daemonUrls, keys, timeoutMs: 60_000 });
+	await client.replay(trace);
+}
+
+async function phase(
+	fleet: Fleet,
+	labels: { daemons: number; policy: string; phase: string },
+	idleRss: number,
+	run: () => Promise<void>,
+): Promise<Cost> {
+	const before = await statuses(fleet);
+	const began = performance.now();
+	await run();
+	const seconds = (performance.now() - began) / 1000;
+	const after = await statuses(fleet);
+	const rate = (value: (status: StatusReport) => number) =>
+		(mean(after, value) - mean(before, value)) / seconds;
+	const rss = mean(after, (status) => status.rss_bytes);
+	return {
+		...labels,
+		sent_bytes_s: Math.round(rate((status) => status.peer_bytes_sent)),
+		received_bytes_s: Math.round(rate((status) => status.peer_bytes_received)),
+		datagrams_s: round(
+			rate((status) => status.peer_datagrams_sent + status.peer_datagrams_received),
+		),
+		cpu_percent: round(rate((status) => status.cpu_ms) / 10),
+		rss_mb: round(rss / 1e6),
+		rss_over_idle_mb: round((rss - idleRss) / 1e6),
+		kv_calls_s: round(rate((status) => status.kv_calls)),
+	};
+}
+
+async function statuses(fleet: Fleet): Promise<StatusReport[]> {
+	const reads = [...fleet.daemons.keys()].map((index) => fleet.control(index).status.query());
+	return Promise.all(reads);
+}
+
+/** Resident memory of a runtime that does nothing. */
+async function idleRuntimeBytes(): Promise<number> {
+	const { rss, proc } = await spawnIdle();
+	proc.child.kill();
+	return rss;
+}
+
+interface Fit {
+	policy: string;
+	phase: string;
+	what: string;
+	at_zero: number;
+	slope_per_daemon: number;
+	/** Root mean square distance of the figures from the line. */
+	error: number;
+	at_target: number;
+}
+
+function fitAll(costs: readonly Cost[]): Fit[] {
+	const fits: Fit[] = [];
+	const columns = [
+		'sent_bytes_s',
+		'received_bytes_s',
+		'cpu_percent',
+		'rss_over_idle_mb',
+		'kv_calls_s',
+	] as const;
+	for (const policy of ['granted', 'independent']) {
+		for (const phaseName of ['idle', 'load']) {
+			const rows = costs.filter((cost) => cost.policy === policy && cost.phase === phaseName);
+			for (const what of columns) {
+				const points = rows.map((cost) => ({ x: cost.daemons, y: cost[what] }));
+				fits.push({ policy, phase: phaseName, what, ...fitLine(points) });
+			}
+		}
+	}
+	return fits;
+}
+
+/** Least squares. */
+function fitLine(
+	points: readonly { x: number; y: number }[],
+): Pick<Fit, 'at_zero' | 'slope_per_daemon' | 'error' | 'at_target'> {
+	const meanX = mean(points, (point) => point.x);
+	const meanY = mean(points, (point) => point.y);
+	const covariance = mean(points, (point) => (point.x - meanX) * (point.y - meanY));
+	const variance = mean(points, (point) => (point.x - meanX) ** 2);
+	const slope = variance === 0 ? 0 : covariance / variance;
+	const atZero = meanY - slope * meanX;
+	const squares = mean(points, (point) => (point.y - atZero - slope * point.x) ** 2);
+	return {
+		at_zero: round(atZero),
+		slope_per_daemon: Math.round(slope * 10_000) / 10_000,
+		error: round(Math.sqrt(squares)),
+		at_target: round(atZero + slope * target),
+	};
+}
+
+function mean<T>(items: readonly T[], value: (item: T) => number): number {
+	return items.reduce((sum, item) => sum + value(item), 0) / Math.max(items.length, 1);
+}
+
+function round(value: number): number {
+	return Math.round(value * 100) / 100;
+}
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -21,6 +21,9 @@
 export const peerToken = 'bench-peer-token-0123456789';
 const startTimeoutMs = 20_000;
 
+/** Options of one engine process, which may hold several engines. */
+export type EngineProcess = Partial<EngineOptions> & { count?: number };
+
 /** A stand-in or daemon that runs. */
 export interface Proc {
 	name: string;
@@ -57,15 +60,15 @@
 	}
 
 	/** Starts platform, engines and services; daemons follow with `startDaemons`. */
-	async startStandIns(engines: Partial<EngineOptions>[], services: number): Promise<void> {
+	async startStandIns(engines: EngineProcess[], services: number): Promise<void> {
 		this.dir = await fs.mkdtemp(path.join(os.tmpdir(), 'slategauge-'));
-		this.platform = await this.standIn('platform', 'platform');
+		this.platform = (await this.standIn('platform', 'platform'))[0];
 		const started = engines.map((opts, index) =>
 			this.standIn(`engine-${index + 1}`, 'engine', JSON.stringify(opts)),
 		);
-		this.engines.push(...(await Promise.all(started)));
+		this.engines.push(...(await Promise.all(started)).flat());
 		for (let index = 0; index < services; index++) {
-			this.services.push(await this.standIn(`service-${index + 1}`, 'service'));
+			this.services.push(...(await this.standIn(`service-${index + 1}`, 'service')));
 		}
 	}
 
@@ -163,11 +166,16 @@
 		}
 	}
 
-	private async standIn(name: string, kind: string, options = '{}'): Promise<Proc> {
+	/** One entry for each port; several engines may share a process. */
+	private async standIn(name: string, kind: string, options = '{}'): Promise<Proc[]> {
 		const proc = spawn(name, [standInMain, kind, options]);
-		const line = await firstLine(proc, 'port=');
-		proc.port = Number(line.slice('port='.length));
-		return proc;
+		const line = await firstLine(proc, 'ports=');
+		const ports = line.slice('ports='.length).split(',').map(Number);
+		return ports.map((port, index) => ({
+			...proc,
+			name: index === 0 ? name : `${name}-${index + 1}`,
+			port,
+		}));
 	}
 
 	private async post(base: string, at: string, body: object): Promise<void> {
@@ -218,6 +226,25 @@
 	return new Promise((done) => setTimeout(done, ms));
 }
 
+/** Program of the bare relay. */
+export const relayMain = path.join(root, 'bench/relay.js');
+
+/** Starts a program that prints its port. */
+export async function spawnWithPort(name: string, args: string[]): Promise<Proc> {
+	const proc = spawn(name, args);
+	const line = await firstLine(proc, 'ports=');
+	proc.port = Number(line.slice('ports='.length));
+	return proc;
+}
+
+/** Starts a runtime that does nothing, and its resident bytes. */
+export async function spawnIdle(): Promise<{ proc: Proc; rss: number }> {
+	const program = 'setInterval(() => {}, 1e6); console.log("rss=" + process.memoryUsage.rss())';
+	const proc = spawn('idle', ['-e', program]);
+	const line = await firstLine(proc, 'rss=');
+	return { proc, rss: Number(line.slice('rss='.length)) };
+}
+
 function spawn(name: string, args: string[]): Proc {
 	const child = childProcess.spawn(process.execPath, args, { stdio: ['pipe', 'pipe', 'inherit'] });
 	const proc: Proc = { name, child, port: 0, controlPort: 0, lines: [] };
--- /dev/null
+++ b/bench/hot-path.ts
@@ -0,0 +1,162 @@
+/**
+ * What a daemon adds over a direct call, beside a bare relay, all in one run.
+ * @module
+ */
+import * as hdr from 'hdr-histogram-js';
+import * as undici from 'undici';
+import { formatTable } from '../src/core/text/table.js';
+import { configurationOf, lakeshore } from './deployments.js';
+import { Fleet, keyOf, relayMain, spawnWithPort } from './fleet.js';
+import { writeResult } from './output.js';
+
+/** One request after the other, for latency. */
+const latencyRounds = 1500;
+const warmUp = 300;
+/** Streams at once, for throughput. */
+const streams = 256;
+const streamTokens = 300;
+const throughputRounds = 2;
+const engines = 4;
+const microseconds = 1000;
+
+interface Path {
+	name: string;
+	url: string;
+	/** Processor milliseconds used so far. */
+	cpuMs: () => Promise<number>;
+}
+
+export async function hotPathBench(out: string): Promise<void> {
+	const fleet = new Fleet({ daemons: 1, domains: lakeshore.domains });
+	const engine = { stepBaseMs: 1, stepEachMs: 0, maxBatch: 256 };
+	await fleet.startStandIns(
+		Array.from({ length: engines }, () => engine),
+		0,
+	);
+	const relay = await spawnWithPort('relay', [
+		relayMain,
+		`http://127.0.0.1:${fleet.engines[0]?.port}`,
+	]);
+	try {
+		await fleet.startDaemons();
+		const endpoint = { slots: 256, max_slots: 256 };
+		const policy = { name: 'granted', learn_limits: false };
+		const cfg = configurationOf(lakeshore, fleet, policy, endpoint);
+		await fleet.apply({ ...cfg, endpoints: cfg.endpoints.slice(0, 1) });
+		const paths: Path[] = [
+			{ name: 'direct', url: `http://127.0.0.1:${fleet.engines[0]?.port}`, cpuMs: async () => 0 },
+			{
+				name: 'bare relay',
+				url: `http://127.0.0.1:${relay.port}`,
+				cpuMs: async () => Number(await (await fetch(`http://127.0.0.1:${relay.port}/cpu`)).text()),
+			},
+			{
+				name: 'slategauged',
+				url: fleet.daemonUrls[0] ?? '',
+				cpuMs: async () => (await fleet.control(0).status.query()).cpu_ms,
+			},
+		];
+		const rows = await measureAll(paths);
+		process.stdout.write(`${formatTable(rows)}\n`);
+		await writeResult(out, { bench: 'hot-path', rows });
+	} finally {
+		relay.child.kill();
+		await fleet.stop();
+	}
+}
+
+async function measureAll(paths: Path[]): Promise<object[]> {
+	const firsts = await latencies(paths);
+	const rows: object[] = [];
+	for (const path of paths) {
+		const load = await throughput(path);
+		const first = firsts.get(path.name);
+		rows.push({
+			path: path.name,
+			first_token_p50_ms: micros(first, 50),
+			first_token_p99_ms: micros(first, 99),
+			...load,
+		});
+	}
+	return rows;
+}
+
+/** The paths take turns, so that noise hits all alike. */
+async function latencies(paths: Path[]): Promise<Map<string, hdr.Histogram>> {
+	const pools = new Map(paths.map((path) => [path.name, new undici.Pool(path.url)]));
+	const histograms = new Map(paths.map((path) => [path.name, hdr.build()]));
+	for (let round = 0; round < latencyRounds + warmUp; round++) {
+		for (const path of paths) {
+			const began = performance.now();
+			const first = await firstChunkAt(pools.get(path.name) as undici.Pool, 2);
+			if (round >= warmUp) {
+				histograms.get(path.name)?.recordValue((first - began) * microseconds);
+			}
+		}
+	}
+	await Promise.all([...pools.values()].map((pool) => pool.destroy()));
+	return histograms;
+}
+
+async function firstChunkAt(pool: undici.Pool, tokens: number): Promise<number> {
+	const res = await pool.request(requestOf(tokens));
+	let first = 0;
+	for await (const _chunk of res.body) {
+		first ||= performance.now();
+	}
+	return first;
+}
+
+/** Many streams at once until the path is busy. */
+async function throughput(path: Path): Promise<object> {
+	const pool = new undici.Pool(path.url, { connections: streams });
+	await runStreams(pool, 1, 20);
+	const cpuBefore = await path.cpuMs();
+	const began = performance.now();
+	const tokens = await runStreams(pool, throughputRounds, streamTokens);
+	const seconds = (performance.now() - began) / 1000;
+	const cpuMs = (await path.cpuMs()) - cpuBefore;
+	await pool.destroy();
+	const requests = streams * throughputRounds;
+	return {
+		tokens_per_s: Math.round(tokens / seconds),
+		requests_per_s: Math.round(requests / seconds),
+		cpu_us_per_token: cpuMs === 0 ? '-' : round((cpuMs * 1000) / tokens),
+		tokens_per_s_of_one_core: cpuMs === 0 ? '-' : Math.round(tokens / (cpuMs / 1000)),
+	};
+}
+
+async function runStreams(pool: undici.Pool, rounds: number, tokens: number): Promise<number> {
+	const one = async () => {
+		for (let round = 0; round < rounds; round++) {
+			const res = await pool.request(requestOf(tokens));
+			await res.body.dump({ limit: Number.MAX_SAFE_INTEGER });
+		}
+	};
+	await Promise.all(Array.from({ length: streams }, one));
+	return streams * rounds * tokens;
+}
+
+function requestOf(tokens: number): undici.Dispatcher.RequestOptions {
+	return {
+		method: 'POST',
+		path: '/v1/chat/completions',
+		headers: {
+			authorization: `Bearer ${keyOf('archive-desk')}`,
+			'content-type': 'application/json',
+		},
+		body: JSON.stringify({
+			model: lakeshore.model,
+			stream: true,
+			messages: [{ role: 'user', content: `len=${tokens}` }],
+		}),
+	};
+}
+
+function micros(histogram: hdr.Histogram | undefined, percentile: number): number {
+	return round((histogram?.getValueAtPercentile(percentile) ?? 0) / microseconds);
+}
+
+function round(value: number): number {
+	return Math.round(value * 1000) / 1000;
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,9 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { burstBench } from './burst.js';
+import { controlCostBench } from './control-cost.js';
+import { hotPathBench } from './hot-path.js';
+import { kvBench } from './kv.js';
 
 /** Options of every bench. */
 export interface BenchArgs {
@@ -15,6 +18,8 @@
 	deployment: string;
 	seconds: number;
 	out: string;
+	/** Fleet sizes, for benches that vary them. */
+	sizes: number[];
 }
 
 const benches: Record<string, (args: BenchArgs) => Promise<void>> = {
@@ -24,6 +29,10 @@
 	'dead-daemon': (args) => burstBench('dead-daemon', args),
 	'frozen-daemon': (args) => burstBench('frozen-daemon', args),
 	'cut-daemon': (args) => burstBench('cut-daemon', args),
+	fleet: fleetBench,
+	'hot-path': (args) => hotPathBench(args.out),
+	'control-cost': (args) => controlCostBench(args.sizes, args.out),
+	kv: (args) => kvBench(args.sizes, args.out),
 };
 
 const args = await yargs(hideBin(process.argv))
@@ -36,6 +45,7 @@
 	.option('policy', { type: 'string', array: true, default: ['independent', 'granted'] })
 	.option('deployment', { type: 'string', default: 'lakeshore' })
 	.option('seconds', { type: 'number', default: 20, describe: 'length of the trace' })
+	.option('sizes', { type: 'number', array: true, default: [3, 9, 18, 36] })
 	.option('out', { type: 'string', default: '', describe: 'file for JSON lines' })
 	.demandCommand(1, `expected one of ${Object.keys(benches).join(', ')}`)
 	.strictOptions()
@@ -48,3 +58,10 @@
 	process.exit(64);
 }
 await bench({ ...args, seeds: args.seed, policies: args.policy });
+
+/** The same load before the same endpoints, with more and more daemons. */
+async function fleetBench(args: BenchArgs): Promise<void> {
+	for (const daemons of args.sizes) {
+		await burstBench('fleet', { ...args, daemons });
+	}
+}
--- a/src/core/requests/router.ts
+++ b/src/core/requests/router.ts
@@ -19,10 +19,6 @@
 import type { Request } from './types.js';
 import { avoids } from './types.js';
 
-/** A request is given up on arrival only when its wait would be this many times too long. */
-const sureFactor = 2;
-/** Estimates of the wait below this do not lead to giving up, in milliseconds. */
-const sureAboveMs = 1000;
 /** Bounds of Retry-After, in seconds. */
 const minRetryAfterS = 1;
 const maxRetryAfterS = 120;
@@ -102,10 +98,6 @@
 			tier: req.cls.tier,
 			customer: req.customer,
 		});
-		if (this.isHopeless(req)) {
-			run.giveUp(errors.data.Shed);
-			return run;
-		}
 		this.enqueue(req);
 		return run;
 	}
@@ -233,18 +225,6 @@
 		this.runs.get(req.ticket)?.giveUp(data);
 	}
 
-	/** True when even work of this and higher tiers alone would keep it waiting far too long. */
-	private isHopeless(req: Request): boolean {
-		const state = this.state();
-		if (!state || !this.policy) {
-			return false;
-		}
-		const patience =
-			req.deadlineAt - state.now - this.durations.durationMs(req.cls.name, req.customer);
-		const wait = this.policy.estimateWaitMs(state, req);
-		return wait > sureAboveMs && wait > patience * sureFactor;
-	}
-
 	/** A request that avoids every endpoint may ask them again. */
 	private forgiveWhenAlone(req: Request): void {
 		const eligible = this.cfg?.eligible(req.target, req.cls.name) ?? [];
--- /dev/null
+++ b/src/core/scheduling/floors.ts
@@ -0,0 +1,36 @@
+/**
+ * Where each class's minimum is served: fixed endpoints, the same for every daemon.
+ * @module
+ */
+import type { ConfigurationView, Target } from '../configuration/index.js';
+import * as rendezvous from '../membership/rendezvous.js';
+
+/** Names of the classes whose minimum an endpoint serves, by endpoint. */
+export function floorClasses(cfg: ConfigurationView): Map<string, Set<string>> {
+	const floors = new Map<string, Set<string>>();
+	for (const target of targetsOf(cfg)) {
+		for (const cls of cfg.document.classes) {
+			const names = cfg.eligible(target, cls.name).map((endpoint) => endpoint.name);
+			const key = `floor ${cls.name} ${target}`;
+			for (const name of rendezvous.pickTop(key, names, cls.floor)) {
+				const classes = floors.get(name) ?? new Set();
+				classes.add(cls.name);
+				floors.set(name, classes);
+			}
+		}
+	}
+	return floors;
+}
+
+function targetsOf(cfg: ConfigurationView): Set<Target> {
+	const targets = new Set<Target>();
+	for (const endpoint of cfg.document.endpoints) {
+		for (const model of endpoint.models) {
+			targets.add(`model:${model}`);
+		}
+		if (endpoint.service !== undefined) {
+			targets.add(`service:${endpoint.service}`);
+		}
+	}
+	return targets;
+}
--- a/src/core/scheduling/granted-policy.ts
+++ b/src/core/scheduling/granted-policy.ts
@@ -9,10 +9,15 @@
 import type { Request } from '../requests/types.js';
 import { avoids } from '../requests/types.js';
 import type { EntryState, RunResult, Slot, SlotPolicy, Start } from './definitions.js';
+import { floorClasses } from './floors.js';
 import { Holding } from './holding.js';
 import type { Candidate } from './request-queue.js';
 import type { HolderReport, NameHash, OwnerReply, Ticket } from './types.js';
 
+/** Endpoints of one kind that an entry asks at the least, if there are so many. */
+const minAsked = 16;
+/** Entries that should ask each endpoint, so that none is left without work. */
+const askersPerEndpoint = 4;
 /** Best waiting requests told to an owner. */
 const wantedBest = 8;
 /** Waiting requests of one class, customer and target that are looked at. */
@@ -33,6 +38,10 @@
 	isPreemptable: (ticket: number) => boolean;
 	/** Asks for `takeStarts`. */
 	wake: () => void;
+	/** Name of this daemon; chooses the endpoints that it asks when there are many. */
+	self: string;
+	/** Live daemons. */
+	fleetSize: () => number;
 	/** First report number; higher than any of an earlier process of this VM. */
 	firstSeq: number;
 }
@@ -40,7 +49,7 @@
 export class GrantedPolicy implements SlotPolicy {
 	private readonly holdings = new Map<string, Holding>();
 	private cachedFor?: EntryState['cfg'];
-	private readonly groups = new Map<string, Endpoint[]>();
+	private groups: Endpoint[][] = [];
 
 	constructor(private readonly opts: GrantedPolicyOptions) {}
 
@@ -64,7 +73,7 @@
 	/** Sends the reports that are due. Called after starts were taken, and in between. */
 	report(state: EntryState): void {
 		this.groupEndpoints(state);
-		for (const endpoints of this.groups.values()) {
+		for (const endpoints of this.groups) {
 			this.reportGroup(state, endpoints);
 		}
 	}
@@ -85,6 +94,7 @@
 
 	/** Members changed: endpoints with another owner are told to it at once. */
 	ownersChanged(): void {
+		this.cachedFor = undefined;
 		for (const holding of this.holdings.values()) {
 			const owner = this.opts.ownerOf(holding.endpoint);
 			if (owner !== holding.owner) {
@@ -205,17 +215,29 @@
 			return;
 		}
 		this.cachedFor = state.cfg;
-		this.groups.clear();
+		const groups = new Map<string, Endpoint[]>();
 		for (const endpoint of state.cfg.document.endpoints) {
 			const { kind, models, service, classes, state: standing } = endpoint;
 			const key = JSON.stringify([kind, models, service, classes, standing]);
-			const group = this.groups.get(key);
-			if (group) {
-				group.push(endpoint);
-			} else {
-				this.groups.set(key, [endpoint]);
-			}
+			groups.set(key, [...(groups.get(key) ?? []), endpoint]);
+		}
+		const floors = floorClasses(state.cfg);
+		this.groups = [...groups.values()].map((group) => this.chooseAsked(group, floors));
+	}
+
+	/**
+	 * Of many endpoints an entry asks a fixed few, so that its messages do not grow with the fleet;
+	 * those that serve a class's minimum are always among them.
+	 */
+	private chooseAsked(group: Endpoint[], floors: ReadonlyMap<string, unknown>): Endpoint[] {
+		const perEntry = Math.ceil((askersPerEndpoint * group.length) / this.opts.fleetSize());
+		const count = Math.max(minAsked, perEntry);
+		if (group.length <= count) {
+			return group;
 		}
+		const names = group.map((endpoint) => endpoint.name);
+		const asked = new Set(rendezvous.pickTop(this.opts.self, names, count));
+		return group.filter(({ name }) => asked.has(name) || floors.has(name));
 	}
 
 	private reportGroup(state: EntryState, endpoints: Endpoint[]): void {
--- a/src/core/scheduling/owner-desk.ts
+++ b/src/core/scheduling/owner-desk.ts
@@ -3,10 +3,11 @@
  * alone: no lease, no call to the key-value service.
  * @module
  */
-import type { ConfigurationView, Endpoint, Target } from '../configuration/index.js';
+import type { ConfigurationView, Endpoint } from '../configuration/index.js';
 import * as rendezvous from '../membership/rendezvous.js';
+import { floorClasses } from './floors.js';
 import { SlotLedger } from './slot-ledger.js';
-import type { HolderReport, NameHash, OwnerReply } from './types.js';
+import type { HolderReport, OwnerReply } from './types.js';
 
 /** A part that sees less of the fleet than this claims only its share of each endpoint. */
 const majority = 0.5;
@@ -127,35 +128,11 @@
 		});
 	}
 
-	/** Each class's minimum is served by fixed endpoints, the same for every daemon. */
 	private assignFloors(cfg: ConfigurationView): void {
-		const floors = new Map<string, Set<NameHash>>();
-		for (const target of targetsOf(cfg)) {
-			for (const cls of cfg.document.classes) {
-				const names = cfg.eligible(target, cls.name).map((endpoint) => endpoint.name);
-				const key = `floor ${cls.name} ${target}`;
-				for (const name of rendezvous.pickTop(key, names, cls.floor)) {
-					const classes = floors.get(name) ?? new Set();
-					classes.add(rendezvous.hashName(cls.name));
-					floors.set(name, classes);
-				}
-			}
-		}
+		const floors = floorClasses(cfg);
 		for (const [name, ledger] of this.ledgers) {
-			ledger.setFloors([...(floors.get(name) ?? [])]);
-		}
-	}
-}
-
-function targetsOf(cfg: ConfigurationView): Set<Target> {
-	const targets = new Set<Target>();
-	for (const endpoint of cfg.document.endpoints) {
-		for (const model of endpoint.models) {
-			targets.add(`model:${model}`);
-		}
-		if (endpoint.service !== undefined) {
-			targets.add(`service:${endpoint.service}`);
+			const classes = [...(floors.get(name) ?? [])];
+			ledger.setFloors(classes.map((cls) => rendezvous.hashName(cls)));
 		}
 	}
-	return targets;
 }
--- a/src/daemon/fleet-node.ts
+++ b/src/daemon/fleet-node.ts
@@ -77,6 +77,8 @@
 			onOwnedChanged: (owned) => opts.onOwnedChanged(owned),
 		});
 		this.policy = new GrantedPolicy({
+			self: self.id,
+			fleetSize: () => this.membership.live().length,
 			send: (owner, body) => this.send(owner, { type: 'report', body }),
 			ownerOf: (endpoint) => this.desk.ownerOf(endpoint),
 			preempt: (ticket) => opts.router.preempt(ticket),
--- a/test/fuzz/fleet-model.ts
+++ b/test/fuzz/fleet-model.ts
@@ -401,6 +401,8 @@
 			epoch: () => this.clock.now,
 		});
 		node.granted = new GrantedPolicy({
+			self: id,
+			fleetSize: () => this.nodes.length,
 			send: (to, report) =>
 				this.packets.push({ from: index, to: indexOf(to), report: structuredClone(report) }),
 			ownerOf: (endpoint) => node.desk.ownerOf(endpoint),
