--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import { controlCostBench } from './control-cost.js';
 import { hotPathBench } from './hot-path.js';
 import { kvBench } from './kv.js';
+import { messageCostBench } from './message-cost.js';
 
 /** Options of every bench. */
 export interface BenchArgs {
@@ -32,6 +33,7 @@
 	fleet: fleetBench,
 	'hot-path': (args) => hotPathBench(args.out),
 	'control-cost': (args) => controlCostBench(args.sizes, args.out),
+	'message-cost': (args) => messageCostBench(args.out),
 	kv: (args) => kvBench(args.sizes, args.out),
 };
 
--- a/src/infra/peers/udp-transport.ts
+++ b/src/infra/peers/udp-transport.ts
@@ -59,7 +59,8 @@
 		this.socket.on('error', () => {});
 	}
 
-	async bind(address: string, port: number): Promise<void> {
+	/** Resolves with the port. */
+	async bind(address: string, port: number): Promise<number> {
 		await new Promise<void>((done, failed) => {
 			this.socket.once('error', failed);
 			this.socket.bind(port, address, () => {
@@ -67,6 +68,7 @@
 				done();
 			});
 		});
+		return this.socket.address().port;
 	}
 
 	send(to: PeerAddress, message: PeerMessage): void {
