--- a/bench/control-cost.ts
+++ b/bench/control-cost.ts
@@ -37,11 +37,15 @@
 	kv_calls_s: number;
 }
 
-export async function controlCostBench(sizes: number[], out: string): Promise<void> {
+export async function controlCostBench(
+	sizes: number[],
+	policies: string[],
+	out: string,
+): Promise<void> {
 	const idleRss = await idleRuntimeBytes();
 	const costs: Cost[] = [];
 	for (const daemons of sizes) {
-		for (const policy of ['granted', 'independent']) {
+		for (const policy of policies) {
 			const measured = await measureSize(daemons, policy, idleRss);
 			for (const cost of measured) {
 				costs.push(cost);
@@ -50,7 +54,7 @@
 			process.stdout.write(`${formatTable(measured)}\n`);
 		}
 	}
-	const fits = fitAll(costs);
+	const fits = fitAll(costs, policies);
 	process.stdout.write(`${formatTable(fits)}\n`);
 	await writeResult(out, { bench: 'control-cost-fit', target, fits });
 }
@@ -148,7 +152,7 @@
 	at_target: number;
 }
 
-function fitAll(costs: readonly Cost[]): Fit[] {
+function fitAll(costs: readonly Cost[], policies: readonly string[]): Fit[] {
 	const fits: Fit[] = [];
 	const columns = [
 		'sent_bytes_s',
@@ -157,7 +161,7 @@
 		'rss_over_idle_mb',
 		'kv_calls_s',
 	] as const;
-	for (const policy of ['granted', 'independent']) {
+	for (const policy of policies) {
 		for (const phaseName of ['idle', 'load']) {
 			const rows = costs.filter((cost) => cost.policy === policy && cost.phase === phaseName);
 			for (const what of columns) {
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -225,6 +225,7 @@
 	if (proc.child.exitCode !== null || proc.child.signalCode !== null) {
 		return;
 	}
+	proc.child.setMaxListeners(0);
 	const gone = new Promise((done) => proc.child.once('exit', done));
 	proc.child.kill(signal);
 	await gone;
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -33,7 +33,7 @@
 	'cut-daemon': (args) => burstBench('cut-daemon', args),
 	fleet: fleetBench,
 	'hot-path': (args) => hotPathBench(args.out),
-	'control-cost': (args) => controlCostBench(args.sizes, args.out),
+	'control-cost': (args) => controlCostBench(args.sizes, args.policies, args.out),
 	prefix: prefixBench,
 	'message-cost': (args) => messageCostBench(args.out),
 	kv: (args) => kvBench(args.sizes, args.out),
--- a/src/core/requests/run.ts
+++ b/src/core/requests/run.ts
@@ -329,7 +329,9 @@
 	private mayGoOn(sent: boolean): boolean {
 		const safe = !sent || this.req.repeatable;
 		const resumable = !this.bytesForwarded && !this.stream.plainForwarded;
-		return safe && resumable && this.attempts < maxAttempts && this.host.retries.take();
+		// Going on behind what the caller has is no second request: the budget is for those.
+		const allowed = this.req.offset > 0 || this.host.retries.take();
+		return safe && resumable && this.attempts < maxAttempts && allowed;
 	}
 
 	private finalError(): errors.ErrorData {
--- a/src/core/scheduling/granted-policy.ts
+++ b/src/core/scheduling/granted-policy.ts
@@ -10,6 +10,7 @@
 import { avoids } from '../requests/types.js';
 import { askedEndpoints } from './asked-endpoints.js';
 import type { EntryState, RunResult, Slot, SlotPolicy, Start } from './definitions.js';
+import { chooseAsked } from './first-asked.js';
 import { Holding } from './holding.js';
 import { RecentPrefixes } from './recent-prefixes.js';
 import type { Candidate } from './request-queue.js';
@@ -70,12 +71,17 @@
 		return starts;
 	}
 
-	/** Sends the reports that are due. Called after starts were taken, and in between. */
-	report(state: EntryState): void {
+	/**
+	 * Sends the reports that are due. Called after starts were taken, and in between. True when it
+	 * should be called again soon, since some owners have not been told of waiting work.
+	 */
+	report(state: EntryState): boolean {
 		this.groupEndpoints(state);
+		let again = false;
 		for (const endpoints of this.groups) {
-			this.reportGroup(state, endpoints);
+			again = this.reportGroup(state, endpoints) || again;
 		}
+		return again;
 	}
 
 	/** Takes in what an owner said. */
@@ -229,10 +235,11 @@
 		}
 	}
 
-	private reportGroup(state: EntryState, endpoints: Endpoint[]): void {
+	/** True when some owners have not been told of waiting work. */
+	private reportGroup(state: EntryState, endpoints: Endpoint[]): boolean {
 		const [sample] = endpoints;
 		if (!sample) {
-			return;
+			return false;
 		}
 		const accepts = (head: Request) => isEligible(state, sample, head);
 		const candidates =
@@ -242,17 +249,19 @@
 		const wanted = pickWanted(candidates);
 		const backlog = [...state.queue.backlog(accepts).entries()];
 		const urgentAt = this.urgentEndpoint(endpoints);
-		for (const endpoint of endpoints) {
-			const holding = this.holding(endpoint.name);
-			const mayUrge = endpoint.name === urgentAt;
+		const holdings = endpoints.map((endpoint) => this.holding(endpoint.name));
+		const asked = chooseAsked(holdings, wanted, state.now);
+		for (const holding of holdings) {
+			const mayUrge = holding.endpoint === urgentAt;
 			const want = wanted
-				.filter(({ req }) => !avoids(req, endpoint.name, state.now))
+				.filter(({ req }) => asked.has(holding) && !avoids(req, holding.endpoint, state.now))
 				.map((candidate) => ticketOf(state, candidate, mayUrge));
 			holding.noteWanted(want, state.now);
 			if (isDue(holding, state.now)) {
 				this.sendReport(state, holding, want, backlog);
 			}
 		}
+		return asked.size < holdings.length;
 	}
 
 	private sendReport(
--- a/src/core/scheduling/holding.ts
+++ b/src/core/scheduling/holding.ts
@@ -84,6 +84,11 @@
 		return this.runs.size === 0 && this.idle === 0 && this.told.size === 0;
 	}
 
+	/** Whether the owner has been told of a waiting request. */
+	knows(ticket: number): boolean {
+		return this.told.has(ticket);
+	}
+
 	/** Takes in a reply; false when it is of an older term. */
 	takeIn(reply: OwnerReply, now: number): boolean {
 		if (reply.epoch < this.epoch) {
--- a/src/daemon/fleet-node.ts
+++ b/src/daemon/fleet-node.ts
@@ -9,6 +9,7 @@
 import { memberStates } from '../core/membership/types.js';
 import type { PeerBatch, PeerMessage, PeerTransport } from '../core/peers.js';
 import type { Router } from '../core/requests/router.js';
+import { escalateMs } from '../core/scheduling/first-asked.js';
 import { GrantedPolicy } from '../core/scheduling/granted-policy.js';
 import { OwnerDesk } from '../core/scheduling/owner-desk.js';
 import type { Timeline } from '../core/timeline/index.js';
@@ -65,6 +66,7 @@
 	private decidedAt = 0;
 	private reportDue = false;
 	private reportedAt = 0;
+	private laterTimer?: NodeJS.Timeout;
 
 	constructor(private readonly opts: FleetNodeOptions) {
 		const { clock, random, self } = opts;
@@ -190,12 +192,22 @@
 		this.report();
 	}
 
+	private reportLater(): void {
+		this.laterTimer ??= setTimeout(() => {
+			this.laterTimer = undefined;
+			this.report();
+		}, escalateMs);
+	}
+
 	private report(): void {
 		this.reportDue = false;
 		this.reportedAt = this.opts.clock.monotonic();
 		const state = this.opts.router.state();
 		if (state && state.cfg.document.policy.name === 'granted') {
-			this.policy.report(state);
+			const again = this.policy.report(state);
+			if (again) {
+				this.reportLater();
+			}
 		}
 	}
 
