--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,7 +9,6 @@
 import { hotPathBench } from './hot-path.js';
 import { kvBench } from './kv.js';
 import { messageCostBench } from './message-cost.js';
-import { prefixBench } from './prefix.js';
 
 /** Options of every bench. */
 export interface BenchArgs {
@@ -34,7 +33,6 @@
 	fleet: fleetBench,
 	'hot-path': (args) => hotPathBench(args.out),
 	'control-cost': (args) => controlCostBench(args.sizes, args.policies, args.out),
-	prefix: prefixBench,
 	'message-cost': (args) => messageCostBench(args.out),
 	kv: (args) => kvBench(args.sizes, args.out),
 };
--- a/src/core/configuration/schema.ts
+++ b/src/core/configuration/schema.ts
@@ -97,8 +97,6 @@
 const policy = zod.strictObject({
 	/** @default 'granted' */
 	name: zod.enum(policies).default('granted'),
-	/** Send prompts with a shared start where it ran last, unless that endpoint is much fuller. @default false */
-	prefix_affinity: zod.boolean().default(false),
 	/** Learn limits; else `slots` stays. @default true */
 	learn_limits: zod.boolean().default(true),
 	/** A request that waited for this share of its first-token target may preempt. @default 0.5 */
--- a/src/core/requests/types.ts
+++ b/src/core/requests/types.ts
@@ -40,8 +40,6 @@
 	readonly patientUntil: number;
 	/** Bytes kept while it waits. */
 	readonly bytes: number;
-	/** Hash of the start of the prompt; requests that share it may share a cached prefix. */
-	readonly prefix?: number;
 	/** Since when it waits; later than arrival after a preemption or a broken stream. */
 	waitingSince: number;
 	/** Tokens that the caller has; above 0 after a resume. */
--- a/src/core/scheduling/granted-policy.ts
+++ b/src/core/scheduling/granted-policy.ts
@@ -12,12 +12,9 @@
 import type { EntryState, RunResult, Slot, SlotPolicy, Start } from './definitions.js';
 import { chooseAsked } from './first-asked.js';
 import { Holding } from './holding.js';
-import { RecentPrefixes } from './recent-prefixes.js';
 import type { Candidate } from './request-queue.js';
 import type { HolderReport, NameHash, OwnerReply, Ticket } from './types.js';
 
-/** Load, as a share of the limit, that a likely cached prefix outweighs. */
-const prefixBonus = 0.3;
 /** Best waiting requests told to an owner. */
 const wantedBest = 8;
 /** Waiting requests of one class, customer and target that are looked at. */
@@ -50,7 +47,6 @@
 	private readonly holdings = new Map<string, Holding>();
 	private cachedFor?: EntryState['cfg'];
 	private groups: Endpoint[][] = [];
-	private readonly prefixes = new RecentPrefixes();
 
 	constructor(private readonly opts: GrantedPolicyOptions) {}
 
@@ -202,7 +198,7 @@
 		for (const endpoint of state.cfg.eligible(req.target, req.cls.name)) {
 			const holding = this.holding(endpoint.name);
 			const open = holding.usableIdle > 0 && !avoids(req, endpoint.name, state.now);
-			const load = open ? this.loadFor(state, holding, req) : Number.POSITIVE_INFINITY;
+			const load = open ? holding.load : Number.POSITIVE_INFINITY;
 			if (load < bestLoad) {
 				best = holding;
 				bestLoad = load;
@@ -211,20 +207,10 @@
 		return best;
 	}
 
-	/** An endpoint that likely holds the prompt's prefix counts as a little less loaded. */
-	private loadFor(state: EntryState, holding: Holding, req: Request): number {
-		const wanted = state.cfg.document.policy.prefix_affinity;
-		const likely = wanted && this.prefixes.holds(req.prefix, holding.endpoint);
-		return likely ? holding.load - prefixBonus : holding.load;
-	}
-
 	private start(state: EntryState, holding: Holding, req: Request, floor: boolean): Start {
 		state.queue.remove(req);
 		const slot: Slot = { endpoint: holding.endpoint, floor, startedAt: state.now };
 		holding.started(req, floor, state.now);
-		if (req.prefix !== undefined) {
-			this.prefixes.note(req.prefix, holding.endpoint);
-		}
 		return { req, slot };
 	}
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,7 +3,6 @@
  * @module
  */
 import type * as http from 'node:http';
-import xxhash from 'xxhash-wasm';
 import { KvClaimStore } from '../core/claims/claims.js';
 import { ConfigurationFollower } from '../core/configuration/follower.js';
 import type { Endpoint, VersionedConfiguration } from '../core/configuration/index.js';
@@ -130,7 +129,6 @@
 	}
 
 	async start(): Promise<void> {
-		const { h32 } = await xxhash();
 		const { vm, listen: ports, limits } = this.settings;
 		this.callers = new CallersServer({
 			router: this.router,
@@ -140,7 +138,6 @@
 			limits,
 			configuration: () => this.view,
 			refuses: () => this.refusal(),
-			hashPrefix: (text) => h32(text),
 		});
 		this.control = createControlServer(new DaemonControl(this));
 		const callersPort = await listenOn(this.callers.server, vm.address, ports.callers_port);
--- a/src/infra/callers/body.ts
+++ b/src/infra/callers/body.ts
@@ -6,9 +6,6 @@
 import * as zod from 'zod';
 import * as errors from '../../core/errors/index.js';
 
-/** Characters at the start of a prompt that stand for its prefix. */
-const prefixLength = 512;
-
 /** The parts of an OpenAI-compatible request that the router reads; the rest passes through. */
 const bodySchema = zod.looseObject({
 	model: zod.string('model must be a string').min(1),
@@ -25,8 +22,6 @@
 	stream: boolean;
 	/** Body for the engine; always asks for a stream, which can be resumed. */
 	forEngine: Uint8Array;
-	/** Start of the prompt, which cached prefixes are told by. */
-	prefixText: string;
 }
 
 /** The whole body; throws `TooLarge`. */
@@ -62,7 +57,7 @@
 		: Buffer.from(
 				JSON.stringify({ ...body, stream: true, stream_options: { include_usage: true } }),
 			);
-	return { model: body.model, stream, forEngine, prefixText: prefixOf(body) };
+	return { model: body.model, stream, forEngine };
 }
 
 function parse(raw: Buffer): zod.infer<typeof bodySchema> {
@@ -82,9 +77,3 @@
 	}
 	return parsed.data;
 }
-
-function prefixOf(body: zod.infer<typeof bodySchema>): string {
-	const first = body.messages?.[0]?.content ?? body.prompt;
-	const text = typeof first === 'string' ? first : JSON.stringify(first ?? '');
-	return text.slice(0, prefixLength);
-}
--- a/src/infra/callers/callers-server.ts
+++ b/src/infra/callers/callers-server.ts
@@ -35,8 +35,6 @@
 	configuration: () => ConfigurationView | undefined;
 	/** Why no new requests are taken; undefined when they are. */
 	refuses: () => errors.ErrorData | undefined;
-	/** Hash of a prompt's start. */
-	hashPrefix: (text: string) => number;
 }
 
 export class CallersServer {
@@ -123,7 +121,7 @@
 			body: read.forEngine,
 			streamed: true,
 		};
-		const request = this.makeRequest(cfg, terms, target, raw.length, read.prefixText);
+		const request = this.makeRequest(cfg, terms, target, raw.length);
 		const sink = read.stream
 			? new StreamSink(res, request.id)
 			: new WholeSink(res, request.id, chat, this.opts.limits.answer_bytes);
@@ -156,7 +154,6 @@
 		terms: callerRequest.CallerTerms,
 		target: Target,
 		bytes: number,
-		prefixText?: string,
 	): Request {
 		if (cfg.eligible(target, terms.cls.name).length === 0) {
 			throw new errors.UserError(errors.data.NotFound, [`${target} for class ${terms.cls.name}`]);
@@ -176,7 +173,6 @@
 			deadlineAt: now + terms.deadlineMs,
 			patientUntil: now + Math.min(terms.cls.patience_ms ?? terms.deadlineMs, terms.deadlineMs),
 			bytes: bytes + requestOverheadBytes,
-			prefix: prefixText === undefined ? undefined : this.opts.hashPrefix(prefixText),
 			waitingSince: now,
 			offset: 0,
 			avoid: new Map(),
