--- a/src/core/relay/definitions.ts
+++ b/src/core/relay/definitions.ts
@@ -50,6 +50,9 @@
 	onClosed(callback: () => void): void;
 }
 
+/** Levels of urgency that engines tell apart. */
+export const urgencyLevels = 10;
+
 /** What an engine is handed beside the caller's own request. */
 export interface EngineCall {
 	address: string;
@@ -59,8 +62,8 @@
 	customer?: string;
 	/** What is left of the caller's time, in milliseconds. */
 	deadlineMs: number;
-	/** 0 is the most urgent. */
-	tier: number;
+	/** 0 is the most urgent, `urgencyLevels - 1` the least. */
+	urgency: number;
 	lastEventId?: string;
 }
 
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -6,6 +6,7 @@
 import { RouteTable } from '../routing/route-table.js';
 import type { Customer, Route } from '../routing/types.js';
 import type { CallerRequest, CallerResponse } from './definitions.js';
+import { urgencyLevels } from './definitions.js';
 import type { RelayContext, RelayOutcome } from './relayed-request.js';
 import { RelayedRequest } from './relayed-request.js';
 
@@ -18,6 +19,8 @@
 	routes: () => RouteTable | undefined;
 	/** Whether the configuration in force may be behind; then nothing is denied by it. */
 	mayBeBehind: () => boolean;
+	/** Why a request of the route is not taken now; undefined when it is. */
+	refusal: (route: Route) => string | undefined;
 	onEnd: (outcome: RelayOutcome, request: RelayedRequest) => void;
 }
 
@@ -68,7 +71,14 @@
 			this.deny(req, res, 503, 'the route has no service', table.version);
 			return;
 		}
-		const terms = { req, route, service, customer, configurationVersion: table.version };
+		const urgency = table.urgency(route, customer, urgencyLevels);
+		const configurationVersion = table.version;
+		const terms = { req, route, service, customer, urgency, configurationVersion };
+		const refusal = this.opts.refusal(route);
+		if (refusal !== undefined) {
+			this.deny(req, res, 503, refusal, table.version);
+			return;
+		}
 		const request = new RelayedRequest(this.opts, terms, res, (outcome, ended) => {
 			this.open.delete(ended);
 			this.opts.onEnd(outcome, ended);
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -44,6 +44,8 @@
 	route: Route;
 	service: string;
 	customer?: Customer;
+	/** 0 is the most urgent. */
+	urgency: number;
 	configurationVersion: number;
 }
 
@@ -153,7 +155,7 @@
 
 	private send(placement: Placement, now: number): void {
 		const { engine } = placement;
-		const { req, customer, route } = this.terms;
+		const { req, customer } = this.terms;
 		this.tried.add(engine.id);
 		this.log('request.placed', {
 			engine: engine.id,
@@ -177,7 +179,7 @@
 				req,
 				customer: customer?.name,
 				deadlineMs: this.deadlineAt - now,
-				tier: customer?.tier ?? route.tier,
+				urgency: this.terms.urgency,
 				lastEventId: this.lastEventId,
 			},
 			this.listen(attempt),
--- a/src/core/routing/route-table.ts
+++ b/src/core/routing/route-table.ts
@@ -8,6 +8,8 @@
 	private readonly routesOfHost = new Map<string, Route[]>();
 	private readonly customerOfKey = new Map<string, Customer>();
 	private readonly serviceOfName = new Map<string, Service>();
+	/** Pairs of customer's and route's tier, most urgent first. */
+	private readonly urgencies: readonly string[];
 
 	constructor(readonly configuration: RoutingConfiguration) {
 		for (const route of configuration.routes) {
@@ -29,6 +31,7 @@
 		for (const service of configuration.services) {
 			this.serviceOfName.set(service.name, service);
 		}
+		this.urgencies = urgenciesOf(configuration);
 	}
 
 	get version(): number {
@@ -59,6 +62,16 @@
 		return this.serviceOfName.get(name);
 	}
 
+	/**
+	 * Urgency of a request at an engine: the customer's tier first, then the route's.
+	 * @returns 0 for the most urgent, up to `levels - 1`; the same on every VM
+	 */
+	urgency(route: Route, customer: Customer | undefined, levels: number): number {
+		const rank = this.urgencies.indexOf(urgencyKey(route, customer));
+		const count = this.urgencies.length;
+		return count <= levels ? rank : Math.floor((rank * levels) / count);
+	}
+
 	/**
 	 * Picks a service of the route by weight.
 	 * @param draw a number from 0 up to, not including, 1
@@ -75,3 +88,24 @@
 		return route.services.at(-1)?.service;
 	}
 }
+
+function urgencyKey(route: Route, customer: Customer | undefined): string {
+	return `${customer?.tier ?? route.tier} ${route.tier}`;
+}
+
+function urgenciesOf(configuration: RoutingConfiguration): string[] {
+	const keys = new Set<string>();
+	for (const route of configuration.routes) {
+		keys.add(urgencyKey(route, undefined));
+		for (const customer of configuration.customers) {
+			keys.add(urgencyKey(route, customer));
+		}
+	}
+	return [...keys].sort(byNumbers);
+}
+
+function byNumbers(a: string, b: string): number {
+	const [firstA = 0, secondA = 0] = a.split(' ').map(Number);
+	const [firstB = 0, secondB = 0] = b.split(' ').map(Number);
+	return firstA - firstB || secondA - secondB;
+}
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -10,6 +10,7 @@
 import { RetryBudget } from '../../core/relay/retry-budget.js';
 import type { RelaySettings } from '../../core/relay/settings.js';
 import { ConfigurationState } from '../../core/routing/configuration-state.js';
+import type { Route } from '../../core/routing/types.js';
 import type { PrefixListener } from '../../core/store/prefix-follower.js';
 import { PrefixFollower } from '../../core/store/prefix-follower.js';
 import { CallersFront } from '../../infra/relay/callers-front.js';
@@ -22,8 +23,11 @@
 
 /** Time between two looks at what is due, in milliseconds. */
 const tickMs = 100;
-/** Connections are still accepted for so long after the stop signal; the balancer asks each second and needs two misses. */
-const acceptOnMs = 3000;
+/**
+ * Streams are still taken for so long after the stop signal: the balancer asks each second, needs
+ * two misses, and callers go on using kept connections. Later ones might not end before the kill.
+ */
+const takeStreamsMs = 2900;
 /** What has not ended so long before the kill is cut, in milliseconds. */
 const cutBeforeKillMs = 300;
 /** Time between two looks whether a planned stop is done, in milliseconds. */
@@ -41,7 +45,8 @@
 	private readonly readiness: http.Server;
 	private readonly followers: PrefixFollower[];
 	private readonly timers: NodeJS.Timeout[] = [];
-	private stopping = false;
+	/** When the stop signal came, in monotonic milliseconds. */
+	private stoppingAt?: number;
 
 	constructor(
 		private readonly settings: RelaySettings,
@@ -72,6 +77,7 @@
 			budget: new RetryBudget(settings.retries, () => 12),
 			routes: () => this.configuration.table,
 			mayBeBehind: () => this.followers.some((follower) => !follower.isReachable),
+			refusal: (route) => this.refusal(route),
 			onEnd: () => {},
 		});
 		this.front = new CallersFront({
@@ -106,21 +112,21 @@
 
 	/** Planned stop: not ready at once, open work ends, then the process may end. */
 	async stop(): Promise<void> {
-		if (this.stopping) {
+		if (this.stoppingAt !== undefined) {
 			return;
 		}
-		this.stopping = true;
 		const startedAt = this.clock.monotonic();
+		this.stoppingAt = startedAt;
 		this.log.info('daemon.stopping', { requests: this.relay.size });
 		this.front.stopKeeping();
-		await sleep(acceptOnMs);
-		this.front.server.close();
-		this.front.closeIdle();
-		const cutAt = startedAt + this.settings.stopMs - cutBeforeKillMs;
+		await sleep(takeStreamsMs);
+		const cutAt = this.cutAt(startedAt);
 		while (this.front.open > 0 && this.clock.monotonic() < cutAt) {
+			this.front.closeIdle();
 			await sleep(stopPollMs);
 		}
 		this.relay.cutAll('the daemon stops');
+		this.front.server.close();
 		await this.close();
 		this.log.info('daemon.stopped', { took_ms: Math.round(this.clock.monotonic() - startedAt) });
 	}
@@ -139,7 +145,24 @@
 	}
 
 	private isReady(): boolean {
-		return !this.stopping && this.configuration.table !== undefined;
+		return this.stoppingAt === undefined && this.configuration.table !== undefined;
+	}
+
+	/** While stopping, what may not end before the kill is not begun. */
+	private refusal(route: Route): string | undefined {
+		if (this.stoppingAt === undefined) {
+			return undefined;
+		}
+		const now = this.clock.monotonic();
+		const latest = route.streamed
+			? this.stoppingAt + takeStreamsMs
+			: this.cutAt(this.stoppingAt) - route.timeoutMs;
+		return now > latest ? 'the daemon stops' : undefined;
+	}
+
+	/** What has not ended then is cut. */
+	private cutAt(stoppingAt: number): number {
+		return stoppingAt + this.settings.stopMs - cutBeforeKillMs;
 	}
 
 	private follower(prefix: string, listener: PrefixListener): PrefixFollower {
--- a/src/platform/messages.ts
+++ b/src/platform/messages.ts
@@ -25,9 +25,6 @@
 	'expect',
 ]);
 
-/** Urgency numbers at engines go from 0 to this. */
-const lowestPriority = 9;
-
 /** First value of each header, by lower-case name. */
 type HeaderMap = Map<string, string>;
 
@@ -70,7 +67,7 @@
 	raw.push(headers.attemptId, call.req.id);
 	raw.push(headers.deadline, String(Math.max(1, Math.round(call.deadlineMs))));
 	raw.push(headers.expectInstance, call.engineId);
-	raw.push(headers.priority, String(Math.min(Math.max(0, Math.round(call.tier)), lowestPriority)));
+	raw.push(headers.priority, String(call.urgency));
 	if (call.customer !== undefined) {
 		raw.push(headers.customer, call.customer);
 	}
