--- a/src/core/routing/route-table.ts
+++ b/src/core/routing/route-table.ts
@@ -90,7 +90,7 @@
 }
 
 function urgencyKey(route: Route, customer: Customer | undefined): string {
-	return `${customer?.tier ?? route.tier} ${route.tier}`;
+	return `${route.tier} ${customer?.tier ?? route.tier}`;
 }
 
 function urgenciesOf(configuration: RoutingConfiguration): string[] {
