VMs tell each other their work at engines and where prompts were read

Cause: each VM saw a ninth of the traffic; long prompts met on engines, parts were read again. Change: datagrams with whole state to all registered VMs; placement by the fleet's waiting prompt tokens and known reads; the division of engines follows the fleet's demand; VMs register in the store under a lease; a newer configuration is fetched from a peer.

--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -19,6 +19,7 @@
 	idOf: (key: string) => string;
 	/** No engine listens at this address any more. */
 	onAddressGone: (address: string) => void;
+	onGone: (id: string) => void;
 }
 
 export class EngineDirectory implements PrefixListener {
@@ -133,6 +134,7 @@
 		this.engines.delete(id);
 		const left = (this.ofService.get(service) ?? []).filter((other) => other !== engine);
 		this.ofService.set(service, left);
+		this.opts.onGone(id);
 		this.opts.log.info('engine.gone', { engine: id, service, reason });
 		if (![...this.engines.values()].some((other) => other.entry.address === address)) {
 			this.opts.onAddressGone(address);
--- a/src/core/engines/engine.ts
+++ b/src/core/engines/engine.ts
@@ -1,5 +1,5 @@
 /**
- * One engine as this VM knows it: its registration, its health, the work this VM gave it.
+ * One engine as this VM knows it: its registration, its health.
  * @module
  */
 import { EngineHealth } from './engine-health.js';
@@ -7,10 +7,6 @@
 
 export class Engine {
 	readonly health = new EngineHealth();
-	/** Requests of this VM that run there. */
-	running = 0;
-	/** Prompt tokens of this VM's requests that wait for their first event. */
-	promptTokens = 0;
 	/** Missing in the store since its return; usable until then, in monotonic milliseconds. */
 	missingUntil?: number;
 
--- /dev/null
+++ b/src/core/fleet/demand-meter.ts
@@ -0,0 +1,36 @@
+/**
+ * Prompt tokens a second that callers bring to this VM, over the last seconds.
+ * @module
+ */
+import type { Demand } from './types.js';
+
+/** Time constant of the mean, in milliseconds: follows a burst within a second or two. */
+const meanMs = 1500;
+
+export class DemandMeter {
+	private long = 0;
+	private short = 0;
+	private at = 0;
+
+	add(tokens: number, isLong: boolean, now: number): void {
+		this.decay(now);
+		const rate = (tokens * 1000) / meanMs;
+		if (isLong) {
+			this.long += rate;
+		} else {
+			this.short += rate;
+		}
+	}
+
+	read(now: number): Demand {
+		this.decay(now);
+		return { long: this.long, short: this.short };
+	}
+
+	private decay(now: number): void {
+		const factor = Math.exp((this.at - now) / meanMs);
+		this.at = now;
+		this.long *= factor;
+		this.short *= factor;
+	}
+}
--- /dev/null
+++ b/src/core/fleet/fleet-view.ts
@@ -0,0 +1,230 @@
+/**
+ * This VM's view of the fleet's work: its own, and what its peers tell. Peers send whole state often
+ * enough that a lost or late datagram does no lasting harm.
+ * @module
+ */
+import type { Clock, Log } from '../definitions.js';
+import * as rendezvous from '../membership/rendezvous.js';
+import type { PromptPart } from '../relay/definitions.js';
+import { DemandMeter } from './demand-meter.js';
+import { PromptCacheMap } from './prompt-cache-map.js';
+import type { Demand, EngineRef, EngineWork, PartRead, PeerNews } from './types.js';
+
+/** A peer that was silent for so long is left out, in milliseconds; it speaks every 250 ms. */
+const peerSilentMs = 1000;
+/** A part's use is told again when the last word on it is so old, in milliseconds. */
+const tellReadAgainMs = 4000;
+/** Reads that one datagram carries at the most. */
+const maxReads = 60;
+
+/** What is known of one peer. */
+interface Peer {
+	life: number;
+	seq: number;
+	heardAt: number;
+	address: string;
+	configurationVersion: number;
+	demand: Demand;
+	work: Map<EngineRef, EngineWork>;
+}
+
+export interface FleetViewOptions {
+	self: string;
+	/** Where peers may fetch the configuration, as IP:PORT. */
+	address: string;
+	clock: Clock;
+	log: Log;
+	/** Tells this process from an earlier one of the same VM. */
+	life: number;
+	/** A peer has a newer configuration in force. */
+	onNewerConfiguration: (address: string, version: number) => void;
+}
+
+export class FleetView {
+	private readonly peers = new Map<string, Peer>();
+	private readonly own = new Map<EngineRef, EngineWork>();
+	private readonly changed = new Set<EngineRef>();
+	private reads: PartRead[] = [];
+	private readonly cache = new PromptCacheMap();
+	private readonly meter = new DemandMeter();
+	private seq = 0;
+	configurationVersion = 0;
+
+	constructor(private readonly opts: FleetViewOptions) {}
+
+	/** VMs heard of lately, this one included. */
+	get size(): number {
+		return 1 + [...this.peers.values()].filter((peer) => this.isHeard(peer)).length;
+	}
+
+	/** Whether something changed since the last news. */
+	get hasNews(): boolean {
+		return this.changed.size > 0 || this.reads.length > 0;
+	}
+
+	/** Work of the whole fleet at an engine. */
+	workAt(engineId: string): { running: number; promptTokens: number } {
+		const ref = refOf(engineId);
+		const sum = { running: 0, promptTokens: 0 };
+		addWork(sum, this.own.get(ref));
+		for (const peer of this.peers.values()) {
+			if (this.isHeard(peer)) {
+				addWork(sum, peer.work.get(ref));
+			}
+		}
+		return sum;
+	}
+
+	/** Demand of the whole fleet. */
+	demand(): Demand {
+		const sum = this.meter.read(this.opts.clock.monotonic());
+		for (const peer of this.peers.values()) {
+			if (this.isHeard(peer)) {
+				sum.long += peer.demand.long;
+				sum.short += peer.demand.short;
+			}
+		}
+		return sum;
+	}
+
+	arrived(promptTokens: number, isLong: boolean): void {
+		this.meter.add(promptTokens, isLong, this.opts.clock.monotonic());
+	}
+
+	/** Changes this VM's own work at an engine. */
+	changeWork(engineId: string, running: number, promptTokens: number): void {
+		const ref = refOf(engineId);
+		const work = this.own.get(ref) ?? { engine: ref, running: 0, promptTokens: 0 };
+		work.running += running;
+		work.promptTokens += promptTokens;
+		this.own.set(ref, work);
+		this.changed.add(ref);
+	}
+
+	/** The engine reads these parts for a request of this VM. */
+	read(parts: readonly PromptPart[], engineId: string): void {
+		const now = this.opts.clock.monotonic();
+		const engine = refOf(engineId);
+		for (const { id } of parts) {
+			const part = refOf(id);
+			const age = this.cache.note(part, engine, now);
+			if ((age === undefined || age > tellReadAgainMs) && this.reads.length < maxReads) {
+				this.reads.push({ part, engine });
+			}
+		}
+	}
+
+	/** Tokens at the start of the prompt that the engine is believed to keep. */
+	cachedTokens(parts: readonly PromptPart[], engineId: string): number {
+		const now = this.opts.clock.monotonic();
+		const engine = refOf(engineId);
+		let tokens = 0;
+		for (const part of parts) {
+			if (!this.cache.has(refOf(part.id), engine, now)) {
+				break;
+			}
+			tokens += part.tokens;
+		}
+		return tokens;
+	}
+
+	engineGone(engineId: string): void {
+		const ref = refOf(engineId);
+		this.cache.forgetEngine(ref);
+		this.own.delete(ref);
+	}
+
+	/** @param whole also what has not changed */
+	takeNews(whole: boolean): PeerNews {
+		const work = [...this.own.values()].filter((item) =>
+			whole ? item.running > 0 || item.promptTokens > 0 : this.changed.has(item.engine),
+		);
+		const { reads } = this;
+		this.reads = [];
+		this.changed.clear();
+		this.seq++;
+		return {
+			from: this.opts.self,
+			life: this.opts.life,
+			seq: this.seq,
+			configurationVersion: this.configurationVersion,
+			address: this.opts.address,
+			whole,
+			work: work.map((item) => ({ ...item })),
+			reads,
+			demand: this.meter.read(this.opts.clock.monotonic()),
+		};
+	}
+
+	receive(news: PeerNews): void {
+		if (news.from === this.opts.self) {
+			return;
+		}
+		const peer = this.peerOf(news);
+		if (peer.life === news.life && news.seq <= peer.seq) {
+			return;
+		}
+		if (peer.life !== news.life || news.whole) {
+			peer.work.clear();
+		}
+		const now = this.opts.clock.monotonic();
+		Object.assign(peer, {
+			life: news.life,
+			seq: news.seq,
+			heardAt: now,
+			address: news.address,
+			configurationVersion: news.configurationVersion,
+			demand: news.demand,
+		});
+		for (const item of news.work) {
+			peer.work.set(item.engine, item);
+		}
+		for (const read of news.reads) {
+			this.cache.note(read.part, read.engine, now);
+		}
+		if (news.configurationVersion > this.configurationVersion) {
+			this.opts.onNewerConfiguration(news.address, news.configurationVersion);
+		}
+	}
+
+	/** Logs peers that fell silent and forgets those that did long ago; called each second. */
+	sweep(): void {
+		for (const [id, peer] of this.peers) {
+			if (!this.isHeard(peer)) {
+				this.peers.delete(id);
+				this.opts.log.info('peer.lost', { peer: id, peers: this.peers.size });
+			}
+		}
+	}
+
+	private peerOf(news: PeerNews): Peer {
+		let peer = this.peers.get(news.from);
+		if (!peer) {
+			peer = {
+				life: news.life,
+				seq: -1,
+				heardAt: 0,
+				address: news.address,
+				configurationVersion: 0,
+				demand: { long: 0, short: 0 },
+				work: new Map(),
+			};
+			this.peers.set(news.from, peer);
+			this.opts.log.info('peer.seen', { peer: news.from, peers: this.peers.size });
+		}
+		return peer;
+	}
+
+	private isHeard(peer: Peer): boolean {
+		return this.opts.clock.monotonic() - peer.heardAt < peerSilentMs;
+	}
+}
+
+function refOf(id: string): number {
+	return rendezvous.hashText(id);
+}
+
+function addWork(sum: { running: number; promptTokens: number }, work?: EngineWork): void {
+	sum.running += work?.running ?? 0;
+	sum.promptTokens += work?.promptTokens ?? 0;
+}
--- /dev/null
+++ b/src/core/fleet/vm-registry.ts
@@ -0,0 +1,146 @@
+/**
+ * Keeps this VM registered in the store under a lease, and follows the registrations of the others.
+ * @module
+ */
+import type { Clock, Log, Random } from '../definitions.js';
+import type { HostPort } from '../relay/settings.js';
+import type { Store, StoreChanges, StoreItem } from '../store/definitions.js';
+import { StoreError, storeFailures } from '../store/definitions.js';
+import type { PrefixListener } from '../store/prefix-follower.js';
+
+/** The registration ends so long after the last renewal, in milliseconds. */
+const leaseMs = 12_000;
+/** Time between renewals, in milliseconds; two may fail before the lease ends. */
+const renewMs = 4000;
+/** Between tries to register, in milliseconds; all VMs may try at once after an outage. */
+const retryMs = 1500;
+/** A VM whose registration ended is still told news for so long, in milliseconds. */
+const lingerMs = 10_000;
+
+export interface VmRegistryOptions {
+	store: Store;
+	clock: Clock;
+	random: Random;
+	log: Log;
+	/** Prefix of the keys of all VMs. */
+	prefix: string;
+	vm: string;
+	/** Where this VM hears news. */
+	peers: HostPort;
+	sleep: (ms: number) => Promise<void>;
+	/** A renewal failed: what else waits for the store may hang as well. */
+	onUnreachable: () => void;
+}
+
+interface Listed {
+	address: HostPort;
+	/** Set when the registration ended. */
+	goneAt?: number;
+}
+
+export class VmRegistry implements PrefixListener {
+	private readonly listed = new Map<string, Listed>();
+	private lease?: number;
+	private stopped = false;
+
+	constructor(private readonly opts: VmRegistryOptions) {}
+
+	/** Addresses of the other VMs. */
+	others(): HostPort[] {
+		const now = this.opts.clock.monotonic();
+		const others: HostPort[] = [];
+		for (const [vm, { address, goneAt }] of this.listed) {
+			if (vm !== this.opts.vm && (goneAt === undefined || now - goneAt < lingerMs)) {
+				others.push(address);
+			}
+		}
+		return others;
+	}
+
+	snapshot(items: readonly StoreItem[]): void {
+		const seen = new Set(items.map((item) => this.vmOf(item.key)));
+		for (const item of items) {
+			this.put(item);
+		}
+		for (const vm of this.listed.keys()) {
+			if (!seen.has(vm)) {
+				this.gone(vm);
+			}
+		}
+	}
+
+	changes(changes: StoreChanges): void {
+		for (const event of changes.events) {
+			if (event.kind === 'put') {
+				this.put(event.item);
+			} else {
+				this.gone(this.vmOf(event.key));
+			}
+		}
+	}
+
+	lost(): void {
+		// The VMs known so far are still told news.
+	}
+
+	/** Registers and renews until stopped. */
+	async keep(): Promise<void> {
+		while (!this.stopped) {
+			try {
+				await this.step();
+				await this.opts.sleep(renewMs * (0.9 + 0.2 * this.opts.random.next()));
+			} catch (err) {
+				if (!(err instanceof StoreError)) {
+					throw err;
+				}
+				this.failed(err);
+				await this.opts.sleep(retryMs * (0.5 + this.opts.random.next()));
+			}
+		}
+	}
+
+	/** Ends the registration; the others need not wait for the lease. */
+	async stop(): Promise<void> {
+		this.stopped = true;
+		if (this.lease !== undefined) {
+			await this.opts.store.endLease(this.lease);
+		}
+	}
+
+	private async step(): Promise<void> {
+		if (this.lease !== undefined) {
+			await this.opts.store.renewLease(this.lease);
+			return;
+		}
+		const lease = await this.opts.store.grantLease(leaseMs);
+		const { vm, prefix, peers } = this.opts;
+		await this.opts.store.put(prefix + vm, `${peers.host}:${peers.port}`, lease);
+		this.lease = lease;
+		this.opts.log.info('vm.registered', { lease });
+	}
+
+	private failed(err: StoreError): void {
+		if (err.failure === storeFailures.leaseEnded) {
+			this.lease = undefined;
+		}
+		this.opts.log.warn('vm.renewal-failed', { reason: err.failure, error: err.message });
+		this.opts.onUnreachable();
+	}
+
+	private put(item: StoreItem): void {
+		const at = item.value.lastIndexOf(':');
+		const address = { host: item.value.slice(0, at), port: Number(item.value.slice(at + 1)) };
+		this.listed.set(this.vmOf(item.key), { address });
+	}
+
+	private gone(vm: string): void {
+		const listed = this.listed.get(vm);
+		if (listed) {
+			listed.goneAt ??= this.opts.clock.monotonic();
+		}
+	}
+
+	private vmOf(key: string): string {
+		return key.slice(this.opts.prefix.length);
+	}
+}
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -6,7 +6,9 @@
 import type { Clock, Log } from '../definitions.js';
 import type { Engine } from '../engines/engine.js';
 import type { EngineDirectory } from '../engines/engine-directory.js';
+import { longPromptTokens } from '../engines/engine-division.js';
 import type { EnginePlacement, Placement } from '../engines/placement.js';
+import type { FleetView } from '../fleet/fleet-view.js';
 import type { Customer, Route } from '../routing/types.js';
 import { repeatabilities } from '../routing/types.js';
 import type {
@@ -37,6 +39,9 @@
 	placement: EnginePlacement;
 	transport: EngineTransport;
 	budget: RetryBudget;
+	fleet: FleetView;
+	/** This VM's work at some engine changed. */
+	onWorkChanged: () => void;
 }
 
 export interface RequestTerms {
@@ -65,6 +70,8 @@
 /** One send to one engine. */
 interface Attempt {
 	engine: Engine;
+	/** Prompt tokens that the engine is expected to read. */
+	promptTokens: number;
 	call?: RunningCall;
 	sentAt?: number;
 	head?: AnswerHead;
@@ -119,7 +126,11 @@
 	}
 
 	start(): void {
-		this.ctx.budget.requested(this.terms.service, this.ctx.clock.monotonic());
+		const { service, req } = this.terms;
+		this.ctx.budget.requested(service, this.ctx.clock.monotonic());
+		if (req.parts.length > 0) {
+			this.ctx.fleet.arrived(req.promptTokens, req.promptTokens > longPromptTokens);
+		}
 		this.place();
 	}
 
@@ -160,12 +171,12 @@
 		this.log('request.placed', {
 			engine: engine.id,
 			reason: placement.reason,
-			engine_running: engine.running,
 			left_ms: Math.round(this.deadlineAt - now),
 			last_event: this.lastEventId,
 		});
 		const attempt: Attempt = {
 			engine,
+			promptTokens: placement.promptTokens,
 			splitter: new EventSplitter(),
 			held: [],
 			heldBytes: 0,
@@ -208,9 +219,10 @@
 	private sent(attempt: Attempt): void {
 		const now = this.ctx.clock.monotonic();
 		attempt.sentAt = now;
-		attempt.engine.running++;
-		attempt.engine.promptTokens += this.terms.req.promptTokens;
-		attempt.engine.health.sent(now, this.terms.req.promptTokens);
+		attempt.engine.health.sent(now, attempt.promptTokens);
+		this.ctx.fleet.changeWork(attempt.engine.id, 1, attempt.promptTokens);
+		this.ctx.fleet.read(this.terms.req.parts.slice(0, -1), attempt.engine.id);
+		this.ctx.onWorkChanged();
 		this.sentTo.add(attempt.engine.id);
 	}
 
@@ -389,7 +401,8 @@
 	private markStarted(attempt: Attempt): void {
 		if (!attempt.started) {
 			attempt.started = true;
-			attempt.engine.promptTokens -= this.terms.req.promptTokens;
+			this.ctx.fleet.changeWork(attempt.engine.id, 0, -attempt.promptTokens);
+			this.ctx.onWorkChanged();
 		}
 	}
 
@@ -402,8 +415,8 @@
 		this.attempt = undefined;
 		if (attempt.sentAt !== undefined) {
 			this.markStarted(attempt);
-			attempt.engine.running--;
-			attempt.engine.health.ended(this.terms.req.promptTokens);
+			this.ctx.fleet.changeWork(attempt.engine.id, -1, 0);
+			attempt.engine.health.ended(attempt.promptTokens);
 		}
 	}
 
--- a/src/core/store/prefix-follower.ts
+++ b/src/core/store/prefix-follower.ts
@@ -29,6 +29,8 @@
 	random: Random;
 	log: Log;
 	listener: PrefixListener;
+	/** Pause between two watches, in milliseconds: changes of that time come with one call. */
+	pauseMs: number;
 	sleep: (ms: number) => Promise<void>;
 }
 
@@ -96,6 +98,7 @@
 			revision = changes.revision;
 			if (changes.events.length > 0) {
 				listener.changes(changes);
+				await this.opts.sleep(this.opts.pauseMs);
 			}
 		}
 	}
--- /dev/null
+++ b/src/daemon/relay/peer-exchange.ts
@@ -0,0 +1,107 @@
+/**
+ * News and configurations between VMs: datagrams for news, one HTTP call for a configuration that a
+ * peer has and this VM has not, such as when the store turns this VM away.
+ * @module
+ */
+import * as http from 'node:http';
+import * as undici from 'undici';
+import type { Log } from '../../core/definitions.js';
+import type { FleetView } from '../../core/fleet/fleet-view.js';
+import type { HostPort } from '../../core/relay/settings.js';
+import { PeerDatagrams } from '../../infra/relay/peer-datagrams.js';
+
+/** Least time between two datagrams to each peer, in milliseconds. */
+const newsMs = 10;
+/** Datagrams that one VM sends in a second at the most; larger fleets hear less often. */
+const datagramsPerSecond = 600;
+/** All of this VM's work is told at least so often, in milliseconds. */
+const wholeMs = 250;
+/** A peer that has the configuration answers in a few milliseconds. */
+const fetchTimeoutMs = 800;
+const configurationPath = '/configuration';
+
+export interface PeerExchangeOptions {
+	log: Log;
+	listen: HostPort;
+	fleet: FleetView;
+	/** Addresses for datagrams. */
+	others: () => readonly HostPort[];
+	/** The configuration in force as text. */
+	configuration: () => string | undefined;
+	offer: (text: string, source: string) => void;
+}
+
+export class PeerExchange {
+	readonly server: http.Server;
+	private readonly datagrams: PeerDatagrams;
+	private timer?: NodeJS.Timeout;
+	private wholeTimer?: NodeJS.Timeout;
+	private fetching = false;
+	private sentAt = 0;
+
+	constructor(private readonly opts: PeerExchangeOptions) {
+		this.datagrams = new PeerDatagrams(opts.log, (news) => opts.fleet.receive(news));
+		this.server = http.createServer((req, res) => this.serve(req, res));
+	}
+
+	async start(): Promise<void> {
+		await this.datagrams.bind(this.opts.listen);
+		this.wholeTimer = setInterval(() => this.send(true), wholeMs);
+	}
+
+	/** Something changed that peers should know. */
+	changed(): void {
+		this.timer ??= setTimeout(() => this.send(false), this.untilNext());
+	}
+
+	/** Fetches the configuration of a peer; one call at a time, news come again soon. */
+	async fetch(address: string): Promise<void> {
+		if (this.fetching) {
+			return;
+		}
+		this.fetching = true;
+		try {
+			const res = await undici.request(`http://${address}${configurationPath}`, {
+				signal: AbortSignal.timeout(fetchTimeoutMs),
+			});
+			const text = await res.body.text();
+			if (res.statusCode === 200) {
+				this.opts.offer(text, `peer ${address}`);
+			}
+		} catch (err) {
+			const error = (err as Error).message;
+			this.opts.log.warn('configuration.fetch-failed', { peer: address, error });
+		} finally {
+			this.fetching = false;
+		}
+	}
+
+	stop(): void {
+		clearTimeout(this.timer);
+		clearInterval(this.wholeTimer);
+		this.datagrams.close();
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	private send(whole: boolean): void {
+		clearTimeout(this.timer);
+		this.timer = undefined;
+		if (whole || this.opts.fleet.hasNews) {
+			this.sentAt = performance.now();
+			this.datagrams.send(this.opts.others(), this.opts.fleet.takeNews(whole));
+		}
+	}
+
+	/** Fast after a quiet time; under load changes wait for each other. */
+	private untilNext(): number {
+		const spacing = Math.max(newsMs, (this.opts.others().length * 1000) / datagramsPerSecond);
+		return Math.max(0, this.sentAt + spacing - performance.now());
+	}
+
+	private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
+		const text = req.url === configurationPath ? this.opts.configuration() : undefined;
+		res.writeHead(text === undefined ? 404 : 200, { 'content-type': 'application/json' });
+		res.end(text ?? '');
+	}
+}
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -6,6 +6,8 @@
 import type { Log } from '../../core/definitions.js';
 import { EngineDirectory } from '../../core/engines/engine-directory.js';
 import { EnginePlacement } from '../../core/engines/placement.js';
+import { FleetView } from '../../core/fleet/fleet-view.js';
+import { VmRegistry } from '../../core/fleet/vm-registry.js';
 import { Relay } from '../../core/relay/relay.js';
 import { RetryBudget } from '../../core/relay/retry-budget.js';
 import type { RelaySettings } from '../../core/relay/settings.js';
@@ -20,9 +22,16 @@
 import { SystemRandom } from '../../infra/system-random.js';
 import * as platform from '../../platform/index.js';
 import { listenOn } from '../listen.js';
+import { PeerExchange } from './peer-exchange.js';
 
 /** Time between two looks at what is due, in milliseconds. */
 const tickMs = 100;
+/** Changes of engines within this time come with one call, in milliseconds; leaving has 2 s. */
+const enginesPauseMs = 200;
+/** The same for VMs, in milliseconds; a VM that is not listed yet hears news by its own first. */
+const vmsPauseMs = 500;
+/** Time between two looks for silent peers, in milliseconds. */
+const peerSweepMs = 1000;
 /**
  * Streams are still taken for so long after the stop signal: the balancer asks each second, needs
  * two misses, and callers go on using kept connections. Later ones might not end before the kill.
@@ -41,6 +50,9 @@
 	private readonly engines: EngineDirectory;
 	private readonly configuration: ConfigurationState;
 	private readonly relay: Relay;
+	private readonly fleet: FleetView;
+	private readonly peers: PeerExchange;
+	private readonly registry: VmRegistry;
 	private readonly front: CallersFront;
 	private readonly readiness: http.Server;
 	private readonly followers: PrefixFollower[];
@@ -60,12 +72,44 @@
 			decode: platform.decodeEngine,
 			idOf: platform.engineIdOf,
 			onAddressGone: (address) => transport.forget(address),
+			onGone: (id) => this.fleet.engineGone(id),
+		});
+		const { peers } = settings.listen;
+		this.fleet = new FleetView({
+			self: settings.vm.id,
+			address: `${peers.host}:${peers.port}`,
+			clock,
+			log,
+			life: Math.floor(random.next() * 2 ** 32),
+			onNewerConfiguration: (address) => void this.peers.fetch(address),
+		});
+		this.registry = new VmRegistry({
+			store: this.store,
+			clock,
+			random,
+			log,
+			prefix: platform.keys.vms,
+			vm: settings.vm.id,
+			peers,
+			sleep,
+			onUnreachable: () => this.restartFollowers(),
+		});
+		this.peers = new PeerExchange({
+			log,
+			listen: peers,
+			fleet: this.fleet,
+			others: () => this.registry.others(),
+			configuration: () => this.configuration.text,
+			offer: (text, source) => this.configuration.offer(text, source),
 		});
 		this.configuration = new ConfigurationState({
 			log,
 			key: platform.keys.configuration,
 			decode: platform.decodeConfiguration,
-			onApplied: (table) => this.front.configure(table.configuration.limits),
+			onApplied: (table) => {
+				this.fleet.configurationVersion = table.version;
+				this.front.configure(table.configuration.limits);
+			},
 		});
 		this.relay = new Relay({
 			clock,
@@ -73,8 +117,10 @@
 			log,
 			transport,
 			engines: this.engines,
-			placement: new EnginePlacement(random),
-			budget: new RetryBudget(settings.retries, () => 12),
+			placement: new EnginePlacement(random, this.fleet),
+			fleet: this.fleet,
+			onWorkChanged: () => this.peers.changed(),
+			budget: new RetryBudget(settings.retries, () => this.fleet.size),
 			routes: () => this.configuration.table,
 			mayBeBehind: () => this.followers.some((follower) => !follower.isReachable),
 			refusal: (route) => this.refusal(route),
@@ -88,22 +134,24 @@
 		});
 		this.readiness = createReadinessServer(() => this.isReady());
 		this.followers = [
-			this.follower(platform.keys.configuration, this.configuration),
-			this.follower(platform.keys.engines, this.engines),
+			this.follower(platform.keys.configuration, this.configuration, 0),
+			this.follower(platform.keys.engines, this.engines, enginesPauseMs),
+			this.follower(platform.keys.vms, this.registry, vmsPauseMs),
 		];
 	}
 
 	async start(): Promise<void> {
-		const { callers, readiness } = this.settings.listen;
+		const { callers, readiness, peers } = this.settings.listen;
+		await this.peers.start();
+		await listenOn(this.peers.server, peers.host, peers.port);
 		await listenOn(this.front.server, callers.host, callers.port);
 		await listenOn(this.readiness, readiness.host, readiness.port);
 		for (const follower of this.followers) {
-			follower.follow().catch((err: Error) => {
-				this.log.error('store.follow-failed', { error: err.stack });
-				process.exit(1);
-			});
+			this.runForever(follower.follow());
 		}
+		this.runForever(this.registry.keep());
 		this.timers.push(setInterval(() => this.engines.sweep(), tickMs));
+		this.timers.push(setInterval(() => this.fleet.sweep(), peerSweepMs));
 		this.log.info('daemon.started', {
 			callers_port: callers.port,
 			domain: this.settings.vm.domain,
@@ -138,12 +186,30 @@
 		for (const timer of this.timers) {
 			clearInterval(timer);
 		}
+		this.peers.stop();
+		await this.registry.stop().catch((err: Error) => {
+			this.log.warn('vm.registration-not-ended', { error: err.message });
+		});
 		this.readiness.close();
 		this.readiness.closeAllConnections();
 		await this.transport.close();
 		await this.store.close();
 	}
 
+	/** An error that is no failure of the store is a defect: the process ends and is started anew. */
+	private runForever(loop: Promise<void>): void {
+		loop.catch((err: Error) => {
+			this.log.error('daemon.failed', { error: err.stack });
+			setImmediate(() => process.exit(1));
+		});
+	}
+
+	private restartFollowers(): void {
+		for (const follower of this.followers) {
+			follower.restart();
+		}
+	}
+
 	private isReady(): boolean {
 		return this.stoppingAt === undefined && this.configuration.table !== undefined;
 	}
@@ -165,9 +231,9 @@
 		return stoppingAt + this.settings.stopMs - cutBeforeKillMs;
 	}
 
-	private follower(prefix: string, listener: PrefixListener): PrefixFollower {
+	private follower(prefix: string, listener: PrefixListener, pauseMs: number): PrefixFollower {
 		const { store, clock, random, log } = this;
-		return new PrefixFollower({ store, prefix, clock, random, log, listener, sleep });
+		return new PrefixFollower({ store, prefix, clock, random, log, listener, pauseMs, sleep });
 	}
 }
 
--- /dev/null
+++ b/src/infra/relay/peer-datagrams.ts
@@ -0,0 +1,121 @@
+/**
+ * News between VMs as MessagePack datagrams. Nothing is sent again: each message carries whole state
+ * of what it names, and all of it often enough.
+ * @module
+ */
+import * as dgram from 'node:dgram';
+import * as msgpack from '@msgpack/msgpack';
+import type { Log } from '../../core/definitions.js';
+import type { Demand, PeerNews } from '../../core/fleet/types.js';
+import type { HostPort } from '../../core/relay/settings.js';
+
+/** Format of the message; peers of another one are not understood. */
+const format = 1;
+/** Payload that fits a usual path without fragments, in bytes. */
+const maxPayload = 1400;
+
+type Row = readonly unknown[];
+
+export class PeerDatagrams {
+	private readonly socket = dgram.createSocket('udp4');
+	private refused = 0;
+
+	constructor(
+		private readonly log: Log,
+		private readonly onNews: (news: PeerNews) => void,
+	) {
+		this.socket.on('message', (datagram) => this.receive(datagram));
+		this.socket.on('error', (err) => this.log.warn('peers.socket-failed', { error: err.message }));
+	}
+
+	async bind(address: HostPort): Promise<void> {
+		await new Promise<void>((done, failed) => {
+			this.socket.once('error', failed);
+			this.socket.bind(address.port, address.host, () => {
+				this.socket.off('error', failed);
+				done();
+			});
+		});
+	}
+
+	send(to: readonly HostPort[], news: PeerNews): void {
+		const datagram = encode(news);
+		for (const { host, port } of to) {
+			// A datagram that is lost, here or on the way, is made good by the next.
+			this.socket.send(datagram, port, host, () => {});
+		}
+	}
+
+	close(): void {
+		this.socket.close();
+	}
+
+	private receive(datagram: Buffer): void {
+		const news = decode(datagram);
+		if (news) {
+			this.onNews(news);
+			return;
+		}
+		this.refused++;
+		if (this.refused === 1) {
+			this.log.warn('peers.unreadable', { bytes: datagram.length });
+		}
+	}
+}
+
+export function encode(news: PeerNews): Uint8Array {
+	const { reads, work } = news;
+	const datagram = pack(news, reads, work);
+	if (datagram.length <= maxPayload) {
+		return datagram;
+	}
+	// What does not fit is left out: hints on reads first, then work beyond the first engines.
+	const shorter = pack(news, [], work);
+	return shorter.length <= maxPayload ? shorter : pack(news, [], work.slice(0, 80));
+}
+
+function pack(news: PeerNews, reads: PeerNews['reads'], work: PeerNews['work']): Uint8Array {
+	return msgpack.encode([
+		format,
+		news.from,
+		news.life,
+		news.seq,
+		news.configurationVersion,
+		news.address,
+		news.whole,
+		work.map((item) => [item.engine, item.running, Math.round(item.promptTokens)]),
+		reads.map((item) => [item.part, item.engine]),
+		[Math.round(news.demand.long), Math.round(news.demand.short)],
+	]);
+}
+
+/** @returns undefined for bytes that are no news of this format */
+export function decode(datagram: Uint8Array): PeerNews | undefined {
+	let row: unknown;
+	try {
+		row = msgpack.decode(datagram);
+	} catch {
+		return undefined;
+	}
+	if (!Array.isArray(row) || row[0] !== format || row.length < 10) {
+		return undefined;
+	}
+	const [, from, life, seq, version, address, whole, work, reads, demand] = row as Row;
+	const [long = 0, short = 0] = demand as number[];
+	const told: Demand = { long, short };
+	return {
+		from: String(from),
+		life: Number(life),
+		seq: Number(seq),
+		configurationVersion: Number(version),
+		address: String(address),
+		whole: whole === true,
+		work: (work as number[][]).map(([engine = 0, running = 0, promptTokens = 0]) => ({
+			engine,
+			running,
+			promptTokens,
+		})),
+		reads: (reads as number[][]).map(([part = 0, engine = 0]) => ({ part, engine })),
+		demand: told,
+	};
+}
