Engines are divided by work; short requests cross over; hopeless waits are refused

The share had counted prompt tokens only, no answers, and knew no slots. Change: demand in engine-milliseconds (reading and answers), a side's need by how busy it may be, short first in scarcity; requests beyond the slots cost waiting; short ones cross over; a request that would wait over 0.35 of its time is refused at once.

--- a/src/core/engines/engine-division.ts
+++ b/src/core/engines/engine-division.ts
@@ -8,15 +8,13 @@
 import * as rendezvous from '../membership/rendezvous.js';
 import type { Engine } from './engine.js';
 
-/** A prompt of more tokens is long: read in chunks, it holds up a stream for several events. */
-export const longPromptTokens = 4000;
 /** Share of long prompts before there is any demand. */
-const firstShare = 0.6;
-/** Bounds of the share; each side keeps some engines, so that a burst finds them. */
-const leastShare = 0.3;
-const mostShare = 0.8;
-/** Long prompts cost more a token, since each token is weighed against all before it. */
-const longWeight = 1.2;
+const firstShare = 0.5;
+/** How busy engines of each side should be at the most; first tokens of short requests are due sooner. */
+const shortBusy = 0.6;
+const longBusy = 0.8;
+/** Long prompts keep at least this share of the engines while there are any. */
+const leastLongShare = 0.25;
 /** The border moves when the wanted place is farther away, in engines. */
 const border = 0.75;
 /** A service with fewer engines is not divided. */
@@ -53,13 +51,23 @@
 	}
 
 	private longCount(engines: number, demand: Demand): number {
-		const long = demand.long * longWeight;
-		const total = long + demand.short;
-		const share = total > 0 ? long / total : firstShare;
-		const wanted = engines * Math.min(Math.max(share, leastShare), mostShare);
+		const wanted = wantedLong(engines, demand);
 		const current = this.count ?? Math.round(wanted);
 		const moved = Math.abs(wanted - current) > border ? Math.round(wanted) : current;
 		this.count = Math.min(Math.max(moved, 1), engines - 1);
 		return this.count;
 	}
 }
+
+/** In plenty both sides grow alike; in scarcity short requests, which cost little each, come first. */
+function wantedLong(engines: number, demand: Demand): number {
+	const short = demand.short / shortBusy;
+	const long = demand.long / longBusy;
+	if (short + long === 0) {
+		return engines * firstShare;
+	}
+	if (short + long <= engines) {
+		return (engines * long) / (short + long);
+	}
+	return Math.max(engines - short, engines * leastLongShare);
+}
--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -1,18 +1,18 @@
 /**
  * Chooses the engine for a request from what the fleet knows: where its prompt was read, and what
- * waits there.
+ * waits there. Refuses what no engine could begin in time.
  * @module
  */
 import type { Random } from '../definitions.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type { PromptPart } from '../relay/definitions.js';
+import type { EngineModel } from '../routing/types.js';
 import type { Engine } from './engine.js';
 import type { Division } from './engine-division.js';
-import { EngineDivision, longPromptTokens } from './engine-division.js';
+import { EngineDivision } from './engine-division.js';
+import { longPromptTokens, readingMs, workMs } from './work-estimate.js';
 
-/** Prompt tokens that an engine reads in a millisecond; both known sites say 62 to 66. */
-const promptTokensPerMs = 60;
 /**
  * What it costs to read a shared token again, beside the reading itself, in milliseconds of waiting:
  * a part of 5,000 tokens goes to another engine when its own would let it wait for a second.
@@ -20,13 +20,25 @@
 const rereadMsPerToken = 0.2;
 /** Each request that runs beside slows a step a little, in milliseconds of waiting. */
 const runningMs = 1;
+/** Each request beyond the slots of an engine waits for one to end, in milliseconds. */
+const queuedMs = 60;
 /** Costs that differ by less are taken for equal, in milliseconds; hashing then decides alike on all VMs. */
 const costStepMs = 8;
+/** A short request goes to the engines of long ones when its own would let it wait longer, in milliseconds. */
+const crossMs = 150;
+/** A request that would wait for longer than this share of its time is refused at once. */
+const longestWaitShare = 0.35;
+/** Seconds after which a caller refused in overload may come back. */
+const overloadedS = 0.5;
 
 export interface PlacementRequest {
 	service: string;
 	parts: readonly PromptPart[];
 	promptTokens: number;
+	answerTokens: number;
+	/** Time that the caller still waits, in milliseconds. */
+	leftMs: number;
+	model?: EngineModel;
 	/** Engines that already had this request. */
 	tried: ReadonlySet<string>;
 }
@@ -35,10 +47,27 @@
 	engine: Engine;
 	/** Prompt tokens that it will have to read. */
 	promptTokens: number;
+	/** Tokens of its memory that the request takes for itself. */
+	heldTokens: number;
 	/** Why this one, for the log. */
 	reason: string;
 }
 
+export interface Refusal {
+	refusal: string;
+	retryAfterS: number;
+}
+
+interface Candidate {
+	engine: Engine;
+	/** Milliseconds until its prompt is read. */
+	waitMs: number;
+	/** Wait and what it costs the others, in steps. */
+	cost: number;
+	uncached: number;
+	score: number;
+}
+
 export class EnginePlacement {
 	private readonly divisions = new Map<string, EngineDivision>();
 
@@ -48,10 +77,10 @@
 	) {}
 
 	/** @param engines those of the service that may be given work, in an order all VMs share */
-	choose(req: PlacementRequest, engines: readonly Engine[], now: number): Placement | undefined {
+	choose(req: PlacementRequest, engines: readonly Engine[], now: number): Placement | Refusal {
 		const open = engines.filter((engine) => !req.tried.has(engine.id) && engine.health.admits(now));
 		if (open.length === 0) {
-			return undefined;
+			return { refusal: 'no engine of the service can be used', retryAfterS: overloadedS };
 		}
 		return req.parts.length === 0 ? this.leastRunning(open) : this.byPrompt(req, engines, open);
 	}
@@ -62,40 +91,72 @@
 		const least = Math.min(...loads);
 		const best = open.filter((_, at) => loads[at] === least);
 		const engine = best[Math.floor(this.random.next() * best.length)] as Engine;
-		return { engine, promptTokens: 0, reason: `least running ${least.toFixed(2)}` };
+		const reason = `least running ${least.toFixed(2)}`;
+		return { engine, promptTokens: 0, heldTokens: 0, reason };
 	}
 
 	private byPrompt(
 		req: PlacementRequest,
 		engines: readonly Engine[],
 		open: readonly Engine[],
-	): Placement {
+	): Placement | Refusal {
 		const isLong = req.promptTokens > longPromptTokens;
 		const division = this.divisionOf(req.service, engines);
 		const side = isLong ? division.long : division.short;
-		const near = open.filter((engine) => side.has(engine.id));
-		const pool = near.length > 0 ? near : open;
+		const best = this.bestOf(req, open, side, isLong);
+		if (best.waitMs > req.leftMs * longestWaitShare) {
+			return {
+				refusal: `the prompt would wait ${Math.round(best.waitMs)} ms`,
+				retryAfterS: overloadedS,
+			};
+		}
+		const { engine, uncached, waitMs } = best;
+		this.fleet.arrived(workMs({ promptTokens: uncached, answerTokens: req.answerTokens }), isLong);
+		return {
+			engine,
+			promptTokens: uncached,
+			heldTokens: ownTokens(req) + req.answerTokens,
+			reason: `${isLong ? 'long' : 'short'} prompt, wait ${Math.round(waitMs)} ms`,
+		};
+	}
+
+	/** The cheapest engine of the request's side, or of all where that one is much cheaper. */
+	private bestOf(
+		req: PlacementRequest,
+		open: readonly Engine[],
+		side: ReadonlySet<string>,
+		isLong: boolean,
+	): Candidate {
+		const own = open.filter((engine) => side.has(engine.id));
+		const others = open.filter((engine) => !side.has(engine.id));
+		const ownBest = cheapest(own.map((engine) => this.weigh(req, engine)));
+		if (ownBest && (isLong || ownBest.waitMs < crossMs)) {
+			return ownBest;
+		}
+		const otherBest = cheapest(others.map((engine) => this.weigh(req, engine)));
+		if (!ownBest || !otherBest) {
+			return (ownBest ?? otherBest) as Candidate;
+		}
+		return otherBest.waitMs + crossMs < ownBest.waitMs ? otherBest : ownBest;
+	}
+
+	private weigh(req: PlacementRequest, engine: Engine): Candidate {
 		const shared = req.parts.slice(0, -1);
 		const key = shared.at(-1)?.id ?? req.parts[0]?.id ?? '';
-		let best: { engine: Engine; cost: number; uncached: number; score: number } | undefined;
-		for (const engine of pool) {
-			const work = this.fleet.workAt(engine.id);
-			const cached = this.fleet.cachedTokens(shared, engine.id);
-			const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
-			const uncached = Math.max(0, req.promptTokens - cached);
-			const exact =
-				(work.promptTokens + uncached) / promptTokensPerMs +
-				work.running * runningMs +
-				(sharedTokens - cached) * rereadMsPerToken;
-			const cost = Math.round(exact / costStepMs);
-			const score = rendezvous.scoreOf(key, engine.id);
-			if (!best || cost < best.cost || (cost === best.cost && score > best.score)) {
-				best = { engine, cost, uncached, score };
-			}
-		}
-		const { engine, cost, uncached } = best as NonNullable<typeof best>;
-		const reason = `${isLong ? 'long' : 'short'} prompt, cost ${cost * costStepMs} ms`;
-		return { engine, promptTokens: uncached, reason };
+		const work = this.fleet.workAt(engine.id);
+		const cached = this.fleet.cachedTokens(shared, engine.id);
+		const uncached = Math.max(0, req.promptTokens - cached);
+		const queued = Math.max(0, work.running + 1 - engine.entry.slots);
+		const waitMs = readingMs(work.promptTokens + uncached) + queued * queuedMs;
+		const reread = (tokensOf(shared) - cached) * rereadMsPerToken;
+		const cost = waitMs + work.running * runningMs + reread;
+		return {
+			engine,
+			waitMs,
+			cost: Math.round(cost / costStepMs),
+			uncached,
+			score: rendezvous.scoreOf(key, engine.id),
+		};
 	}
 
 	private divisionOf(service: string, engines: readonly Engine[]): Division {
@@ -107,3 +168,23 @@
 		return division.divide(engines, this.fleet.demand());
 	}
 }
+
+function cheapest(candidates: readonly Candidate[]): Candidate | undefined {
+	let best: Candidate | undefined;
+	for (const candidate of candidates) {
+		const equal = best !== undefined && candidate.cost === best.cost;
+		if (!best || candidate.cost < best.cost || (equal && candidate.score > best.score)) {
+			best = candidate;
+		}
+	}
+	return best;
+}
+
+function tokensOf(parts: readonly PromptPart[]): number {
+	return parts.reduce((sum, part) => sum + part.tokens, 0);
+}
+
+/** Tokens of the prompt that no other request shares. */
+function ownTokens(req: PlacementRequest): number {
+	return Math.max(0, req.promptTokens - tokensOf(req.parts.slice(0, -1)));
+}
--- /dev/null
+++ b/src/core/engines/work-estimate.ts
@@ -0,0 +1,30 @@
+/**
+ * How much work a request is for a model engine, from its tokens alone.
+ * @module
+ */
+
+/** A prompt of more tokens is long: read in chunks, it holds up a stream for several events. */
+export const longPromptTokens = 4000;
+/** Prompt tokens that an engine reads in a millisecond; both known sites say 62 to 66. */
+export const promptTokensPerMs = 60;
+/** Tokens that a well filled engine makes in a millisecond over all its streams; from their step times. */
+const answerTokensPerMs = 12;
+/** Each token of a long prompt is weighed against all before it, which slows reading; from the known sites. */
+const longPromptWeight = 1.25;
+
+export interface RequestSize {
+	/** Prompt tokens that the engine has to read. */
+	promptTokens: number;
+	answerTokens: number;
+}
+
+/** How long reading the prompt keeps an engine busy, in milliseconds. */
+export function readingMs(promptTokens: number): number {
+	const weight = promptTokens > longPromptTokens ? longPromptWeight : 1;
+	return (promptTokens * weight) / promptTokensPerMs;
+}
+
+/** How long the whole request keeps an engine busy, in milliseconds. */
+export function workMs(size: RequestSize): number {
+	return readingMs(size.promptTokens) + size.answerTokens / answerTokensPerMs;
+}
--- a/src/core/fleet/demand-meter.ts
+++ b/src/core/fleet/demand-meter.ts
@@ -1,5 +1,5 @@
 /**
- * Prompt tokens a second that callers bring to this VM, over the last seconds.
+ * Work that callers bring to this VM, over the last seconds, in engines kept busy by it.
  * @module
  */
 import type { Demand } from './types.js';
@@ -12,9 +12,10 @@
 	private short = 0;
 	private at = 0;
 
-	add(tokens: number, isLong: boolean, now: number): void {
+	/** @param workMs how long the request keeps an engine busy */
+	add(workMs: number, isLong: boolean, now: number): void {
 		this.decay(now);
-		const rate = (tokens * 1000) / meanMs;
+		const rate = workMs / meanMs;
 		if (isLong) {
 			this.long += rate;
 		} else {
--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -63,9 +63,9 @@
 	}
 
 	/** Work of the whole fleet at an engine. */
-	workAt(engineId: string): { running: number; promptTokens: number } {
+	workAt(engineId: string): EngineWork {
 		const ref = refOf(engineId);
-		const sum = { running: 0, promptTokens: 0 };
+		const sum = { engine: ref, running: 0, promptTokens: 0, heldTokens: 0 };
 		addWork(sum, this.own.get(ref));
 		for (const peer of this.peers.values()) {
 			if (this.isHeard(peer)) {
@@ -87,16 +87,19 @@
 		return sum;
 	}
 
-	arrived(promptTokens: number, isLong: boolean): void {
-		this.meter.add(promptTokens, isLong, this.opts.clock.monotonic());
+	/** @param workMs how long a request keeps an engine busy */
+	arrived(workMs: number, isLong: boolean): void {
+		this.meter.add(workMs, isLong, this.opts.clock.monotonic());
 	}
 
-	/** Changes this VM's own work at an engine. */
-	changeWork(engineId: string, running: number, promptTokens: number): void {
+	/** Adds to this VM's own work at an engine. */
+	changeWork(engineId: string, change: Partial<Omit<EngineWork, 'engine'>>): void {
 		const ref = refOf(engineId);
-		const work = this.own.get(ref) ?? { engine: ref, running: 0, promptTokens: 0 };
-		work.running += running;
-		work.promptTokens += promptTokens;
+		const none = { engine: ref, running: 0, promptTokens: 0, heldTokens: 0 };
+		const work = this.own.get(ref) ?? none;
+		work.running += change.running ?? 0;
+		work.promptTokens += change.promptTokens ?? 0;
+		work.heldTokens += change.heldTokens ?? 0;
 		this.own.set(ref, work);
 		this.changed.add(ref);
 	}
@@ -224,7 +227,8 @@
 	return rendezvous.hashText(id);
 }
 
-function addWork(sum: { running: number; promptTokens: number }, work?: EngineWork): void {
+function addWork(sum: EngineWork, work?: EngineWork): void {
 	sum.running += work?.running ?? 0;
 	sum.promptTokens += work?.promptTokens ?? 0;
+	sum.heldTokens += work?.heldTokens ?? 0;
 }
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -15,6 +15,8 @@
 	running: number;
 	/** Prompt tokens that are not read yet. */
 	promptTokens: number;
+	/** Tokens of memory that the requests hold or will hold, parts that others share left out. */
+	heldTokens: number;
 }
 
 /** An engine reads, or has just read, a part of a prompt. */
@@ -23,9 +25,9 @@
 	engine: EngineRef;
 }
 
-/** Prompt tokens a second that callers bring. */
+/** Work that callers bring, in engines kept busy by it. */
 export interface Demand {
-	/** In prompts that are long enough to hold up streams beside them. */
+	/** By prompts that are long enough to hold up streams beside them. */
 	long: number;
 	short: number;
 }
--- a/src/core/relay/definitions.ts
+++ b/src/core/relay/definitions.ts
@@ -25,7 +25,7 @@
 	key?: string;
 	parts: readonly PromptPart[];
 	promptTokens: number;
-	/** Most tokens that the answer may have. */
+	/** Tokens that the answer is expected to have; a rough estimate. */
 	answerTokens: number;
 	/** The caller has the events of a broken stream up to this id. */
 	lastEventId?: string;
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -73,7 +73,8 @@
 		}
 		const urgency = table.urgency(route, customer, urgencyLevels);
 		const configurationVersion = table.version;
-		const terms = { req, route, service, customer, urgency, configurationVersion };
+		const model = table.service(service)?.model;
+		const terms = { req, route, service, customer, model, urgency, configurationVersion };
 		const refusal = this.opts.refusal(route);
 		if (refusal !== undefined) {
 			this.deny(req, res, 503, refusal, table.version);
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -6,10 +6,9 @@
 import type { Clock, Log } from '../definitions.js';
 import type { Engine } from '../engines/engine.js';
 import type { EngineDirectory } from '../engines/engine-directory.js';
-import { longPromptTokens } from '../engines/engine-division.js';
 import type { EnginePlacement, Placement } from '../engines/placement.js';
 import type { FleetView } from '../fleet/fleet-view.js';
-import type { Customer, Route } from '../routing/types.js';
+import type { Customer, EngineModel, Route } from '../routing/types.js';
 import { repeatabilities } from '../routing/types.js';
 import type {
 	AnswerHead,
@@ -49,6 +48,8 @@
 	route: Route;
 	service: string;
 	customer?: Customer;
+	/** Present where the service's engines run language models. */
+	model?: EngineModel;
 	/** 0 is the most urgent. */
 	urgency: number;
 	configurationVersion: number;
@@ -72,6 +73,8 @@
 	engine: Engine;
 	/** Prompt tokens that the engine is expected to read. */
 	promptTokens: number;
+	/** Tokens of the engine's memory that it takes for itself. */
+	heldTokens: number;
 	call?: RunningCall;
 	sentAt?: number;
 	head?: AnswerHead;
@@ -126,11 +129,7 @@
 	}
 
 	start(): void {
-		const { service, req } = this.terms;
-		this.ctx.budget.requested(service, this.ctx.clock.monotonic());
-		if (req.parts.length > 0) {
-			this.ctx.fleet.arrived(req.promptTokens, req.promptTokens > longPromptTokens);
-		}
+		this.ctx.budget.requested(this.terms.service, this.ctx.clock.monotonic());
 		this.place();
 	}
 
@@ -153,12 +152,20 @@
 		const { req, service } = this.terms;
 		const now = this.ctx.clock.monotonic();
 		const placement = this.ctx.placement.choose(
-			{ service, parts: req.parts, promptTokens: req.promptTokens, tried: this.tried },
+			{
+				service,
+				parts: req.parts,
+				promptTokens: req.promptTokens,
+				answerTokens: req.answerTokens,
+				leftMs: this.deadlineAt - now,
+				model: this.terms.model,
+				tried: this.tried,
+			},
 			this.ctx.engines.offered(service),
 			now,
 		);
-		if (!placement) {
-			this.giveUp('no engine of the service can be used');
+		if ('refusal' in placement) {
+			this.giveUp(placement.refusal, placement.retryAfterS);
 			return;
 		}
 		this.send(placement, now);
@@ -177,6 +184,7 @@
 		const attempt: Attempt = {
 			engine,
 			promptTokens: placement.promptTokens,
+			heldTokens: placement.heldTokens,
 			splitter: new EventSplitter(),
 			held: [],
 			heldBytes: 0,
@@ -220,7 +228,11 @@
 		const now = this.ctx.clock.monotonic();
 		attempt.sentAt = now;
 		attempt.engine.health.sent(now, attempt.promptTokens);
-		this.ctx.fleet.changeWork(attempt.engine.id, 1, attempt.promptTokens);
+		this.ctx.fleet.changeWork(attempt.engine.id, {
+			running: 1,
+			promptTokens: attempt.promptTokens,
+			heldTokens: attempt.heldTokens,
+		});
 		this.ctx.fleet.read(this.terms.req.parts.slice(0, -1), attempt.engine.id);
 		this.ctx.onWorkChanged();
 		this.sentTo.add(attempt.engine.id);
@@ -401,7 +413,7 @@
 	private markStarted(attempt: Attempt): void {
 		if (!attempt.started) {
 			attempt.started = true;
-			this.ctx.fleet.changeWork(attempt.engine.id, 0, -attempt.promptTokens);
+			this.ctx.fleet.changeWork(attempt.engine.id, { promptTokens: -attempt.promptTokens });
 			this.ctx.onWorkChanged();
 		}
 	}
@@ -415,7 +427,8 @@
 		this.attempt = undefined;
 		if (attempt.sentAt !== undefined) {
 			this.markStarted(attempt);
-			this.ctx.fleet.changeWork(attempt.engine.id, -1, 0);
+			const change = { running: -1, heldTokens: -attempt.heldTokens };
+			this.ctx.fleet.changeWork(attempt.engine.id, change);
 			attempt.engine.health.ended(attempt.promptTokens);
 		}
 	}
--- a/src/infra/relay/peer-datagrams.ts
+++ b/src/infra/relay/peer-datagrams.ts
@@ -83,9 +83,14 @@
 		news.configurationVersion,
 		news.address,
 		news.whole,
-		work.map((item) => [item.engine, item.running, Math.round(item.promptTokens)]),
+		work.map((item) => [
+			item.engine,
+			item.running,
+			Math.round(item.promptTokens),
+			Math.round(item.heldTokens),
+		]),
 		reads.map((item) => [item.part, item.engine]),
-		[Math.round(news.demand.long), Math.round(news.demand.short)],
+		[toThousandths(news.demand.long), toThousandths(news.demand.short)],
 	]);
 }
 
@@ -102,7 +107,7 @@
 	}
 	const [, from, life, seq, version, address, whole, work, reads, demand] = row as Row;
 	const [long = 0, short = 0] = demand as number[];
-	const told: Demand = { long, short };
+	const told: Demand = { long: long / 1000, short: short / 1000 };
 	return {
 		from: String(from),
 		life: Number(life),
@@ -110,12 +115,20 @@
 		configurationVersion: Number(version),
 		address: String(address),
 		whole: whole === true,
-		work: (work as number[][]).map(([engine = 0, running = 0, promptTokens = 0]) => ({
-			engine,
-			running,
-			promptTokens,
-		})),
+		work: (work as number[][]).map(
+			([engine = 0, running = 0, promptTokens = 0, heldTokens = 0]) => ({
+				engine,
+				running,
+				promptTokens,
+				heldTokens,
+			}),
+		),
 		reads: (reads as number[][]).map(([part = 0, engine = 0]) => ({ part, engine })),
 		demand: told,
 	};
 }
+
+/** Whole numbers take fewer bytes. */
+function toThousandths(value: number): number {
+	return Math.round(value * 1000);
+}
--- a/src/platform/messages.ts
+++ b/src/platform/messages.ts
@@ -25,6 +25,9 @@
 	'expect',
 ]);
 
+/** Answers that no caller has estimated are taken to use this share of what they may; an assumption. */
+const usualShare = 0.6;
+
 /** First value of each header, by lower-case name. */
 type HeaderMap = Map<string, string>;
 
@@ -43,7 +46,8 @@
 	if (id === undefined || host === undefined) {
 		return undefined;
 	}
-	const [promptTokens, answerTokens] = decodeTokens(map.get(headers.tokens));
+	const [promptTokens, mostAnswerTokens] = decodeTokens(map.get(headers.tokens));
+	const answerTokens = positiveNumber(map.get(headers.lengthHint)) ?? mostAnswerTokens * usualShare;
 	return {
 		method: head.method,
 		target: head.target,
