Only the least urgent tier is refused, beyond its target; failures are asked again

(2) Letters queued for up to 5 s at engines that read prompts without pause; each token then takes five times as long, and answers were cut at their deadline (147 cut). (3) A failed repeatable request was given up after its two engines failed once each. Change: only routes of the service's least urgent tier are refused by waiting; the bound is their target, less when the engines for long prompts are busier than 0.95; a repeatable request may be sent again to engines that had it (max-attempts bounds engines), four sends at most.

--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -26,19 +26,31 @@
 const costStepMs = 8;
 /** A short request goes to the engines of long ones when its own would let it wait longer, in milliseconds. */
 const crossMs = 150;
-/** A request that would wait for longer than this share of its time is refused at once. */
-const longestWaitShare = 0.35;
+/**
+ * A request of the least urgent tier that would wait for longer than its target, times this, is
+ * refused at once. More urgent ones never are: they go before those at the engines.
+ */
+const longestWait = 1;
+/**
+ * Long prompts that keep their engines busier than this hold up the answers beside them until
+ * those miss their deadlines; beyond it they are refused where they would wait a while.
+ */
+const mostBusy = 0.95;
+/** Least wait, as a share of the target, at which busy engines refuse. */
+const busyWait = 0.3;
 /** Seconds after which a caller refused in overload may come back. */
-const overloadedS = 0.5;
+const overloadedS = 1;
 
 export interface PlacementRequest {
 	service: string;
 	parts: readonly PromptPart[];
 	promptTokens: number;
 	answerTokens: number;
-	/** Time that the caller still waits, in milliseconds. */
-	leftMs: number;
+	/** The first event should come within this time, in milliseconds. */
+	targetMs: number;
 	model?: EngineModel;
+	/** No route of the service has a less urgent tier. */
+	leastUrgent: boolean;
 	/** Engines that already had this request. */
 	tried: ReadonlySet<string>;
 }
@@ -104,11 +116,9 @@
 		const division = this.divisionOf(req.service, engines);
 		const side = isLong ? division.long : division.short;
 		const best = this.bestOf(req, open, side, isLong);
-		if (best.waitMs > req.leftMs * longestWaitShare) {
-			return {
-				refusal: `the prompt would wait ${Math.round(best.waitMs)} ms`,
-				retryAfterS: overloadedS,
-			};
+		if (req.leastUrgent && this.isOverloaded(req, best, isLong ? side.size : 0)) {
+			const refusal = `the prompt would wait ${Math.round(best.waitMs)} ms`;
+			return { refusal, retryAfterS: overloadedS };
 		}
 		const { engine, uncached, waitMs } = best;
 		this.fleet.arrived(workMs({ promptTokens: uncached, answerTokens: req.answerTokens }), isLong);
@@ -140,6 +150,15 @@
 		return otherBest.waitMs + crossMs < ownBest.waitMs ? otherBest : ownBest;
 	}
 
+	/** @param longEngines engines that long prompts share; 0 for a short prompt */
+	private isOverloaded(req: PlacementRequest, best: Candidate, longEngines: number): boolean {
+		if (best.waitMs > req.targetMs * longestWait) {
+			return true;
+		}
+		const isBusy = longEngines > 0 && this.fleet.demand().long > longEngines * mostBusy;
+		return isBusy && best.waitMs > req.targetMs * busyWait;
+	}
+
 	private weigh(req: PlacementRequest, engine: Engine): Candidate {
 		const shared = req.parts.slice(0, -1);
 		const key = shared.at(-1)?.id ?? req.parts[0]?.id ?? '';
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -74,7 +74,16 @@
 		const urgency = table.urgency(route, customer, urgencyLevels);
 		const configurationVersion = table.version;
 		const model = table.service(service)?.model;
-		const terms = { req, route, service, customer, model, urgency, configurationVersion };
+		const terms = {
+			req,
+			route,
+			service,
+			customer,
+			model,
+			leastUrgent: route.tier >= table.leastUrgentTier(service),
+			urgency,
+			configurationVersion,
+		};
 		const refusal = this.opts.refusal(route);
 		if (refusal !== undefined) {
 			this.deny(req, res, 503, refusal, table.version);
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -28,6 +28,8 @@
 const maxHeldAnswer = 256 * 1024;
 /** Seconds after which a refused caller may come back, unless the engine names a time. */
 const comeBackS = 0.1;
+/** Sends of one request at the most; failures that come this often in a row are the request's own. */
+const maxSends = 4;
 /** Engines that could not be reached before a request is refused. */
 const maxUnreachable = 4;
 
@@ -50,6 +52,8 @@
 	customer?: Customer;
 	/** Present where the service's engines run language models. */
 	model?: EngineModel;
+	/** No route of the service has a less urgent tier. */
+	leastUrgent: boolean;
 	/** 0 is the most urgent. */
 	urgency: number;
 	configurationVersion: number;
@@ -91,6 +95,10 @@
 	/** Engines that bytes of it were sent to. */
 	private readonly sentTo = new Set<string>();
 	private attempt?: Attempt;
+	/** Sends of which something left. */
+	private sends = 0;
+	/** As many engines had it as may: only those are asked again. */
+	private onlyTried = false;
 	private unreachable = 0;
 	private mayHaveRun = false;
 	private headSent = false;
@@ -157,11 +165,12 @@
 				parts: req.parts,
 				promptTokens: req.promptTokens,
 				answerTokens: req.answerTokens,
-				leftMs: this.deadlineAt - now,
+				targetMs: this.terms.route.targetMs,
 				model: this.terms.model,
+				leastUrgent: this.terms.leastUrgent,
 				tried: this.tried,
 			},
-			this.ctx.engines.offered(service),
+			this.candidates(service),
 			now,
 		);
 		if ('refusal' in placement) {
@@ -171,6 +180,12 @@
 		this.send(placement, now);
 	}
 
+	/** Engines that may have the request. */
+	private candidates(service: string): Engine[] {
+		const offered = this.ctx.engines.offered(service);
+		return this.onlyTried ? offered.filter((engine) => this.sentTo.has(engine.id)) : offered;
+	}
+
 	private send(placement: Placement, now: number): void {
 		const { engine } = placement;
 		const { req, customer } = this.terms;
@@ -236,6 +251,7 @@
 		this.ctx.fleet.read(this.terms.req.parts.slice(0, -1), attempt.engine.id);
 		this.ctx.onWorkChanged();
 		this.sentTo.add(attempt.engine.id);
+		this.sends++;
 	}
 
 	private headCame(attempt: Attempt, head: AnswerHead): void {
@@ -391,10 +407,14 @@
 	private tryAgain(attempt: Attempt, reason: string): boolean {
 		const now = this.ctx.clock.monotonic();
 		const { service, route } = this.terms;
-		const allowed = this.sentTo.size < route.maxEngines;
-		if (!allowed || !this.ctx.budget.take(service, now)) {
+		if (route.maxEngines === 1 || this.sends >= maxSends || !this.ctx.budget.take(service, now)) {
 			return false;
 		}
+		if (this.sentTo.size >= route.maxEngines) {
+			// No further engine may have it, but those that had it may be asked again.
+			this.tried.clear();
+			this.onlyTried = true;
+		}
 		this.log('request.retried', {
 			engine: attempt.engine.id,
 			reason,
--- a/src/core/routing/route-table.ts
+++ b/src/core/routing/route-table.ts
@@ -8,6 +8,7 @@
 	private readonly routesOfHost = new Map<string, Route[]>();
 	private readonly customerOfKey = new Map<string, Customer>();
 	private readonly serviceOfName = new Map<string, Service>();
+	private readonly leastUrgentOf = new Map<string, number>();
 	/** Pairs of customer's and route's tier, most urgent first. */
 	private readonly urgencies: readonly string[];
 
@@ -19,6 +20,7 @@
 			} else {
 				this.routesOfHost.set(route.host, [route]);
 			}
+			this.noteTier(route);
 		}
 		for (const routes of this.routesOfHost.values()) {
 			routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
@@ -34,6 +36,16 @@
 		this.urgencies = urgenciesOf(configuration);
 	}
 
+	private noteTier(route: Route): void {
+		if (!route.prompts) {
+			return;
+		}
+		for (const { service } of route.services) {
+			const tier = Math.max(route.tier, this.leastUrgentOf.get(service) ?? 0);
+			this.leastUrgentOf.set(service, tier);
+		}
+	}
+
 	get version(): number {
 		return this.configuration.version;
 	}
@@ -62,6 +74,11 @@
 		return this.serviceOfName.get(name);
 	}
 
+	/** Highest tier number of the routes to a service whose requests carry prompts. */
+	leastUrgentTier(service: string): number {
+		return this.leastUrgentOf.get(service) ?? 0;
+	}
+
 	/**
 	 * Urgency of a request at an engine: the customer's tier first, then the route's.
 	 * @returns 0 for the most urgent, up to `levels - 1`; the same on every VM
