--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -28,8 +28,6 @@
 const maxHeldAnswer = 256 * 1024;
 /** Seconds after which a refused caller may come back, unless the engine names a time. */
 const comeBackS = 0.1;
-/** Sends of one request at the most; failures that come this often in a row are the request's own. */
-const maxSends = 4;
 /** Engines that could not be reached before a request is refused. */
 const maxUnreachable = 4;
 
@@ -95,10 +93,6 @@
 	/** Engines that bytes of it were sent to. */
 	private readonly sentTo = new Set<string>();
 	private attempt?: Attempt;
-	/** Sends of which something left. */
-	private sends = 0;
-	/** As many engines had it as may: only those are asked again. */
-	private onlyTried = false;
 	private unreachable = 0;
 	private mayHaveRun = false;
 	private headSent = false;
@@ -170,7 +164,7 @@
 				leastUrgent: this.terms.leastUrgent,
 				tried: this.tried,
 			},
-			this.candidates(service),
+			this.ctx.engines.offered(service),
 			now,
 		);
 		if ('refusal' in placement) {
@@ -180,12 +174,6 @@
 		this.send(placement, now);
 	}
 
-	/** Engines that may have the request. */
-	private candidates(service: string): Engine[] {
-		const offered = this.ctx.engines.offered(service);
-		return this.onlyTried ? offered.filter((engine) => this.sentTo.has(engine.id)) : offered;
-	}
-
 	private send(placement: Placement, now: number): void {
 		const { engine } = placement;
 		const { req, customer } = this.terms;
@@ -251,7 +239,6 @@
 		this.ctx.fleet.read(this.terms.req.parts.slice(0, -1), attempt.engine.id);
 		this.ctx.onWorkChanged();
 		this.sentTo.add(attempt.engine.id);
-		this.sends++;
 	}
 
 	private headCame(attempt: Attempt, head: AnswerHead): void {
@@ -407,14 +394,9 @@
 	private tryAgain(attempt: Attempt, reason: string): boolean {
 		const now = this.ctx.clock.monotonic();
 		const { service, route } = this.terms;
-		if (route.maxEngines === 1 || this.sends >= maxSends || !this.ctx.budget.take(service, now)) {
+		if (this.sentTo.size >= route.maxEngines || !this.ctx.budget.take(service, now)) {
 			return false;
 		}
-		if (this.sentTo.size >= route.maxEngines) {
-			// No further engine may have it, but those that had it may be asked again.
-			this.tried.clear();
-			this.onlyTried = true;
-		}
 		this.log('request.retried', {
 			engine: attempt.engine.id,
 			reason,
