Scenarios of the relay on real processes before stand-ins of store and engines

Change: test/features/relay.feature, 20 scenarios; stand-ins of the platform's store (revisions, watches, leases, pages of five, lost history, turned-away VMs) and of its engines (nine behaviours).

--- /dev/null
+++ b/test/features/relay.feature
@@ -0,0 +1,126 @@
+Feature: Requests through the relay
+
+	Scenario: A request reaches its engine unaltered and its answer comes back whole
+		Given a relay of 1 VM with engines "a"
+		When "POST /plain/x?q=1" with body "hello" is sent
+		Then the answer is 200 "answer to hello", signed by "a"
+		And engine "a" saw "POST /plain/x?q=1" with body "hello"
+		And engine "a" saw the customer "station" but no key
+		And engine "a" was told to expect itself and less time than the caller has
+
+	Scenario: What the configuration does not allow is denied, and nothing runs
+		Given a relay of 1 VM with engines "a"
+		When "GET /nowhere/" is sent
+		Then the answer is 404
+		When "GET /plain/" is sent with key "unknown"
+		Then the answer is 401
+		And 0 requests ran
+
+	Scenario: Without a configuration nothing is denied
+		Given a relay of 1 VM that has no configuration
+		When "GET /nowhere/" is sent
+		Then the answer is 503
+		And the VM is not ready
+
+	Scenario: A request that must run once is not sent again after a reset
+		Given a relay of 1 VM with engines "a, b"
+		And engine "a" resets
+		And engine "b" resets
+		When "POST /once/" with body "order" is sent
+		Then the answer is 502
+		And 1 requests ran
+
+	Scenario: A repeatable request is sent to a second engine after a reset
+		Given a relay of 1 VM with engines "a, b"
+		And engine "a" resets
+		When "GET /plain/" is sent 6 times
+		Then each answer is 200
+
+	Scenario: A request that no engine ran is refused with a time to come back
+		Given a relay of 1 VM with engines "a, b"
+		And engine "a" rejects
+		And engine "b" rejects
+		When "POST /once/" with body "order" is sent
+		Then the answer is 503
+		And it says when to come back
+
+	Scenario Outline: An answer that proves nothing is not passed on
+		Given a relay of 1 VM with engines "a"
+		And engine "a" <does>
+		When "POST /once/" with body "order" is sent
+		Then the answer is 502
+		And it carries no signature
+
+		Examples:
+			| does     |
+			| bare-503 |
+			| mixes-up |
+			| unsigned |
+
+	Scenario: An engine's own failure is passed on as it is
+		Given a relay of 1 VM with engines "a"
+		And engine "a" fails
+		When "POST /once/" with body "order" is sent
+		Then the answer is 500 "failed", signed by "a"
+
+	Scenario: A broken stream goes on at another engine behind its last event
+		Given a relay of 1 VM with engines "a, b"
+		And engine "a" breaks-off
+		When "POST /stream/resumed/" is sent 8 times
+		Then each stream is whole
+
+	Scenario: A broken stream that may not go on is cut, never ended
+		Given a relay of 1 VM with engines "a"
+		And engine "a" breaks-off
+		When "POST /stream/once/" is sent
+		Then the answer is cut after 3 events
+
+	Scenario: An engine that does not answer in time is reported so
+		Given a relay of 1 VM with engines "a"
+		And engine "a" silent
+		When "POST /once/" with body "order" is sent
+		Then the answer is 504
+
+	Scenario: A caller that leaves frees the engine
+		Given a relay of 1 VM with engines "a"
+		And engine "a" silent
+		When the caller of "POST /stream/resumed/" leaves after 200 ms
+		Then engine "a" is free within 500 ms
+
+	Scenario: An engine that is leaving gets nothing new
+		Given a relay of 1 VM with engines "a, b"
+		When engine "a" starts to leave
+		And "GET /plain/" is sent 10 times
+		Then engine "a" ran 0 requests
+
+	Scenario: An engine that took over an address runs nothing for the one before
+		Given a relay of 1 VM with engines "a"
+		And another engine now listens at the address of "a"
+		When "POST /once/" with body "order" is sent
+		Then the answer is 503
+		And 0 requests ran
+
+	Scenario: A VM that the store turns away hears of a configuration from its peers
+		Given a relay of 2 VMs with engines "a"
+		And the store turns VM 2 away
+		When the key of customer "station" is taken away
+		Then VM 2 answers 401 within 2000 ms
+
+	Scenario: A planned stop lets streams end and takes no late ones
+		Given a relay of 1 VM with engines "a"
+		And engine "a" takes 100 ms for an event
+		When a stream is on its way as the VM is stopped
+		Then that stream is whole
+		And the VM is not ready
+		And the VM ends by itself within 8000 ms
+
+	Scenario: Lost history is made good by reading again
+		Given a relay of 1 VM with engines "a, b"
+		When the store forgets its history while engine "a" leaves
+		And "GET /plain/" is sent 10 times
+		Then engine "a" ran 0 requests
+
+	Scenario: Settings with errors are refused with every finding
+		When the relay starts with settings that lack a zone and a store
+		Then it ends with code 78
+		And it names "zone" and "platform"
--- /dev/null
+++ b/test/stand-ins/platform-engine.ts
@@ -0,0 +1,140 @@
+/**
+ * Stand-in of an engine behind the relay: answers by a named behaviour and remembers what ran.
+ * @module
+ */
+import * as http from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
+/** What the engine does with requests. */
+export const engineBehaviours = {
+	well: 'well',
+	/** 503 with the header that says that it did not run. */
+	rejects: 'rejects',
+	/** 503 without that header. */
+	bare503: 'bare-503',
+	/** Ends the connection before any answer. */
+	resets: 'resets',
+	/** Sends three events and half of the fourth, then resets. */
+	breaksOff: 'breaks-off',
+	/** Answers with the id of another request. */
+	mixesUp: 'mixes-up',
+	/** A success without its signature. */
+	unsigned: 'unsigned',
+	/** Its own failure. */
+	fails: 'fails',
+	/** Never answers. */
+	silent: 'silent',
+} as const;
+export type EngineBehaviour = (typeof engineBehaviours)[keyof typeof engineBehaviours];
+
+export interface SeenRequest {
+	method: string;
+	url: string;
+	headers: http.IncomingHttpHeaders;
+	body: string;
+	/** The caller's side went away before the answer ended. */
+	left: boolean;
+}
+
+/** Events of every streamed answer. */
+export const streamLength = 8;
+
+export class PlatformEngineStandIn {
+	readonly seen: SeenRequest[] = [];
+	behaviour: EngineBehaviour = engineBehaviours.well;
+	/** Between two events, in milliseconds. */
+	pauseMs = 5;
+	readonly server = http.createServer((req, res) => void this.handle(req, res));
+
+	constructor(readonly id: string) {}
+
+	async start(): Promise<string> {
+		await new Promise<void>((done) => this.server.listen(0, '127.0.0.1', done));
+		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+	}
+
+	stop(): void {
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const chunks: Buffer[] = [];
+		for await (const chunk of req) {
+			chunks.push(chunk as Buffer);
+		}
+		const { method = '', url = '', headers } = req;
+		const request = { method, url, headers, body: Buffer.concat(chunks).toString(), left: false };
+		const expected = headers['slategauge-expect-instance'];
+		if (expected !== undefined && expected !== this.id) {
+			res.writeHead(421, { 'slategauge-instance-id': this.id }).end();
+			return;
+		}
+		this.seen.push(request);
+		res.on('close', () => {
+			request.left = !res.writableFinished;
+		});
+		await this.answer(request, res, req.socket);
+	}
+
+	private async answer(req: SeenRequest, res: http.ServerResponse, socket: Socket): Promise<void> {
+		const id = String(req.headers['slategauge-attempt-id']);
+		const signed = {
+			'slategauge-attempt-id': id,
+			'slategauge-response-signature': `by-${this.id}`,
+		};
+		switch (this.behaviour) {
+			case engineBehaviours.rejects:
+				res.writeHead(503, { 'slategauge-not-executed': '1' }).end();
+				return;
+			case engineBehaviours.bare503:
+				res.writeHead(503, signed).end('busy');
+				return;
+			case engineBehaviours.resets:
+				socket.resetAndDestroy();
+				return;
+			case engineBehaviours.mixesUp:
+				res.writeHead(200, { ...signed, 'slategauge-attempt-id': 'another' }).end('not yours');
+				return;
+			case engineBehaviours.unsigned:
+				res.writeHead(200, { 'slategauge-attempt-id': id }).end('whose?');
+				return;
+			case engineBehaviours.fails:
+				res.writeHead(500, signed).end('failed');
+				return;
+			case engineBehaviours.silent:
+				return;
+			default:
+				await this.serve(req, res, signed, socket);
+		}
+	}
+
+	private async serve(
+		req: SeenRequest,
+		res: http.ServerResponse,
+		signed: Record<string, string>,
+		socket: Socket,
+	): Promise<void> {
+		if (!req.url.startsWith('/stream')) {
+			res.writeHead(200, signed).end(`answer to ${req.body || req.url}`);
+			return;
+		}
+		res.writeHead(200, { ...signed, 'content-type': 'text/event-stream' });
+		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
+		for (let event = first; event <= streamLength; event++) {
+			if (this.behaviour === engineBehaviours.breaksOff && event === 4) {
+				res.write(`id: ${event}\ndata: tok`);
+				await pause(this.pauseMs);
+				socket.resetAndDestroy();
+				return;
+			}
+			res.write(`id: ${event}\ndata: token ${event}\n\n`);
+			await pause(this.pauseMs);
+		}
+		res.end();
+	}
+}
+
+function pause(ms: number): Promise<void> {
+	return new Promise((done) => setTimeout(done, ms));
+}
--- /dev/null
+++ b/test/stand-ins/platform-store.ts
@@ -0,0 +1,223 @@
+/**
+ * Stand-in of the platform's store: items with revisions, watches, conditional writes and leases over
+ * HTTP. Faults are switched on from the test.
+ * @module
+ */
+import * as http from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+interface Item {
+	'private-key': string;
+	value: string;
+	revision: number;
+	created: number;
+	'lease-id': number;
+}
+
+interface Change {
+	'private-key': string;
+	revision: number;
+	deleted?: true;
+	item?: Item;
+}
+
+interface Lease {
+	ttlMs: number;
+	timer: NodeJS.Timeout;
+}
+
+type Json = Record<string, unknown>;
+
+export class PlatformStoreStandIn {
+	private readonly items = new Map<string, Item>();
+	private readonly leases = new Map<number, Lease>();
+	private history: Change[] = [];
+	private oldest = 0;
+	private revision = 1;
+	private nextLease = 1000;
+	private readonly waiting = new Set<() => void>();
+	/** Every call is answered with this status. */
+	failWith?: number;
+	/** VMs, by their address, whose calls are refused. */
+	readonly turnedAway = new Set<string>();
+	/** Calls by path, without the query. */
+	readonly calls = new Map<string, number>();
+	readonly server = http.createServer((req, res) => void this.handle(req, res));
+
+	async start(): Promise<string> {
+		await new Promise<void>((done) => this.server.listen(0, '127.0.0.1', done));
+		const { port } = this.server.address() as AddressInfo;
+		return `127.0.0.1:${port}`;
+	}
+
+	stop(): void {
+		for (const { timer } of this.leases.values()) {
+			clearTimeout(timer);
+		}
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	put(key: string, value: unknown, lease = 0): void {
+		this.revision++;
+		const created = this.items.get(key)?.created ?? this.revision;
+		const text = typeof value === 'string' ? value : JSON.stringify(value);
+		const item: Item = {
+			'private-key': key,
+			value: Buffer.from(text).toString('base64'),
+			revision: this.revision,
+			created,
+			'lease-id': lease,
+		};
+		this.items.set(key, item);
+		this.changed({ 'private-key': key, revision: this.revision, item });
+	}
+
+	remove(key: string): void {
+		if (this.items.delete(key)) {
+			this.revision++;
+			this.changed({ 'private-key': key, revision: this.revision, deleted: true });
+		}
+	}
+
+	/** Forgets the history and cuts all watches. */
+	compact(): void {
+		this.history = [];
+		this.oldest = this.revision;
+		this.wake();
+	}
+
+	private changed(change: Change): void {
+		this.history.push(change);
+		this.wake();
+	}
+
+	private wake(): void {
+		for (const wake of [...this.waiting]) {
+			wake();
+		}
+	}
+
+	private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		const url = new URL(req.url ?? '/', 'http://store');
+		this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
+		const body = await readJson(req);
+		const away = this.turnedAway.has(req.socket.remoteAddress ?? '');
+		if (this.failWith !== undefined || away) {
+			reply(res, this.failWith ?? 503, {});
+			return;
+		}
+		const [, call = '', id = ''] = url.pathname.split('/');
+		if (call === 'kv-range') {
+			reply(res, 200, this.range(url.searchParams));
+		} else if (call === 'kv-watch') {
+			await this.watch(url.searchParams, res);
+		} else if (call === 'kv-txn') {
+			this.write(body, res);
+		} else if (call === 'kv-lease') {
+			reply(res, 200, this.grant(Number(body['ttl-ms'])));
+		} else if (call === 'kv-keep') {
+			reply(res, this.renew(Number(id)) ? 200 : 404, {});
+		} else if (call === 'kv-lease-end') {
+			this.endLease(Number(id));
+			reply(res, 200, {});
+		} else {
+			reply(res, 404, {});
+		}
+	}
+
+	private range(query: URLSearchParams): Json {
+		const prefix = query.get('path-prefix') ?? '';
+		const after = query.get('since-revision') ?? '';
+		const keys = [...this.items.keys()].filter((key) => key.startsWith(prefix) && key > after);
+		const page = keys.sort().slice(0, 5);
+		const entries = page.map((key) => this.items.get(key));
+		return { entries, 'has-more': keys.length > page.length, timestamp: this.revision };
+	}
+
+	private async watch(query: URLSearchParams, res: http.ServerResponse): Promise<void> {
+		const prefix = query.get('path-prefix') ?? '';
+		const since = Number(query.get('since-revision'));
+		const until = Date.now() + Number(query.get('wait-ms'));
+		for (;;) {
+			if (since < this.oldest) {
+				reply(res, 410, {});
+				return;
+			}
+			const events = this.history
+				.filter((change) => change.revision > since && change['private-key'].startsWith(prefix))
+				.map(({ item, ...gone }) => item ?? gone);
+			if (events.length > 0 || Date.now() >= until || res.destroyed) {
+				reply(res, 200, { events, timestamp: this.revision });
+				return;
+			}
+			await this.nextChange(until - Date.now());
+		}
+	}
+
+	private nextChange(waitMs: number): Promise<void> {
+		return new Promise((done) => {
+			const wake = () => {
+				clearTimeout(timer);
+				this.waiting.delete(wake);
+				done();
+			};
+			const timer = setTimeout(wake, waitMs);
+			this.waiting.add(wake);
+		});
+	}
+
+	private write(body: Json, res: http.ServerResponse): void {
+		const rows = (body.write ?? []) as Json[];
+		for (const row of rows) {
+			const lease = Number(row['lease-id'] ?? 0);
+			if (lease !== 0 && !this.leases.has(lease)) {
+				reply(res, 404, {});
+				return;
+			}
+			const value = Buffer.from(String(row.value), 'base64').toString();
+			this.put(String(row['private-key']), value, lease);
+		}
+		reply(res, 200, { revision: this.revision });
+	}
+
+	private grant(ttlMs: number): Json {
+		const id = this.nextLease++;
+		this.leases.set(id, { ttlMs, timer: setTimeout(() => this.endLease(id), ttlMs) });
+		return { 'lease-id': id, 'ttl-ms': ttlMs };
+	}
+
+	private renew(id: number): boolean {
+		const lease = this.leases.get(id);
+		if (!lease) {
+			return false;
+		}
+		clearTimeout(lease.timer);
+		lease.timer = setTimeout(() => this.endLease(id), lease.ttlMs);
+		return true;
+	}
+
+	private endLease(id: number): void {
+		clearTimeout(this.leases.get(id)?.timer);
+		this.leases.delete(id);
+		for (const item of [...this.items.values()]) {
+			if (item['lease-id'] === id) {
+				this.remove(item['private-key']);
+			}
+		}
+	}
+}
+
+async function readJson(req: http.IncomingMessage): Promise<Json> {
+	const chunks: Buffer[] = [];
+	for await (const chunk of req) {
+		chunks.push(chunk as Buffer);
+	}
+	const text = Buffer.concat(chunks).toString();
+	return text === '' ? {} : (JSON.parse(text) as Json);
+}
+
+function reply(res: http.ServerResponse, status: number, body: Json): void {
+	res.writeHead(status, { 'content-type': 'application/json' });
+	res.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/test/steps/relay-world.ts
@@ -0,0 +1,256 @@
+/**
+ * Real relay daemons before stand-ins of the store and of engines, for one scenario.
+ * @module
+ */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs/promises';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import { PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
+import { PlatformStoreStandIn } from '../stand-ins/platform-store.js';
+
+const program = 'dist/src/daemon/relay/main.js';
+export const host = 'relay.example';
+export const key = 'key-of-station';
+
+export interface Answer {
+	status: number;
+	headers: http.IncomingHttpHeaders;
+	body: string;
+	/** The connection ended before the answer did. */
+	cut: boolean;
+}
+
+export interface Vm {
+	address: string;
+	ports: { callers: number; readiness: number };
+	process: childProcess.ChildProcess;
+	ended: Promise<number | null>;
+	errors: string;
+}
+
+export class RelayFixture {
+	readonly store = new PlatformStoreStandIn();
+	readonly engines = new Map<string, PlatformEngineStandIn>();
+	readonly vms: Vm[] = [];
+	answers: Answer[] = [];
+	private storeAddress = '';
+	private nextId = 1;
+	private version = 1;
+	private readonly files: string[] = [];
+
+	async start(vms: number, engines: readonly string[], configured = true): Promise<void> {
+		this.storeAddress = await this.store.start();
+		for (const id of engines) {
+			const engine = new PlatformEngineStandIn(id);
+			this.engines.set(id, engine);
+			await this.register(engine, await engine.start());
+		}
+		if (configured) {
+			this.configure([key]);
+		}
+		// Each VM has an address of its own, as on the platform, with the same ports.
+		const [callers, readiness, peers, metrics] = await freePorts(4);
+		for (let at = 1; at <= vms; at++) {
+			const ports = { callers, readiness, peers, metrics } as Ports;
+			this.vms.push(await this.startVm(`127.0.0.${10 + at}`, `vm-${at}`, ports));
+		}
+		for (const vm of this.vms) {
+			await until(
+				async () => (await this.readiness(vm)) !== 0 && (!configured || this.isReady(vm)),
+			);
+		}
+	}
+
+	async isReady(vm: Vm): Promise<boolean> {
+		return (await this.readiness(vm)) === 200;
+	}
+
+	/** Writes the next configuration with these keys for the one customer. */
+	configure(keys: readonly string[]): void {
+		this.version += 2;
+		const common = { hostname: host, service: 'pool', priority: 1, anonymous: false };
+		const stream = { ...common, type: 'streaming', 'timeout-ms': 6000, 'target-latency-ms': 500 };
+		const plain = { ...common, 'timeout-ms': 1200, 'target-latency-ms': 300, 'max-attempts': 2 };
+		this.store.put('op/config', {
+			version: this.version,
+			routes: [
+				{ ...plain, name: 'plain', 'path-prefix': '/plain/', type: 'idempotent' },
+				{
+					...plain,
+					name: 'once',
+					'path-prefix': '/once/',
+					type: 'non_idempotent',
+					'max-attempts': 2,
+				},
+				{ ...stream, name: 'cut', 'path-prefix': '/stream/once/', 'max-attempts': 1 },
+				{
+					...stream,
+					name: 'resumed',
+					'path-prefix': '/stream/resumed/',
+					'max-attempts': 2,
+					'stream-resume': true,
+				},
+			],
+			services: [{ name: 'pool', 'health-path': '/healthz', 'max-connections': 50 }],
+			limits: {},
+			tenants: [{ name: 'station', 'api-keys': keys }],
+		});
+	}
+
+	async register(engine: PlatformEngineStandIn, address: string, state = 'ready'): Promise<void> {
+		const entry = { service: 'pool', address, zone: 'z1', version: 'v1', slots: 4, state };
+		this.store.put(`servers/${engine.id}`, { ...entry, 'warmup-left-ms': 0, sequence: 1 });
+	}
+
+	addressOf(engine: PlatformEngineStandIn): string {
+		return `127.0.0.1:${(engine.server.address() as net.AddressInfo).port}`;
+	}
+
+	/** Sends a request to the first VM, or another, and keeps the answer. */
+	async send(call: string, body = '', opts: { key?: string; vm?: Vm } = {}): Promise<Answer> {
+		const answer = await this.open(call, body, opts).answer;
+		this.answers.push(answer);
+		return answer;
+	}
+
+	open(
+		call: string,
+		body = '',
+		opts: { key?: string; vm?: Vm } = {},
+	): { req: http.ClientRequest; answer: Promise<Answer> } {
+		const [method, target] = call.split(' ');
+		const vm = opts.vm ?? (this.vms[0] as Vm);
+		const req = http.request({
+			host: vm.address,
+			port: vm.ports.callers,
+			method,
+			path: target,
+			agent: false,
+			headers: {
+				host,
+				authorization: `Bearer ${opts.key ?? key}`,
+				'slategauge-attempt-id': `request-${this.nextId++}`,
+				'slategauge-deadline-ms': '5000',
+				'slategauge-tenant': 'forged',
+			},
+		});
+		const answer = readAnswer(req);
+		req.end(body);
+		return { req, answer };
+	}
+
+	async stop(): Promise<void> {
+		for (const vm of this.vms) {
+			vm.process.kill('SIGKILL');
+			await vm.ended;
+		}
+		for (const engine of this.engines.values()) {
+			engine.stop();
+		}
+		this.store.stop();
+		await Promise.all(this.files.map((file) => fs.rm(file, { force: true })));
+	}
+
+	/** Starts a daemon; the settings file is the platform's. */
+	async startVm(address: string, id: string, ports: Ports, drop: string[] = []): Promise<Vm> {
+		const settings: Record<string, unknown> = {
+			'node-name': id,
+			ip: address,
+			zone: 'z1',
+			listen: {
+				frontend: `${address}:${ports.callers}`,
+				readiness: `${address}:${ports.readiness}`,
+			},
+			'port-range': [ports.peers, ports.metrics],
+			limits: { 'memory-mb': 350, 'max-fds': 4100 },
+			bounds: {},
+			platform: { address: this.storeAddress },
+			'not-known-yet': 1,
+		};
+		for (const name of drop) {
+			delete settings[name];
+		}
+		const file = path.join(os.tmpdir(), `relay-${process.pid}-${id}-${ports.callers}.json`);
+		this.files.push(file);
+		await fs.writeFile(file, JSON.stringify(settings));
+		const child = childProcess.spawn(process.execPath, [program], {
+			env: { ...process.env, SLATEGAUGE_SETTINGS: file },
+			stdio: ['ignore', 'ignore', 'pipe'],
+		});
+		const vm: Vm = {
+			address,
+			ports,
+			process: child,
+			ended: new Promise((done) => child.on('exit', done)),
+			errors: '',
+		};
+		child.stderr?.on('data', (chunk: Buffer) => {
+			vm.errors += chunk.toString();
+		});
+		return vm;
+	}
+
+	/** Status of the readiness port; 0 when it is not reached. */
+	private readiness(vm: Vm): Promise<number> {
+		return new Promise((done) => {
+			const url = `http://${vm.address}:${vm.ports.readiness}/readyz`;
+			http
+				.get(url, { agent: false }, (res) => {
+					res.resume();
+					done(res.statusCode ?? 0);
+				})
+				.on('error', () => done(0));
+		});
+	}
+}
+
+export interface Ports {
+	callers: number;
+	readiness: number;
+	peers: number;
+	metrics: number;
+}
+
+/** Ports that the system says are free now. */
+export async function freePorts(count: number): Promise<number[]> {
+	const servers = Array.from({ length: count }, () => net.createServer());
+	for (const server of servers) {
+		await new Promise<void>((done) => server.listen(0, '0.0.0.0', done));
+	}
+	const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
+	await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
+	return ports;
+}
+
+/** Waits until the condition holds; fails after ten seconds unless told otherwise. */
+export async function until(
+	condition: () => boolean | Promise<boolean>,
+	withinMs = 10_000,
+): Promise<void> {
+	const latest = Date.now() + withinMs;
+	while (!(await condition())) {
+		if (Date.now() > latest) {
+			throw new Error(`did not happen within ${withinMs} ms`);
+		}
+		await new Promise((done) => setTimeout(done, 20));
+	}
+}
+
+function readAnswer(req: http.ClientRequest): Promise<Answer> {
+	return new Promise((done) => {
+		req.on('error', () => done({ status: 0, headers: {}, body: '', cut: true }));
+		req.on('response', (res) => {
+			const chunks: Buffer[] = [];
+			const finish = (cut: boolean) => {
+				const body = Buffer.concat(chunks).toString();
+				done({ status: res.statusCode ?? 0, headers: res.headers, body, cut });
+			};
+			res.on('data', (chunk: Buffer) => chunks.push(chunk));
+			res.on('end', () => finish(!res.complete));
+			res.on('error', () => finish(true));
+		});
+	});
+}
--- /dev/null
+++ b/test/steps/relay.steps.ts
@@ -0,0 +1,303 @@
+/**
+ * Steps about requests through real relay daemons.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as cucumber from '@cucumber/cucumber';
+import type { EngineBehaviour, PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
+import { streamLength } from '../stand-ins/platform-engine.js';
+import type { Answer, Vm } from './relay-world.js';
+import { freePorts, RelayFixture, until } from './relay-world.js';
+import type { FleetWorld } from './world.js';
+
+const fixtures = new WeakMap<FleetWorld, RelayFixture>();
+
+function fixtureOf(world: FleetWorld): RelayFixture {
+	let fixture = fixtures.get(world);
+	if (!fixture) {
+		fixture = new RelayFixture();
+		fixtures.set(world, fixture);
+	}
+	return fixture;
+}
+
+function engineOf(world: FleetWorld, id: string): PlatformEngineStandIn {
+	const engine = fixtureOf(world).engines.get(id);
+	assert.ok(engine);
+	return engine;
+}
+
+function firstVm(world: FleetWorld): Vm {
+	const [vm] = fixtureOf(world).vms;
+	assert.ok(vm);
+	return vm;
+}
+
+function lastAnswer(world: FleetWorld): Answer {
+	const answer = fixtureOf(world).answers.at(-1);
+	assert.ok(answer);
+	return answer;
+}
+
+function wholeStream(): string {
+	const events = Array.from({ length: streamLength }, (_, at) => at + 1);
+	return events.map((event) => `id: ${event}\ndata: token ${event}\n\n`).join('');
+}
+
+cucumber.After(async function (this: FleetWorld) {
+	await fixtures.get(this)?.stop();
+});
+
+cucumber.Given(
+	/^a relay of (\d+) VMs? with engines "(.*)"$/,
+	async function (this: FleetWorld, vms: string, engines: string) {
+		await fixtureOf(this).start(Number(vms), engines.split(', '));
+	},
+);
+
+cucumber.Given('a relay of 1 VM that has no configuration', async function (this: FleetWorld) {
+	await fixtureOf(this).start(1, ['a'], false);
+});
+
+cucumber.Given(
+	/^engine "(\w+)" (rejects|bare-503|resets|breaks-off|mixes-up|unsigned|fails|silent)$/,
+	function (this: FleetWorld, id: string, behaviour: EngineBehaviour) {
+		engineOf(this, id).behaviour = behaviour;
+	},
+);
+
+cucumber.Given(
+	'engine {string} takes {int} ms for an event',
+	function (this: FleetWorld, id: string, ms: number) {
+		engineOf(this, id).pauseMs = ms;
+	},
+);
+
+cucumber.Given(
+	'another engine now listens at the address of {string}',
+	async function (this: FleetWorld, id: string) {
+		const fixture = fixtureOf(this);
+		const other = await import('../stand-ins/platform-engine.js');
+		const next = new other.PlatformEngineStandIn('other');
+		const address = await next.start();
+		fixture.engines.set('other', next);
+		// The registration of the engine before is still there, with the address of the other.
+		await fixture.register(engineOf(this, id), address);
+		await new Promise((done) => setTimeout(done, 500));
+	},
+);
+
+cucumber.Given('the store turns VM {int} away', function (this: FleetWorld, vm: number) {
+	const { address } = fixtureOf(this).vms[vm - 1] as Vm;
+	fixtureOf(this).store.turnedAway.add(address);
+});
+
+cucumber.When('{string} is sent', async function (this: FleetWorld, call: string) {
+	await fixtureOf(this).send(call);
+});
+
+cucumber.When(
+	'{string} with body {string} is sent',
+	async function (this: FleetWorld, call: string, body: string) {
+		await fixtureOf(this).send(call, body);
+	},
+);
+
+cucumber.When(
+	'{string} is sent with key {string}',
+	async function (this: FleetWorld, call: string, key: string) {
+		await fixtureOf(this).send(call, '', { key });
+	},
+);
+
+cucumber.When(
+	'{string} is sent {int} times',
+	async function (this: FleetWorld, call: string, times: number) {
+		for (let at = 0; at < times; at++) {
+			await fixtureOf(this).send(call);
+		}
+	},
+);
+
+cucumber.When(
+	'the caller of {string} leaves after {int} ms',
+	async function (this: FleetWorld, call: string, ms: number) {
+		const { req } = fixtureOf(this).open(call);
+		await new Promise((done) => setTimeout(done, ms));
+		req.destroy();
+	},
+);
+
+cucumber.When('engine {string} starts to leave', async function (this: FleetWorld, id: string) {
+	const fixture = fixtureOf(this);
+	const engine = engineOf(this, id);
+	await fixture.register(engine, fixture.addressOf(engine), 'draining');
+	await new Promise((done) => setTimeout(done, 500));
+});
+
+cucumber.When(
+	'the store forgets its history while engine {string} leaves',
+	async function (this: FleetWorld, id: string) {
+		const { store } = fixtureOf(this);
+		store.failWith = 503;
+		store.remove(`servers/${id}`);
+		store.compact();
+		store.failWith = undefined;
+		// An outage may have cost the registration: the engine stays usable for two seconds.
+		await new Promise((done) => setTimeout(done, 3000));
+	},
+);
+
+cucumber.When(
+	'the key of customer {string} is taken away',
+	function (this: FleetWorld, _customer: string) {
+		fixtureOf(this).configure(['another-key']);
+	},
+);
+
+cucumber.When('a stream is on its way as the VM is stopped', async function (this: FleetWorld) {
+	const fixture = fixtureOf(this);
+	const { answer } = fixture.open('POST /stream/once/');
+	await until(() => engineOf(this, 'a').seen.length > 0);
+	firstVm(this).process.kill('SIGTERM');
+	fixture.answers.push(await answer);
+});
+
+cucumber.When(
+	'the relay starts with settings that lack a zone and a store',
+	async function (this: FleetWorld) {
+		const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
+		const ports = { callers, readiness, peers, metrics };
+		const fixture = fixtureOf(this);
+		fixture.vms.push(await fixture.startVm('127.0.0.1', 'vm-x', ports, ['zone', 'platform']));
+	},
+);
+
+cucumber.Then('the answer is {int}', function (this: FleetWorld, status: number) {
+	assert.equal(lastAnswer(this).status, status);
+});
+
+cucumber.Then(
+	'the answer is {int} {string}, signed by {string}',
+	function (this: FleetWorld, status: number, body: string, engine: string) {
+		const answer = lastAnswer(this);
+		assert.equal(answer.status, status);
+		assert.equal(answer.body, body);
+		assert.equal(answer.headers['slategauge-response-signature'], `by-${engine}`);
+	},
+);
+
+cucumber.Then('each answer is {int}', function (this: FleetWorld, status: number) {
+	for (const answer of fixtureOf(this).answers) {
+		assert.equal(answer.status, status);
+	}
+});
+
+cucumber.Then('each stream is whole', function (this: FleetWorld) {
+	for (const answer of fixtureOf(this).answers) {
+		assert.equal(answer.cut, false);
+		assert.equal(answer.body, wholeStream());
+	}
+});
+
+cucumber.Then('that stream is whole', function (this: FleetWorld) {
+	assert.equal(lastAnswer(this).cut, false);
+	assert.equal(lastAnswer(this).body, wholeStream());
+});
+
+cucumber.Then('the answer is cut after {int} events', function (this: FleetWorld, events: number) {
+	const answer = lastAnswer(this);
+	assert.equal(answer.cut, true);
+	assert.equal(answer.body.split('\n\n').length - 1, events);
+	assert.ok(answer.body.endsWith('\n\n'));
+});
+
+cucumber.Then('it says when to come back', function (this: FleetWorld) {
+	assert.ok(Number(lastAnswer(this).headers['retry-after']) > 0);
+});
+
+cucumber.Then('it carries no signature', function (this: FleetWorld) {
+	assert.equal(lastAnswer(this).headers['slategauge-response-signature'], undefined);
+});
+
+cucumber.Then(
+	'engine {string} saw {string} with body {string}',
+	function (this: FleetWorld, id: string, call: string, body: string) {
+		const [seen] = engineOf(this, id).seen;
+		assert.equal(`${seen?.method} ${seen?.url}`, call);
+		assert.equal(seen?.body, body);
+	},
+);
+
+cucumber.Then(
+	'engine {string} saw the customer {string} but no key',
+	function (this: FleetWorld, id: string, customer: string) {
+		const [seen] = engineOf(this, id).seen;
+		assert.equal(seen?.headers['slategauge-tenant'], customer);
+		assert.equal(seen?.headers.authorization, undefined);
+	},
+);
+
+cucumber.Then(
+	'engine {string} was told to expect itself and less time than the caller has',
+	function (this: FleetWorld, id: string) {
+		const [seen] = engineOf(this, id).seen;
+		assert.equal(seen?.headers['slategauge-expect-instance'], id);
+		assert.ok(Number(seen?.headers['slategauge-deadline-ms']) <= 1200);
+	},
+);
+
+cucumber.Then('{int} requests ran', function (this: FleetWorld, count: number) {
+	const engines = [...fixtureOf(this).engines.values()];
+	const ran = engines.reduce((sum, engine) => sum + engine.seen.length, 0);
+	assert.equal(ran, count);
+});
+
+cucumber.Then(
+	'engine {string} ran {int} requests',
+	function (this: FleetWorld, id: string, count: number) {
+		assert.equal(engineOf(this, id).seen.length, count);
+	},
+);
+
+cucumber.Then(
+	'engine {string} is free within {int} ms',
+	async function (this: FleetWorld, id: string, ms: number) {
+		await until(() => engineOf(this, id).seen.every((seen) => seen.left), ms);
+		assert.equal(engineOf(this, id).seen.length, 1);
+	},
+);
+
+cucumber.Then('the VM is not ready', async function (this: FleetWorld) {
+	assert.equal(await fixtureOf(this).isReady(firstVm(this)), false);
+});
+
+cucumber.Then(
+	'VM {int} answers {int} within {int} ms',
+	async function (this: FleetWorld, vm: number, status: number, ms: number) {
+		const fixture = fixtureOf(this);
+		const target = fixture.vms[vm - 1] as Vm;
+		const answers = async () => (await fixture.send('GET /plain/', '', { vm: target })).status;
+		await until(async () => (await answers()) === status, ms);
+	},
+);
+
+cucumber.Then(
+	'the VM ends by itself within {int} ms',
+	async function (this: FleetWorld, ms: number) {
+		const late = new Promise<string>((done) => setTimeout(() => done('late'), ms));
+		assert.equal(await Promise.race([firstVm(this).ended, late]), 0);
+	},
+);
+
+cucumber.Then('it ends with code {int}', async function (this: FleetWorld, code: number) {
+	assert.equal(await firstVm(this).ended, code);
+});
+
+cucumber.Then(
+	'it names {string} and {string}',
+	function (this: FleetWorld, first: string, second: string) {
+		assert.match(firstVm(this).errors, new RegExp(first));
+		assert.match(firstVm(this).errors, new RegExp(second));
+	},
+);
