Metrics as text, lines bounded by event, the inputs of each placement in its log line

Change: figures by prom-client on the deploy file's metrics port; BudgetedLog; request.placed carries the fleet's work at the engine, peers heard, configuration version, customer, urgency, time left.

--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -5,6 +5,7 @@
  */
 import type { Random } from '../definitions.js';
 import type { FleetView } from '../fleet/fleet-view.js';
+import type { EngineWork } from '../fleet/types.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type { PromptPart } from '../relay/definitions.js';
 import type { EngineModel } from '../routing/types.js';
@@ -61,6 +62,8 @@
 	promptTokens: number;
 	/** Tokens of its memory that the request takes for itself. */
 	heldTokens: number;
+	/** What the fleet had there when it was chosen. */
+	work: EngineWork;
 	/** Why this one, for the log. */
 	reason: string;
 }
@@ -72,6 +75,7 @@
 
 interface Candidate {
 	engine: Engine;
+	work: EngineWork;
 	/** Milliseconds until its prompt is read. */
 	waitMs: number;
 	/** Wait and what it costs the others, in steps. */
@@ -104,7 +108,8 @@
 		const best = open.filter((_, at) => loads[at] === least);
 		const engine = best[Math.floor(this.random.next() * best.length)] as Engine;
 		const reason = `least running ${least.toFixed(2)}`;
-		return { engine, promptTokens: 0, heldTokens: 0, reason };
+		const work = this.fleet.workAt(engine.id);
+		return { engine, promptTokens: 0, heldTokens: 0, work, reason };
 	}
 
 	private byPrompt(
@@ -126,6 +131,7 @@
 			engine,
 			promptTokens: uncached,
 			heldTokens: ownTokens(req) + req.answerTokens,
+			work: best.work,
 			reason: `${isLong ? 'long' : 'short'} prompt, wait ${Math.round(waitMs)} ms`,
 		};
 	}
@@ -171,6 +177,7 @@
 		const cost = waitMs + work.running * runningMs + reread;
 		return {
 			engine,
+			work,
 			waitMs,
 			cost: Math.round(cost / costStepMs),
 			uncached,
--- /dev/null
+++ b/src/core/relay/metrics.ts
@@ -0,0 +1,14 @@
+/**
+ * Figures of the relay that operators watch.
+ * @module
+ */
+import type { RelayOutcome } from './relayed-request.js';
+
+/** Receives figures; what they mean is declared with the adapter that serves them. */
+export interface RelayMetrics {
+	/** A request ended. Times in milliseconds; `firstMs` until its first byte, if any came. */
+	ended(route: string, outcome: RelayOutcome, tookMs: number, firstMs?: number): void;
+	denied(status: number): void;
+	retried(service: string): void;
+	engineClosed(): void;
+}
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -7,7 +7,7 @@
 import type { Customer, Route } from '../routing/types.js';
 import type { CallerRequest, CallerResponse } from './definitions.js';
 import { urgencyLevels } from './definitions.js';
-import type { RelayContext, RelayOutcome } from './relayed-request.js';
+import type { RelayContext } from './relayed-request.js';
 import { RelayedRequest } from './relayed-request.js';
 
 /** Seconds after which a caller may come back to a VM that knows too little to answer. */
@@ -21,7 +21,6 @@
 	mayBeBehind: () => boolean;
 	/** Why a request of the route is not taken now; undefined when it is. */
 	refusal: (route: Route) => string | undefined;
-	onEnd: (outcome: RelayOutcome, request: RelayedRequest) => void;
 }
 
 export class Relay {
@@ -91,7 +90,8 @@
 		}
 		const request = new RelayedRequest(this.opts, terms, res, (outcome, ended) => {
 			this.open.delete(ended);
-			this.opts.onEnd(outcome, ended);
+			const { tookMs, firstByteMs } = ended;
+			this.opts.metrics.ended(route.name, outcome, tookMs, firstByteMs);
 		});
 		this.open.add(request);
 		request.start();
@@ -106,6 +106,7 @@
 		version?: number,
 	): void {
 		const told = this.opts.mayBeBehind() ? 503 : status;
+		this.opts.metrics.denied(told);
 		this.opts.log.warn('request.denied', { request: req.id, status: told, reason, version });
 		const body = Buffer.from(`${reason}\n`);
 		const headers = ['Content-Type', 'text/plain', 'Content-Length', String(body.length)];
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -20,6 +20,7 @@
 	RunningCall,
 } from './definitions.js';
 import { EventSplitter } from './event-splitter.js';
+import type { RelayMetrics } from './metrics.js';
 import type { RetryBudget } from './retry-budget.js';
 
 /** Statuses that tell a caller that its request has not run and never will. */
@@ -39,6 +40,7 @@
 	transport: EngineTransport;
 	budget: RetryBudget;
 	fleet: FleetView;
+	metrics: RelayMetrics;
 	/** This VM's work at some engine changed. */
 	onWorkChanged: () => void;
 }
@@ -100,6 +102,7 @@
 	private done = false;
 	private lastEventId?: string;
 	private firstByteAt?: number;
+	private endedAt?: number;
 	private readonly timer: NodeJS.Timeout;
 
 	constructor(
@@ -122,6 +125,11 @@
 		return this.firstByteAt === undefined ? undefined : this.firstByteAt - this.terms.req.arrivedAt;
 	}
 
+	/** Milliseconds from the request to its end, or to now. */
+	get tookMs(): number {
+		return (this.endedAt ?? this.ctx.clock.monotonic()) - this.terms.req.arrivedAt;
+	}
+
 	get route(): Route {
 		return this.terms.route;
 	}
@@ -181,8 +189,14 @@
 		this.log('request.placed', {
 			engine: engine.id,
 			reason: placement.reason,
+			fleet_running: placement.work.running,
+			fleet_prompt_tokens: placement.work.promptTokens,
+			peers: this.ctx.fleet.size - 1,
 			left_ms: Math.round(this.deadlineAt - now),
 			last_event: this.lastEventId,
+			customer: customer?.name,
+			urgency: this.terms.urgency,
+			configuration: this.terms.configurationVersion,
 		});
 		const attempt: Attempt = {
 			engine,
@@ -359,9 +373,8 @@
 			return;
 		}
 		// Nothing of the request left this VM.
-		const now = this.ctx.clock.monotonic();
-		if (attempt.engine.health.unreachable(now)) {
-			this.log('engine.closed', { engine: attempt.engine.id, reason }, 'warn');
+		if (attempt.engine.health.unreachable(this.ctx.clock.monotonic())) {
+			this.engineClosed(attempt, reason);
 		}
 		this.attempt = undefined;
 		this.unreachable++;
@@ -397,6 +410,7 @@
 		if (this.sentTo.size >= route.maxEngines || !this.ctx.budget.take(service, now)) {
 			return false;
 		}
+		this.ctx.metrics.retried(service);
 		this.log('request.retried', {
 			engine: attempt.engine.id,
 			reason,
@@ -408,10 +422,15 @@
 
 	private noteFailure(attempt: Attempt, reason: string): void {
 		if (attempt.engine.health.failed(this.ctx.clock.monotonic())) {
-			this.log('engine.closed', { engine: attempt.engine.id, reason }, 'warn');
+			this.engineClosed(attempt, reason);
 		}
 	}
 
+	private engineClosed(attempt: Attempt, reason: string): void {
+		this.ctx.metrics.engineClosed();
+		this.log('engine.closed', { engine: attempt.engine.id, reason }, 'warn');
+	}
+
 	private markStarted(attempt: Attempt): void {
 		if (!attempt.started) {
 			attempt.started = true;
@@ -513,15 +532,17 @@
 		}
 		this.done = true;
 		clearTimeout(this.timer);
-		const took = this.ctx.clock.monotonic() - this.terms.req.arrivedAt;
-		this.log('request.ended', {
+		this.endedAt = this.ctx.clock.monotonic();
+		const level = outcome === relayOutcomes.complete ? 'info' : 'warn';
+		const fields = {
 			outcome,
 			reason,
 			status,
 			engines: [...this.sentTo].join(','),
 			first_ms: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs),
-			took_ms: Math.round(took),
-		});
+			took_ms: Math.round(this.tookMs),
+		};
+		this.log('request.ended', fields, level);
 		this.onEnd(outcome, this);
 	}
 
--- a/src/daemon/relay/main.ts
+++ b/src/daemon/relay/main.ts
@@ -4,9 +4,12 @@
  * @module
  */
 import * as fs from 'node:fs/promises';
+import * as util from 'node:util';
 import * as errors from '../../core/errors/index.js';
 import { BoundedWriter } from '../../infra/bounded-writer.js';
+import { BudgetedLog } from '../../infra/budgeted-log.js';
 import { LineLog } from '../../infra/line-log.js';
+import { SystemClock } from '../../infra/system-clock.js';
 import * as platform from '../../platform/index.js';
 import { RelayDaemon } from './relay-daemon.js';
 
@@ -15,15 +18,24 @@
 const defaultFile = '/etc/slategauge/local.json';
 const standardOutput = 1;
 
-const file = process.argv[2] ?? process.env.SLATEGAUGE_SETTINGS ?? defaultFile;
+const args = util.parseArgs({
+	options: {
+		/** Port that serves metrics; without it the last of the platform's free ports. */
+		'metrics-port': { type: 'string' },
+	},
+	allowPositionals: true,
+});
+const file = args.positionals[0] ?? process.env.SLATEGAUGE_SETTINGS ?? defaultFile;
 const settings = await load();
 const writer = new BoundedWriter(standardOutput);
-const log = new LineLog({
+const lines = new LineLog({
 	level: 'info',
 	base: { vm: settings.vm.id },
 	write: (line) => writer.write(line),
 });
-const daemon = new RelayDaemon(settings, log);
+const log = new BudgetedLog(lines, new SystemClock());
+const linesDropped = () => writer.droppedTotal + log.leftOutTotal;
+const daemon = new RelayDaemon(settings, log, linesDropped);
 await daemon.start();
 process.on('SIGTERM', () => void stop());
 process.on('SIGINT', () => void stop());
@@ -50,5 +62,7 @@
 		}
 		process.exit(exitCodes.configuration);
 	}
-	return read.settings;
+	const port = Number(args.values['metrics-port'] ?? read.settings.listen.metrics.port);
+	const { listen } = read.settings;
+	return { ...read.settings, listen: { ...listen, metrics: { ...listen.metrics, port } } };
 }
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -17,7 +17,8 @@
 import { PrefixFollower } from '../../core/store/prefix-follower.js';
 import { CallersFront } from '../../infra/relay/callers-front.js';
 import { UndiciEngineTransport } from '../../infra/relay/engine-transport.js';
-import { createReadinessServer } from '../../infra/relay/readiness-server.js';
+import { PrometheusMetrics } from '../../infra/relay/prometheus-metrics.js';
+import { createMetricsServer, createReadinessServer } from '../../infra/relay/readiness-server.js';
 import { SystemClock } from '../../infra/system-clock.js';
 import { SystemRandom } from '../../infra/system-random.js';
 import * as platform from '../../platform/index.js';
@@ -55,6 +56,8 @@
 	private readonly registry: VmRegistry;
 	private readonly front: CallersFront;
 	private readonly readiness: http.Server;
+	private readonly metrics: PrometheusMetrics;
+	private readonly metricsServer: http.Server;
 	private readonly followers: PrefixFollower[];
 	private readonly timers: NodeJS.Timeout[] = [];
 	/** When the stop signal came, in monotonic milliseconds. */
@@ -63,6 +66,8 @@
 	constructor(
 		private readonly settings: RelaySettings,
 		private readonly log: Log,
+		/** Log lines that were not written, since the start. */
+		linesDropped: () => number,
 	) {
 		const { clock, random, transport } = this;
 		this.store = new platform.PlatformStore(settings.store.address);
@@ -111,6 +116,15 @@
 				this.front.configure(table.configuration.limits);
 			},
 		});
+		this.metrics = new PrometheusMetrics({
+			open: () => this.relay.size,
+			peers: () => this.fleet.size,
+			configurationVersion: () => this.configuration.version,
+			storeCalls: () => this.store.calls,
+			storeReachable: () => (this.followers.every((follower) => follower.isReachable) ? 1 : 0),
+			logLinesDropped: linesDropped,
+		});
+		this.metricsServer = createMetricsServer(() => this.metrics.render());
 		this.relay = new Relay({
 			clock,
 			random,
@@ -124,7 +138,7 @@
 			routes: () => this.configuration.table,
 			mayBeBehind: () => this.followers.some((follower) => !follower.isReachable),
 			refusal: (route) => this.refusal(route),
-			onEnd: () => {},
+			metrics: this.metrics,
 		});
 		this.front = new CallersFront({
 			clock,
@@ -141,7 +155,8 @@
 	}
 
 	async start(): Promise<void> {
-		const { callers, readiness, peers } = this.settings.listen;
+		const { callers, readiness, peers, metrics } = this.settings.listen;
+		await listenOn(this.metricsServer, metrics.host, metrics.port);
 		await this.peers.start();
 		await listenOn(this.peers.server, peers.host, peers.port);
 		await listenOn(this.front.server, callers.host, callers.port);
@@ -190,6 +205,8 @@
 		await this.registry.stop().catch((err: Error) => {
 			this.log.warn('vm.registration-not-ended', { error: err.message });
 		});
+		this.metricsServer.close();
+		this.metricsServer.closeAllConnections();
 		this.readiness.close();
 		this.readiness.closeAllConnections();
 		await this.transport.close();
--- /dev/null
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -0,0 +1,134 @@
+/**
+ * Figures of the relay as text for a Prometheus-style collector. Labels are bounded: routes and
+ * services come from the configuration, outcomes and statuses from the code.
+ * @module
+ */
+import * as perfHooks from 'node:perf_hooks';
+import * as prometheus from 'prom-client';
+import type { RelayMetrics } from '../../core/relay/metrics.js';
+import type { RelayOutcome } from '../../core/relay/relayed-request.js';
+
+/** Bounds of the histograms in seconds: from a plain answer to the longest deadline. */
+const secondBuckets = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12];
+
+/** Figures that are read when they are asked for. */
+export interface RelayGauges {
+	/** Requests that have not ended. */
+	open: () => number;
+	/** VMs heard of lately, this one included. */
+	peers: () => number;
+	configurationVersion: () => number;
+	storeCalls: () => number;
+	/** 1 while the store answers. */
+	storeReachable: () => number;
+	logLinesDropped: () => number;
+}
+
+export class PrometheusMetrics implements RelayMetrics {
+	private readonly registry = new prometheus.Registry();
+	private readonly delay = perfHooks.monitorEventLoopDelay({ resolution: 20 });
+	private readonly endedTotal = this.counter(
+		'slategauge_requests_total',
+		'Requests that ended, by route and outcome',
+		['route', 'outcome'],
+	);
+	private readonly deniedTotal = this.counter(
+		'slategauge_denied_total',
+		'Requests that no route or key allows, by status told',
+		['status'],
+	);
+	private readonly retriedTotal = this.counter(
+		'slategauge_retries_total',
+		'Requests sent to a further engine, by service',
+		['service'],
+	);
+	private readonly closedTotal = this.counter(
+		'slategauge_engines_closed_total',
+		'Times that this VM stopped using an engine after failures',
+		[],
+	);
+	private readonly firstSeconds = this.histogram(
+		'slategauge_first_byte_seconds',
+		'From the request to the first byte of its answer, by route',
+	);
+	private readonly tookSeconds = this.histogram(
+		'slategauge_request_seconds',
+		'From the request to the end of its answer, by route',
+	);
+
+	constructor(gauges: RelayGauges) {
+		this.delay.enable();
+		this.gauge('slategauge_open_requests', 'Requests that have not ended', gauges.open);
+		this.gauge('slategauge_fleet_vms', 'VMs heard of in the last second', gauges.peers);
+		this.gauge(
+			'slategauge_configuration_version',
+			'Version in force; 0 before the first',
+			gauges.configurationVersion,
+		);
+		this.gauge('slategauge_store_calls', 'Calls to the store since the start', gauges.storeCalls);
+		this.gauge(
+			'slategauge_store_reachable',
+			'1 while the last calls to the store succeeded',
+			gauges.storeReachable,
+		);
+		this.gauge(
+			'slategauge_log_lines_dropped',
+			'Log lines dropped since the start',
+			gauges.logLinesDropped,
+		);
+		this.gauge('slategauge_event_loop_delay_seconds', 'Largest delay since last asked', () => {
+			const worst = this.delay.max / 1e9;
+			this.delay.reset();
+			return worst;
+		});
+		this.gauge('slategauge_resident_bytes', 'Memory of the process', () =>
+			process.memoryUsage.rss(),
+		);
+	}
+
+	ended(route: string, outcome: RelayOutcome, tookMs: number, firstMs?: number): void {
+		this.endedTotal.inc({ route, outcome });
+		this.tookSeconds.observe({ route }, tookMs / 1000);
+		if (firstMs !== undefined) {
+			this.firstSeconds.observe({ route }, firstMs / 1000);
+		}
+	}
+
+	denied(status: number): void {
+		this.deniedTotal.inc({ status: String(status) });
+	}
+
+	retried(service: string): void {
+		this.retriedTotal.inc({ service });
+	}
+
+	engineClosed(): void {
+		this.closedTotal.inc();
+	}
+
+	/** All figures as text. */
+	render(): Promise<string> {
+		return this.registry.metrics();
+	}
+
+	private counter(name: string, help: string, labelNames: string[]): prometheus.Counter {
+		return new prometheus.Counter({ name, help, labelNames, registers: [this.registry] });
+	}
+
+	private histogram(name: string, help: string): prometheus.Histogram {
+		const labelNames = ['route'];
+		const registers = [this.registry];
+		return new prometheus.Histogram({ name, help, labelNames, registers, buckets: secondBuckets });
+	}
+
+	private gauge(name: string, help: string, read: () => number): void {
+		new prometheus.Gauge({
+			name,
+			help,
+			registers: [this.registry],
+			collect() {
+				this.set(read());
+			},
+		});
+	}
+}
--- a/src/infra/relay/readiness-server.ts
+++ b/src/infra/relay/readiness-server.ts
@@ -14,9 +14,11 @@
 }
 
 /** Serves the text of `render` on every path. */
-export function createMetricsServer(render: () => string): http.Server {
+export function createMetricsServer(render: () => Promise<string>): http.Server {
 	return http.createServer((_req, res) => {
-		res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
-		res.end(render());
+		render().then(
+			(text) => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text),
+			(err: Error) => res.writeHead(500).end(`${err.message}\n`),
+		);
 	});
 }
--- /dev/null
+++ b/test/features/relay-decisions.feature
@@ -0,0 +1,91 @@
+Feature: Decisions of the relay, on their own
+
+	Scenario: The longest prefix of a host decides
+		Given routes "a.example /x/", "a.example /x/y/" and "b.example /x/"
+		Then "A.Example:8080" "/x/y/z?q=/x/" goes to "a.example /x/y/"
+		And "a.example" "/x/yz" goes to "a.example /x/"
+		And "b.example" "/x/y/" goes to "b.example /x/"
+		And "a.example" "/xy/" goes nowhere
+
+	Scenario: Urgency at engines follows the route's tier, then the customer's
+		Given routes of tiers 0 and 2 and customers of tiers 0 and 1
+		Then urgency orders them "0/0, 0/1, 2/0, 2/1"
+
+	Scenario: A VM keeps to its share of the fleet's retries
+		Given a retry budget of 0.2 and 50 in 10 s shared by 5 VMs
+		When 20 requests come in
+		Then 11 retries are taken of 30
+		When 11 seconds pass
+		Then 8 retries are taken of 30
+
+	Scenario: A registration that ends while the store is well takes the engine out
+		Given a directory of engines "a, b"
+		When the registration of "a" ends
+		Then engines "b" are offered
+
+	Scenario: A registration that lapsed with the store has two seconds to come back
+		Given a directory of engines "a, b"
+		When the store is lost and returns without "a"
+		Then engines "a, b" are offered
+		When 2 seconds pass
+		Then engines "b" are offered
+
+	Scenario: An older configuration never replaces a newer one
+		Given a configuration of version 7 in force
+		When version 5 is offered
+		Then version 7 is in force
+		When a text that is no configuration is offered
+		Then version 7 is in force
+
+	Scenario: Late and repeated news of a peer change nothing
+		Given a peer that told of 3 running requests at "a" as message 5
+		When its message 4 comes with 9 running requests
+		Then the fleet has 3 running requests at "a"
+		When the peer starts anew and tells of 1 running request as message 1
+		Then the fleet has 1 running requests at "a"
+		When 2 seconds pass
+		Then the fleet has 0 running requests at "a"
+
+	Scenario: News survive the way as a datagram, other bytes are refused
+		Given news of work, reads and demand
+		Then they are the same after encoding and decoding
+		And 1000 random datagrams are refused without an error
+
+	Scenario: Requests that share a prompt meet on one engine
+		Given 6 model engines
+		When 5 prompts of 6000 tokens share a part of 5000
+		Then they are all placed on one engine
+
+	Scenario: Long prompts stay away from the engines of short ones
+		Given 6 model engines
+		When 20 long and 20 short prompts are placed in turn
+		Then no engine has both
+
+	Scenario: In scarcity long prompts keep a quarter of the engines
+		Given demand of 6 engines by short and 6 by long prompts
+		Then of 8 engines 2 read long prompts
+
+	Scenario: Only the least urgent tier is refused for its waiting
+		Given 3 model engines with 600000 prompt tokens waiting on each
+		Then a prompt of the least urgent tier is refused with a time to come back
+		And a more urgent prompt is placed
+
+	Scenario: An engine that fails three times in a row is closed and tried again by one request
+		Given an engine that failed 3 times in a row
+		Then it admits nothing
+		When 1 second passes
+		Then it admits 1 request until that one ends
+
+	Scenario: An engine that fell silent with work under way is not chosen
+		Given an engine with a request under way and no word for 700 ms
+		Then it admits nothing
+
+	Scenario: Events are cut where they end, whatever the chunks
+		Given a stream of 20 events with ids
+		Then any cut into chunks yields the same events and ids
+
+	Scenario: A full log is dropped and said, never waited for
+		Given a log whose reader takes nothing
+		When 100000 lines are written
+		Then writing took less than 2 seconds of waiting
+		And lines were dropped and counted
