A VM that the store turns away learns engines and configuration from its peers

Cause: found by reading: a VM turned away for nine seconds kept its old engines, one that started so had none at all; peers were only those the store had listed. Change: news also go to seeds and to peers heard of; a VM that cannot read the engines asks a peer each second; leases are renewed every 2 s, which also shows hanging watches; settings reload.

--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -12,6 +12,12 @@
 /** Lapsed registrations are back within about 2 s of the store's return, if the engine lives. */
 const returnMs = 1900;
 
+/** What one VM tells another of all engines. */
+interface DirectoryCopy {
+	revision: number;
+	items: StoreItem[];
+}
+
 export interface EngineDirectoryOptions {
 	clock: Clock;
 	log: Log;
@@ -25,6 +31,10 @@
 export class EngineDirectory implements PrefixListener {
 	private readonly engines = new Map<string, Engine>();
 	private readonly ofService = new Map<string, Engine[]>();
+	/** Registrations as the store holds them, for peers that it turns away. */
+	private readonly items = new Map<string, StoreItem>();
+	/** Newest revision of the store that the directory shows. */
+	private shownRevision = 0;
 	private storeLost = false;
 	private storeBackAt = Number.NEGATIVE_INFINITY;
 
@@ -44,12 +54,35 @@
 		return (this.ofService.get(service) ?? []).filter((engine) => engine.isOffered(now));
 	}
 
-	snapshot(items: readonly StoreItem[]): void {
+	/** All registrations, as text for a peer. */
+	export(): string {
+		const copy: DirectoryCopy = { revision: this.shownRevision, items: [...this.items.values()] };
+		return JSON.stringify(copy);
+	}
+
+	/**
+	 * Takes in what a peer's directory shows, while this VM cannot read the store itself.
+	 * @throws Error when the text is no copy of a directory
+	 */
+	takeCopy(text: string): void {
+		const copy = JSON.parse(text) as DirectoryCopy;
+		if (copy.revision >= this.shownRevision && copy.items.length > 0) {
+			this.shownRevision = copy.revision;
+			this.replaceAll(copy.items, this.opts.clock.monotonic());
+		}
+	}
+
+	snapshot(items: readonly StoreItem[], _readAt: number, revision: number): void {
 		const now = this.opts.clock.monotonic();
 		if (this.storeLost) {
 			this.storeLost = false;
 			this.storeBackAt = now;
 		}
+		this.shownRevision = revision;
+		this.replaceAll(items, now);
+	}
+
+	private replaceAll(items: readonly StoreItem[], now: number): void {
 		const seen = new Set<string>();
 		for (const item of items) {
 			seen.add(this.opts.idOf(item.key));
@@ -64,6 +97,7 @@
 
 	changes(changes: StoreChanges): void {
 		const now = this.opts.clock.monotonic();
+		this.shownRevision = changes.revision;
 		for (const event of changes.events) {
 			if (event.kind === 'put') {
 				this.put(event.item);
@@ -95,6 +129,7 @@
 			this.opts.log.warn('engine.unreadable', { key: item.key, error: (err as Error).message });
 			return;
 		}
+		this.items.set(entry.id, item);
 		const known = this.engines.get(entry.id);
 		if (!known) {
 			this.add(new Engine(entry), item.revision);
@@ -132,6 +167,7 @@
 	private remove(engine: Engine, reason: string): void {
 		const { id, service, address } = engine.entry;
 		this.engines.delete(id);
+		this.items.delete(id);
 		const left = (this.ofService.get(service) ?? []).filter((other) => other !== engine);
 		this.ofService.set(service, left);
 		this.opts.onGone(id);
--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -57,6 +57,12 @@
 		return 1 + [...this.peers.values()].filter((peer) => this.isHeard(peer)).length;
 	}
 
+	/** Addresses of the peers heard of lately, as IP:PORT. */
+	addresses(): string[] {
+		const heard = [...this.peers.values()].filter((peer) => this.isHeard(peer));
+		return heard.map((peer) => peer.address);
+	}
+
 	/** Whether something changed since the last news. */
 	get hasNews(): boolean {
 		return this.changed.size > 0 || this.reads.length > 0;
--- a/src/core/fleet/vm-registry.ts
+++ b/src/core/fleet/vm-registry.ts
@@ -10,8 +10,11 @@
 
 /** The registration ends so long after the last renewal, in milliseconds. */
 const leaseMs = 12_000;
-/** Time between renewals, in milliseconds; two may fail before the lease ends. */
-const renewMs = 4000;
+/**
+ * Time between renewals, in milliseconds. They also show that the store is reached: a watch that
+ * hangs on a dead connection is dropped at the first that fails.
+ */
+const renewMs = 2000;
 /** Between tries to register, in milliseconds; all VMs may try at once after an outage. */
 const retryMs = 1500;
 /** A VM whose registration ended is still told news for so long, in milliseconds. */
--- a/src/core/relay/retry-budget.ts
+++ b/src/core/relay/retry-budget.ts
@@ -22,10 +22,14 @@
 
 	/** @param fleetSize VMs that share the budget, this one included */
 	constructor(
-		private readonly settings: RetrySettings,
+		private settings: RetrySettings,
 		private readonly fleetSize: () => number,
 	) {}
 
+	configure(settings: RetrySettings): void {
+		this.settings = settings;
+	}
+
 	/** A caller's request for the service came in. */
 	requested(service: string, now: number): void {
 		this.bucket(service, now).requests++;
--- a/src/core/store/prefix-follower.ts
+++ b/src/core/store/prefix-follower.ts
@@ -16,7 +16,7 @@
 /** Receives what the store holds. */
 export interface PrefixListener {
 	/** Everything under the prefix, read at `readAt` (monotonic milliseconds) or later. */
-	snapshot(items: readonly StoreItem[], readAt: number): void;
+	snapshot(items: readonly StoreItem[], readAt: number, revision: number): void;
 	changes(changes: StoreChanges): void;
 	/** The store cannot be read; called once until the next snapshot. */
 	lost(reason: string): void;
@@ -85,7 +85,7 @@
 			this.reachable = true;
 			this.opts.log.info('store.reached', { prefix: this.opts.prefix, revision: range.revision });
 		}
-		this.opts.listener.snapshot(range.items, readAt);
+		this.opts.listener.snapshot(range.items, readAt, range.revision);
 		return range.revision;
 	}
 
--- a/src/daemon/relay/main.ts
+++ b/src/daemon/relay/main.ts
@@ -39,7 +39,7 @@
 await daemon.start();
 process.on('SIGTERM', () => void stop());
 process.on('SIGINT', () => void stop());
-process.on('SIGHUP', () => log.info('daemon.reload', { file }));
+process.on('SIGHUP', () => void reload());
 
 async function stop(): Promise<void> {
 	await daemon.stop();
@@ -47,6 +47,22 @@
 	process.exit(exitCodes.ok);
 }
 
+/** A file that cannot be used changes nothing. */
+async function reload(): Promise<void> {
+	try {
+		const read = platform.readSettings(file, await fs.readFile(file, 'utf8'));
+		if (read.settings) {
+			daemon.reload(read.settings);
+			return;
+		}
+		for (const found of read.findings) {
+			log.error('settings.finding', { finding: errors.formatFinding(found) });
+		}
+	} catch (err) {
+		log.error('settings.unreadable', { file, error: (err as Error).message });
+	}
+}
+
 async function load() {
 	let text: string;
 	try {
--- a/src/daemon/relay/peer-exchange.ts
+++ b/src/daemon/relay/peer-exchange.ts
@@ -19,6 +19,7 @@
 /** A peer that has the configuration answers in a few milliseconds. */
 const fetchTimeoutMs = 800;
 const configurationPath = '/configuration';
+const enginesPath = '/engines';
 
 export interface PeerExchangeOptions {
 	log: Log;
@@ -29,6 +30,9 @@
 	/** The configuration in force as text. */
 	configuration: () => string | undefined;
 	offer: (text: string, source: string) => void;
+	/** All engines as text; undefined while this VM itself cannot read the store. */
+	engines: () => string | undefined;
+	takeEngines: (text: string) => void;
 }
 
 export class PeerExchange {
@@ -55,22 +59,33 @@
 	}
 
 	/** Fetches the configuration of a peer; one call at a time, news come again soon. */
-	async fetch(address: string): Promise<void> {
+	fetchConfiguration(address: string): Promise<void> {
+		return this.fetch(address, configurationPath, (text) => {
+			this.opts.offer(text, `peer ${address}`);
+		});
+	}
+
+	/** Fetches the engines that a peer knows. */
+	fetchEngines(address: string): Promise<void> {
+		return this.fetch(address, enginesPath, (text) => this.opts.takeEngines(text));
+	}
+
+	private async fetch(address: string, path: string, take: (text: string) => void): Promise<void> {
 		if (this.fetching) {
 			return;
 		}
 		this.fetching = true;
 		try {
-			const res = await undici.request(`http://${address}${configurationPath}`, {
+			const res = await undici.request(`http://${address}${path}`, {
 				signal: AbortSignal.timeout(fetchTimeoutMs),
 			});
 			const text = await res.body.text();
 			if (res.statusCode === 200) {
-				this.opts.offer(text, `peer ${address}`);
+				take(text);
 			}
 		} catch (err) {
 			const error = (err as Error).message;
-			this.opts.log.warn('configuration.fetch-failed', { peer: address, error });
+			this.opts.log.warn('peer.fetch-failed', { peer: address, path, error });
 		} finally {
 			this.fetching = false;
 		}
@@ -99,8 +114,15 @@
 		return Math.max(0, this.sentAt + spacing - performance.now());
 	}
 
+	private textOf(path: string | undefined): string | undefined {
+		if (path === configurationPath) {
+			return this.opts.configuration();
+		}
+		return path === enginesPath ? this.opts.engines() : undefined;
+	}
+
 	private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
-		const text = req.url === configurationPath ? this.opts.configuration() : undefined;
+		const text = this.textOf(req.url);
 		res.writeHead(text === undefined ? 404 : 200, { 'content-type': 'application/json' });
 		res.end(text ?? '');
 	}
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -10,7 +10,7 @@
 import { VmRegistry } from '../../core/fleet/vm-registry.js';
 import { Relay } from '../../core/relay/relay.js';
 import { RetryBudget } from '../../core/relay/retry-budget.js';
-import type { RelaySettings } from '../../core/relay/settings.js';
+import type { HostPort, RelaySettings } from '../../core/relay/settings.js';
 import { ConfigurationState } from '../../core/routing/configuration-state.js';
 import type { Route } from '../../core/routing/types.js';
 import type { PrefixListener } from '../../core/store/prefix-follower.js';
@@ -51,6 +51,7 @@
 	private readonly engines: EngineDirectory;
 	private readonly configuration: ConfigurationState;
 	private readonly relay: Relay;
+	private readonly budget: RetryBudget;
 	private readonly fleet: FleetView;
 	private readonly peers: PeerExchange;
 	private readonly registry: VmRegistry;
@@ -59,12 +60,13 @@
 	private readonly metrics: PrometheusMetrics;
 	private readonly metricsServer: http.Server;
 	private readonly followers: PrefixFollower[];
+	private readonly enginesFollower: PrefixFollower;
 	private readonly timers: NodeJS.Timeout[] = [];
 	/** When the stop signal came, in monotonic milliseconds. */
 	private stoppingAt?: number;
 
 	constructor(
-		private readonly settings: RelaySettings,
+		private settings: RelaySettings,
 		private readonly log: Log,
 		/** Log lines that were not written, since the start. */
 		linesDropped: () => number,
@@ -86,7 +88,7 @@
 			clock,
 			log,
 			life: Math.floor(random.next() * 2 ** 32),
-			onNewerConfiguration: (address) => void this.peers.fetch(address),
+			onNewerConfiguration: (address) => void this.peers.fetchConfiguration(address),
 		});
 		this.registry = new VmRegistry({
 			store: this.store,
@@ -103,9 +105,11 @@
 			log,
 			listen: peers,
 			fleet: this.fleet,
-			others: () => this.registry.others(),
+			others: () => this.otherVms(),
 			configuration: () => this.configuration.text,
 			offer: (text, source) => this.configuration.offer(text, source),
+			engines: () => (this.enginesFollower.isReachable ? this.engines.export() : undefined),
+			takeEngines: (text) => this.engines.takeCopy(text),
 		});
 		this.configuration = new ConfigurationState({
 			log,
@@ -116,6 +120,7 @@
 				this.front.configure(table.configuration.limits);
 			},
 		});
+		this.budget = new RetryBudget(settings.retries, () => this.fleet.size);
 		this.metrics = new PrometheusMetrics({
 			open: () => this.relay.size,
 			peers: () => this.fleet.size,
@@ -134,7 +139,7 @@
 			placement: new EnginePlacement(random, this.fleet),
 			fleet: this.fleet,
 			onWorkChanged: () => this.peers.changed(),
-			budget: new RetryBudget(settings.retries, () => this.fleet.size),
+			budget: this.budget,
 			routes: () => this.configuration.table,
 			mayBeBehind: () => this.followers.some((follower) => !follower.isReachable),
 			refusal: (route) => this.refusal(route),
@@ -147,9 +152,10 @@
 			handle: (req, res) => this.relay.handle(req, res),
 		});
 		this.readiness = createReadinessServer(() => this.isReady());
+		this.enginesFollower = this.follower(platform.keys.engines, this.engines, enginesPauseMs);
 		this.followers = [
 			this.follower(platform.keys.configuration, this.configuration, 0),
-			this.follower(platform.keys.engines, this.engines, enginesPauseMs),
+			this.enginesFollower,
 			this.follower(platform.keys.vms, this.registry, vmsPauseMs),
 		];
 	}
@@ -166,7 +172,7 @@
 		}
 		this.runForever(this.registry.keep());
 		this.timers.push(setInterval(() => this.engines.sweep(), tickMs));
-		this.timers.push(setInterval(() => this.fleet.sweep(), peerSweepMs));
+		this.timers.push(setInterval(() => this.sweepPeers(), peerSweepMs));
 		this.log.info('daemon.started', {
 			callers_port: callers.port,
 			domain: this.settings.vm.domain,
@@ -221,6 +227,42 @@
 		});
 	}
 
+	/** Each second: drops silent peers, and asks one of the others while the store turns this VM away. */
+	private sweepPeers(): void {
+		this.fleet.sweep();
+		const peers = this.fleet.addresses();
+		if (!this.enginesFollower.isReachable && peers.length > 0) {
+			const chosen = peers[Math.floor(this.random.next() * peers.length)] as string;
+			void this.peers.fetchEngines(chosen);
+		}
+	}
+
+	/** The VMs that are told news: those registered, those heard of, and the first to ask. */
+	private otherVms(): HostPort[] {
+		const { peers } = this.settings.listen;
+		const known = new Map<string, HostPort>();
+		for (const seed of this.settings.seeds) {
+			// Seeds name another port of the same VM; ports are alike on all VMs.
+			known.set(seed.host, { host: seed.host, port: peers.port });
+		}
+		for (const other of this.registry.others()) {
+			known.set(other.host, other);
+		}
+		for (const address of this.fleet.addresses()) {
+			const [host = '', port = ''] = address.split(':');
+			known.set(host, { host, port: Number(port) });
+		}
+		known.delete(peers.host);
+		return [...known.values()];
+	}
+
+	/** Takes in a changed settings file; addresses stay until the next start. */
+	reload(settings: RelaySettings): void {
+		this.settings = { ...settings, listen: this.settings.listen, vm: this.settings.vm };
+		this.budget.configure(settings.retries);
+		this.log.info('daemon.reloaded', { seeds: settings.seeds.length });
+	}
+
 	private restartFollowers(): void {
 		for (const follower of this.followers) {
 			follower.restart();
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -106,6 +106,24 @@
 		When the key of customer "station" is taken away
 		Then VM 2 answers 401 within 2000 ms
 
+	Scenario: A VM that the store turns away hears of leaving engines from its peers
+		Given a relay of 2 VMs with engines "a, b"
+		And the store turns VM 2 away
+		When engine "a" starts to leave
+		Then VM 2 sends nothing to engine "a" after 3000 ms
+
+	Scenario: A VM that starts while the store turns it away learns all from the first VM
+		Given a relay of 1 VM with engines "a"
+		When a second VM starts, turned away, with the first as its seed
+		Then VM 2 answers 200 within 6000 ms
+
+	Scenario: Changed settings are taken in, wrong ones change nothing
+		Given a relay of 1 VM with engines "a"
+		When its settings are changed, then spoiled, with a signal each time
+		And "GET /plain/" is sent
+		Then the answer is 200
+		And its metrics tell 1 complete request of route "plain"
+
 	Scenario: A planned stop lets streams end and takes no late ones
 		Given a relay of 1 VM with engines "a"
 		And engine "a" takes 100 ms for an event
--- a/test/steps/relay-decisions.steps.ts
+++ b/test/steps/relay-decisions.steps.ts
@@ -194,7 +194,11 @@
 		onAddressGone() {},
 		onGone() {},
 	});
-	directory.snapshot(ids.split(', ').map((id) => registration(id, 1)));
+	directory.snapshot(
+		ids.split(', ').map((id) => registration(id, 1)),
+		0,
+		1,
+	);
 	this.seen.set('directory', directory);
 });
 
@@ -212,7 +216,11 @@
 		const directory = seen<EngineDirectory>(this, 'directory');
 		const left = directory.offered('pool').filter((engine) => engine.id !== id);
 		directory.lost();
-		directory.snapshot(left.map((engine) => registration(engine.id, 3)));
+		directory.snapshot(
+			left.map((engine) => registration(engine.id, 3)),
+			0,
+			3,
+		);
 	},
 );
 
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -25,7 +25,9 @@
 
 export interface Vm {
 	address: string;
-	ports: { callers: number; readiness: number };
+	ports: Ports;
+	/** Its settings. */
+	file: string;
 	process: childProcess.ChildProcess;
 	ended: Promise<number | null>;
 	errors: string;
@@ -155,7 +157,13 @@
 	}
 
 	/** Starts a daemon; the settings file is the platform's. */
-	async startVm(address: string, id: string, ports: Ports, drop: string[] = []): Promise<Vm> {
+	async startVm(
+		address: string,
+		id: string,
+		ports: Ports,
+		drop: string[] = [],
+		seeds: string[] = [],
+	): Promise<Vm> {
 		const settings: Record<string, unknown> = {
 			'node-name': id,
 			ip: address,
@@ -165,6 +173,7 @@
 				readiness: `${address}:${ports.readiness}`,
 			},
 			'port-range': [ports.peers, ports.metrics],
+			'seed-nodes': seeds,
 			limits: { 'memory-mb': 350, 'max-fds': 4100 },
 			bounds: {},
 			platform: { address: this.storeAddress },
@@ -183,6 +192,7 @@
 		const vm: Vm = {
 			address,
 			ports,
+			file,
 			process: child,
 			ended: new Promise((done) => child.on('exit', done)),
 			errors: '',
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as assert from 'node:assert/strict';
+import * as fs from 'node:fs/promises';
 import * as cucumber from '@cucumber/cucumber';
 import type { EngineBehaviour, PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
 import { streamLength } from '../stand-ins/platform-engine.js';
@@ -173,6 +174,55 @@
 	},
 );
 
+cucumber.Then(
+	'VM {int} sends nothing to engine {string} after {int} ms',
+	async function (this: FleetWorld, vm: number, id: string, ms: number) {
+		const fixture = fixtureOf(this);
+		await new Promise((done) => setTimeout(done, ms));
+		const before = engineOf(this, id).seen.length;
+		for (let at = 0; at < 10; at++) {
+			const answer = await fixture.send('GET /plain/', '', { vm: fixture.vms[vm - 1] });
+			assert.equal(answer.status, 200);
+		}
+		assert.equal(engineOf(this, id).seen.length, before);
+	},
+);
+
+cucumber.When(
+	'a second VM starts, turned away, with the first as its seed',
+	async function (this: FleetWorld) {
+		const fixture = fixtureOf(this);
+		const address = '127.0.0.12';
+		fixture.store.turnedAway.add(address);
+		const first = firstVm(this);
+		const seeds = [`${first.address}:9`];
+		fixture.vms.push(await fixture.startVm(address, 'vm-2', first.ports, [], seeds));
+	},
+);
+
+cucumber.When(
+	'its settings are changed, then spoiled, with a signal each time',
+	async function (this: FleetWorld) {
+		const vm = firstVm(this);
+		const settings = JSON.parse(await fs.readFile(vm.file, 'utf8'));
+		for (const text of [JSON.stringify({ ...settings, 'seed-nodes': ['10.0.0.9:1'] }), '{']) {
+			await fs.writeFile(vm.file, text);
+			vm.process.kill('SIGHUP');
+			await new Promise((done) => setTimeout(done, 300));
+		}
+	},
+);
+
+cucumber.Then(
+	'its metrics tell {int} complete request(s) of route {string}',
+	async function (this: FleetWorld, count: number, route: string) {
+		const vm = firstVm(this);
+		const res = await fetch(`http://${vm.address}:${vm.ports.metrics}/metrics`);
+		const line = `slategauge_requests_total{route="${route}",outcome="complete"} ${count}`;
+		assert.ok((await res.text()).includes(line));
+	},
+);
+
 cucumber.Then('the answer is {int}', function (this: FleetWorld, status: number) {
 	assert.equal(lastAnswer(this).status, status);
 });
