An answer without a length that is reset is not taken for whole

Ruled out: the relay's own ending (framed answers that break were cut or told 502 before too). Change: connections remember whether they broke; such an answer counts as broken. Test: 'unframed-reset' failed before, passes now; an orderly end stays whole (25 passed, 0 failed).

--- a/src/infra/relay/engine-transport.ts
+++ b/src/infra/relay/engine-transport.ts
@@ -36,15 +36,14 @@
 		const handler = new CallHandler(this.codec, listener);
 		const { req } = call;
 		try {
-			this.pool(call.address).dispatch(
-				{
-					method: req.method as undici.Dispatcher.HttpMethod,
-					path: req.target,
-					headers: this.codec.encodeCall(call),
-					body: req.body.length > 0 ? req.body : undefined,
-				},
-				handler,
-			);
+			const opts: TrackedOptions = {
+				method: req.method as undici.Dispatcher.HttpMethod,
+				path: req.target,
+				headers: this.codec.encodeCall(call),
+				body: req.body.length > 0 ? req.body : undefined,
+				onConnection: (connection) => handler.onConnection(connection),
+			};
+			this.pool(call.address).dispatch(opts, handler);
 		} catch (err) {
 			// undici refuses heads that it cannot write; nothing left this process.
 			setImmediate(() => handler.refused(err as Error));
@@ -70,7 +69,7 @@
 		if (!pool) {
 			pool = new undici.Pool(`http://${address}`, {
 				pipelining: 1,
-				connect: { timeout: connectTimeoutMs },
+				factory: (origin, opts) => new TrackedClient(origin, opts as undici.Client.Options),
 				headersTimeout: 0,
 				bodyTimeout: 0,
 				keepAliveTimeout: idleMs,
@@ -83,9 +82,56 @@
 	}
 }
 
+/** What the transport knows of one connection. */
+interface Connection {
+	/** It ended by an error, not by the engine's orderly close. */
+	broken: boolean;
+}
+
+interface TrackedOptions extends undici.Dispatcher.DispatchOptions {
+	onConnection: (connection: Connection) => void;
+}
+
+const connect = undici.buildConnector({ timeout: connectTimeoutMs });
+
+/**
+ * A connection that remembers whether it broke: undici takes a reset for the end of an answer that
+ * has no length, which may cut that answer short unseen.
+ */
+class TrackedClient extends undici.Client {
+	private readonly connection: Connection;
+
+	constructor(origin: URL, opts: undici.Client.Options) {
+		const connection: Connection = { broken: false };
+		super(origin, {
+			...opts,
+			connect: (options, callback) =>
+				connect(options, (...result) => {
+					const [, socket] = result;
+					connection.broken = false;
+					socket?.on('error', () => {
+						connection.broken = true;
+					});
+					callback(...result);
+				}),
+		});
+		this.connection = connection;
+	}
+
+	override dispatch(
+		opts: undici.Dispatcher.DispatchOptions,
+		handler: undici.Dispatcher.DispatchHandler,
+	): boolean {
+		(opts as TrackedOptions).onConnection(this.connection);
+		return super.dispatch(opts, handler);
+	}
+}
+
 /** Turns one undici dispatch into calls of the listener. */
 class CallHandler implements undici.Dispatcher.DispatchHandler, RunningCall {
 	private controller?: undici.Dispatcher.DispatchController;
+	private connection?: Connection;
+	private framed = true;
 	private done = false;
 
 	constructor(
@@ -108,6 +154,10 @@
 		}
 	}
 
+	onConnection(connection: Connection): void {
+		this.connection = connection;
+	}
+
 	refused(err: Error): void {
 		this.fail(err.message);
 	}
@@ -128,7 +178,9 @@
 		}
 		const raw = (controller as unknown as { rawHeaders: Buffer[] }).rawHeaders;
 		const headers = raw.map((value) => value.toString('latin1'));
-		this.listener.head(this.codec.decodeAnswer(status, headers));
+		const head = this.codec.decodeAnswer(status, headers);
+		this.framed = head.framed;
+		this.listener.head(head);
 	}
 
 	onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
@@ -138,6 +190,10 @@
 	}
 
 	onResponseEnd(): void {
+		if (!this.framed && this.connection?.broken) {
+			this.fail('an answer without a length was reset');
+			return;
+		}
 		if (!this.done) {
 			this.done = true;
 			this.listener.end();
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -56,6 +56,13 @@
 			| bare-503 |
 			| mixes-up |
 			| unsigned |
+			| unframed-reset |
+
+	Scenario: An answer without a length ends with its connection
+		Given a relay of 1 VM with engines "a"
+		And engine "a" unframed
+		When "POST /once/" with body "order" is sent
+		Then the answer is 200 "half and half", signed by "a"
 
 	Scenario: An engine's own failure is passed on as it is
 		Given a relay of 1 VM with engines "a"
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -20,6 +20,10 @@
 	mixesUp: 'mixes-up',
 	/** A success without its signature. */
 	unsigned: 'unsigned',
+	/** An answer without a length that is reset on the way. */
+	unframedReset: 'unframed-reset',
+	/** An answer without a length that ends with its connection. */
+	unframed: 'unframed',
 	/** Its own failure. */
 	fails: 'fails',
 	/** Never answers. */
@@ -102,6 +106,10 @@
 			case engineBehaviours.fails:
 				res.writeHead(500, signed).end('failed');
 				return;
+			case engineBehaviours.unframed:
+			case engineBehaviours.unframedReset:
+				await this.answerUnframed(id, socket);
+				return;
 			case engineBehaviours.silent:
 				return;
 			default:
@@ -109,6 +117,22 @@
 		}
 	}
 
+	private async answerUnframed(id: string, socket: Socket): Promise<void> {
+		const head = [
+			'HTTP/1.1 200 OK',
+			`slategauge-attempt-id: ${id}`,
+			`slategauge-response-signature: by-${this.id}`,
+			'connection: close',
+		];
+		socket.write(`${head.join('\r\n')}\r\n\r\nhalf`);
+		await pause(100);
+		if (this.behaviour === engineBehaviours.unframedReset) {
+			socket.resetAndDestroy();
+		} else {
+			socket.end(' and half');
+		}
+	}
+
 	private async serve(
 		req: SeenRequest,
 		res: http.ServerResponse,
