Requests move away from silent engines; a trial without a verdict may be repeated; explain and log pages

Cause: (1) found by reading: an engine on trial whose request ended without a verdict (its caller left) stayed closed on that VM for good. (2) A repeatable request waited at an engine that answers nobody until its caller gave up. Change: an ended trial may be repeated; requests that may repeat move on when their engine was silent for all of this VM's requests beyond its bound; attempt.ts and types.ts split off; slategauge explain; docs/LOGS.md from declared events.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import { hideBin } from 'yargs/helpers';
 import { configCommand } from './config/index.js';
 import { exitCodes } from './exit-codes.js';
+import { explainCommand } from './explain/index.js';
 import { hashTokenCommand } from './hash-token/index.js';
 import { queryCommand, runCommand } from './query/index.js';
 import { replayCommand } from './replay/index.js';
@@ -37,6 +38,7 @@
 	.command(statusCommand)
 	.command(configCommand)
 	.command(timelineCommand)
+	.command(explainCommand)
 	.command(replayCommand)
 	.command(reportCommand)
 	.command(hashTokenCommand)
--- a/src/core/engines/engine-health.ts
+++ b/src/core/engines/engine-health.ts
@@ -54,6 +54,8 @@
 	ended(promptTokens: number): void {
 		this.running--;
 		this.promptTokensAwaited -= promptTokens;
+		// A trial that ended without a verdict, such as by its caller leaving, may be repeated.
+		this.trial = false;
 		if (this.running === 0) {
 			this.awaitingSince = undefined;
 		}
--- /dev/null
+++ b/src/core/explain/story.ts
@@ -0,0 +1,78 @@
+/**
+ * Tells what happened to one request from the logs of all VMs: its own lines in order, and what its
+ * VM believed about its engines and the store shortly before.
+ * @module
+ */
+import type { LogLine } from './log-line.js';
+
+/** Beliefs are told from so long before the request, in milliseconds: a closed engine stays closed for 4 s at most. */
+const beforeMs = 5000;
+/** Events that change what a VM believes. */
+const beliefEvents: ReadonlySet<string> = new Set([
+	'engine.closed',
+	'engine.seen',
+	'engine.gone',
+	'store.lost',
+	'store.reached',
+	'peer.lost',
+	'peer.seen',
+	'configuration.applied',
+	'daemon.started',
+	'daemon.stopping',
+	'log.thinned',
+	'log.dropped',
+]);
+
+export interface Story {
+	/** Lines about the request and what was believed, by time. */
+	lines: LogLine[];
+	/** What the logs do not tell. */
+	gaps: string[];
+}
+
+/** @param lines of all VMs, in any order */
+export function tellStory(request: string, lines: readonly LogLine[]): Story {
+	const own = lines.filter((line) => line.get('request') === request);
+	if (own.length === 0) {
+		return { lines: [], gaps: [`no line names request ${request}`] };
+	}
+	const vms = new Set(own.map((line) => line.get('vm')));
+	const engines = new Set(own.map((line) => line.get('engine')).filter(Boolean));
+	const times = own.map(timeOf);
+	const from = Math.min(...times) - beforeMs;
+	const to = Math.max(...times);
+	const beliefs = lines.filter((line) => {
+		const about = line.get('engine');
+		const concerns = about === undefined || engines.has(about);
+		const isOwn = line.get('request') === request;
+		const at = timeOf(line);
+		return (
+			!isOwn && concerns && vms.has(line.get('vm')) && isBelief(line) && at >= from && at <= to
+		);
+	});
+	const told = [...own, ...beliefs].sort((a, b) => timeOf(a) - timeOf(b));
+	return { lines: told, gaps: gapsOf(own, beliefs) };
+}
+
+function isBelief(line: LogLine): boolean {
+	return beliefEvents.has(line.get('event') ?? '');
+}
+
+function gapsOf(own: readonly LogLine[], beliefs: readonly LogLine[]): string[] {
+	const gaps: string[] = [];
+	const events = new Set(own.map((line) => line.get('event')));
+	if (!events.has('request.ended') && !events.has('request.denied')) {
+		gaps.push('no line tells its end: it is under way, its VM died, or the line was left out');
+	}
+	if (!events.has('request.placed') && !events.has('request.denied')) {
+		gaps.push('no line tells where it was sent: it was refused before, or the line was left out');
+	}
+	if (beliefs.some((line) => line.get('event')?.startsWith('log.'))) {
+		gaps.push('its VM left out lines at that time');
+	}
+	return gaps;
+}
+
+function timeOf(line: LogLine): number {
+	return Date.parse(line.get('time') ?? '');
+}
--- /dev/null
+++ b/src/core/relay/log-events.ts
@@ -0,0 +1,207 @@
+/**
+ * Every event that a relaying daemon logs, with its fields. docs/LOGS.md is made from here.
+ * @module
+ */
+
+export interface LogEvent {
+	name: string;
+	/** When it is written. */
+	when: string;
+	/** Fields beside time, level, event and vm. */
+	fields: Readonly<Record<string, string>>;
+}
+
+const request = { request: "the caller's id of the request", route: 'name of its route' };
+
+export const logEvents: readonly LogEvent[] = [
+	{
+		name: 'request.placed',
+		when: 'An engine was chosen and the request is sent there.',
+		fields: {
+			...request,
+			engine: 'id of the engine',
+			reason: 'what decided, with the wait expected there',
+			fleet_running: 'requests of the whole fleet at that engine, as known here',
+			fleet_prompt_tokens: 'prompt tokens that wait there, as known here',
+			peers: 'VMs whose news that knowledge includes; each is at most a few news intervals old',
+			left_ms: "what is left of the caller's time",
+			last_event: 'the stream goes on behind this event',
+			customer: 'name of the customer',
+			urgency: 'urgency at the engine, 0 first',
+			configuration: 'version that decided',
+		},
+	},
+	{
+		name: 'request.retried',
+		when: 'It goes to a further engine.',
+		fields: {
+			...request,
+			engine: 'engine before',
+			reason: 'why not that one',
+			last_event: 'last event that the caller has',
+		},
+	},
+	{
+		name: 'request.ended',
+		when: 'The caller got its last byte, or went away. A warning unless complete.',
+		fields: {
+			...request,
+			outcome:
+				'complete, engine-failure, refused, unknown (may have run), timed-out, cut, caller-left',
+			reason: 'why, unless complete',
+			status: 'status of an answer of our own',
+			engines: 'engines that bytes of it were sent to',
+			first_ms: 'from the request to the first byte of its answer',
+			took_ms: 'from the request to its end',
+		},
+	},
+	{
+		name: 'request.denied',
+		when: 'No route, no known key, no configuration yet, or the daemon stops.',
+		fields: {
+			request: request.request,
+			status: 'status told',
+			reason: 'why',
+			version: 'configuration',
+		},
+	},
+	{
+		name: 'engine.closed',
+		when: 'After failures the engine gets no work for 0.5 to 4 s, then one request to try it.',
+		fields: { ...request, engine: 'id of the engine', reason: 'the last failure' },
+	},
+	{
+		name: 'engine.seen',
+		when: 'An engine registered, or says that it leaves.',
+		fields: {
+			engine: 'id',
+			service: 'its service',
+			address: 'IP and port',
+			domain: 'failure domain',
+			draining: 'it takes nothing new',
+			revision: 'revision of the store',
+		},
+	},
+	{
+		name: 'engine.gone',
+		when: 'An engine is no longer used.',
+		fields: { engine: 'id', service: 'its service', reason: 'how this is known' },
+	},
+	{
+		name: 'engine.unreadable',
+		when: 'A registration cannot be understood; it is passed over.',
+		fields: { key: 'key in the store', error: 'what is wrong' },
+	},
+	{
+		name: 'configuration.applied',
+		when: 'A version is in force on this VM.',
+		fields: {
+			version: 'version',
+			source: 'the store or a peer',
+			routes: 'number of routes',
+			customers: 'number of customers',
+		},
+	},
+	{
+		name: 'configuration.unreadable',
+		when: 'A configuration cannot be understood; the version before stays in force.',
+		fields: { source: 'where it came from', error: 'all findings' },
+	},
+	{
+		name: 'store.reached',
+		when: 'The store can be read, first or again.',
+		fields: { prefix: 'keys that are followed', revision: 'revision of the store' },
+	},
+	{
+		name: 'store.lost',
+		when: 'The store cannot be read; what is known stays in use.',
+		fields: { prefix: 'keys that are followed', error: 'how the call failed' },
+	},
+	{
+		name: 'vm.registered',
+		when: 'This VM is listed in the store.',
+		fields: { lease: 'id of the lease' },
+	},
+	{
+		name: 'vm.renewal-failed',
+		when: 'The lease was not renewed; calls that hang are dropped and made again.',
+		fields: { reason: 'refused, unknown or lease-ended', error: 'how the call failed' },
+	},
+	{
+		name: 'vm.registration-not-ended',
+		when: 'At a stop the store was not reached; the lease runs out by itself.',
+		fields: { error: 'how the call failed' },
+	},
+	{
+		name: 'peer.seen',
+		when: 'A VM was heard for the first time, or again.',
+		fields: { peer: 'its name', peers: 'VMs heard of' },
+	},
+	{
+		name: 'peer.lost',
+		when: 'A VM fell silent; its work is no longer counted.',
+		fields: { peer: 'its name', peers: 'VMs heard of' },
+	},
+	{
+		name: 'peer.fetch-failed',
+		when: 'A peer did not answer a question for configuration or engines.',
+		fields: { peer: 'its address', path: 'what was asked for', error: 'how the call failed' },
+	},
+	{
+		name: 'peers.unreadable',
+		when: 'The first datagram that is no news of this format.',
+		fields: { bytes: 'its length' },
+	},
+	{
+		name: 'peers.socket-failed',
+		when: 'The socket for news reported an error.',
+		fields: { error: 'the error' },
+	},
+	{
+		name: 'callers.memory-full',
+		when: 'Bodies of requests fill their bound; a request was refused unread.',
+		fields: { held_bytes: 'bytes held' },
+	},
+	{
+		name: 'callers.body-broken',
+		when: 'A caller went away before its request was read whole (level debug).',
+		fields: { error: 'the error', body_bytes: 'bytes read' },
+	},
+	{
+		name: 'daemon.started',
+		when: 'The daemon listens.',
+		fields: { callers_port: 'port for callers', domain: 'failure domain' },
+	},
+	{ name: 'daemon.stopping', when: 'The stop signal came.', fields: { requests: 'still open' } },
+	{ name: 'daemon.stopped', when: 'The process ends.', fields: { took_ms: 'since the signal' } },
+	{
+		name: 'daemon.reloaded',
+		when: 'Changed settings are in use.',
+		fields: { seeds: 'peers to ask first' },
+	},
+	{
+		name: 'daemon.failed',
+		when: 'A defect ended a loop; the process ends and is started anew.',
+		fields: { error: 'with its stack' },
+	},
+	{
+		name: 'settings.finding',
+		when: 'Changed settings are wrong; those before stay in use.',
+		fields: { finding: 'place and fault' },
+	},
+	{
+		name: 'settings.unreadable',
+		when: 'Changed settings cannot be read.',
+		fields: { file: 'path', error: 'why' },
+	},
+	{
+		name: 'log.thinned',
+		when: 'More lines of one event came than pass in a second.',
+		fields: { of: 'the event', lines: 'lines left out' },
+	},
+	{
+		name: 'log.dropped',
+		when: 'Nobody read the log fast enough.',
+		fields: { lines: 'lines dropped' },
+	},
+];
--- a/src/core/relay/metrics.ts
+++ b/src/core/relay/metrics.ts
@@ -2,7 +2,7 @@
  * Figures of the relay that operators watch.
  * @module
  */
-import type { RelayOutcome } from './relayed-request.js';
+import type { RelayOutcome } from './types.js';
 
 /** Receives figures; what they mean is declared with the adapter that serves them. */
 export interface RelayMetrics {
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -7,8 +7,8 @@
 import type { Customer, Route } from '../routing/types.js';
 import type { CallerRequest, CallerResponse } from './definitions.js';
 import { urgencyLevels } from './definitions.js';
-import type { RelayContext } from './relayed-request.js';
 import { RelayedRequest } from './relayed-request.js';
+import type { RelayContext } from './types.js';
 
 /** Seconds after which a caller may come back to a VM that knows too little to answer. */
 const notReadyS = 0.3;
@@ -51,6 +51,14 @@
 		this.admit(req, res, table, route, customer);
 	}
 
+	/** Moves requests away from engines that fell silent; called several times a second. */
+	checkSilence(): void {
+		const now = this.opts.clock.monotonic();
+		for (const request of [...this.open]) {
+			request.checkSilence(now);
+		}
+	}
+
 	/** Cuts what has not ended. */
 	cutAll(reason: string): void {
 		for (const request of [...this.open]) {
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -3,25 +3,13 @@
  * @module
  */
 
-import type { Clock, Log } from '../definitions.js';
-import type { Engine } from '../engines/engine.js';
-import type { EngineDirectory } from '../engines/engine-directory.js';
-import type { EnginePlacement, Placement } from '../engines/placement.js';
-import type { FleetView } from '../fleet/fleet-view.js';
-import type { Customer, EngineModel, Route } from '../routing/types.js';
+import type { Placement } from '../engines/placement.js';
+import type { Route } from '../routing/types.js';
 import { repeatabilities } from '../routing/types.js';
-import type {
-	AnswerHead,
-	AnswerListener,
-	CallerRequest,
-	CallerResponse,
-	EngineTransport,
-	RawHeaders,
-	RunningCall,
-} from './definitions.js';
-import { EventSplitter } from './event-splitter.js';
-import type { RelayMetrics } from './metrics.js';
-import type { RetryBudget } from './retry-budget.js';
+import { Attempt } from './attempt.js';
+import type { AnswerHead, AnswerListener, CallerResponse, RawHeaders } from './definitions.js';
+import type { RelayContext, RelayOutcome, RequestTerms } from './types.js';
+import { relayOutcomes } from './types.js';
 
 /** Statuses that tell a caller that its request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -32,63 +20,6 @@
 /** Engines that could not be reached before a request is refused. */
 const maxUnreachable = 4;
 
-export interface RelayContext {
-	clock: Clock;
-	log: Log;
-	engines: EngineDirectory;
-	placement: EnginePlacement;
-	transport: EngineTransport;
-	budget: RetryBudget;
-	fleet: FleetView;
-	metrics: RelayMetrics;
-	/** This VM's work at some engine changed. */
-	onWorkChanged: () => void;
-}
-
-export interface RequestTerms {
-	req: CallerRequest;
-	route: Route;
-	service: string;
-	customer?: Customer;
-	/** Present where the service's engines run language models. */
-	model?: EngineModel;
-	/** No route of the service has a less urgent tier. */
-	leastUrgent: boolean;
-	/** 0 is the most urgent. */
-	urgency: number;
-	configurationVersion: number;
-}
-
-/** How a request ended, for logs and metrics. */
-export const relayOutcomes = {
-	complete: 'complete',
-	/** The engine's own failure, passed on. */
-	engineFailure: 'engine-failure',
-	refused: 'refused',
-	unknown: 'unknown',
-	timedOut: 'timed-out',
-	cut: 'cut',
-	callerLeft: 'caller-left',
-} as const;
-export type RelayOutcome = (typeof relayOutcomes)[keyof typeof relayOutcomes];
-
-/** One send to one engine. */
-interface Attempt {
-	engine: Engine;
-	/** Prompt tokens that the engine is expected to read. */
-	promptTokens: number;
-	/** Tokens of the engine's memory that it takes for itself. */
-	heldTokens: number;
-	call?: RunningCall;
-	sentAt?: number;
-	head?: AnswerHead;
-	splitter: EventSplitter;
-	held: Buffer[];
-	heldBytes: number;
-	/** Its first event or byte came. */
-	started: boolean;
-}
-
 export class RelayedRequest {
 	private readonly deadlineAt: number;
 	private readonly tried = new Set<string>();
@@ -154,6 +85,18 @@
 		}
 	}
 
+	/**
+	 * Moves to another engine when its own fell silent for all, if it may. Else it goes on waiting:
+	 * silence proves nothing.
+	 */
+	checkSilence(now: number): void {
+		const { attempt } = this;
+		const mayMove = this.headSent ? this.terms.route.resumable : this.repeatable;
+		if (!this.done && attempt?.isSilent(now) && mayMove && this.mayTryAgain(now)) {
+			this.broke(attempt, 'the engine fell silent');
+		}
+	}
+
 	private get repeatable(): boolean {
 		return this.terms.route.repeatability === repeatabilities.idempotent;
 	}
@@ -198,15 +141,7 @@
 			urgency: this.terms.urgency,
 			configuration: this.terms.configurationVersion,
 		});
-		const attempt: Attempt = {
-			engine,
-			promptTokens: placement.promptTokens,
-			heldTokens: placement.heldTokens,
-			splitter: new EventSplitter(),
-			held: [],
-			heldBytes: 0,
-			started: false,
-		};
+		const attempt = new Attempt(this.ctx, placement);
 		this.attempt = attempt;
 		attempt.call = this.ctx.transport.send(
 			{
@@ -242,21 +177,12 @@
 	}
 
 	private sent(attempt: Attempt): void {
-		const now = this.ctx.clock.monotonic();
-		attempt.sentAt = now;
-		attempt.engine.health.sent(now, attempt.promptTokens);
-		this.ctx.fleet.changeWork(attempt.engine.id, {
-			running: 1,
-			promptTokens: attempt.promptTokens,
-			heldTokens: attempt.heldTokens,
-		});
-		this.ctx.fleet.read(this.terms.req.parts.slice(0, -1), attempt.engine.id);
-		this.ctx.onWorkChanged();
+		attempt.sent(this.terms.req.parts.slice(0, -1));
 		this.sentTo.add(attempt.engine.id);
 	}
 
 	private headCame(attempt: Attempt, head: AnswerHead): void {
-		attempt.engine.health.heard(this.ctx.clock.monotonic());
+		attempt.heard();
 		if (head.id !== undefined && head.id !== this.id) {
 			this.broke(attempt, `the engine answered request ${head.id}`);
 			return;
@@ -269,13 +195,12 @@
 	}
 
 	private dataCame(attempt: Attempt, chunk: Buffer): void {
-		attempt.engine.health.heard(this.ctx.clock.monotonic());
+		attempt.heard();
 		if (this.isStream(attempt)) {
 			this.eventsCame(attempt, chunk);
 			return;
 		}
-		attempt.held.push(chunk);
-		attempt.heldBytes += chunk.length;
+		attempt.hold(chunk);
 		if (attempt.heldBytes > maxHeldAnswer) {
 			this.flushHeld(attempt);
 		}
@@ -286,7 +211,7 @@
 		if (!events) {
 			return;
 		}
-		this.markStarted(attempt);
+		attempt.started();
 		this.sendHead(attempt.head as AnswerHead);
 		this.lastEventId = events.lastId ?? this.lastEventId;
 		this.write(attempt, events.bytes);
@@ -368,7 +293,7 @@
 	}
 
 	private failed(attempt: Attempt, reason: string): void {
-		if (attempt.sentAt !== undefined) {
+		if (attempt.isSent) {
 			this.broke(attempt, reason);
 			return;
 		}
@@ -406,8 +331,8 @@
 	/** Sends it to another engine if route and budget allow. */
 	private tryAgain(attempt: Attempt, reason: string): boolean {
 		const now = this.ctx.clock.monotonic();
-		const { service, route } = this.terms;
-		if (this.sentTo.size >= route.maxEngines || !this.ctx.budget.take(service, now)) {
+		const { service } = this.terms;
+		if (!this.mayTryAgain(now) || !this.ctx.budget.take(service, now)) {
 			return false;
 		}
 		this.ctx.metrics.retried(service);
@@ -420,6 +345,11 @@
 		return true;
 	}
 
+	private mayTryAgain(now: number): boolean {
+		const { service, route } = this.terms;
+		return this.sentTo.size < route.maxEngines && this.ctx.budget.left(service, now) >= 1;
+	}
+
 	private noteFailure(attempt: Attempt, reason: string): void {
 		if (attempt.engine.health.failed(this.ctx.clock.monotonic())) {
 			this.engineClosed(attempt, reason);
@@ -431,34 +361,20 @@
 		this.log('engine.closed', { engine: attempt.engine.id, reason }, 'warn');
 	}
 
-	private markStarted(attempt: Attempt): void {
-		if (!attempt.started) {
-			attempt.started = true;
-			this.ctx.fleet.changeWork(attempt.engine.id, { promptTokens: -attempt.promptTokens });
-			this.ctx.onWorkChanged();
-		}
-	}
-
 	private isStream(attempt: Attempt): boolean {
 		return this.terms.route.streamed && (attempt.head?.status ?? 0) < 300;
 	}
 
-	/** The engine no longer works on this attempt. */
 	private endAttempt(attempt: Attempt): void {
 		this.attempt = undefined;
-		if (attempt.sentAt !== undefined) {
-			this.markStarted(attempt);
-			const change = { running: -1, heldTokens: -attempt.heldTokens };
-			this.ctx.fleet.changeWork(attempt.engine.id, change);
-			attempt.engine.health.ended(attempt.promptTokens);
-		}
+		attempt.ended();
 	}
 
 	private abortAttempt(): void {
 		const { attempt } = this;
 		if (attempt) {
 			attempt.call?.abort();
-			this.mayHaveRun ||= attempt.sentAt !== undefined;
+			this.mayHaveRun ||= attempt.isSent;
 			this.endAttempt(attempt);
 		}
 	}
@@ -467,6 +383,10 @@
 		if (this.done) {
 			return;
 		}
+		const { attempt } = this;
+		if (attempt?.isSent && !attempt.head) {
+			this.noteFailure(attempt, 'no answer in time');
+		}
 		this.abortAttempt();
 		if (this.headSent) {
 			this.res.cut();
--- /dev/null
+++ b/src/core/relay/types.ts
@@ -0,0 +1,54 @@
+/**
+ * What a request is relayed with, and how it ends.
+ * @module
+ */
+import type { Clock, Log } from '../definitions.js';
+import type { EngineDirectory } from '../engines/engine-directory.js';
+import type { EnginePlacement } from '../engines/placement.js';
+import type { FleetView } from '../fleet/fleet-view.js';
+import type { Customer, EngineModel, Route } from '../routing/types.js';
+import type { CallerRequest, EngineTransport } from './definitions.js';
+import type { RelayMetrics } from './metrics.js';
+import type { RetryBudget } from './retry-budget.js';
+
+/** What all requests of a VM share. */
+export interface RelayContext {
+	clock: Clock;
+	log: Log;
+	engines: EngineDirectory;
+	placement: EnginePlacement;
+	transport: EngineTransport;
+	budget: RetryBudget;
+	fleet: FleetView;
+	metrics: RelayMetrics;
+	/** This VM's work at some engine changed. */
+	onWorkChanged: () => void;
+}
+
+/** What the configuration says of one request. */
+export interface RequestTerms {
+	req: CallerRequest;
+	route: Route;
+	service: string;
+	customer?: Customer;
+	/** Present where the service's engines run language models. */
+	model?: EngineModel;
+	/** No route of the service has a less urgent tier. */
+	leastUrgent: boolean;
+	/** 0 is the most urgent. */
+	urgency: number;
+	configurationVersion: number;
+}
+
+/** How a request ended, for logs and metrics. */
+export const relayOutcomes = {
+	complete: 'complete',
+	/** The engine's own failure, passed on. */
+	engineFailure: 'engine-failure',
+	refused: 'refused',
+	unknown: 'unknown',
+	timedOut: 'timed-out',
+	cut: 'cut',
+	callerLeft: 'caller-left',
+} as const;
+export type RelayOutcome = (typeof relayOutcomes)[keyof typeof relayOutcomes];
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -175,7 +175,7 @@
 			this.runForever(follower.follow());
 		}
 		this.runForever(this.registry.keep());
-		this.timers.push(setInterval(() => this.engines.sweep(), tickMs));
+		this.timers.push(setInterval(() => this.tick(), tickMs));
 		this.timers.push(setInterval(() => this.sweepPeers(), peerSweepMs));
 		this.log.info('daemon.started', {
 			callers_port: callers.port,
@@ -223,6 +223,11 @@
 		await this.store.close();
 	}
 
+	private tick(): void {
+		this.engines.sweep();
+		this.relay.checkSilence();
+	}
+
 	/** An error that is no failure of the store is a defect: the process ends and is started anew. */
 	private runForever(loop: Promise<void>): void {
 		loop.catch((err: Error) => {
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -6,7 +6,7 @@
 import * as perfHooks from 'node:perf_hooks';
 import * as prometheus from 'prom-client';
 import type { RelayMetrics } from '../../core/relay/metrics.js';
-import type { RelayOutcome } from '../../core/relay/relayed-request.js';
+import type { RelayOutcome } from '../../core/relay/types.js';
 
 /** Bounds of the histograms in seconds: from a plain answer to the longest deadline. */
 const secondBuckets = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12];
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -76,6 +76,12 @@
 		When 1 second passes
 		Then it admits 1 request until that one ends
 
+	Scenario: A trial whose caller left does not close the engine for good
+		Given an engine that failed 3 times in a row
+		When 1 second passes
+		And its trial ends without a verdict
+		Then it admits 1 request until that one ends
+
 	Scenario: An engine that fell silent with work under way is not chosen
 		Given an engine with a request under way and no word for 700 ms
 		Then it admits nothing
@@ -89,3 +95,13 @@
 		When 100000 lines are written
 		Then writing took less than 2 seconds of waiting
 		And lines were dropped and counted
+
+	Scenario: The story of a request is told from mixed logs
+		Given logs of two VMs in which "vm-1" closed engine "e1" and sent request "r1" there
+		Then the story of "r1" names, in order, "store.lost, engine.closed, request.placed, request.ended"
+		And nothing is missing from the story of "r1"
+		And the story of "r2" says that its end is not told
+		And the story of "r3" says that no line names it
+
+	Scenario: Every event that the relay logs is declared
+		Then each event named in the sources of the relay is declared with its fields
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -88,6 +88,12 @@
 		When "POST /once/" with body "order" is sent
 		Then the answer is 504
 
+	Scenario: A stream moves on when its engine falls silent
+		Given a relay of 1 VM with engines "a, b"
+		And engine "a" silent
+		When "POST /stream/resumed/" is sent 4 times
+		Then each stream is whole
+
 	Scenario: A caller that leaves frees the engine
 		Given a relay of 1 VM with engines "a"
 		And engine "a" silent
--- a/test/steps/relay-decisions.steps.ts
+++ b/test/steps/relay-decisions.steps.ts
@@ -4,6 +4,7 @@
  */
 import * as assert from 'node:assert/strict';
 import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs/promises';
 import * as cucumber from '@cucumber/cucumber';
 import fc from 'fast-check';
 import type { Log } from '../../src/core/definitions.js';
@@ -13,9 +14,12 @@
 import { EngineHealth } from '../../src/core/engines/engine-health.js';
 import type { PlacementRequest } from '../../src/core/engines/placement.js';
 import { EnginePlacement } from '../../src/core/engines/placement.js';
+import { parseLine } from '../../src/core/explain/log-line.js';
+import { tellStory } from '../../src/core/explain/story.js';
 import { FleetView } from '../../src/core/fleet/fleet-view.js';
 import type { PeerNews } from '../../src/core/fleet/types.js';
 import { EventSplitter } from '../../src/core/relay/event-splitter.js';
+import { logEvents } from '../../src/core/relay/log-events.js';
 import { RetryBudget } from '../../src/core/relay/retry-budget.js';
 import { ConfigurationState } from '../../src/core/routing/configuration-state.js';
 import { RouteTable } from '../../src/core/routing/route-table.js';
@@ -448,6 +452,12 @@
 	assert.equal(seen<EngineHealth>(this, 'health').admits(clockOf(this).now), false);
 });
 
+cucumber.When('its trial ends without a verdict', function (this: FleetWorld) {
+	const health = seen<EngineHealth>(this, 'health');
+	health.sent(clockOf(this).now, 0);
+	health.ended(0);
+});
+
 cucumber.Then('it admits 1 request until that one ends', function (this: FleetWorld) {
 	const health = seen<EngineHealth>(this, 'health');
 	const { now } = clockOf(this);
@@ -523,3 +533,88 @@
 cucumber.Then('lines were dropped and counted', function (this: FleetWorld) {
 	assert.ok(seen<{ dropped: number }>(this, 'written').dropped > 10_000);
 });
+
+cucumber.Given(
+	'logs of two VMs in which {string} closed engine {string} and sent request {string} there',
+	function (this: FleetWorld, vm: string, engine: string, request: string) {
+		const at = (second: number) => `time=2026-03-01T06:00:0${second}.000Z level=info`;
+		const lines = [
+			`${at(6)} event=request.ended vm=${vm} request=${request} outcome=cut reason="reset by peer"`,
+			`${at(4)} event=engine.closed vm=vm-2 engine=${engine}`,
+			`${at(3)} event=store.lost vm=${vm} prefix=servers/ error="no answer"`,
+			`${at(4)} event=engine.closed vm=${vm} engine=${engine} request=other`,
+			`${at(5)} event=request.placed vm=${vm} request=${request} engine=${engine}`,
+			`${at(5)} event=request.placed vm=vm-2 request=r2 engine=e2`,
+			'a line of something else',
+		];
+		const parsed = lines.map(parseLine).filter((line) => line !== undefined);
+		assert.equal(parsed.length, lines.length - 1);
+		this.seen.set('lines', parsed);
+	},
+);
+
+function storyOf(world: FleetWorld, request: string) {
+	return tellStory(request, seen(world, 'lines'));
+}
+
+cucumber.Then(
+	'the story of {string} names, in order, {string}',
+	function (this: FleetWorld, request: string, events: string) {
+		const told = storyOf(this, request).lines.map((line) => line.get('event'));
+		assert.equal(told.join(', '), events);
+	},
+);
+
+cucumber.Then(
+	'nothing is missing from the story of {string}',
+	function (this: FleetWorld, request: string) {
+		assert.deepEqual(storyOf(this, request).gaps, []);
+	},
+);
+
+cucumber.Then(
+	'the story of {string} says that its end is not told',
+	function (this: FleetWorld, request: string) {
+		assert.match(storyOf(this, request).gaps.join(), /its end/);
+	},
+);
+
+cucumber.Then(
+	'the story of {string} says that no line names it',
+	function (this: FleetWorld, request: string) {
+		assert.match(storyOf(this, request).gaps.join(), /no line names/);
+	},
+);
+
+/** Folders whose log lines belong to the relay. */
+const relayFolders = [
+	'src/core/relay',
+	'src/core/engines',
+	'src/core/fleet',
+	'src/core/routing',
+	'src/core/store',
+	'src/infra/relay',
+	'src/daemon/relay',
+];
+
+cucumber.Then(
+	'each event named in the sources of the relay is declared with its fields',
+	async () => {
+		const declared = new Set(logEvents.map((event) => event.name));
+		const used = new Set<string>();
+		for (const folder of relayFolders) {
+			for (const file of await fs.readdir(folder)) {
+				const text = await fs.readFile(`${folder}/${file}`, 'utf8');
+				const calls = text.matchAll(/log(?:\.\w+|\[level\])?\(\s*'([a-z-]+\.[a-z-]+)'/g);
+				for (const [, name = ''] of calls) {
+					used.add(name);
+				}
+			}
+		}
+		assert.ok(used.size > 15);
+		assert.deepEqual(
+			[...used].filter((name) => !declared.has(name)),
+			[],
+		);
+	},
+);
--- a/tools/make-docs.ts
+++ b/tools/make-docs.ts
@@ -5,6 +5,7 @@
  */
 import * as fs from 'node:fs/promises';
 import * as errors from '../src/core/errors/index.js';
+import { logEvents } from '../src/core/relay/log-events.js';
 
 interface Page {
 	file: string;
@@ -38,6 +39,7 @@
 		'src/core/configuration/schema.ts',
 	),
 	errorsPage(),
+	logsPage(),
 ];
 let stale = 0;
 for (const page of pages) {
@@ -53,6 +55,25 @@
 	process.exit(1);
 }
 
+/** Events of the relay's log. */
+function logsPage(): Page {
+	const lines = [
+		'# Log of the relay',
+		'',
+		'Made from `src/core/relay/log-events.ts` by `npm run docs`. One line of key=value pairs an event on',
+		'standard output; every line has `time`, `level`, `event` and `vm`. Times are in milliseconds.',
+		'',
+	];
+	for (const event of logEvents) {
+		lines.push(`## ${event.name}`, '', event.when, '', '| field | meaning |', '| --- | --- |');
+		for (const [name, meaning] of Object.entries(event.fields)) {
+			lines.push(`| \`${name}\` | ${meaning} |`);
+		}
+		lines.push('');
+	}
+	return { file: 'docs/LOGS.md', text: lines.join('\n') };
+}
+
 async function schemaPage(file: string, title: string, source: string): Promise<Page> {
 	const items = readItems(await fs.readFile(source, 'utf8'));
 	const lines = [`# ${title}`, '', `Made from \`${source}\` by \`npm run docs\`.`, ''];
