Retries are shared with VMs that are not heard now; rejections pass an engine over for a moment

(2) An engine whose address another took over (421) and one that rejects everything stayed the first choice. Change: the budget counts VMs heard, registered or known in the last minute, none of the fixed part before any is known; 421 closes the engine, three rejections in a row pass it over for 200 ms.

--- a/src/core/engines/engine-health.ts
+++ b/src/core/engines/engine-health.ts
@@ -8,6 +8,8 @@
 /** First and longest time that it stays closed before one request tries it, in milliseconds. */
 const firstCloseMs = 500;
 const maxCloseMs = 4000;
+/** An engine that rejects as often in a row is passed over for so long, in milliseconds: its queue drains faster. */
+const busyCloseMs = 200;
 /** An engine with requests under way that sends nothing for so long is not chosen, in milliseconds. */
 const silenceMs = 600;
 /** Prompt tokens that an engine reads in a millisecond, at the least; they may explain silence. */
@@ -75,6 +77,15 @@
 		return this.failuresInRow >= failuresToClose && this.close(now);
 	}
 
+	/** It says that it is too busy; it did not run the request. */
+	rejected(now: number): void {
+		this.failuresInRow++;
+		this.trial = false;
+		if (this.failuresInRow >= failuresToClose) {
+			this.closedUntil = Math.max(this.closedUntil, now + busyCloseMs);
+		}
+	}
+
 	/** Nothing listens at its address, or nothing answers there. */
 	unreachable(now: number): boolean {
 		this.failuresInRow++;
--- a/src/core/fleet/vm-registry.ts
+++ b/src/core/fleet/vm-registry.ts
@@ -51,9 +51,15 @@
 	private lease?: number;
 	private stopped = false;
 	private renewals = 0;
+	private wasRead = false;
 
 	constructor(private readonly opts: VmRegistryOptions) {}
 
+	/** VMs that the store lists, this one included; undefined before the first read. */
+	get size(): number | undefined {
+		return this.wasRead ? Math.max(1, this.others().length + 1) : undefined;
+	}
+
 	/** Addresses of the other VMs. */
 	others(): HostPort[] {
 		const now = this.opts.clock.monotonic();
@@ -109,6 +115,7 @@
 
 	private async readOthers(): Promise<void> {
 		const { items } = await this.opts.store.range(this.opts.prefix, true);
+		this.wasRead = true;
 		const seen = new Set(items.map((item) => this.vmOf(item.key)));
 		for (const item of items) {
 			this.put(item);
--- a/src/core/relay/definitions.ts
+++ b/src/core/relay/definitions.ts
@@ -76,6 +76,8 @@
 	signed: boolean;
 	/** The engine says that it did not run the request and never will. */
 	notRun: boolean;
+	/** Another engine listens at the address now. */
+	fromOther: boolean;
 	/** The head says where the body ends; else it ends with the connection. */
 	framed: boolean;
 	/** Bytes of the body were changed on the way. */
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -285,7 +285,11 @@
 
 	/** The engine did not run it. */
 	private rejected(attempt: Attempt, head: AnswerHead): void {
-		attempt.engine.health.succeeded();
+		if (head.fromOther) {
+			this.noteUnreachable(attempt, 'another engine listens at its address');
+		} else {
+			attempt.engine.health.rejected(this.ctx.clock.monotonic());
+		}
 		if (this.tryAgain(attempt, `rejected with ${head.status}`)) {
 			return;
 		}
@@ -298,9 +302,7 @@
 			return;
 		}
 		// Nothing of the request left this VM.
-		if (attempt.engine.health.unreachable(this.ctx.clock.monotonic())) {
-			this.engineClosed(attempt, reason);
-		}
+		this.noteUnreachable(attempt, reason);
 		this.attempt = undefined;
 		this.unreachable++;
 		if (this.unreachable < maxUnreachable) {
@@ -356,6 +358,12 @@
 		}
 	}
 
+	private noteUnreachable(attempt: Attempt, reason: string): void {
+		if (attempt.engine.health.unreachable(this.ctx.clock.monotonic())) {
+			this.engineClosed(attempt, reason);
+		}
+	}
+
 	private engineClosed(attempt: Attempt, reason: string): void {
 		this.ctx.metrics.engineClosed();
 		this.log('engine.closed', { engine: attempt.engine.id, reason }, 'warn');
--- a/src/core/relay/retry-budget.ts
+++ b/src/core/relay/retry-budget.ts
@@ -20,10 +20,10 @@
 export class RetryBudget {
 	private readonly ofService = new Map<string, Bucket[]>();
 
-	/** @param fleetSize VMs that share the budget, this one included */
+	/** @param fleetSize VMs that share the budget, this one included; undefined while not known */
 	constructor(
 		private settings: RetrySettings,
-		private readonly fleetSize: () => number,
+		private readonly fleetSize: () => number | undefined,
 	) {}
 
 	configure(settings: RetrySettings): void {
@@ -49,7 +49,8 @@
 		const window = this.window(service, now);
 		const requests = window.reduce((sum, bucket) => sum + bucket.requests, 0);
 		const retries = window.reduce((sum, bucket) => sum + bucket.retries, 0);
-		const fixed = this.settings.extra / Math.max(1, this.fleetSize());
+		const size = this.fleetSize();
+		const fixed = size === undefined ? 0 : this.settings.extra / Math.max(1, size);
 		return usedShare * (this.settings.ratio * requests + fixed) - retries;
 	}
 
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -6,6 +6,7 @@
 import type { Log } from '../../core/definitions.js';
 import { EngineDirectory } from '../../core/engines/engine-directory.js';
 import { EnginePlacement } from '../../core/engines/placement.js';
+import { FleetSize } from '../../core/fleet/fleet-size.js';
 import { FleetView } from '../../core/fleet/fleet-view.js';
 import { VmRegistry } from '../../core/fleet/vm-registry.js';
 import { Relay } from '../../core/relay/relay.js';
@@ -53,6 +54,7 @@
 	private readonly configuration: ConfigurationState;
 	private readonly relay: Relay;
 	private readonly budget: RetryBudget;
+	private readonly fleetSize = new FleetSize();
 	private readonly fleet: FleetView;
 	private readonly peers: PeerExchange;
 	private readonly registry: VmRegistry;
@@ -121,7 +123,9 @@
 				this.front.configure(table.configuration.limits);
 			},
 		});
-		this.budget = new RetryBudget(settings.retries, () => this.fleet.size);
+		this.budget = new RetryBudget(settings.retries, () =>
+			this.fleetSize.count(this.fleet.size, this.registry.size, clock.monotonic()),
+		);
 		this.metrics = new PrometheusMetrics({
 			open: () => this.relay.size,
 			peers: () => this.fleet.size,
--- a/src/platform/messages.ts
+++ b/src/platform/messages.ts
@@ -90,6 +90,7 @@
 		id: map.get(headers.attemptId),
 		signed,
 		notRun: status === 421 || map.has(headers.notExecuted),
+		fromOther: status === 421,
 		framed: map.has('content-length') || map.has('transfer-encoding'),
 		encoded: encoding !== undefined && encoding !== 'identity',
 		retryAfterS: positiveNumber(map.get('retry-after')),
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -18,6 +18,15 @@
 		When 11 seconds pass
 		Then 8 retries are taken of 30
 
+	Scenario: A VM that knows of no others does not spend the fleet's retries
+		Given a fleet size that never was read
+		Then with 1 VM heard and none read it is not known
+		And with 4 VMs heard and none read it is 4
+		And with 1 VM heard and 6 read it is 6
+		And with 1 VM heard and 2 read it is 6
+		When 61 seconds pass
+		Then with 1 VM heard and 2 read it is 2
+
 	Scenario: A registration that ends while the store is well takes the engine out
 		Given a directory of engines "a, b"
 		When the registration of "a" ends
@@ -76,6 +85,12 @@
 		When 1 second passes
 		Then it admits 1 request until that one ends
 
+	Scenario: An engine that is too busy is passed over for a moment only
+		Given an engine that rejected 3 times in a row
+		Then it admits nothing
+		When 1 second passes
+		Then it admits 1 request until that one ends
+
 	Scenario: A trial whose caller left does not close the engine for good
 		Given an engine that failed 3 times in a row
 		When 1 second passes
--- a/test/steps/relay-decisions.steps.ts
+++ b/test/steps/relay-decisions.steps.ts
@@ -16,6 +16,7 @@
 import { EnginePlacement } from '../../src/core/engines/placement.js';
 import { parseLine } from '../../src/core/explain/log-line.js';
 import { tellStory } from '../../src/core/explain/story.js';
+import { FleetSize } from '../../src/core/fleet/fleet-size.js';
 import { FleetView } from '../../src/core/fleet/fleet-view.js';
 import type { PeerNews } from '../../src/core/fleet/types.js';
 import { EventSplitter } from '../../src/core/relay/event-splitter.js';
@@ -189,6 +190,20 @@
 	},
 );
 
+cucumber.Given('a fleet size that never was read', function (this: FleetWorld) {
+	this.seen.set('size', new FleetSize());
+});
+
+cucumber.Then(
+	/^with (\d+) VMs? heard and (\w+) read it is (.+)$/,
+	function (this: FleetWorld, heard: string, read: string, expected: string) {
+		const registered = read === 'none' ? undefined : Number(read);
+		const size = seen<FleetSize>(this, 'size');
+		const count = size.count(Number(heard), registered, clockOf(this).now);
+		assert.equal(count ?? 'not known', expected === 'not known' ? expected : Number(expected));
+	},
+);
+
 cucumber.Given('a directory of engines {string}', function (this: FleetWorld, ids: string) {
 	const directory = new EngineDirectory({
 		clock: clockOf(this),
@@ -438,6 +453,14 @@
 	this.seen.set('health', health);
 });
 
+cucumber.Given('an engine that rejected 3 times in a row', function (this: FleetWorld) {
+	const health = new EngineHealth();
+	for (let at = 0; at < 3; at++) {
+		health.rejected(clockOf(this).now);
+	}
+	this.seen.set('health', health);
+});
+
 cucumber.Given(
 	'an engine with a request under way and no word for {int} ms',
 	function (this: FleetWorld, ms: number) {
