A request that runs on without its caller is followed to its end; the answer's side split off

Cause: found by reading: when the caller of a request that may run once left, its attempt was no longer followed. The engine kept a running request and an expected answer for good in this VM's and the fleet's view, was taken for silent from then on, and a call to a dead engine was never ended. Ruled out: repeatable requests and streams (aborted, and counted as ended). Change: such an attempt still tells that its engine lives and when it is free, and is ended at the deadline; caller-answer.ts holds the answer's side; request.ended tells the worst pause.

--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -52,6 +52,7 @@
 			status: 'status of an answer of our own',
 			engines: 'engines that bytes of it were sent to',
 			first_ms: 'from the request to the first byte of its answer',
+			pause_ms: 'longest time between two parts of a streamed answer, at this VM',
 			took_ms: 'from the request to its end',
 		},
 	},
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -7,6 +7,7 @@
 import type { Route } from '../routing/types.js';
 import { repeatabilities } from '../routing/types.js';
 import { Attempt } from './attempt.js';
+import { CallerAnswer } from './caller-answer.js';
 import type { AnswerHead, AnswerListener, CallerResponse, RawHeaders } from './definitions.js';
 import type { RelayContext, RelayOutcome, RequestTerms } from './types.js';
 import { relayOutcomes } from './types.js';
@@ -28,18 +29,16 @@
 	private attempt?: Attempt;
 	private unreachable = 0;
 	private mayHaveRun = false;
-	private headSent = false;
-	private paused = false;
+	private readonly answer: CallerAnswer;
 	private done = false;
 	private lastEventId?: string;
-	private firstByteAt?: number;
 	private endedAt?: number;
 	private readonly timer: NodeJS.Timeout;
 
 	constructor(
 		private readonly ctx: RelayContext,
 		private readonly terms: RequestTerms,
-		private readonly res: CallerResponse,
+		res: CallerResponse,
 		private readonly onEnd: (outcome: RelayOutcome, request: RelayedRequest) => void,
 	) {
 		const { req, route } = terms;
@@ -48,12 +47,14 @@
 		this.lastEventId = req.lastEventId;
 		const leftMs = Math.max(1, this.deadlineAt - ctx.clock.monotonic());
 		this.timer = setTimeout(() => this.expired(), leftMs);
+		this.answer = new CallerAnswer(res, ctx.clock, () => this.attempt?.call?.resume());
 		res.onClosed(() => this.callerLeft());
 	}
 
 	/** Milliseconds from the request to the first byte of the answer. */
 	get firstByteMs(): number | undefined {
-		return this.firstByteAt === undefined ? undefined : this.firstByteAt - this.terms.req.arrivedAt;
+		const { firstByteAt } = this.answer;
+		return firstByteAt === undefined ? undefined : firstByteAt - this.terms.req.arrivedAt;
 	}
 
 	/** Milliseconds from the request to its end, or to now. */
@@ -77,8 +78,8 @@
 	/** The process stops now: what has not ended is cut. */
 	cut(reason: string): void {
 		this.abortAttempt();
-		if (this.headSent) {
-			this.res.cut();
+		if (this.answer.started) {
+			this.answer.cut();
 			this.finish(relayOutcomes.cut, reason);
 		} else {
 			this.giveUp(reason);
@@ -91,7 +92,7 @@
 	 */
 	checkSilence(now: number): void {
 		const { attempt } = this;
-		const mayMove = this.headSent ? this.terms.route.resumable : this.repeatable;
+		const mayMove = this.answer.started ? this.terms.route.resumable : this.repeatable;
 		if (!this.done && attempt?.isSilent(now) && mayMove && this.mayTryAgain(now)) {
 			this.broke(attempt, 'the engine fell silent');
 		}
@@ -155,24 +156,29 @@
 			},
 			this.listen(attempt),
 		);
-		if (this.paused) {
+		if (this.answer.isPaused) {
 			attempt.call.pause();
 		}
 	}
 
-	/** Calls of an attempt that was given up are passed over. */
+	/**
+	 * Calls of an attempt that was given up are passed over. One that runs on without its caller only
+	 * tells that its engine lives and when it is free.
+	 */
 	private listen(attempt: Attempt): AnswerListener {
-		const current = (action: () => void) => {
-			if (this.attempt === attempt && !this.done) {
-				action();
+		const current = (action: () => void, without: () => void) => {
+			if (this.attempt === attempt) {
+				(this.done ? without : action)();
 			}
 		};
+		const heard = () => attempt.heard();
+		const ended = () => this.endAttempt(attempt);
 		return {
-			sent: () => current(() => this.sent(attempt)),
-			head: (head) => current(() => this.headCame(attempt, head)),
-			data: (chunk) => current(() => this.dataCame(attempt, chunk)),
-			end: () => current(() => this.ended(attempt)),
-			fail: (reason) => current(() => this.failed(attempt, reason)),
+			sent: () => current(() => this.sent(attempt), heard),
+			head: (head) => current(() => this.headCame(attempt, head), heard),
+			data: (chunk) => current(() => this.dataCame(attempt, chunk), heard),
+			end: () => current(() => this.ended(attempt), ended),
+			fail: (reason) => current(() => this.failed(attempt, reason), ended),
 		};
 	}
 
@@ -212,14 +218,14 @@
 			return;
 		}
 		attempt.started();
-		this.sendHead(attempt.head as AnswerHead);
+		this.answer.head(attempt.head as AnswerHead);
 		this.lastEventId = events.lastId ?? this.lastEventId;
 		this.write(attempt, events.bytes);
 	}
 
 	/** A large answer is passed on as it comes; it can no longer be asked again. */
 	private flushHeld(attempt: Attempt): void {
-		this.sendHead(attempt.head as AnswerHead);
+		this.answer.head(attempt.head as AnswerHead);
 		for (const chunk of attempt.held) {
 			this.write(attempt, chunk);
 		}
@@ -227,13 +233,8 @@
 	}
 
 	private write(attempt: Attempt, bytes: Buffer): void {
-		if (!this.res.write(bytes) && !this.paused) {
-			this.paused = true;
+		if (!this.answer.write(bytes)) {
 			attempt.call?.pause();
-			this.res.onDrain(() => {
-				this.paused = false;
-				this.attempt?.call?.resume();
-			});
 		}
 	}
 
@@ -248,8 +249,8 @@
 		} else {
 			attempt.engine.health.succeeded();
 			this.endAttempt(attempt);
-			this.sendHead(head);
-			this.res.end(Buffer.concat(attempt.held));
+			this.answer.head(head);
+			this.answer.end(Buffer.concat(attempt.held));
 			this.finish(relayOutcomes.complete);
 		}
 	}
@@ -268,18 +269,18 @@
 				return;
 			}
 		}
-		if (this.headSent) {
-			this.res.cut();
+		if (this.answer.started) {
+			this.answer.cut();
 			this.finish(relayOutcomes.cut, `status ${head.status}`);
 			return;
 		}
 		if (notRunStatuses.has(head.status)) {
 			// The engine does not say that it did not run the request, so neither may the caller be told.
-			this.answer(502, 'the engine failed', relayOutcomes.unknown);
+			this.tell(502, 'the engine failed', relayOutcomes.unknown);
 			return;
 		}
-		this.sendHead(head);
-		this.res.end(Buffer.concat(attempt.held));
+		this.answer.head(head);
+		this.answer.end(Buffer.concat(attempt.held));
 		this.finish(relayOutcomes.engineFailure, `status ${head.status}`);
 	}
 
@@ -318,15 +319,15 @@
 		this.endAttempt(attempt);
 		this.mayHaveRun = true;
 		this.noteFailure(attempt, reason);
-		const maySendAgain = this.headSent ? this.terms.route.resumable : this.repeatable;
+		const maySendAgain = this.answer.started ? this.terms.route.resumable : this.repeatable;
 		if (maySendAgain && this.tryAgain(attempt, reason)) {
 			return;
 		}
-		if (this.headSent) {
-			this.res.cut();
+		if (this.answer.started) {
+			this.answer.cut();
 			this.finish(relayOutcomes.cut, reason);
 		} else {
-			this.answer(502, 'the engine broke off', relayOutcomes.unknown, reason);
+			this.tell(502, 'the engine broke off', relayOutcomes.unknown, reason);
 		}
 	}
 
@@ -376,6 +377,9 @@
 	private endAttempt(attempt: Attempt): void {
 		this.attempt = undefined;
 		attempt.ended();
+		if (this.done) {
+			clearTimeout(this.timer);
+		}
 	}
 
 	private abortAttempt(): void {
@@ -389,6 +393,7 @@
 
 	private expired(): void {
 		if (this.done) {
+			this.abortAttempt();
 			return;
 		}
 		const { attempt } = this;
@@ -396,11 +401,11 @@
 			this.noteFailure(attempt, 'no answer in time');
 		}
 		this.abortAttempt();
-		if (this.headSent) {
-			this.res.cut();
+		if (this.answer.started) {
+			this.answer.cut();
 			this.finish(relayOutcomes.timedOut, 'the time of the route or the caller is over');
 		} else if (this.mayHaveRun) {
-			this.answer(504, 'no answer in time', relayOutcomes.timedOut);
+			this.tell(504, 'no answer in time', relayOutcomes.timedOut);
 		} else {
 			this.giveUp('the time of the route or the caller is over');
 		}
@@ -410,6 +415,7 @@
 		if (this.done) {
 			return;
 		}
+		// What may run only once runs to its end, so that its caller can find it done.
 		const runsOn = !this.repeatable && !this.terms.route.streamed;
 		if (!runsOn) {
 			this.abortAttempt();
@@ -419,48 +425,40 @@
 
 	/** No engine runs it now: says honestly whether one may have. */
 	private giveUp(reason: string, retryAfterS = comeBackS): void {
-		if (this.headSent) {
-			this.res.cut();
+		if (this.answer.started) {
+			this.answer.cut();
 			this.finish(relayOutcomes.cut, reason);
 		} else if (this.mayHaveRun && !this.repeatable) {
-			this.answer(502, 'the request may have run', relayOutcomes.unknown, reason);
+			this.tell(502, 'the request may have run', relayOutcomes.unknown, reason);
 		} else if (this.mayHaveRun) {
-			this.answer(502, 'no engine could finish the request', relayOutcomes.unknown, reason);
+			this.tell(502, 'no engine could finish the request', relayOutcomes.unknown, reason);
 		} else {
 			const headers = ['Retry-After', String(retryAfterS)];
-			this.answer(503, 'the request has not run', relayOutcomes.refused, reason, headers);
+			this.tell(503, 'the request has not run', relayOutcomes.refused, reason, headers);
 		}
 	}
 
-	private answer(
+	private tell(
 		status: number,
 		text: string,
 		outcome: RelayOutcome,
 		reason = text,
 		headers: RawHeaders = [],
 	): void {
-		const body = Buffer.from(`${text}\n`);
-		const all = ['Content-Type', 'text/plain', 'Content-Length', String(body.length), ...headers];
-		this.res.head(status, all);
-		this.res.end(body);
+		this.answer.tell(status, text, headers);
 		this.finish(outcome, reason, status);
 	}
 
-	private sendHead(head: AnswerHead): void {
-		if (!this.headSent) {
-			this.headSent = true;
-			this.firstByteAt = this.ctx.clock.monotonic();
-			this.res.head(head.status, head.headers);
-		}
-	}
-
 	private finish(outcome: RelayOutcome, reason?: string, status?: number): void {
 		if (this.done) {
 			return;
 		}
 		this.done = true;
-		clearTimeout(this.timer);
+		if (!this.attempt) {
+			clearTimeout(this.timer);
+		}
 		this.endedAt = this.ctx.clock.monotonic();
+		const { worstPauseMs } = this.answer;
 		const level = outcome === relayOutcomes.complete ? 'info' : 'warn';
 		const fields = {
 			outcome,
@@ -468,6 +466,7 @@
 			status,
 			engines: [...this.sentTo].join(','),
 			first_ms: this.firstByteMs === undefined ? undefined : Math.round(this.firstByteMs),
+			pause_ms: worstPauseMs === undefined ? undefined : Math.round(worstPauseMs),
 			took_ms: Math.round(this.tookMs),
 		};
 		this.log('request.ended', fields, level);
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -100,6 +100,15 @@
 		When the caller of "POST /stream/resumed/" leaves after 200 ms
 		Then engine "a" is free within 500 ms
 
+	Scenario: A request that may run once runs on without its caller, and its engine stays in use
+		Given a relay of 1 VM with engines "a"
+		And engine "a" takes 300 ms to answer
+		When the caller of "POST /once/" leaves after 100 ms
+		And 1500 ms pass in quiet
+		And "POST /once/" with body "order" is sent
+		Then the answer is 200
+		And engine "a" ran 2 requests to their end
+
 	Scenario: An engine that is leaving gets nothing new
 		Given a relay of 1 VM with engines "a, b"
 		When engine "a" starts to leave
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -48,6 +48,8 @@
 	behaviour: EngineBehaviour = engineBehaviours.well;
 	/** Between two events, in milliseconds. */
 	pauseMs = 5;
+	/** Before a whole answer, in milliseconds. */
+	delayMs = 0;
 	readonly server = http.createServer((req, res) => void this.handle(req, res));
 
 	constructor(readonly id: string) {}
@@ -140,6 +142,7 @@
 		socket: Socket,
 	): Promise<void> {
 		if (!req.url.startsWith('/stream')) {
+			await pause(this.delayMs);
 			res.writeHead(200, signed).end(`answer to ${req.body || req.url}`);
 			return;
 		}
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -74,6 +74,25 @@
 	},
 );
 
+cucumber.Given(
+	'engine {string} takes {int} ms to answer',
+	function (this: FleetWorld, id: string, ms: number) {
+		engineOf(this, id).delayMs = ms;
+	},
+);
+
+cucumber.When('{int} ms pass in quiet', async (ms: number) => {
+	await new Promise((done) => setTimeout(done, ms));
+});
+
+cucumber.Then(
+	'engine {string} ran {int} requests to their end',
+	function (this: FleetWorld, id: string, count: number) {
+		const whole = engineOf(this, id).seen.filter((request) => !request.left);
+		assert.equal(whole.length, count);
+	},
+);
+
 cucumber.Given(
 	'another engine now listens at the address of {string}',
 	async function (this: FleetWorld, id: string) {
