A reset together with the last bytes of an answer is not taken for an orderly end

Found by logging the socket's events (trial): 'end', no 'error', twice with a short answer. Ruled out: the tie between request and connection (events were those of the right connection). Change: at the end of an answer without a length one empty line is written: that fails after a reset.

--- a/src/infra/relay/engine-transport.ts
+++ b/src/infra/relay/engine-transport.ts
@@ -2,6 +2,7 @@
  * Connections to engines by undici: one request at a time on each, kept between requests.
  * @module
  */
+import type * as net from 'node:net';
 import * as undici from 'undici';
 import type {
 	AnswerHead,
@@ -86,6 +87,33 @@
 interface Connection {
 	/** It ended by an error, not by the engine's orderly close. */
 	broken: boolean;
+	/** Settles once it is known how the connection ended. */
+	ended?: Promise<void>;
+}
+
+/** Code of the errors with which undici closes a connection that it no longer needs. */
+const ownClose = 'UND_ERR_INFO';
+/** An empty line between two requests; servers pass over it (RFC 9112, section 2.2). */
+const emptyLine = '\r\n';
+
+/**
+ * Learns how a connection ends. A reset that comes together with the last bytes is read as an
+ * orderly end: the event loop takes the hang-up for the end of the stream without asking for the
+ * error behind it. Writing asks: it fails after a reset and succeeds after an orderly end.
+ */
+function watchEnd(socket: net.Socket, connection: Connection): void {
+	socket.on('error', (err: NodeJS.ErrnoException) => {
+		connection.broken ||= err.code !== ownClose;
+	});
+	socket.prependListener('end', () => {
+		connection.ended = new Promise((done) => {
+			socket.write(emptyLine, (err) => {
+				const { code } = (err ?? {}) as NodeJS.ErrnoException;
+				connection.broken ||= code === 'EPIPE' || code === 'ECONNRESET';
+				done();
+			});
+		});
+	});
 }
 
 interface TrackedOptions extends undici.Dispatcher.DispatchOptions {
@@ -109,9 +137,10 @@
 				connect(options, (...result) => {
 					const [, socket] = result;
 					connection.broken = false;
-					socket?.on('error', () => {
-						connection.broken = true;
-					});
+					connection.ended = undefined;
+					if (socket) {
+						watchEnd(socket, connection);
+					}
 					callback(...result);
 				}),
 		});
@@ -190,11 +219,20 @@
 	}
 
 	onResponseEnd(): void {
-		if (!this.framed && this.connection?.broken) {
-			this.fail('an answer without a length was reset');
+		if (this.framed || !this.connection?.ended) {
+			this.finish();
 			return;
 		}
-		if (!this.done) {
+		this.connection.ended.then(
+			() => this.finish(),
+			(err: Error) => this.fail(err.message),
+		);
+	}
+
+	private finish(): void {
+		if (!this.framed && this.connection?.broken) {
+			this.fail('an answer without a length was reset');
+		} else if (!this.done) {
 			this.done = true;
 			this.listener.end();
 		}
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -57,6 +57,7 @@
 			| mixes-up |
 			| unsigned |
 			| unframed-reset |
+			| unframed-reset-at-once |
 
 	Scenario: An answer without a length ends with its connection
 		Given a relay of 1 VM with engines "a"
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -22,6 +22,8 @@
 	unsigned: 'unsigned',
 	/** An answer without a length that is reset on the way. */
 	unframedReset: 'unframed-reset',
+	/** The same, with the reset right behind the bytes. */
+	unframedResetAtOnce: 'unframed-reset-at-once',
 	/** An answer without a length that ends with its connection. */
 	unframed: 'unframed',
 	/** Its own failure. */
@@ -110,6 +112,7 @@
 				return;
 			case engineBehaviours.unframed:
 			case engineBehaviours.unframedReset:
+			case engineBehaviours.unframedResetAtOnce:
 				await this.answerUnframed(id, socket);
 				return;
 			case engineBehaviours.silent:
@@ -127,6 +130,10 @@
 			'connection: close',
 		];
 		socket.write(`${head.join('\r\n')}\r\n\r\nhalf`);
+		if (this.behaviour === engineBehaviours.unframedResetAtOnce) {
+			socket.resetAndDestroy();
+			return;
+		}
 		await pause(100);
 		if (this.behaviour === engineBehaviours.unframedReset) {
 			socket.resetAndDestroy();
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -61,7 +61,7 @@
 });
 
 cucumber.Given(
-	/^engine "(\w+)" (rejects|bare-503|resets|breaks-off|mixes-up|unsigned|fails|silent|unframed|unframed-reset)$/,
+	/^engine "(\w+)" (rejects|bare-503|resets|breaks-off|mixes-up|unsigned|fails|silent|unframed|unframed-reset|unframed-reset-at-once)$/,
 	function (this: FleetWorld, id: string, behaviour: EngineBehaviour) {
 		engineOf(this, id).behaviour = behaviour;
 	},
