A registration that ends after the store's return is gone at once

A VM alone was cut off from the store for 12 s; back at 13.46 s it kept every engine whose registration ended within 1.9 s of that, as if the store had lost it in an outage. Ruled out: a hanging watch (the VM read all at 13.46 and 14.5 s). Change: only registrations missing when all are read again may come back; one that ends while the store is followed has ended; a copy from a peer shows that the store was there all along.

--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -68,6 +68,8 @@
 		const copy = JSON.parse(text) as DirectoryCopy;
 		if (copy.revision >= this.shownRevision && copy.items.length > 0) {
 			this.shownRevision = copy.revision;
+			// The store served that peer all along: what is missing there has ended.
+			this.storeLost = false;
 			this.replaceAll(copy.items, this.opts.clock.monotonic());
 		}
 	}
@@ -90,19 +92,18 @@
 		}
 		for (const id of [...this.engines.keys()]) {
 			if (!seen.has(id)) {
-				this.gone(id, now);
+				this.missing(id, now);
 			}
 		}
 	}
 
 	changes(changes: StoreChanges): void {
-		const now = this.opts.clock.monotonic();
 		this.shownRevision = changes.revision;
 		for (const event of changes.events) {
 			if (event.kind === 'put') {
 				this.put(event.item);
 			} else {
-				this.gone(this.opts.idOf(event.key), now);
+				this.gone(this.opts.idOf(event.key));
 			}
 		}
 	}
@@ -151,7 +152,16 @@
 		this.logState(engine.entry, revision);
 	}
 
-	private gone(id: string, now: number): void {
+	/** The store says that the registration ended: it was there to see it. */
+	private gone(id: string): void {
+		const engine = this.engines.get(id);
+		if (engine) {
+			this.remove(engine, 'registration ended');
+		}
+	}
+
+	/** The registration is not there; after an outage of the store it may still come back. */
+	private missing(id: string, now: number): void {
 		const engine = this.engines.get(id);
 		if (!engine) {
 			return;
@@ -159,9 +169,9 @@
 		const mayReturn = now < this.storeBackAt + returnMs && !engine.entry.draining;
 		if (mayReturn) {
 			engine.missingUntil ??= this.storeBackAt + returnMs;
-			return;
+		} else {
+			this.remove(engine, 'registration ended');
 		}
-		this.remove(engine, 'registration ended');
 	}
 
 	private remove(engine: Engine, reason: string): void {
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -39,6 +39,12 @@
 		When 2 seconds pass
 		Then engines "b" are offered
 
+	Scenario: A registration that ends after the store's return is gone at once
+		Given a directory of engines "a, b"
+		When the store is lost and returns whole
+		And the registration of "a" ends
+		Then engines "b" are offered
+
 	Scenario: An older configuration never replaces a newer one
 		Given a configuration of version 7 in force
 		When version 5 is offered
--- a/test/steps/relay-decisions.steps.ts
+++ b/test/steps/relay-decisions.steps.ts
@@ -243,6 +243,13 @@
 	},
 );
 
+cucumber.When('the store is lost and returns whole', function (this: FleetWorld) {
+	const directory = seen<EngineDirectory>(this, 'directory');
+	const all = directory.offered('pool').map((engine) => registration(engine.id, 3));
+	directory.lost();
+	directory.snapshot(all, 0, 3);
+});
+
 cucumber.Then('engines {string} are offered', function (this: FleetWorld, ids: string) {
 	const offered = seen<EngineDirectory>(this, 'directory').offered('pool');
 	assert.equal(offered.map((engine) => engine.id).join(', '), ids);
