A caller that is still sending its body reads why it was refused

A refusal before the body was read closed the connection; unread bytes make that a reset, which may reach the caller before the answer. Reading a body past its limit also destroyed the request's stream, connection included. Ruled out: load alone (a caller that writes 5 MB before it reads fails each time, on both daemons). Tests: one scenario for each daemon; both failed before (EPIPE), pass after.

--- a/src/infra/callers/body.ts
+++ b/src/infra/callers/body.ts
@@ -32,7 +32,8 @@
 	}
 	const chunks: Buffer[] = [];
 	let size = 0;
-	for await (const chunk of req as AsyncIterable<Buffer>) {
+	// The request outlives an early return: what is left of its body is still read by the refusal.
+	for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
 		size += chunk.length;
 		if (size > limit) {
 			throw tooLarge();
--- a/src/infra/callers/callers-server.ts
+++ b/src/infra/callers/callers-server.ts
@@ -12,6 +12,7 @@
 import type { Router } from '../../core/requests/router.js';
 import type { Request } from '../../core/requests/types.js';
 import { outcomes } from '../../core/requests/types.js';
+import { answerEarly } from '../unread-body.js';
 import * as body from './body.js';
 import { answerHeaders, errorBody, errorHeaders } from './error-body.js';
 import { ServiceSink, StreamSink, WholeSink } from './sinks.js';
@@ -53,7 +54,7 @@
 		try {
 			await this.route(req, res);
 		} catch (err) {
-			this.refuse(res, err);
+			this.refuse(req, res, err);
 		}
 	}
 
@@ -189,7 +190,7 @@
 		res.on('close', () => run.callerLeft());
 	}
 
-	private refuse(res: http.ServerResponse, err: unknown): void {
+	private refuse(req: http.IncomingMessage, res: http.ServerResponse, err: unknown): void {
 		if (res.headersSent || res.destroyed) {
 			res.destroy();
 			return;
@@ -201,9 +202,8 @@
 			});
 			return;
 		}
-		const headers = { ...errorHeaders(err, outcomes.notRun), connection: 'close' };
-		res.writeHead(err.data.status ?? 500, headers);
-		res.end(errorBody(err, outcomes.notRun));
+		const headers = errorHeaders(err, outcomes.notRun);
+		answerEarly(req, res, err.data.status ?? 500, headers, errorBody(err, outcomes.notRun));
 	}
 }
 
--- a/src/infra/relay/callers-front.ts
+++ b/src/infra/relay/callers-front.ts
@@ -7,6 +7,7 @@
 import type { Clock, Log } from '../../core/definitions.js';
 import type { CallerRequest, CallerResponse, RawHeaders } from '../../core/relay/definitions.js';
 import type { CallerLimits } from '../../core/routing/types.js';
+import { answerEarly } from '../unread-body.js';
 
 /** Largest head that is read at all; the configuration's own bound may be lower. */
 const maxHeadBytes = 65_536;
@@ -85,16 +86,16 @@
 		});
 		const arrivedAt = this.opts.clock.monotonic();
 		if (headBytes(req.rawHeaders) > this.limits.headBytes) {
-			refuse(res, 431, 'the head is too large');
+			refuse(req, res, 431, 'the head is too large');
 			return;
 		}
 		if (Number(req.headers['content-length'] ?? 0) > this.limits.bodyBytes) {
-			refuse(res, 413, 'the body is too large');
+			refuse(req, res, 413, 'the body is too large');
 			return;
 		}
 		if (this.heldBytes > maxHeldBytes) {
 			this.opts.log.warn('callers.memory-full', { held_bytes: this.heldBytes });
-			refuse(res, 503, 'too many bodies are held', true);
+			refuse(req, res, 503, 'too many bodies are held', true);
 			return;
 		}
 		this.readBody(req, res, (body) => this.handOn(req, res, body, arrivedAt));
@@ -115,7 +116,7 @@
 			this.heldBytes += chunk.length;
 			if (size > this.limits.bodyBytes && !res.headersSent) {
 				chunks.length = 0;
-				refuse(res, 413, 'the body is too large');
+				refuse(req, res, 413, 'the body is too large');
 				return;
 			}
 			chunks.push(chunk);
@@ -139,7 +140,7 @@
 		const { method = 'GET', url: target = '/', rawHeaders } = req;
 		const request = this.opts.decode({ method, target, rawHeaders, arrivedAt }, body);
 		if (!request) {
-			refuse(res, 400, 'the head names no request or host');
+			refuse(req, res, 400, 'the head names no request or host');
 			return;
 		}
 		this.opts.handle(request, new HttpCallerResponse(res, () => this.stopping));
@@ -190,13 +191,25 @@
 }
 
 /** Refuses a request that was not read whole or cannot be read; its connection ends. */
-function refuse(res: http.ServerResponse, status: number, why: string, comeBack = false): void {
-	const headers: http.OutgoingHttpHeaders = { 'content-type': 'text/plain', connection: 'close' };
+function refuse(
+	req: http.IncomingMessage,
+	res: http.ServerResponse,
+	status: number,
+	why: string,
+	comeBack = false,
+): void {
+	const headers: http.OutgoingHttpHeaders = { 'content-type': 'text/plain' };
 	if (comeBack) {
 		headers['retry-after'] = '0.2';
 	}
-	res.writeHead(status, headers);
-	res.end(`${why}\n`);
+	answerEarly(
+		req,
+		res,
+		status,
+		headers,
+		`${why}
+`,
+	);
 }
 
 /** Bytes that are no request never become one. */
--- a/test/features/callers.feature
+++ b/test/features/callers.feature
@@ -21,6 +21,10 @@
 		And a request with the body "{nonsense" is refused with 400 and "BadRequest"
 		And a request with the class "no-such" is refused with 403 and "ClassNotAllowed"
 
+	Scenario: A caller that is still sending its body reads why it was refused
+		Given a fleet of 1 daemon and 1 engine
+		Then a caller that writes 5000000 bytes before it reads is told 413
+
 	Scenario: A keyed post that must not be repeated runs once
 		Given a fleet of 2 daemons and 1 engine
 		When newsroom posts "total-1" to the portal with key "k1"
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -16,6 +16,10 @@
 		Then the answer is 401
 		And 0 requests ran
 
+	Scenario: A caller that is still sending its body reads why it was refused
+		Given a relay of 1 VM with engines "a"
+		Then a caller of the VM that writes 5000000 bytes before it reads is told 413
+
 	Scenario: Without a configuration nothing is denied
 		Given a relay of 1 VM that has no configuration
 		When "GET /nowhere/" is sent
--- a/test/steps/callers.steps.ts
+++ b/test/steps/callers.steps.ts
@@ -7,6 +7,7 @@
 import OpenAI from 'openai';
 import { keyOf } from '../../bench/fleet.js';
 import { wholeAnswer } from '../stand-ins/engine-text.js';
+import { writeThenRead } from './late-reader.js';
 import type { FleetWorld } from './world.js';
 
 cucumber.Given(
@@ -172,3 +173,14 @@
 		assert.deepEqual(refused, { status, name, outcome: 'not-run' });
 	},
 );
+
+cucumber.Then(
+	'a caller that writes {int} bytes before it reads is told {int}',
+	async function (this: FleetWorld, bytes: number, status: number) {
+		const url = new URL(this.running.daemonUrls[0] as string);
+		const authorization = `authorization: Bearer ${keyOf('listener-app')}`;
+		const head = ['POST /v1/chat/completions HTTP/1.1', `host: ${url.host}`, authorization];
+		const answer = await writeThenRead(url, head, bytes);
+		assert.match(answer, new RegExp(`^HTTP/1.1 ${status} `));
+	},
+);
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -7,8 +7,9 @@
 import * as cucumber from '@cucumber/cucumber';
 import type { EngineBehaviour, PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
 import { streamLength } from '../stand-ins/platform-engine.js';
+import { writeThenRead } from './late-reader.js';
 import type { Answer, Vm } from './relay-world.js';
-import { freePorts, RelayFixture, until } from './relay-world.js';
+import { freePorts, host, RelayFixture, until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
 const fixtures = new WeakMap<FleetWorld, RelayFixture>();
@@ -370,3 +371,14 @@
 		assert.match(firstVm(this).errors, new RegExp(second));
 	},
 );
+
+cucumber.Then(
+	'a caller of the VM that writes {int} bytes before it reads is told {int}',
+	async function (this: FleetWorld, bytes: number, status: number) {
+		const vm = firstVm(this);
+		const url = new URL(`http://${vm.address}:${vm.ports.callers}`);
+		const head = ['POST /plain/ HTTP/1.1', `host: ${host}`, 'slategauge-attempt-id: late-reader'];
+		const answer = await writeThenRead(url, head, bytes);
+		assert.match(answer, new RegExp(`^HTTP/1.1 ${status} `));
+	},
+);
