The stand-in of the store turns single VMs away indeed

Cause: found by reading. The stand-in told VMs apart by the address that their calls come from; on loopback that is 127.0.0.1 for all, so no VM was ever turned away and three scenarios proved nothing. Change: the store listens at each VM's address and tells callers by it; turning away also ends a watch that waits. The scenario on configurations then failed: it asked for 401, but a VM that the store turns away answers 503 to a key it does not know, since its configuration may be behind. It asks now that the old key gets 503 and, more than before, that the key which came with the new configuration is served.

--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -131,7 +131,8 @@
 		Given a relay of 2 VMs with engines "a"
 		And the store turns VM 2 away
 		When the key of customer "station" is taken away
-		Then VM 2 answers 401 within 2000 ms
+		Then VM 2 answers 503 within 2000 ms
+		And VM 2 answers 200 to key "another-key" within 2000 ms
 
 	Scenario: A VM that the store turns away hears of leaving engines from its peers
 		Given a relay of 2 VMs with engines "a, b"
--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -39,23 +39,52 @@
 	/** Every call is answered with this status. */
 	failWith?: number;
 	/** VMs, by their address, whose calls are refused. */
-	readonly turnedAway = new Set<string>();
+	private readonly turnedAway = new Set<string>();
+	/** One server for each address that callers tell apart by. */
+	private readonly servers: http.Server[] = [];
+	private port = 0;
 	/** Calls by path, without the query. */
 	readonly calls = new Map<string, number>();
-	readonly server = http.createServer((req, res) => void this.handle(req, res));
 
-	async start(): Promise<string> {
-		await new Promise<void>((done) => this.server.listen(0, '127.0.0.1', done));
-		const { port } = this.server.address() as AddressInfo;
-		return `127.0.0.1:${port}`;
+	async start(): Promise<void> {
+		await this.listen('127.0.0.1');
+	}
+
+	/** Listens at the VM's own address, so that its calls are told from those of others. */
+	async addressFor(vm: string): Promise<string> {
+		const isOpen = this.servers.some((server) => (server.address() as AddressInfo).address === vm);
+		if (!isOpen) {
+			await this.listen(vm);
+		}
+		return `${vm}:${this.port}`;
+	}
+
+	/** Refuses the VM's calls from now on, those that wait among them. */
+	turnAway(vm: string): void {
+		this.turnedAway.add(vm);
+		this.wake();
+	}
+
+	/** Serves the VM again. */
+	takeBack(vm: string): void {
+		this.turnedAway.delete(vm);
+	}
+
+	private async listen(host: string): Promise<void> {
+		const server = http.createServer((req, res) => void this.handle(req, res));
+		await new Promise<void>((done) => server.listen(this.port, host, done));
+		this.port = (server.address() as AddressInfo).port;
+		this.servers.push(server);
 	}
 
 	stop(): void {
 		for (const { timer } of this.leases.values()) {
 			clearTimeout(timer);
 		}
-		this.server.close();
-		this.server.closeAllConnections();
+		for (const server of this.servers) {
+			server.close();
+			server.closeAllConnections();
+		}
 	}
 
 	put(key: string, value: unknown, lease = 0): void {
@@ -102,8 +131,8 @@
 		const url = new URL(req.url ?? '/', 'http://store');
 		this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
 		const body = await readJson(req);
-		const away = this.turnedAway.has(req.socket.remoteAddress ?? '');
-		if (this.failWith !== undefined || away) {
+		const caller = req.socket.localAddress ?? '';
+		if (this.refuses(caller)) {
 			reply(res, this.failWith ?? 503, {});
 			return;
 		}
@@ -111,7 +140,7 @@
 		if (call === 'kv-range') {
 			reply(res, 200, this.range(url.searchParams));
 		} else if (call === 'kv-watch') {
-			await this.watch(url.searchParams, res);
+			await this.watch(url.searchParams, res, caller);
 		} else if (call === 'kv-txn') {
 			this.write(body, res);
 		} else if (call === 'kv-lease') {
@@ -135,11 +164,23 @@
 		return { entries, 'has-more': keys.length > page.length, timestamp: this.revision };
 	}
 
-	private async watch(query: URLSearchParams, res: http.ServerResponse): Promise<void> {
+	private refuses(caller: string): boolean {
+		return this.failWith !== undefined || this.turnedAway.has(caller);
+	}
+
+	private async watch(
+		query: URLSearchParams,
+		res: http.ServerResponse,
+		caller: string,
+	): Promise<void> {
 		const prefix = query.get('path-prefix') ?? '';
 		const since = Number(query.get('since-revision'));
 		const until = Date.now() + Number(query.get('wait-ms'));
 		for (;;) {
+			if (this.refuses(caller)) {
+				reply(res, this.failWith ?? 503, {});
+				return;
+			}
 			if (since < this.oldest) {
 				reply(res, 410, {});
 				return;
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -38,13 +38,12 @@
 	readonly engines = new Map<string, PlatformEngineStandIn>();
 	readonly vms: Vm[] = [];
 	answers: Answer[] = [];
-	private storeAddress = '';
 	private nextId = 1;
 	private version = 1;
 	private readonly files: string[] = [];
 
 	async start(vms: number, engines: readonly string[], configured = true): Promise<void> {
-		this.storeAddress = await this.store.start();
+		await this.store.start();
 		for (const id of engines) {
 			const engine = new PlatformEngineStandIn(id);
 			this.engines.set(id, engine);
@@ -176,7 +175,7 @@
 			'seed-nodes': seeds,
 			limits: { 'memory-mb': 350, 'max-fds': 4100 },
 			bounds: {},
-			platform: { address: this.storeAddress },
+			platform: { address: await this.store.addressFor(address) },
 			'not-known-yet': 1,
 		};
 		for (const name of drop) {
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -110,7 +110,7 @@
 
 cucumber.Given('the store turns VM {int} away', function (this: FleetWorld, vm: number) {
 	const { address } = fixtureOf(this).vms[vm - 1] as Vm;
-	fixtureOf(this).store.turnedAway.add(address);
+	fixtureOf(this).store.turnAway(address);
 });
 
 cucumber.When('{string} is sent', async function (this: FleetWorld, call: string) {
@@ -213,7 +213,7 @@
 	async function (this: FleetWorld) {
 		const fixture = fixtureOf(this);
 		const address = '127.0.0.12';
-		fixture.store.turnedAway.add(address);
+		fixture.store.turnAway(address);
 		const first = firstVm(this);
 		const seeds = [`${first.address}:9`];
 		fixture.vms.push(await fixture.startVm(address, 'vm-2', first.ports, [], seeds));
@@ -352,6 +352,16 @@
 	},
 );
 
+cucumber.Then(
+	'VM {int} answers {int} to key {string} within {int} ms',
+	async function (this: FleetWorld, vm: number, status: number, key: string, ms: number) {
+		const fixture = fixtureOf(this);
+		const target = fixture.vms[vm - 1] as Vm;
+		const answer = () => fixture.send('GET /plain/', '', { vm: target, key });
+		await until(async () => (await answer()).status === status, ms);
+	},
+);
+
 cucumber.Then(
 	'the VM ends by itself within {int} ms',
 	async function (this: FleetWorld, ms: number) {
