--- /dev/null
+++ b/test/soak/deployment.ts
@@ -0,0 +1,207 @@
+/**
+ * The processes of one run: real daemons, stand-ins of store and engines, and a proxy before the store
+ * for each VM and before each engine. Notes every harm that it is told to do.
+ * @module
+ */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import { engineBehaviours, PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
+import type { Ports, Vm } from '../steps/relay-world.js';
+import { freePorts, key, RelayFixture, until } from '../steps/relay-world.js';
+import { LoopbackProxy } from './loopback-proxy.js';
+import type { Disturbance, EngineLeft, KeyChange, SoakBounds } from './types.js';
+
+/** The bounds that the daemons read from their settings; the settings of the fixture leave them at defaults. */
+export const bounds: SoakBounds = {
+	contactMs: 3000,
+	drainMs: 2000,
+	configurationMs: 2000,
+	stopMs: 8000,
+	retryRatio: 0.2,
+	retryExtra: 20,
+	retryWindowMs: 10_000,
+};
+/** A leaving engine serves on for so long, then ends, in milliseconds. */
+const lingerMs = 3000;
+
+/** A VM with what lies around it. */
+export interface SoakVm {
+	name: string;
+	vm: Vm;
+	/** Counts the starts of its process. */
+	life: number;
+	store: LoopbackProxy;
+	/** A fault holds it now. */
+	busy: boolean;
+}
+
+export interface SoakEngine {
+	standIn: PlatformEngineStandIn;
+	proxy: LoopbackProxy;
+	address: string;
+	busy: boolean;
+	/** It leaves or has left. */
+	leaving: boolean;
+}
+
+export class SoakDeployment {
+	readonly fixture = new RelayFixture();
+	readonly vms: SoakVm[] = [];
+	readonly engines: SoakEngine[] = [];
+	readonly disturbances: Disturbance[] = [];
+	readonly keys: KeyChange[] = [];
+	readonly left: EngineLeft[] = [];
+	/** Processes that ended without having been told to. */
+	readonly ended: string[] = [];
+	/** The key of the newest configuration beside the permanent one, and the one before. */
+	currentKey = '';
+	formerKey = '';
+	private nextEngine = 1;
+	private nextKey = 1;
+	private stopping = false;
+	private readonly addresses = new Map<string, string>();
+
+	/** @param logs folder for the logs of all daemons */
+	constructor(private readonly logs: string) {}
+
+	async start(vms: number, engines: number, firstHost: number): Promise<void> {
+		const { store } = this.fixture;
+		await store.start();
+		for (let at = 0; at < engines; at++) {
+			await this.addEngine();
+		}
+		this.changeKey();
+		const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
+		const ports: Ports = { callers, readiness, peers, metrics };
+		for (let at = 0; at < vms; at++) {
+			await this.addVm(`vm-${at + 1}`, `127.0.${firstHost}.${10 + at}`, ports);
+		}
+		await until(async () =>
+			(await Promise.all(this.vms.map((item) => this.isReady(item)))).every(Boolean),
+		);
+	}
+
+	isReady(item: SoakVm): Promise<boolean> {
+		return this.fixture.isReady(item.vm);
+	}
+
+	/** Notes a harm; the returned function ends it. */
+	disturb(target: string, what: string, planned = false): () => void {
+		const item = {
+			target,
+			what,
+			from: performance.now(),
+			until: Number.POSITIVE_INFINITY,
+			planned,
+		};
+		this.disturbances.push(item);
+		return () => {
+			item.until = performance.now();
+		};
+	}
+
+	async addEngine(): Promise<SoakEngine> {
+		const standIn = new PlatformEngineStandIn(`e${this.nextEngine++}`);
+		const [host = '', port = ''] = (await standIn.start()).split(':');
+		const proxy = new LoopbackProxy({ host, port: Number(port) });
+		const address = await proxy.start();
+		const engine = { standIn, proxy, address, busy: false, leaving: false };
+		this.engines.push(engine);
+		this.fixture.engines.set(standIn.id, standIn);
+		await this.fixture.register(standIn, address);
+		return engine;
+	}
+
+	/** @param announced it says that it leaves; else its registration goes without a word */
+	async removeEngine(engine: SoakEngine, announced: boolean): Promise<void> {
+		engine.leaving = true;
+		const { id } = engine.standIn;
+		if (announced) {
+			await this.fixture.register(engine.standIn, engine.address, 'draining');
+		} else {
+			this.fixture.store.remove(`servers/${id}`);
+		}
+		this.left.push({ engine: id, at: performance.now() });
+		await sleep(lingerMs);
+		this.fixture.store.remove(`servers/${id}`);
+		const end = this.disturb(id, 'gone');
+		engine.proxy.stop();
+		engine.standIn.stop();
+		end();
+	}
+
+	/** Puts a new key in force beside the permanent one and takes the one before away. */
+	changeKey(): void {
+		const next = `key-${this.nextKey++}`;
+		const version = this.fixture.configure([key, next]);
+		const at = performance.now();
+		this.keys.push({ key: next, version, at, kind: 'added' });
+		if (this.currentKey !== '') {
+			this.keys.push({ key: this.currentKey, version, at, kind: 'removed' });
+		}
+		this.formerKey = this.currentKey;
+		this.currentKey = next;
+	}
+
+	/** Starts the VM's process anew, once the one before has ended. */
+	async restart(item: SoakVm): Promise<void> {
+		await item.vm.ended;
+		item.vm = await this.startProcess(item.name, item.vm.address, item.vm.ports);
+		item.life++;
+		this.watchEnd(item);
+	}
+
+	async stop(): Promise<void> {
+		this.stopping = true;
+		for (const { vm, store } of this.vms) {
+			vm.process.kill('SIGKILL');
+			await vm.ended;
+			store.stop();
+		}
+		for (const { proxy, leaving } of this.engines) {
+			if (!leaving) {
+				proxy.stop();
+			}
+		}
+		await this.fixture.stop();
+	}
+
+	private async addVm(name: string, address: string, ports: Ports): Promise<void> {
+		const [host = '', port = ''] = (await this.fixture.store.addressFor(address)).split(':');
+		const store = new LoopbackProxy({ host, port: Number(port) });
+		this.addresses.set(name, await store.start());
+		const vm = await this.startProcess(name, address, ports);
+		const item = { name, vm, life: 1, store, busy: false };
+		this.vms.push(item);
+		this.watchEnd(item);
+	}
+
+	private startProcess(name: string, address: string, ports: Ports): Promise<Vm> {
+		const log = fs.openSync(path.join(this.logs, `${name}.log`), 'a');
+		const seeds = this.vms.slice(0, 3).map((other) => `${other.vm.address}:9`);
+		return this.fixture.startVm(address, name, ports, {
+			log,
+			seeds,
+			store: this.addresses.get(name),
+		});
+	}
+
+	private watchEnd(item: SoakVm): void {
+		const { vm } = item;
+		void vm.ended.then((code) => {
+			// A fault that ends processes marks the VM as busy before.
+			if (!item.busy && !this.stopping) {
+				this.ended.push(`${item.name} ended with ${code}: ${vm.errors}`);
+			}
+		});
+	}
+}
+
+/** Behaviours of engines that do harm. */
+export const harmful = Object.values(engineBehaviours).filter(
+	(name) => name !== engineBehaviours.well && name !== engineBehaviours.unframed,
+);
+
+export function sleep(ms: number): Promise<void> {
+	return new Promise((done) => setTimeout(done, ms));
+}
--- /dev/null
+++ b/test/soak/loopback-proxy.ts
@@ -0,0 +1,110 @@
+/**
+ * A proxy on loopback that passes bytes on and harms them on order: late, not at all, one way only, or
+ * with a reset. It knows nothing of what it carries.
+ * @module
+ */
+import * as net from 'node:net';
+
+/** What happens to bytes from now on. */
+export const linkStates = {
+	well: 'well',
+	/** Bytes wait; connections stay open. */
+	silent: 'silent',
+	/** Only bytes towards the target wait. */
+	silentTo: 'silent-to',
+	/** Only bytes back from the target wait. */
+	silentFrom: 'silent-from',
+	/** New connections are reset. */
+	refusing: 'refusing',
+} as const;
+export type LinkState = (typeof linkStates)[keyof typeof linkStates];
+
+interface Connection {
+	near: net.Socket;
+	far: net.Socket;
+}
+
+export class LoopbackProxy {
+	private state: LinkState = linkStates.well;
+	private delayMs = 0;
+	private readonly connections = new Set<Connection>();
+	private readonly server = net.createServer({ allowHalfOpen: true }, (near) => this.accept(near));
+
+	constructor(private readonly target: { host: string; port: number }) {}
+
+	/** @returns the address to use in place of the target's, as IP:PORT */
+	async start(host = '127.0.0.1'): Promise<string> {
+		await new Promise<void>((done) => this.server.listen(0, host, done));
+		return `${host}:${(this.server.address() as net.AddressInfo).port}`;
+	}
+
+	stop(): void {
+		this.server.close();
+		this.reset();
+	}
+
+	/** Bytes in either direction come later by this time, in milliseconds. */
+	delay(ms: number): void {
+		this.delayMs = ms;
+	}
+
+	/** Bytes that waited go on when the link is well again. */
+	set(state: LinkState): void {
+		this.state = state;
+		for (const { near, far } of this.connections) {
+			this.apply(near, linkStates.silentTo);
+			this.apply(far, linkStates.silentFrom);
+		}
+	}
+
+	/** Resets all open connections. */
+	reset(): void {
+		for (const { near, far } of this.connections) {
+			near.resetAndDestroy();
+			far.resetAndDestroy();
+		}
+	}
+
+	private accept(near: net.Socket): void {
+		if (this.state === linkStates.refusing) {
+			near.on('error', () => {});
+			near.resetAndDestroy();
+			return;
+		}
+		const far = net.connect({ ...this.target, allowHalfOpen: true });
+		const connection = { near, far };
+		this.connections.add(connection);
+		this.join(near, far, connection);
+		this.join(far, near, connection);
+		this.apply(near, linkStates.silentTo);
+		this.apply(far, linkStates.silentFrom);
+	}
+
+	private join(from: net.Socket, to: net.Socket, connection: Connection): void {
+		from.setNoDelay(true);
+		from.on('data', (chunk) => this.later(() => to.write(chunk)));
+		from.on('end', () => this.later(() => to.end()));
+		// A reset on one side is a reset on the other.
+		from.on('error', () => to.resetAndDestroy());
+		from.on('close', () => {
+			this.connections.delete(connection);
+			this.later(() => to.destroySoon());
+		});
+	}
+
+	private later(action: () => void): void {
+		if (this.delayMs === 0) {
+			action();
+		} else {
+			setTimeout(action, this.delayMs);
+		}
+	}
+
+	private apply(socket: net.Socket, oneWay: LinkState): void {
+		if (this.state === linkStates.silent || this.state === oneWay) {
+			socket.pause();
+		} else {
+			socket.resume();
+		}
+	}
+}
--- /dev/null
+++ b/test/soak/oracle.ts
@@ -0,0 +1,204 @@
+/**
+ * Checks the promises of the relay from what callers and engines saw. It shares no code with the relay.
+ * @module
+ */
+import { wholeStream } from '../stand-ins/platform-engine.js';
+import type { CallerRecord, EngineRecord, SoakFinding, SoakRecords } from './types.js';
+import { requestKinds, singleRunKinds } from './types.js';
+
+/** Statuses that say that the request has not run and never will. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Records of callers and engines are timed by one clock in one busy process, in milliseconds. */
+const timingSlackMs = 300;
+/** A version that was seen in force is not left again after this time, in milliseconds. */
+const downgradeMs = 250;
+
+export const promises = {
+	once: 'a request that may run once ran more often',
+	notRun: 'a request that was told as not run has run',
+	whole: 'an answer is not the whole answer to its own request',
+	leaving: 'a leaving engine got new work',
+	stop: 'a planned stop cut a request',
+	configuration: 'a configuration is not in force in time',
+	back: 'a configuration went back',
+	customer: 'a request ran for a customer that its key does not belong to',
+	retries: 'the fleet sent more retries than its budget',
+	recovery: 'a VM did not serve again after the last fault',
+	growth: 'a process keeps growing',
+	ended: 'a process ended by itself',
+} as const;
+
+export function check(records: SoakRecords): SoakFinding[] {
+	const byId = new Map<string, EngineRecord[]>();
+	for (const arrival of records.arrivals) {
+		byId.set(arrival.id, [...(byId.get(arrival.id) ?? []), arrival]);
+	}
+	const runsOf = (req: CallerRecord) => (byId.get(req.id) ?? []).filter((run) => !run.rejected);
+	const findings: SoakFinding[] = [];
+	const find = (promise: string, detail: string) => findings.push({ promise, detail });
+	for (const req of records.requests) {
+		checkRequest(records, req, runsOf(req), find);
+	}
+	checkVersions(records, runsOf, find);
+	checkRetries(records, find);
+	for (const vm of records.notRecovered) {
+		find(promises.recovery, vm);
+	}
+	for (const vm of records.grown) {
+		find(promises.growth, vm);
+	}
+	for (const vm of records.ended) {
+		find(promises.ended, vm);
+	}
+	return findings;
+}
+
+type Find = (promise: string, detail: string) => void;
+
+function checkRequest(
+	records: SoakRecords,
+	req: CallerRecord,
+	runs: readonly EngineRecord[],
+	find: Find,
+): void {
+	const told = `${req.kind} ${req.id} at ${req.vm}: status ${req.status}, sent ${Math.round(req.sentAt)}`;
+	if (singleRunKinds.has(req.kind) && runs.length > 1) {
+		find(promises.once, `${told}, ran ${runs.length} times`);
+	}
+	if (notRunStatuses.has(req.status) && runs.length > 0) {
+		find(promises.notRun, `${told}, ran at ${runs[0]?.engine}`);
+	}
+	if (req.status >= 200 && req.status < 300 && !isRight(req)) {
+		find(promises.whole, `${told}, cut ${req.cut}: ${JSON.stringify(req.body.slice(0, 200))}`);
+	}
+	if (runs.some((run) => run.customer !== 'station')) {
+		find(promises.customer, told);
+	}
+	for (const run of runs) {
+		checkLeaving(records, req, run, told, find);
+	}
+	checkKey(records, req, runs, told, find);
+	if (req.status === 0 && runs.length > 0 && isPlannedStopAlone(records, req)) {
+		find(promises.stop, `${told}, ended ${Math.round(req.endedAt)} without an answer`);
+	}
+}
+
+/** A whole answer is the expected one; a cut one is its beginning. */
+function isRight(req: CallerRecord): boolean {
+	const streamed = req.kind === requestKinds.cut || req.kind === requestKinds.resumed;
+	const expected = streamed ? wholeStream(req.id) : `answer to ${req.id}`;
+	return req.cut ? expected.startsWith(req.body) : req.body === expected;
+}
+
+function checkLeaving(
+	records: SoakRecords,
+	req: CallerRecord,
+	run: EngineRecord,
+	told: string,
+	find: Find,
+): void {
+	const { drainMs } = records.bounds;
+	const left = records.left.find((item) => item.engine === run.engine);
+	const late = left ? run.at - left.at : 0;
+	if (left && late > drainMs + timingSlackMs && isInTouch(records, req.vm, left.at, run.at)) {
+		find(promises.leaving, `${told}, reached ${run.engine} ${Math.round(late)} ms late`);
+	}
+}
+
+function checkKey(
+	records: SoakRecords,
+	req: CallerRecord,
+	runs: readonly EngineRecord[],
+	told: string,
+	find: Find,
+): void {
+	const { configurationMs } = records.bounds;
+	for (const change of records.keys) {
+		const after = req.sentAt - change.at;
+		if (change.key !== req.key || after < configurationMs + timingSlackMs) {
+			continue;
+		}
+		const isOver = records.keys.some((other) => other.key === req.key && other.at > change.at);
+		const stillServed = change.kind === 'removed' && runs.length > 0;
+		const notYet = change.kind === 'added' && !isOver && req.status === 401;
+		if ((stillServed || notYet) && isInTouch(records, req.vm, change.at, req.endedAt)) {
+			find(
+				promises.configuration,
+				`${told}, key ${req.key} ${change.kind} ${Math.round(after)} ms before`,
+			);
+		}
+	}
+}
+
+/** Within one life of a process an older configuration is not used after a newer one was seen. */
+function checkVersions(
+	records: SoakRecords,
+	runsOf: (req: CallerRecord) => readonly EngineRecord[],
+	find: Find,
+): void {
+	const versionOf = (key: string, kind: 'added' | 'removed') =>
+		records.keys.find((change) => change.key === key && change.kind === kind)?.version;
+	const served = records.requests.filter((req) => runsOf(req).length > 0);
+	for (const req of served) {
+		const endsWith = versionOf(req.key, 'removed');
+		const newer = served.find(
+			(other) =>
+				other.vm === req.vm &&
+				other.life === req.life &&
+				(versionOf(other.key, 'added') ?? 0) >= (endsWith ?? Number.POSITIVE_INFINITY) &&
+				other.endedAt + downgradeMs < req.sentAt,
+		);
+		if (newer) {
+			find(promises.back, `${req.id} at ${req.vm} ran with ${req.key} after ${newer.key}`);
+		}
+	}
+}
+
+function checkRetries(records: SoakRecords, find: Find): void {
+	const { retryRatio, retryExtra, retryWindowMs } = records.bounds;
+	const seen = new Set<string>();
+	const repeats = records.arrivals
+		.toSorted((a, b) => a.at - b.at)
+		.filter((arrival) => seen.has(arrival.id) || !seen.add(arrival.id));
+	for (const last of repeats) {
+		const from = last.at - retryWindowMs;
+		const count = repeats.filter((item) => item.at > from && item.at <= last.at).length;
+		const windows = [from, from - retryWindowMs / 2, from - retryWindowMs];
+		const requests = windows.map(
+			(start) =>
+				records.requests.filter((req) => req.sentAt > start && req.sentAt <= start + retryWindowMs)
+					.length,
+		);
+		const allowed = retryRatio * Math.max(...requests) + retryExtra;
+		if (count > allowed) {
+			find(
+				promises.retries,
+				`${count} in the window to ${Math.round(last.at)}, allowed ${allowed}`,
+			);
+			return;
+		}
+	}
+}
+
+/** No harm to the VM or the store from a while before the span to its end. */
+function isInTouch(records: SoakRecords, vm: string, from: number, until: number): boolean {
+	const { contactMs } = records.bounds;
+	return !records.disturbances.some(
+		(item) =>
+			(item.target === vm || item.target === 'store') &&
+			item.from < until &&
+			item.until + contactMs > from,
+	);
+}
+
+/** The VM was told to stop, and nothing else happened to it or to any engine meanwhile. */
+function isPlannedStopAlone(records: SoakRecords, req: CallerRecord): boolean {
+	const { stopMs, contactMs } = records.bounds;
+	const from = req.sentAt - contactMs;
+	const around = records.disturbances.filter(
+		(item) => item.from < req.endedAt && item.until > from,
+	);
+	const stop = around.find((item) => item.target === req.vm && item.planned);
+	const inTime = stop !== undefined && req.endedAt < stop.from + stopMs;
+	return inTime && around.every((item) => item.planned || item.target === 'store');
+}
--- /dev/null
+++ b/test/soak/run.ts
@@ -0,0 +1,120 @@
+/**
+ * One run of the soak: faults and callers over a deployment, then the check of both ends' records.
+ * @module
+ */
+import * as fs from 'node:fs';
+import { seeded } from '../../bench/random.js';
+import { key as permanentKey } from '../steps/relay-world.js';
+import { Callers } from './callers.js';
+import type { SoakVm } from './deployment.js';
+import { bounds, SoakDeployment, sleep } from './deployment.js';
+import { FaultRun } from './faults.js';
+import { check } from './oracle.js';
+import type { EngineRecord, SoakFinding, SoakRecords } from './types.js';
+import { requestKinds } from './types.js';
+
+export interface SoakOptions {
+	seed: number;
+	/** Length of the faults, in seconds. */
+	seconds: number;
+	vms: number;
+	engines: number;
+	callers: number;
+	/** Faults at the same time. */
+	series: number;
+	/** Folder for logs and records. */
+	out: string;
+}
+
+export interface SoakResult {
+	findings: SoakFinding[];
+	requests: number;
+	served: number;
+	faults: number;
+}
+
+/** Time without traffic before faults, so that all VMs know each other, in milliseconds. */
+const settleMs = 500;
+/** All VMs serve again within this time after the last fault, in milliseconds. */
+const recoverMs = 12_000;
+/** Answers in a row that show that a VM serves. */
+const answersToServe = 5;
+/** Open files that a daemon may hold beyond one for each caller and its own few. */
+const spareFiles = 60;
+
+export async function runSoak(opts: SoakOptions): Promise<SoakResult> {
+	fs.mkdirSync(opts.out, { recursive: true });
+	const deployment = new SoakDeployment(opts.out);
+	try {
+		await deployment.start(opts.vms, opts.engines, 1 + (opts.seed % 250));
+		await sleep(settleMs);
+		const callers = new Callers(deployment, seeded(opts.seed * 2 + 1));
+		const traffic = callers.run(opts.callers);
+		const faults = new FaultRun(deployment, seeded(opts.seed * 2));
+		await faults.run(opts.series, performance.now() + opts.seconds * 1000);
+		const notRecovered = await waitForAll(deployment, callers);
+		callers.stop();
+		await traffic;
+		const records: SoakRecords = {
+			bounds,
+			requests: callers.records,
+			arrivals: arrivalsOf(deployment),
+			disturbances: deployment.disturbances,
+			keys: deployment.keys,
+			left: deployment.left,
+			notRecovered,
+			grown: grownOf(deployment, opts),
+			ended: deployment.ended,
+		};
+		const findings = check(records);
+		if (findings.length > 0) {
+			fs.writeFileSync(`${opts.out}/records.json`, JSON.stringify({ opts, findings, records }));
+		}
+		return {
+			findings,
+			requests: callers.records.length,
+			served: callers.records.filter((record) => record.status === 200 && !record.cut).length,
+			faults: deployment.disturbances.length,
+		};
+	} finally {
+		await deployment.stop();
+	}
+}
+
+function arrivalsOf(deployment: SoakDeployment): EngineRecord[] {
+	return deployment.engines.flatMap(({ standIn }) =>
+		standIn.seen.map((seen) => ({
+			id: String(seen.headers['slategauge-attempt-id']),
+			engine: standIn.id,
+			at: seen.at,
+			rejected: seen.rejected,
+			customer: seen.headers['slategauge-tenant'] as string | undefined,
+		})),
+	);
+}
+
+/** @returns VMs that did not serve again in time */
+async function waitForAll(deployment: SoakDeployment, callers: Callers): Promise<string[]> {
+	const latest = performance.now() + recoverMs;
+	const served = await Promise.all(deployment.vms.map((item) => serves(callers, item, latest)));
+	return deployment.vms.filter((_, at) => !served[at]).map((item) => item.name);
+}
+
+async function serves(callers: Callers, item: SoakVm, latest: number): Promise<boolean> {
+	let inRow = 0;
+	while (inRow < answersToServe && performance.now() < latest) {
+		const { status } = await callers.send(item, requestKinds.plain, permanentKey, false);
+		inRow = status === 200 ? inRow + 1 : 0;
+		await sleep(50);
+	}
+	return inRow >= answersToServe;
+}
+
+/** VMs that hold more open files than their callers and engines explain. */
+function grownOf(deployment: SoakDeployment, opts: SoakOptions): string[] {
+	const most = spareFiles + opts.callers * (1 + opts.engines);
+	return deployment.vms.flatMap(({ name, vm }) => {
+		const files = fs.readdirSync(`/proc/${vm.process.pid}/fd`).length;
+		return files > most ? [`${name} holds ${files} open files, at most ${most} expected`] : [];
+	});
+}
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -38,6 +38,10 @@
 	url: string;
 	headers: http.IncomingHttpHeaders;
 	body: string;
+	/** Monotonic milliseconds at which it began. */
+	at: number;
+	/** It was refused with the word that it did not run. */
+	rejected: boolean;
 	/** The caller's side went away before the answer ended. */
 	left: boolean;
 }
@@ -72,7 +76,9 @@
 			chunks.push(chunk as Buffer);
 		}
 		const { method = '', url = '', headers } = req;
-		const request = { method, url, headers, body: Buffer.concat(chunks).toString(), left: false };
+		const body = Buffer.concat(chunks).toString();
+		const rejected = this.behaviour === engineBehaviours.rejects;
+		const request = { method, url, headers, body, at: performance.now(), rejected, left: false };
 		const expected = headers['slategauge-expect-instance'];
 		if (expected !== undefined && expected !== this.id) {
 			res.writeHead(421, { 'slategauge-instance-id': this.id }).end();
@@ -162,13 +168,25 @@
 				socket.resetAndDestroy();
 				return;
 			}
-			res.write(`id: ${event}\ndata: token ${event}\n\n`);
+			res.write(eventText(event, req.body));
 			await pause(this.pauseMs);
 		}
 		res.end();
 	}
 }
 
+/** An event of a streamed answer; it names the body of its request, if that has one. */
+export function eventText(event: number, body = ''): string {
+	const of = body === '' ? '' : ` of ${body}`;
+	return `id: ${event}\ndata: token ${event}${of}\n\n`;
+}
+
+/** The whole body of a streamed answer. */
+export function wholeStream(body = ''): string {
+	const events = Array.from({ length: streamLength }, (_, at) => eventText(at + 1, body));
+	return events.join('');
+}
+
 function pause(ms: number): Promise<void> {
 	return new Promise((done) => setTimeout(done, ms));
 }
--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -38,6 +38,8 @@
 	private readonly waiting = new Set<() => void>();
 	/** Every call is answered with this status. */
 	failWith?: number;
+	/** Writes are done and not answered. */
+	loseAnswers = false;
 	/** VMs, by their address, whose calls are refused. */
 	private readonly turnedAway = new Set<string>();
 	/** One server for each address that callers tell apart by. */
@@ -143,6 +145,9 @@
 			await this.watch(url.searchParams, res, caller);
 		} else if (call === 'kv-txn') {
 			this.write(body, res);
+			if (this.loseAnswers) {
+				req.socket.resetAndDestroy();
+			}
 		} else if (call === 'kv-lease') {
 			reply(res, 200, this.grant(Number(body['ttl-ms'])));
 		} else if (call === 'kv-keep') {
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -69,8 +69,11 @@
 		return (await this.readiness(vm)) === 200;
 	}
 
-	/** Writes the next configuration with these keys for the one customer. */
-	configure(keys: readonly string[]): void {
+	/**
+	 * Writes the next configuration with these keys for the one customer.
+	 * @returns its version
+	 */
+	configure(keys: readonly string[]): number {
 		this.version += 2;
 		const common = { hostname: host, service: 'pool', priority: 1, anonymous: false };
 		const stream = { ...common, type: 'streaming', 'timeout-ms': 6000, 'target-latency-ms': 500 };
@@ -99,6 +102,7 @@
 			limits: {},
 			tenants: [{ name: 'station', 'api-keys': keys }],
 		});
+		return this.version;
 	}
 
 	async register(engine: PlatformEngineStandIn, address: string, state = 'ready'): Promise<void> {
@@ -156,13 +160,7 @@
 	}
 
 	/** Starts a daemon; the settings file is the platform's. */
-	async startVm(
-		address: string,
-		id: string,
-		ports: Ports,
-		drop: string[] = [],
-		seeds: string[] = [],
-	): Promise<Vm> {
+	async startVm(address: string, id: string, ports: Ports, opts: StartOptions = {}): Promise<Vm> {
 		const settings: Record<string, unknown> = {
 			'node-name': id,
 			ip: address,
@@ -172,13 +170,13 @@
 				readiness: `${address}:${ports.readiness}`,
 			},
 			'port-range': [ports.peers, ports.metrics],
-			'seed-nodes': seeds,
+			'seed-nodes': opts.seeds ?? [],
 			limits: { 'memory-mb': 350, 'max-fds': 4100 },
 			bounds: {},
-			platform: { address: await this.store.addressFor(address) },
+			platform: { address: opts.store ?? (await this.store.addressFor(address)) },
 			'not-known-yet': 1,
 		};
-		for (const name of drop) {
+		for (const name of opts.drop ?? []) {
 			delete settings[name];
 		}
 		const file = path.join(os.tmpdir(), `relay-${process.pid}-${id}-${ports.callers}.json`);
@@ -186,7 +184,7 @@
 		await fs.writeFile(file, JSON.stringify(settings));
 		const child = childProcess.spawn(process.execPath, [program], {
 			env: { ...process.env, SLATEGAUGE_SETTINGS: file },
-			stdio: ['ignore', 'ignore', 'pipe'],
+			stdio: ['ignore', opts.log ?? 'ignore', 'pipe'],
 		});
 		const vm: Vm = {
 			address,
@@ -216,6 +214,16 @@
 	}
 }
 
+export interface StartOptions {
+	/** Settings to leave out. */
+	drop?: readonly string[];
+	seeds?: readonly string[];
+	/** Address of the store. @default the one that the stand-in keeps for this VM */
+	store?: string;
+	/** File descriptor for the log. @default the log is dropped */
+	log?: number;
+}
+
 export interface Ports {
 	callers: number;
 	readiness: number;
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -6,7 +6,7 @@
 import * as fs from 'node:fs/promises';
 import * as cucumber from '@cucumber/cucumber';
 import type { EngineBehaviour, PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
-import { streamLength } from '../stand-ins/platform-engine.js';
+import { wholeStream } from '../stand-ins/platform-engine.js';
 import { writeThenRead } from './late-reader.js';
 import type { Answer, Vm } from './relay-world.js';
 import { freePorts, host, RelayFixture, until } from './relay-world.js';
@@ -41,11 +41,6 @@
 	return answer;
 }
 
-function wholeStream(): string {
-	const events = Array.from({ length: streamLength }, (_, at) => at + 1);
-	return events.map((event) => `id: ${event}\ndata: token ${event}\n\n`).join('');
-}
-
 cucumber.After(async function (this: FleetWorld) {
 	await fixtures.get(this)?.stop();
 });
@@ -190,7 +185,9 @@
 		const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
 		const ports = { callers, readiness, peers, metrics };
 		const fixture = fixtureOf(this);
-		fixture.vms.push(await fixture.startVm('127.0.0.1', 'vm-x', ports, ['zone', 'platform']));
+		fixture.vms.push(
+			await fixture.startVm('127.0.0.1', 'vm-x', ports, { drop: ['zone', 'platform'] }),
+		);
 	},
 );
 
@@ -216,7 +213,7 @@
 		fixture.store.turnAway(address);
 		const first = firstVm(this);
 		const seeds = [`${first.address}:9`];
-		fixture.vms.push(await fixture.startVm(address, 'vm-2', first.ports, [], seeds));
+		fixture.vms.push(await fixture.startVm(address, 'vm-2', first.ports, { seeds }));
 	},
 );
 
