--- a/test/soak/loopback-proxy.ts
+++ b/test/soak/loopback-proxy.ts
@@ -81,23 +81,30 @@
 	}
 
 	private join(from: net.Socket, to: net.Socket, connection: Connection): void {
+		const later = this.inOrder();
 		from.setNoDelay(true);
-		from.on('data', (chunk) => this.later(() => to.write(chunk)));
-		from.on('end', () => this.later(() => to.end()));
+		from.on('data', (chunk) => later(() => to.write(chunk)));
+		from.on('end', () => later(() => to.end()));
 		// A reset on one side is a reset on the other.
 		from.on('error', () => to.resetAndDestroy());
 		from.on('close', () => {
 			this.connections.delete(connection);
-			this.later(() => to.destroySoon());
+			later(() => to.destroySoon());
 		});
 	}
 
-	private later(action: () => void): void {
-		if (this.delayMs === 0) {
-			action();
-		} else {
-			setTimeout(action, this.delayMs);
-		}
+	/** @returns a function that does things after the delay of the moment, never before earlier ones */
+	private inOrder(): (action: () => void) => void {
+		let lastAt = 0;
+		return (action) => {
+			const now = performance.now();
+			lastAt = Math.max(lastAt, now + this.delayMs);
+			if (lastAt <= now) {
+				action();
+			} else {
+				setTimeout(action, lastAt - now);
+			}
+		};
 	}
 
 	private apply(socket: net.Socket, oneWay: LinkState): void {
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -129,6 +129,7 @@
 	}
 
 	private async answerUnframed(id: string, socket: Socket): Promise<void> {
+		const { behaviour } = this;
 		const head = [
 			'HTTP/1.1 200 OK',
 			`slategauge-attempt-id: ${id}`,
@@ -136,12 +137,12 @@
 			'connection: close',
 		];
 		socket.write(`${head.join('\r\n')}\r\n\r\nhalf`);
-		if (this.behaviour === engineBehaviours.unframedResetAtOnce) {
+		if (behaviour === engineBehaviours.unframedResetAtOnce) {
 			socket.resetAndDestroy();
 			return;
 		}
 		await pause(100);
-		if (this.behaviour === engineBehaviours.unframedReset) {
+		if (behaviour === engineBehaviours.unframedReset) {
 			socket.resetAndDestroy();
 		} else {
 			socket.end(' and half');
