In a large fleet a few VMs read the store for all

Ruled out: renewals (a tenth of a call each) and the start (four calls a VM). Change: beyond 12 VMs, four that all pick alike by hashing follow the store; their news tell when it last answered them and a digest of the engines; the others fetch what changed from them. A VM that hears of nobody whom the store answered within 1.5 s reads it itself. Readers prove their contact each half second by a renewal. Small fleets stay as they are, but a VM that the store turns away fetches engines when a peer's digest differs, not each second. News of all work no longer push out hints on prompts read. Tests: three decisions, among them the exchange of changes; written with the change, not run before it. 25 decisions and 29 scenarios on processes pass.

--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock, Log } from '../definitions.js';
+import * as rendezvous from '../membership/rendezvous.js';
 import type { StoreChanges, StoreItem } from '../store/definitions.js';
 import type { PrefixListener } from '../store/prefix-follower.js';
 import { Engine } from './engine.js';
@@ -12,9 +13,10 @@
 /** Lapsed registrations are back within about 2 s of the store's return, if the engine lives. */
 const returnMs = 1900;
 
-/** What one VM tells another of all engines. */
+/** What one VM tells another of all engines: all ids, and the registrations that changed. */
 interface DirectoryCopy {
 	revision: number;
+	ids: string[];
 	items: StoreItem[];
 }
 
@@ -26,6 +28,8 @@
 	/** No engine listens at this address any more. */
 	onAddressGone: (address: string) => void;
 	onGone: (id: string) => void;
+	/** Registrations changed. */
+	onChanged: () => void;
 }
 
 export class EngineDirectory implements PrefixListener {
@@ -35,6 +39,7 @@
 	private readonly items = new Map<string, StoreItem>();
 	/** Newest revision of the store that the directory shows. */
 	private shownRevision = 0;
+	private contentDigest = 0;
 	private storeLost = false;
 	private storeBackAt = Number.NEGATIVE_INFINITY;
 
@@ -54,24 +59,51 @@
 		return (this.ofService.get(service) ?? []).filter((engine) => engine.isOffered(now));
 	}
 
-	/** All registrations, as text for a peer. */
-	export(): string {
-		const copy: DirectoryCopy = { revision: this.shownRevision, items: [...this.items.values()] };
+	/** Newest revision of the store that the directory shows. */
+	get revision(): number {
+		return this.shownRevision;
+	}
+
+	/** Stands for all registrations and their versions; equal directories have equal digests. */
+	get digest(): number {
+		return this.contentDigest;
+	}
+
+	/**
+	 * The directory as text for a peer.
+	 * @param since revision that the peer's own copy shows; registrations that are older are left out
+	 */
+	export(since: number): string {
+		const items = [...this.items.values()].filter((item) => item.revision > since);
+		const copy: DirectoryCopy = {
+			revision: this.shownRevision,
+			ids: [...this.items.keys()],
+			items,
+		};
 		return JSON.stringify(copy);
 	}
 
 	/**
-	 * Takes in what a peer's directory shows, while this VM cannot read the store itself.
+	 * Takes in what a peer's directory shows, while this VM does not read the store itself.
+	 * @returns whether the copy names no registration that is neither in it nor known here
 	 * @throws Error when the text is no copy of a directory
 	 */
-	takeCopy(text: string): void {
+	takeCopy(text: string): boolean {
 		const copy = JSON.parse(text) as DirectoryCopy;
-		if (copy.revision >= this.shownRevision && copy.items.length > 0) {
-			this.shownRevision = copy.revision;
-			// The store served that peer all along: what is missing there has ended.
-			this.storeLost = false;
-			this.replaceAll(copy.items, this.opts.clock.monotonic());
+		if (copy.revision < this.shownRevision || copy.ids.length === 0) {
+			return true;
 		}
+		const given = new Map(copy.items.map((item) => [this.opts.idOf(item.key), item]));
+		const known = copy.ids.flatMap((id) => given.get(id) ?? this.items.get(id) ?? []);
+		if (known.length < copy.ids.length) {
+			return false;
+		}
+		this.shownRevision = copy.revision;
+		// The store served that peer all along: what is missing there has ended.
+		this.storeLost = false;
+		this.storeBackAt = Number.NEGATIVE_INFINITY;
+		this.replaceAll(known, this.opts.clock.monotonic());
+		return true;
 	}
 
 	snapshot(items: readonly StoreItem[], _readAt: number, revision: number): void {
@@ -106,6 +138,7 @@
 				this.gone(this.opts.idOf(event.key));
 			}
 		}
+		this.opts.onChanged();
 	}
 
 	lost(): void {
@@ -130,7 +163,7 @@
 			this.opts.log.warn('engine.unreadable', { key: item.key, error: (err as Error).message });
 			return;
 		}
-		this.items.set(entry.id, item);
+		this.setItem(entry.id, item);
 		const known = this.engines.get(entry.id);
 		if (!known) {
 			this.add(new Engine(entry), item.revision);
@@ -177,7 +210,7 @@
 	private remove(engine: Engine, reason: string): void {
 		const { id, service, address } = engine.entry;
 		this.engines.delete(id);
-		this.items.delete(id);
+		this.setItem(id, undefined);
 		const left = (this.ofService.get(service) ?? []).filter((other) => other !== engine);
 		this.ofService.set(service, left);
 		this.opts.onGone(id);
@@ -187,6 +220,16 @@
 		}
 	}
 
+	private setItem(id: string, item: StoreItem | undefined): void {
+		const before = this.items.get(id);
+		this.contentDigest ^= digestOf(before) ^ digestOf(item);
+		if (item) {
+			this.items.set(id, item);
+		} else {
+			this.items.delete(id);
+		}
+	}
+
 	private logState(entry: EngineEntry, revision: number): void {
 		this.opts.log.info('engine.seen', {
 			engine: entry.id,
@@ -198,3 +241,7 @@
 		});
 	}
 }
+
+function digestOf(item: StoreItem | undefined): number {
+	return item ? rendezvous.scoreOf(item.key, String(item.revision)) : 0;
+}
--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -8,7 +8,7 @@
 import type { PromptPart } from '../relay/definitions.js';
 import { DemandMeter } from './demand-meter.js';
 import { PromptCacheMap } from './prompt-cache-map.js';
-import type { Demand, EngineRef, EngineWork, PartRead, PeerNews } from './types.js';
+import type { Demand, EngineRef, EngineWork, PartRead, PeerNews, StoreNews } from './types.js';
 
 /** A peer that missed this many of its times to tell all is left out. */
 const missedToSilent = 4;
@@ -27,6 +27,8 @@
 	address: string;
 	configurationVersion: number;
 	demand: Demand;
+	/** When the store last answered this peer, as far as it told; undefined while it does not read it. */
+	storeContactAt?: number;
 	work: Map<EngineRef, EngineWork>;
 }
 
@@ -40,6 +42,10 @@
 	life: number;
 	/** A peer has a newer configuration in force. */
 	onNewerConfiguration: (address: string, version: number) => void;
+	/** What this VM tells of the store; undefined while it does not read it itself. */
+	storeNews: () => StoreNews | undefined;
+	/** A peer that reads the store tells of it. */
+	onStoreNews: (address: string, store: StoreNews) => void;
 }
 
 export class FleetView {
@@ -71,6 +77,19 @@
 		return heard.map((peer) => peer.address);
 	}
 
+	/** Names of the VMs heard of lately, this one included. */
+	names(): string[] {
+		const heard = [...this.peers].filter(([, peer]) => this.isHeard(peer));
+		return [this.opts.self, ...heard.map(([name]) => name)];
+	}
+
+	/** Peers that the store answered within this time, in milliseconds. */
+	storeReaders(withinMs: number): number {
+		const since = this.opts.clock.monotonic() - withinMs;
+		const peers = [...this.peers.values()];
+		return peers.filter((peer) => (peer.storeContactAt ?? Number.NEGATIVE_INFINITY) > since).length;
+	}
+
 	/** Whether something changed since the last news. */
 	get hasNews(): boolean {
 		return this.changed.size > 0 || this.reads.length > 0;
@@ -156,8 +175,9 @@
 		const work = [...this.own.values()].filter((item) =>
 			whole ? item.running > 0 || item.promptTokens > 0 : this.changed.has(item.engine),
 		);
-		const { reads } = this;
-		this.reads = [];
+		// News of all work fill a datagram by themselves; reads wait for the next.
+		const reads = whole ? [] : this.reads;
+		this.reads = whole ? this.reads : [];
 		this.changed.clear();
 		this.seq++;
 		return {
@@ -170,6 +190,7 @@
 			work: work.map((item) => ({ ...item })),
 			reads,
 			demand: this.meter.read(this.opts.clock.monotonic()),
+			store: this.opts.storeNews(),
 		};
 	}
 
@@ -192,6 +213,7 @@
 			address: news.address,
 			configurationVersion: news.configurationVersion,
 			demand: news.demand,
+			storeContactAt: news.store && now - news.store.contactAgeMs,
 		});
 		for (const item of news.work) {
 			peer.work.set(item.engine, item);
@@ -202,6 +224,9 @@
 		if (news.configurationVersion > this.configurationVersion) {
 			this.opts.onNewerConfiguration(news.address, news.configurationVersion);
 		}
+		if (news.store) {
+			this.opts.onStoreNews(news.address, news.store);
+		}
 	}
 
 	/** Logs peers that fell silent and forgets those that did long ago; called each second. */
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -32,6 +32,16 @@
 	short: number;
 }
 
+/** What a VM that reads the store tells of it. */
+export interface StoreNews {
+	/** Milliseconds since the store last answered this VM. */
+	contactAgeMs: number;
+	/** Revision that its list of engines shows. */
+	revision: number;
+	/** Stands for the whole list of engines; equal lists have equal digests. */
+	digest: number;
+}
+
 /** One datagram between VMs. */
 export interface PeerNews {
 	from: string;
@@ -48,4 +58,6 @@
 	work: EngineWork[];
 	reads: PartRead[];
 	demand: Demand;
+	/** Present while the sender reads the store itself. */
+	store?: StoreNews;
 }
--- a/src/core/fleet/vm-registry.ts
+++ b/src/core/fleet/vm-registry.ts
@@ -9,16 +9,14 @@
 
 /** The registration ends so long after the last renewal, in milliseconds. */
 const leaseMs = 12_000;
+/** Shortest wait between two looks whether a renewal is due, in milliseconds. */
+const lookMs = 500;
 /**
- * Time between renewals, in milliseconds. They also show that the store is reached: a watch that
- * hangs on a dead connection is dropped at the first that fails.
+ * The others are read so often, in milliseconds, by reads that may be stale and cost a tenth: a VM
+ * that starts tells the others of itself. Just after the start they are read more often.
  */
-const renewMs = 2000;
-/**
- * The others are read after so many renewals, by reads that may be stale and cost a tenth: a VM
- * that starts tells the others of itself. Just after the start they are read with every renewal.
- */
-const readEvery = 4;
+const readEveryMs = 8000;
+const firstReadsEveryMs = 2000;
 const firstReads = 4;
 /** Between tries to register, in milliseconds; all VMs may try at once after an outage. */
 const retryMs = 1500;
@@ -36,6 +34,11 @@
 	/** Where this VM hears news. */
 	peers: HostPort;
 	sleep: (ms: number) => Promise<void>;
+	/**
+	 * Time between renewals now, in milliseconds. They also show that the store is reached: a watch that
+	 * hangs on a dead connection is dropped at the first that fails.
+	 */
+	renewMs: () => number;
 	/** A renewal failed: what else waits for the store may hang as well. */
 	onUnreachable: () => void;
 }
@@ -50,7 +53,8 @@
 	private readonly listed = new Map<string, Listed>();
 	private lease?: number;
 	private stopped = false;
-	private renewals = 0;
+	private reads = 0;
+	private readAt = 0;
 	private wasRead = false;
 
 	constructor(private readonly opts: VmRegistryOptions) {}
@@ -77,7 +81,7 @@
 		while (!this.stopped) {
 			try {
 				await this.step();
-				await this.opts.sleep(renewMs * (0.9 + 0.2 * this.opts.random.next()));
+				await this.untilRenewal();
 			} catch (err) {
 				if (!(err instanceof StoreError)) {
 					throw err;
@@ -99,8 +103,8 @@
 	private async step(): Promise<void> {
 		if (this.lease !== undefined) {
 			await this.opts.store.renewLease(this.lease);
-			this.renewals++;
-			if (this.renewals <= firstReads || this.renewals % readEvery === 0) {
+			const every = this.reads <= firstReads ? firstReadsEveryMs : readEveryMs;
+			if (this.opts.clock.monotonic() - this.readAt >= every) {
 				await this.readOthers();
 			}
 			return;
@@ -113,7 +117,21 @@
 		await this.readOthers();
 	}
 
+	/** Looks now and then, since a VM whose turn it becomes to read the store renews sooner. */
+	private async untilRenewal(): Promise<void> {
+		const jitter = 0.9 + 0.2 * this.opts.random.next();
+		const since = this.opts.clock.monotonic();
+		do {
+			await this.opts.sleep(Math.min(lookMs, this.opts.renewMs()) * jitter);
+		} while (
+			!this.stopped &&
+			this.opts.clock.monotonic() - since < this.opts.renewMs() * jitter - 1
+		);
+	}
+
 	private async readOthers(): Promise<void> {
+		this.reads++;
+		this.readAt = this.opts.clock.monotonic();
 		const { items } = await this.opts.store.range(this.opts.prefix, true);
 		this.wasRead = true;
 		const seen = new Set(items.map((item) => this.vmOf(item.key)));
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -118,6 +118,11 @@
 		when: 'The store cannot be read; what is known stays in use.',
 		fields: { prefix: 'keys that are followed', error: 'how the call failed' },
 	},
+	{
+		name: 'store.duty',
+		when: 'This VM takes up or lays down reading the store for the fleet.',
+		fields: { reads: 'whether it reads the store now', peers: 'VMs heard of lately' },
+	},
 	{
 		name: 'vm.registered',
 		when: 'This VM is listed in the store.',
--- a/src/core/store/definitions.ts
+++ b/src/core/store/definitions.ts
@@ -74,4 +74,6 @@
 	endLease(id: number): Promise<void>;
 	/** Calls made since the start. */
 	readonly calls: number;
+	/** When the store last answered a call and did not refuse it, in monotonic milliseconds. */
+	readonly answeredAt: number;
 }
--- a/src/core/store/prefix-follower.ts
+++ b/src/core/store/prefix-follower.ts
@@ -9,9 +9,8 @@
 
 /** One watch waits for so long, in milliseconds; each counts as a call, so longer is cheaper. */
 const watchMs = 20_000;
-/** Bounds of the back-off after a failed call, in milliseconds; a store that is back is noticed within the larger. */
+/** Shortest back-off after a failed call, in milliseconds. */
 const minBackoffMs = 80;
-const maxBackoffMs = 400;
 
 /** Receives what the store holds. */
 export interface PrefixListener {
@@ -31,17 +30,22 @@
 	listener: PrefixListener;
 	/** Pause between two watches, in milliseconds: changes of that time come with one call. */
 	pauseMs: number;
+	/** Longest back-off now, in milliseconds; a store that is back is noticed within it. */
+	maxBackoffMs: () => number;
 	sleep: (ms: number) => Promise<void>;
 }
 
 export class PrefixFollower {
 	private stopped = false;
+	private active = true;
+	private resume?: () => void;
 	private reachable = false;
+	private lossTold = false;
 	private cancel = new AbortController();
 
 	constructor(private readonly opts: PrefixFollowerOptions) {}
 
-	/** Whether the last call to the store succeeded. */
+	/** Whether it follows and the last call to the store succeeded. */
 	get isReachable(): boolean {
 		return this.reachable;
 	}
@@ -49,6 +53,18 @@
 	stop(): void {
 		this.stopped = true;
 		this.cancel.abort();
+		this.resume?.();
+	}
+
+	/** Follows, or pauses; after a pause everything is read again. */
+	setActive(active: boolean): void {
+		this.active = active;
+		if (active) {
+			this.resume?.();
+		} else {
+			this.reachable = false;
+			this.cancel.abort();
+		}
 	}
 
 	/** Drops the watch that waits, which may hang on a dead connection, and reads all again. */
@@ -60,6 +76,7 @@
 	async follow(): Promise<void> {
 		let backoffMs = minBackoffMs;
 		while (!this.stopped) {
+			await this.untilActive();
 			this.cancel = new AbortController();
 			try {
 				const revision = await this.readAll();
@@ -72,15 +89,27 @@
 				if (err.failure !== storeFailures.compacted && !this.cancel.signal.aborted) {
 					this.failed(err);
 					await this.opts.sleep(backoffMs * (0.5 + this.opts.random.next()));
-					backoffMs = Math.min(backoffMs * 2, maxBackoffMs);
+					backoffMs = Math.min(backoffMs * 2, this.opts.maxBackoffMs());
 				}
 			}
 		}
 	}
 
+	private async untilActive(): Promise<void> {
+		while (!this.active && !this.stopped) {
+			await new Promise<void>((done) => {
+				this.resume = done;
+			});
+		}
+	}
+
 	private async readAll(): Promise<number> {
 		const readAt = this.opts.clock.monotonic();
 		const range = await this.opts.store.range(this.opts.prefix);
+		if (!this.active) {
+			throw new StoreError(storeFailures.unknown, 'paused meanwhile');
+		}
+		this.lossTold = false;
 		if (!this.reachable) {
 			this.reachable = true;
 			this.opts.log.info('store.reached', { prefix: this.opts.prefix, revision: range.revision });
@@ -104,8 +133,9 @@
 	}
 
 	private failed(err: StoreError): void {
-		if (this.reachable) {
-			this.reachable = false;
+		this.reachable = false;
+		if (!this.lossTold) {
+			this.lossTold = true;
 			this.opts.log.warn('store.lost', { prefix: this.opts.prefix, error: err.message });
 			this.opts.listener.lost(err.message);
 		}
--- a/src/daemon/relay/peer-exchange.ts
+++ b/src/daemon/relay/peer-exchange.ts
@@ -37,9 +37,12 @@
 	/** The configuration in force as text. */
 	configuration: () => string | undefined;
 	offer: (text: string, source: string) => void;
-	/** All engines as text; undefined while this VM itself cannot read the store. */
-	engines: () => string | undefined;
-	takeEngines: (text: string) => void;
+	/** Engines changed since a revision, as text; undefined while this VM itself does not read the store. */
+	engines: (since: number) => string | undefined;
+	/** @returns false when the copy needs registrations that it does not hold */
+	takeEngines: (text: string) => boolean;
+	/** Revision of the store that this VM's engines show. */
+	enginesRevision: () => number;
 }
 
 export class PeerExchange {
@@ -47,7 +50,8 @@
 	private readonly datagrams: PeerDatagrams;
 	private timer?: NodeJS.Timeout;
 	private wholeTimer?: NodeJS.Timeout;
-	private fetching = false;
+	/** Paths that are being fetched. */
+	private readonly fetching = new Set<string>();
 	private sentAt = 0;
 
 	constructor(private readonly opts: PeerExchangeOptions) {
@@ -80,16 +84,29 @@
 		});
 	}
 
-	/** Fetches the engines that a peer knows. */
-	fetchEngines(address: string): Promise<void> {
-		return this.fetch(address, enginesPath, (text) => this.opts.takeEngines(text));
+	/** Fetches what changed among the engines that a peer knows; all of them if that is not enough. */
+	async fetchEngines(address: string): Promise<void> {
+		let isWhole = true;
+		const take = (text: string) => {
+			isWhole = this.opts.takeEngines(text);
+		};
+		await this.fetch(address, `${enginesPath}?since=${this.opts.enginesRevision()}`, take);
+		if (!isWhole) {
+			await this.fetch(address, enginesPath, take);
+		}
+	}
+
+	/** Tells all peers at once of something that cannot wait. */
+	announce(): void {
+		this.send(false, true);
 	}
 
 	private async fetch(address: string, path: string, take: (text: string) => void): Promise<void> {
-		if (this.fetching) {
+		const [what = path] = path.split('?');
+		if (this.fetching.has(what)) {
 			return;
 		}
-		this.fetching = true;
+		this.fetching.add(what);
 		try {
 			const res = await undici.request(`http://${address}${path}`, {
 				signal: AbortSignal.timeout(fetchTimeoutMs),
@@ -102,7 +119,7 @@
 			const error = (err as Error).message;
 			this.opts.log.warn('peer.fetch-failed', { peer: address, path, error });
 		} finally {
-			this.fetching = false;
+			this.fetching.delete(what);
 		}
 	}
 
@@ -121,11 +138,12 @@
 		this.wholeTimer = setTimeout(() => this.tick(), wait);
 	}
 
-	private send(whole: boolean): void {
+	/** @param urgent also when no work has changed */
+	private send(whole: boolean, urgent = false): void {
 		clearTimeout(this.timer);
 		this.timer = undefined;
 		this.opts.fleet.newsAgeMs = this.spacingMs;
-		if (whole || this.opts.fleet.hasNews) {
+		if (whole || urgent || this.opts.fleet.hasNews) {
 			this.sentAt = performance.now();
 			this.datagrams.send(this.opts.others(), this.opts.fleet.takeNews(whole));
 		}
@@ -136,11 +154,13 @@
 		return Math.max(0, this.sentAt + this.spacingMs - performance.now());
 	}
 
-	private textOf(path: string | undefined): string | undefined {
-		if (path === configurationPath) {
+	private textOf(target = ''): string | undefined {
+		const { pathname, searchParams } = new URL(target, 'http://peer');
+		if (pathname === configurationPath) {
 			return this.opts.configuration();
 		}
-		return path === enginesPath ? this.opts.engines() : undefined;
+		const since = Number(searchParams.get('since') ?? 0);
+		return pathname === enginesPath ? this.opts.engines(since) : undefined;
 	}
 
 	private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -8,6 +8,8 @@
 import { EnginePlacement } from '../../core/engines/placement.js';
 import { FleetSize } from '../../core/fleet/fleet-size.js';
 import { FleetView } from '../../core/fleet/fleet-view.js';
+import { freshContactMs, StoreDuty } from '../../core/fleet/store-duty.js';
+import type { StoreNews } from '../../core/fleet/types.js';
 import { VmRegistry } from '../../core/fleet/vm-registry.js';
 import { Relay } from '../../core/relay/relay.js';
 import { RetryBudget } from '../../core/relay/retry-budget.js';
@@ -55,6 +57,7 @@
 	private readonly relay: Relay;
 	private readonly budget: RetryBudget;
 	private readonly fleetSize = new FleetSize();
+	private readonly duty: StoreDuty;
 	private readonly fleet: FleetView;
 	private readonly peers: PeerExchange;
 	private readonly registry: VmRegistry;
@@ -83,6 +86,7 @@
 			idOf: platform.engineIdOf,
 			onAddressGone: (address) => transport.forget(address),
 			onGone: (id) => this.fleet.engineGone(id),
+			onChanged: () => this.announceIfReader(),
 		});
 		const { peers } = settings.listen;
 		this.fleet = new FleetView({
@@ -92,7 +96,10 @@
 			log,
 			life: Math.floor(random.next() * 2 ** 32),
 			onNewerConfiguration: (address) => void this.peers.fetchConfiguration(address),
+			storeNews: () => this.storeNews(),
+			onStoreNews: (address, store) => this.hearOfStore(address, store),
 		});
+		this.duty = new StoreDuty(settings.vm.id);
 		this.registry = new VmRegistry({
 			store: this.store,
 			clock,
@@ -102,6 +109,7 @@
 			vm: settings.vm.id,
 			peers,
 			sleep,
+			renewMs: () => this.duty.renewMs,
 			onUnreachable: () => this.restartFollowers(),
 		});
 		this.peers = new PeerExchange({
@@ -111,8 +119,10 @@
 			others: () => this.otherVms(),
 			configuration: () => this.configuration.text,
 			offer: (text, source) => this.configuration.offer(text, source),
-			engines: () => (this.enginesFollower.isReachable ? this.engines.export() : undefined),
+			engines: (since) =>
+				this.enginesFollower.isReachable ? this.engines.export(since) : undefined,
 			takeEngines: (text) => this.engines.takeCopy(text),
+			enginesRevision: () => this.engines.revision,
 		});
 		this.configuration = new ConfigurationState({
 			log,
@@ -121,6 +131,7 @@
 			onApplied: (table) => {
 				this.fleet.configurationVersion = table.version;
 				this.front.configure(table.configuration.limits);
+				this.announceIfReader();
 			},
 		});
 		this.budget = new RetryBudget(settings.retries, () =>
@@ -131,7 +142,7 @@
 			peers: () => this.fleet.size,
 			configurationVersion: () => this.configuration.version,
 			storeCalls: () => this.store.calls,
-			storeReachable: () => (this.followers.every((follower) => follower.isReachable) ? 1 : 0),
+			storeReachable: () => (this.knowsStore() ? 1 : 0),
 			logLinesDropped: linesDropped,
 		});
 		this.metricsServer = createMetricsServer(() => this.metrics.render());
@@ -146,7 +157,7 @@
 			onWorkChanged: () => this.peers.changed(),
 			budget: this.budget,
 			routes: () => this.configuration.table,
-			mayBeBehind: () => this.followers.some((follower) => !follower.isReachable),
+			mayBeBehind: () => !this.knowsStore(),
 			refusal: (route) => this.refusal(route),
 			metrics: this.metrics,
 		});
@@ -180,7 +191,7 @@
 		}
 		this.runForever(this.registry.keep());
 		this.timers.push(setInterval(() => this.tick(), tickMs));
-		this.timers.push(setInterval(() => this.sweepPeers(), peerSweepMs));
+		this.timers.push(setInterval(() => this.fleet.sweep(), peerSweepMs));
 		this.log.info('daemon.started', {
 			callers_port: callers.port,
 			domain: this.settings.vm.domain,
@@ -228,6 +239,7 @@
 	}
 
 	private tick(): void {
+		this.updateDuty();
 		this.engines.sweep();
 		this.relay.checkSilence();
 	}
@@ -240,13 +252,50 @@
 		});
 	}
 
-	/** Each second: drops silent peers, and asks one of the others while the store turns this VM away. */
-	private sweepPeers(): void {
-		this.fleet.sweep();
-		const peers = this.fleet.addresses();
-		if (!this.enginesFollower.isReachable && peers.length > 0) {
-			const chosen = peers[Math.floor(this.random.next() * peers.length)] as string;
-			void this.peers.fetchEngines(chosen);
+	/** Takes up or lays down reading the store. */
+	private updateDuty(): void {
+		const { fleet, duty } = this;
+		const glance = { names: fleet.names(), freshReaders: fleet.storeReaders(freshContactMs) };
+		const before = duty.isOn;
+		duty.update(glance, this.clock.monotonic());
+		if (duty.isOn !== before) {
+			this.log.info('store.duty', { reads: duty.isOn, peers: fleet.size - 1 });
+			for (const follower of this.followers) {
+				follower.setActive(duty.isOn);
+			}
+		}
+	}
+
+	/** Whether what this VM knows of configuration and engines is up to date. */
+	private knowsStore(): boolean {
+		if (this.duty.isOn) {
+			return this.followers.every((follower) => follower.isReachable);
+		}
+		return this.fleet.storeReaders(freshContactMs) > 0;
+	}
+
+	private storeNews(): StoreNews | undefined {
+		if (!this.enginesFollower.isReachable) {
+			return undefined;
+		}
+		const contactAgeMs = this.clock.monotonic() - this.store.answeredAt;
+		const { revision, digest } = this.engines;
+		return { contactAgeMs, revision, digest };
+	}
+
+	/** While this VM does not read the store itself, it takes changes of engines from a peer that does. */
+	private hearOfStore(address: string, store: StoreNews): void {
+		const { engines, enginesFollower } = this;
+		const isNews = store.revision >= engines.revision && store.digest !== engines.digest;
+		if (!enginesFollower.isReachable && store.contactAgeMs < freshContactMs && isNews) {
+			void this.peers.fetchEngines(address);
+		}
+	}
+
+	/** The others learn at once what only some VMs read from the store. */
+	private announceIfReader(): void {
+		if (this.followers.some((follower) => follower.isReachable)) {
+			this.peers.announce();
 		}
 	}
 
@@ -305,7 +354,18 @@
 
 	private follower(prefix: string, listener: PrefixListener, pauseMs: number): PrefixFollower {
 		const { store, clock, random, log } = this;
-		return new PrefixFollower({ store, prefix, clock, random, log, listener, pauseMs, sleep });
+		const maxBackoffMs = () => this.duty.maxBackoffMs;
+		return new PrefixFollower({
+			store,
+			prefix,
+			clock,
+			random,
+			log,
+			listener,
+			pauseMs,
+			maxBackoffMs,
+			sleep,
+		});
 	}
 }
 
--- a/src/infra/relay/peer-datagrams.ts
+++ b/src/infra/relay/peer-datagrams.ts
@@ -6,11 +6,11 @@
 import * as dgram from 'node:dgram';
 import * as msgpack from '@msgpack/msgpack';
 import type { Log } from '../../core/definitions.js';
-import type { Demand, PeerNews } from '../../core/fleet/types.js';
+import type { Demand, PeerNews, StoreNews } from '../../core/fleet/types.js';
 import type { HostPort } from '../../core/relay/settings.js';
 
 /** Format of the message; peers of another one are not understood. */
-const format = 1;
+const format = 2;
 /** Payload that fits a usual path without fragments, in bytes. */
 const maxPayload = 1400;
 
@@ -91,6 +91,7 @@
 		]),
 		reads.map((item) => [item.part, item.engine]),
 		[toThousandths(news.demand.long), toThousandths(news.demand.short)],
+		news.store && [Math.round(news.store.contactAgeMs), news.store.revision, news.store.digest],
 	]);
 }
 
@@ -102,10 +103,10 @@
 	} catch {
 		return undefined;
 	}
-	if (!Array.isArray(row) || row[0] !== format || row.length < 10) {
+	if (!Array.isArray(row) || row[0] !== format || row.length < 11) {
 		return undefined;
 	}
-	const [, from, life, seq, version, address, whole, work, reads, demand] = row as Row;
+	const [, from, life, seq, version, address, whole, work, reads, demand, store] = row as Row;
 	const [long = 0, short = 0] = demand as number[];
 	const told: Demand = { long: long / 1000, short: short / 1000 };
 	return {
@@ -125,9 +126,18 @@
 		),
 		reads: (reads as number[][]).map(([part = 0, engine = 0]) => ({ part, engine })),
 		demand: told,
+		store: decodeStore(store),
 	};
 }
 
+function decodeStore(row: unknown): StoreNews | undefined {
+	if (!Array.isArray(row)) {
+		return undefined;
+	}
+	const [contactAgeMs = 0, revision = 0, digest = 0] = row as number[];
+	return { contactAgeMs, revision, digest };
+}
+
 /** Whole numbers take fewer bytes. */
 function toThousandths(value: number): number {
 	return Math.round(value * 1000);
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -58,6 +58,7 @@
 export class PlatformStore implements Store {
 	private readonly pool: undici.Pool;
 	private made = 0;
+	private answered = Number.NEGATIVE_INFINITY;
 
 	constructor(address: HostPort) {
 		this.pool = new undici.Pool(`http://${address.host}:${address.port}`, {
@@ -73,6 +74,10 @@
 		return this.made;
 	}
 
+	get answeredAt(): number {
+		return this.answered;
+	}
+
 	async range(prefix: string, mayBeStale = false): Promise<StoreRange> {
 		const items: StoreItem[] = [];
 		let revision: number | undefined;
@@ -180,6 +185,9 @@
 				body: opts.body && JSON.stringify(opts.body),
 			});
 			const text = await res.body.text();
+			if (res.statusCode < 429) {
+				this.answered = performance.now();
+			}
 			return { status: res.statusCode, body: text === '' ? {} : JSON.parse(text) };
 		} catch (err) {
 			throw new StoreError(storeFailures.unknown, (err as Error).message);
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -45,6 +45,27 @@
 		And the registration of "a" ends
 		Then engines "b" are offered
 
+	Scenario: A VM learns from a peer which engines changed
+		Given a directory of engines "a, b, c"
+		And a peer with the same directory
+		When engine "d" registers and that of "b" ends
+		Then the peer takes what changed and has engines "a, c, d"
+		And a peer that knows no engines asks for all of them
+
+	Scenario: In a large fleet a few VMs read the store for all
+		Given a fleet of 60 VMs
+		Then 60 of them read the store
+		When 4 of their peers read the store for 3000 ms
+		Then 4 of them read the store
+		When 0 of their peers read the store for 100 ms
+		Then 60 of them read the store
+		And 4 of them ask a store that is away more often than each second
+
+	Scenario: In a small fleet all VMs read the store
+		Given a fleet of 9 VMs
+		When 8 of their peers read the store for 3000 ms
+		Then 9 of them read the store
+
 	Scenario: An older configuration never replaces a newer one
 		Given a configuration of version 7 in force
 		When version 5 is offered
--- a/test/steps/relay-decisions.steps.ts
+++ b/test/steps/relay-decisions.steps.ts
@@ -18,6 +18,7 @@
 import { tellStory } from '../../src/core/explain/story.js';
 import { FleetSize } from '../../src/core/fleet/fleet-size.js';
 import { FleetView } from '../../src/core/fleet/fleet-view.js';
+import { StoreDuty } from '../../src/core/fleet/store-duty.js';
 import type { PeerNews } from '../../src/core/fleet/types.js';
 import { EventSplitter } from '../../src/core/relay/event-splitter.js';
 import { logEvents } from '../../src/core/relay/log-events.js';
@@ -91,8 +92,9 @@
 }
 
 function newFleet(world: FleetWorld): FleetView {
-	const options = { self: 'vm-1', address: '10.0.0.1:1', life: 1, onNewerConfiguration() {} };
-	return new FleetView({ ...options, clock: clockOf(world), log: silentLog });
+	const options = { self: 'vm-1', address: '10.0.0.1:1', life: 1, clock: clockOf(world) };
+	const ports = { log: silentLog, onNewerConfiguration() {}, onStoreNews() {} };
+	return new FleetView({ ...options, ...ports, storeNews: () => undefined });
 }
 
 function news(part: Partial<PeerNews>): PeerNews {
@@ -204,23 +206,100 @@
 	},
 );
 
-cucumber.Given('a directory of engines {string}', function (this: FleetWorld, ids: string) {
-	const directory = new EngineDirectory({
-		clock: clockOf(this),
+function directory(world: FleetWorld, ids: string): EngineDirectory {
+	const made = new EngineDirectory({
+		clock: clockOf(world),
 		log: silentLog,
 		decode: platform.decodeEngine,
 		idOf: platform.engineIdOf,
 		onAddressGone() {},
 		onGone() {},
+		onChanged() {},
 	});
-	directory.snapshot(
-		ids.split(', ').map((id) => registration(id, 1)),
-		0,
-		1,
+	const items = ids.split(', ').map((id) => registration(id, 1));
+	made.snapshot(items, 0, 1);
+	return made;
+}
+
+cucumber.Given('a directory of engines {string}', function (this: FleetWorld, ids: string) {
+	this.seen.set('directory', directory(this, ids));
+});
+
+cucumber.Given('a peer with the same directory', function (this: FleetWorld) {
+	const ids = seen<EngineDirectory>(this, 'directory').offered('pool');
+	this.seen.set('peer', directory(this, ids.map((engine) => engine.id).join(', ')));
+});
+
+cucumber.When(
+	'engine {string} registers and that of {string} ends',
+	function (this: FleetWorld, fresh: string, ended: string) {
+		const item = registration(fresh, 2);
+		const gone = { kind: 'gone' as const, key: platform.keys.engines + ended };
+		const changes = { events: [{ kind: 'put' as const, item }, gone], revision: 3 };
+		seen<EngineDirectory>(this, 'directory').changes(changes);
+	},
+);
+
+cucumber.Then(
+	'the peer takes what changed and has engines {string}',
+	function (this: FleetWorld, ids: string) {
+		const own = seen<EngineDirectory>(this, 'directory');
+		const peer = seen<EngineDirectory>(this, 'peer');
+		assert.notEqual(peer.digest, own.digest);
+		const text = own.export(peer.revision);
+		assert.equal(JSON.parse(text).items.length, 1);
+		assert.ok(peer.takeCopy(text));
+		assert.equal(peer.digest, own.digest);
+		assert.deepEqual(
+			peer.offered('pool').map((engine) => engine.id),
+			ids.split(', '),
+		);
+	},
+);
+
+cucumber.Then('a peer that knows no engines asks for all of them', function (this: FleetWorld) {
+	const own = seen<EngineDirectory>(this, 'directory');
+	const peer = directory(this, 'z');
+	assert.equal(peer.takeCopy(own.export(own.revision)), false);
+	assert.ok(peer.takeCopy(own.export(0)));
+	assert.equal(peer.digest, own.digest);
+});
+
+cucumber.Given('a fleet of {int} VMs', function (this: FleetWorld, size: number) {
+	const names = Array.from({ length: size }, (_, at) => `vm-${at + 1}`);
+	this.seen.set('names', names);
+	this.seen.set(
+		'duties',
+		names.map((name) => new StoreDuty(name)),
 	);
-	this.seen.set('directory', directory);
 });
 
+cucumber.When(
+	'{int} of their peers read the store for {int} ms',
+	function (this: FleetWorld, freshReaders: number, ms: number) {
+		const names = seen<string[]>(this, 'names');
+		for (const until = clockOf(this).now + ms; clockOf(this).now < until; ) {
+			clockOf(this).now += 100;
+			for (const duty of seen<StoreDuty[]>(this, 'duties')) {
+				duty.update({ names, freshReaders }, clockOf(this).now);
+			}
+		}
+	},
+);
+
+cucumber.Then('{int} of them read the store', function (this: FleetWorld, count: number) {
+	const duties = seen<StoreDuty[]>(this, 'duties');
+	assert.equal(duties.filter((duty) => duty.isOn).length, count);
+});
+
+cucumber.Then(
+	'{int} of them ask a store that is away more often than each second',
+	function (this: FleetWorld, count: number) {
+		const duties = seen<StoreDuty[]>(this, 'duties');
+		assert.equal(duties.filter((duty) => duty.maxBackoffMs < 1000).length, count);
+	},
+);
+
 cucumber.When('the registration of {string} ends', function (this: FleetWorld, id: string) {
 	const key = `${platform.keys.engines}${id}`;
 	seen<EngineDirectory>(this, 'directory').changes({
@@ -316,7 +395,8 @@
 cucumber.Given('news of work, reads and demand', function (this: FleetWorld) {
 	const work = [{ engine: 4_000_000_000, running: 3, promptTokens: 7000, heldTokens: 9000 }];
 	const reads = [{ part: 1, engine: 2 }];
-	const told = news({ work, reads, demand: { long: 1.25, short: 0.5 }, whole: true });
+	const store = { contactAgeMs: 250, revision: 12_345, digest: 77 };
+	const told = news({ work, reads, demand: { long: 1.25, short: 0.5 }, whole: true, store });
 	this.seen.set('news', told);
 });
 
