Callers are told to come back the later the longer the store is away; a start in an outage probes once

Change: the time grows with the outage (0.3 to 4 s); without a configuration one call probes the store each 0.2 s where two did at up to 0.6 s; a connection attempt to the store is given up after 0.3 s; a planned stop does not wait for the store beyond 0.15 s (two stops passed the grace time). The line of a placement tells the prompt tokens believed to be kept. Test: relay.feature, the longer the store is away; not run before the change.

--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -64,6 +64,8 @@
 	engine: Engine;
 	/** Prompt tokens that it will have to read. */
 	promptTokens: number;
+	/** Prompt tokens that it is believed to keep. */
+	cachedTokens: number;
 	/** Tokens of its memory that the request takes for itself. */
 	heldTokens: number;
 	/** What the fleet had there when it was chosen. */
@@ -85,6 +87,7 @@
 	/** Wait and what it costs the others, in steps. */
 	cost: number;
 	uncached: number;
+	cached: number;
 	score: number;
 }
 
@@ -113,7 +116,8 @@
 		const engine = best[Math.floor(this.random.next() * best.length)] as Engine;
 		const reason = `least running ${least.toFixed(2)}`;
 		const work = this.fleet.workAt(engine.id);
-		return { engine, promptTokens: 0, heldTokens: 0, work, reason };
+		const tokens = { promptTokens: 0, cachedTokens: 0, heldTokens: 0 };
+		return { engine, ...tokens, work, reason };
 	}
 
 	private byPrompt(
@@ -134,6 +138,7 @@
 		return {
 			engine,
 			promptTokens: uncached,
+			cachedTokens: best.cached,
 			heldTokens: ownTokens(req) + req.answerTokens,
 			work: best.work,
 			reason: `${isLong ? 'long' : 'short'} prompt, wait ${Math.round(waitMs)} ms`,
@@ -185,6 +190,7 @@
 			waitMs,
 			cost: Math.round(cost / this.costStepMs),
 			uncached,
+			cached,
 			score: rendezvous.scoreOf(key, engine.id),
 		};
 	}
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -10,8 +10,9 @@
 import { RelayedRequest } from './relayed-request.js';
 import type { RelayContext } from './types.js';
 
-/** Seconds after which a caller may come back to a VM that knows too little to answer. */
-const notReadyS = 0.3;
+/** Bounds of the time after which a caller may come back to a VM that knows too little to answer, in seconds. */
+const leastNotReadyS = 0.3;
+const mostNotReadyS = 4;
 
 export interface RelayOptions extends RelayContext {
 	random: Random;
@@ -19,6 +20,8 @@
 	routes: () => RouteTable | undefined;
 	/** Whether the configuration in force may be behind; then nothing is denied by it. */
 	mayBeBehind: () => boolean;
+	/** How long the store has not answered this VM, in milliseconds. */
+	storeSilentMs: () => number;
 	/** Why a request of the route is not taken now; undefined when it is. */
 	refusal: (route: Route) => string | undefined;
 }
@@ -105,6 +108,12 @@
 		request.start();
 	}
 
+	/** An outage is taken to last as long again as it has: a caller that comes back sooner is refused twice. */
+	private notReadyS(): number {
+		const silentS = this.opts.storeSilentMs() / 1000;
+		return Math.min(Math.max(silentS, leastNotReadyS), mostNotReadyS);
+	}
+
 	/** Denies by the configuration, unless that may be behind: then the caller may come back. */
 	private deny(
 		req: CallerRequest,
@@ -119,7 +128,7 @@
 		const body = Buffer.from(`${reason}\n`);
 		const headers = ['Content-Type', 'text/plain', 'Content-Length', String(body.length)];
 		if (told === 503) {
-			headers.push('Retry-After', String(notReadyS));
+			headers.push('Retry-After', this.notReadyS().toFixed(1));
 		}
 		res.head(told, headers);
 		res.end(body);
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -135,6 +135,7 @@
 			reason: placement.reason,
 			fleet_running: placement.work.running,
 			fleet_prompt_tokens: placement.work.promptTokens,
+			cached_tokens: placement.cachedTokens,
 			peers: this.ctx.fleet.size - 1,
 			left_ms: Math.round(this.deadlineAt - now),
 			last_event: this.lastEventId,
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -35,6 +35,8 @@
  * change would wake a watch of every VM.
  */
 const enginesPauseShare = 0.25;
+/** Longest back-off while there is no configuration yet, in milliseconds: until then nothing can be served. */
+const firstBackoffMs = 200;
 /** Time between two looks for silent peers, in milliseconds. */
 const peerSweepMs = 1000;
 /**
@@ -44,6 +46,8 @@
 const takeStreamsMs = 2900;
 /** What has not ended so long before the kill is cut, in milliseconds. */
 const cutBeforeKillMs = 300;
+/** Ending the registration may take so long, in milliseconds; else the lease ends it. */
+const endRegistrationMs = 150;
 /** Time between two looks whether a planned stop is done, in milliseconds. */
 const stopPollMs = 50;
 
@@ -68,6 +72,8 @@
 	private readonly followers: PrefixFollower[];
 	private readonly enginesFollower: PrefixFollower;
 	private readonly timers: NodeJS.Timeout[] = [];
+	/** In monotonic milliseconds. */
+	private readonly startedAt = this.clock.monotonic();
 	/** When the stop signal came, in monotonic milliseconds. */
 	private stoppingAt?: number;
 
@@ -131,6 +137,7 @@
 			onApplied: (table) => {
 				this.fleet.configurationVersion = table.version;
 				this.front.configure(table.configuration.limits);
+				this.enginesFollower.setActive(this.duty.isOn);
 				this.announceIfReader();
 			},
 		});
@@ -158,6 +165,7 @@
 			budget: this.budget,
 			routes: () => this.configuration.table,
 			mayBeBehind: () => !this.knowsStore(),
+			storeSilentMs: () => this.storeSilentMs(),
 			refusal: (route) => this.refusal(route),
 			metrics: this.metrics,
 		});
@@ -186,6 +194,8 @@
 		await listenOn(this.peers.server, peers.host, peers.port);
 		await listenOn(this.front.server, callers.host, callers.port);
 		await listenOn(this.readiness, readiness.host, readiness.port);
+		// Engines are of no use before a configuration; an outage at the start is then probed by one call, not two.
+		this.enginesFollower.setActive(false);
 		for (const follower of this.followers) {
 			this.runForever(follower.follow());
 		}
@@ -227,9 +237,7 @@
 			clearInterval(timer);
 		}
 		this.peers.stop();
-		await this.registry.stop().catch((err: Error) => {
-			this.log.warn('vm.registration-not-ended', { error: err.message });
-		});
+		await Promise.race([this.endRegistration(), sleep(endRegistrationMs)]);
 		this.metricsServer.close();
 		this.metricsServer.closeAllConnections();
 		this.readiness.close();
@@ -238,6 +246,14 @@
 		await this.store.close();
 	}
 
+	private async endRegistration(): Promise<void> {
+		try {
+			await this.registry.stop();
+		} catch (err) {
+			this.log.warn('vm.registration-not-ended', { error: (err as Error).message });
+		}
+	}
+
 	private tick(): void {
 		this.updateDuty();
 		this.engines.sweep();
@@ -274,13 +290,17 @@
 		return this.fleet.storeReaders(freshContactMs) > 0;
 	}
 
+	/** How long the store has not answered this VM; since the start when it never did. */
+	private storeSilentMs(): number {
+		return this.clock.monotonic() - Math.max(this.store.answeredAt, this.startedAt);
+	}
+
 	private storeNews(): StoreNews | undefined {
 		if (!this.enginesFollower.isReachable) {
 			return undefined;
 		}
-		const contactAgeMs = this.clock.monotonic() - this.store.answeredAt;
 		const { revision, digest } = this.engines;
-		return { contactAgeMs, revision, digest };
+		return { contactAgeMs: this.storeSilentMs(), revision, digest };
 	}
 
 	/** While this VM does not read the store itself, it takes changes of engines from a peer that does. */
@@ -354,7 +374,8 @@
 
 	private follower(prefix: string, listener: PrefixListener, pauseMs: number): PrefixFollower {
 		const { store, clock, random, log } = this;
-		const maxBackoffMs = () => this.duty.maxBackoffMs;
+		const isFirst = () => this.configuration.table === undefined;
+		const maxBackoffMs = () => (isFirst() ? firstBackoffMs : this.duty.maxBackoffMs);
 		return new PrefixFollower({
 			store,
 			prefix,
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -17,8 +17,8 @@
 const callTimeoutMs = 1000;
 /** Beyond the wait of a watch until its connection is given up. */
 const watchSlackMs = 1000;
-/** A connection to a store that is there comes up in a few milliseconds. */
-const connectTimeoutMs = 600;
+/** A connection to a store that is there comes up in a few milliseconds; a lost packet is sent again after a second. */
+const connectTimeoutMs = 300;
 /** Watches hold a connection each, other calls share the rest. */
 const connections = 6;
 
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -1,5 +1,14 @@
 Feature: Requests through the relay
 
+	Scenario: The longer the store is away, the later callers may come back
+		Given a relay of 1 VM that has no configuration
+		And the store turns VM 1 away
+		When "GET /plain/" is sent
+		Then it says to come back after 0.3 to 1 seconds
+		When 2000 ms pass in quiet
+		And "GET /plain/" is sent
+		Then it says to come back after 1.5 to 4 seconds
+
 	Scenario: A request reaches its engine unaltered and its answer comes back whole
 		Given a relay of 1 VM with engines "a"
 		When "POST /plain/x?q=1" with body "hello" is sent
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -283,6 +283,14 @@
 	assert.ok(Number(lastAnswer(this).headers['retry-after']) > 0);
 });
 
+cucumber.Then(
+	'it says to come back after {float} to {float} seconds',
+	function (this: FleetWorld, least: number, most: number) {
+		const seconds = Number(lastAnswer(this).headers['retry-after']);
+		assert.ok(seconds >= least && seconds <= most, `told ${seconds} s`);
+	},
+);
+
 cucumber.Then('it carries no signature', function (this: FleetWorld) {
 	assert.equal(lastAnswer(this).headers['slategauge-response-signature'], undefined);
 });
