VMs that read the store for others tell so also when it is quiet

News are 1.8 s apart in a quiet fleet of that size, the contact they tell is taken for lost after 1.5 s. Ruled out: readers that lose the store (none did then). Change: a VM that is relied on sends news each 0.4 s at least.

--- a/src/core/fleet/store-duty.ts
+++ b/src/core/fleet/store-duty.ts
@@ -12,6 +12,8 @@
 const readers = 4;
 /** A peer reads the store if the store answered it within this time, in milliseconds; it proves that each half second. */
 export const freshContactMs = 1500;
+/** A VM that reads for others tells them so often at least, in milliseconds: three are lost before it seems cut off. */
+export const tellReadersMs = 400;
 /** A VM stops reading when it was not needed for so long, in milliseconds. */
 const lingerMs = 2000;
 /** Longest back-off of a VM whose turn it is to read, and of the others, in milliseconds. */
@@ -56,6 +58,11 @@
 		this.reads = now - this.neededAt < lingerMs;
 	}
 
+	/** Whether other VMs rely on what this one reads: they must hear of it also when nothing changes. */
+	get isReliedOn(): boolean {
+		return this.reads && this.fleetSize > largestAllRead;
+	}
+
 	/** Longest time between two tries at a store that does not answer, in milliseconds. */
 	get maxBackoffMs(): number {
 		return this.chosen ? readerBackoffMs : otherBackoffMs;
--- a/src/daemon/relay/peer-exchange.ts
+++ b/src/daemon/relay/peer-exchange.ts
@@ -73,6 +73,11 @@
 		return Math.max(newsMs, (others * 1000) / rate);
 	}
 
+	/** How long no news were sent, in milliseconds. */
+	get silentForMs(): number {
+		return performance.now() - this.sentAt;
+	}
+
 	/** Something changed that peers should know. */
 	changed(): void {
 		this.timer ??= setTimeout(() => this.send(false), this.untilNext());
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -8,7 +8,7 @@
 import { EnginePlacement } from '../../core/engines/placement.js';
 import { FleetSize } from '../../core/fleet/fleet-size.js';
 import { FleetView } from '../../core/fleet/fleet-view.js';
-import { freshContactMs, StoreDuty } from '../../core/fleet/store-duty.js';
+import { freshContactMs, StoreDuty, tellReadersMs } from '../../core/fleet/store-duty.js';
 import type { StoreNews } from '../../core/fleet/types.js';
 import { VmRegistry } from '../../core/fleet/vm-registry.js';
 import { Relay } from '../../core/relay/relay.js';
@@ -280,6 +280,9 @@
 				follower.setActive(duty.isOn);
 			}
 		}
+		if (duty.isReliedOn && this.peers.silentForMs >= tellReadersMs) {
+			this.peers.announce();
+		}
 	}
 
 	/** Whether what this VM knows of configuration and engines is up to date. */
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -57,6 +57,7 @@
 		Then 60 of them read the store
 		When 4 of their peers read the store for 3000 ms
 		Then 4 of them read the store
+		And 4 of them tell so three times before they seem cut off, however quiet it is
 		When 0 of their peers read the store for 100 ms
 		Then 60 of them read the store
 		And 4 of them ask a store that is away more often than each second
@@ -65,6 +66,7 @@
 		Given a fleet of 9 VMs
 		When 8 of their peers read the store for 3000 ms
 		Then 9 of them read the store
+		And 0 of them tell so three times before they seem cut off, however quiet it is
 
 	Scenario: An older configuration never replaces a newer one
 		Given a configuration of version 7 in force
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -154,6 +154,17 @@
 		When a second VM starts, turned away, with the first as its seed
 		Then VM 2 answers 200 within 6000 ms
 
+	Scenario: In a large fleet few VMs read the store, and all learn of changes
+		Given a relay of 14 VMs with engines "a, b"
+		When 5000 ms pass in quiet
+		Then the store is not asked for all engines within 4000 ms
+		When the key of customer "station" is taken away
+		Then each VM answers 401 within 1500 ms
+		When the key of customer "station" is given back
+		Then each VM answers 200 within 1500 ms
+		When engine "a" starts to leave
+		Then no VM sends work to engine "a" after 1500 ms
+
 	Scenario: Changed settings are taken in, wrong ones change nothing
 		Given a relay of 1 VM with engines "a"
 		When its settings are changed, then spoiled, with a signal each time
--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -45,6 +45,7 @@
 	/** One server for each address that callers tell apart by. */
 	private readonly servers: http.Server[] = [];
 	private port = 0;
+	private readonly ranges = new Map<string, number>();
 	/** Calls by path, without the query. */
 	readonly calls = new Map<string, number>();
 
@@ -61,6 +62,11 @@
 		return `${vm}:${this.port}`;
 	}
 
+	/** How often all items under a prefix were asked for. */
+	rangesOf(prefix: string): number {
+		return this.ranges.get(prefix) ?? 0;
+	}
+
 	/** Refuses the VM's calls from now on, those that wait among them. */
 	turnAway(vm: string): void {
 		this.turnedAway.add(vm);
@@ -163,6 +169,7 @@
 	private range(query: URLSearchParams): Json {
 		const prefix = query.get('path-prefix') ?? '';
 		const after = query.get('since-revision') ?? '';
+		this.ranges.set(prefix, this.rangesOf(prefix) + 1);
 		const keys = [...this.items.keys()].filter((key) => key.startsWith(prefix) && key > after);
 		const page = keys.sort().slice(0, 5);
 		const entries = page.map((key) => this.items.get(key));
--- a/test/steps/relay-decisions.steps.ts
+++ b/test/steps/relay-decisions.steps.ts
@@ -18,7 +18,7 @@
 import { tellStory } from '../../src/core/explain/story.js';
 import { FleetSize } from '../../src/core/fleet/fleet-size.js';
 import { FleetView } from '../../src/core/fleet/fleet-view.js';
-import { StoreDuty } from '../../src/core/fleet/store-duty.js';
+import { freshContactMs, StoreDuty, tellReadersMs } from '../../src/core/fleet/store-duty.js';
 import type { PeerNews } from '../../src/core/fleet/types.js';
 import { EventSplitter } from '../../src/core/relay/event-splitter.js';
 import { logEvents } from '../../src/core/relay/log-events.js';
@@ -292,6 +292,15 @@
 	assert.equal(duties.filter((duty) => duty.isOn).length, count);
 });
 
+cucumber.Then(
+	'{int} of them tell so three times before they seem cut off, however quiet it is',
+	function (this: FleetWorld, count: number) {
+		const duties = seen<StoreDuty[]>(this, 'duties');
+		assert.equal(duties.filter((duty) => duty.isReliedOn).length, count);
+		assert.ok(3 * tellReadersMs < freshContactMs);
+	},
+);
+
 cucumber.Then(
 	'{int} of them ask a store that is away more often than each second',
 	function (this: FleetWorld, count: number) {
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -11,7 +11,7 @@
 import { wholeStream } from '../stand-ins/platform-engine.js';
 import { writeThenRead } from './late-reader.js';
 import type { Answer, Vm } from './relay-world.js';
-import { freePorts, host, RelayFixture, until } from './relay-world.js';
+import { freePorts, host, key as permanentKey, RelayFixture, until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
 /** How the platform starts the daemon. */
@@ -198,6 +198,45 @@
 	},
 );
 
+cucumber.When('the key of customer {string} is given back', function (this: FleetWorld, _: string) {
+	fixtureOf(this).configure([permanentKey]);
+});
+
+cucumber.Then(
+	'the store is not asked for all engines within {int} ms',
+	async function (this: FleetWorld, ms: number) {
+		const { store } = fixtureOf(this);
+		const before = store.rangesOf('servers/');
+		await new Promise((done) => setTimeout(done, ms));
+		assert.equal(store.rangesOf('servers/') - before, 0);
+	},
+);
+
+cucumber.Then(
+	'each VM answers {int} within {int} ms',
+	async function (this: FleetWorld, status: number, ms: number) {
+		const fixture = fixtureOf(this);
+		const answers = async (vm: Vm) => (await fixture.send('GET /plain/', '', { vm })).status;
+		const each = fixture.vms.map((vm) => until(async () => (await answers(vm)) === status, ms));
+		await Promise.all(each);
+	},
+);
+
+cucumber.Then(
+	'no VM sends work to engine {string} after {int} ms',
+	async function (this: FleetWorld, id: string, ms: number) {
+		const fixture = fixtureOf(this);
+		await new Promise((done) => setTimeout(done, ms));
+		const before = engineOf(this, id).seen.length;
+		const sent = fixture.vms.flatMap((vm) =>
+			[1, 2, 3].map(() => fixture.send('GET /plain/', '', { vm })),
+		);
+		const statuses = (await Promise.all(sent)).map((answer) => answer.status);
+		assert.ok(statuses.every((status) => status === 200));
+		assert.equal(engineOf(this, id).seen.length, before);
+	},
+);
+
 cucumber.When('a stream is on its way as the VM is stopped', async function (this: FleetWorld) {
 	const fixture = fixtureOf(this);
 	const { answer } = fixture.open('POST /stream/once/');
