--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -8,16 +8,12 @@
 import { EnginePlacement } from '../../core/engines/placement.js';
 import { FleetSize } from '../../core/fleet/fleet-size.js';
 import { FleetView } from '../../core/fleet/fleet-view.js';
-import { freshContactMs, StoreDuty, tellReadersMs } from '../../core/fleet/store-duty.js';
-import type { StoreNews } from '../../core/fleet/types.js';
 import { VmRegistry } from '../../core/fleet/vm-registry.js';
 import { Relay } from '../../core/relay/relay.js';
 import { RetryBudget } from '../../core/relay/retry-budget.js';
 import type { HostPort, RelaySettings } from '../../core/relay/settings.js';
 import { ConfigurationState } from '../../core/routing/configuration-state.js';
 import type { Route } from '../../core/routing/types.js';
-import type { PrefixListener } from '../../core/store/prefix-follower.js';
-import { PrefixFollower } from '../../core/store/prefix-follower.js';
 import { CallersFront } from '../../infra/relay/callers-front.js';
 import { UndiciEngineTransport } from '../../infra/relay/engine-transport.js';
 import { PrometheusMetrics } from '../../infra/relay/prometheus-metrics.js';
@@ -27,16 +23,10 @@
 import * as platform from '../../platform/index.js';
 import { listenOn } from '../listen.js';
 import { PeerExchange } from './peer-exchange.js';
+import { StoreReading } from './store-reading.js';
 
 /** Time between two looks at what is due, in milliseconds. */
 const tickMs = 100;
-/**
- * Changes of engines within this share of the time that leaving engines have come with one call: each
- * change would wake a watch of every VM.
- */
-const enginesPauseShare = 0.25;
-/** Longest back-off while there is no configuration yet, in milliseconds: until then nothing can be served. */
-const firstBackoffMs = 200;
 /** Time between two looks for silent peers, in milliseconds. */
 const peerSweepMs = 1000;
 /**
@@ -61,7 +51,7 @@
 	private readonly relay: Relay;
 	private readonly budget: RetryBudget;
 	private readonly fleetSize = new FleetSize();
-	private readonly duty: StoreDuty;
+	private readonly reading: StoreReading;
 	private readonly fleet: FleetView;
 	private readonly peers: PeerExchange;
 	private readonly registry: VmRegistry;
@@ -69,11 +59,7 @@
 	private readonly readiness: http.Server;
 	private readonly metrics: PrometheusMetrics;
 	private readonly metricsServer: http.Server;
-	private readonly followers: PrefixFollower[];
-	private readonly enginesFollower: PrefixFollower;
 	private readonly timers: NodeJS.Timeout[] = [];
-	/** In monotonic milliseconds. */
-	private readonly startedAt = this.clock.monotonic();
 	/** When the stop signal came, in monotonic milliseconds. */
 	private stoppingAt?: number;
 
@@ -92,7 +78,7 @@
 			idOf: platform.engineIdOf,
 			onAddressGone: (address) => transport.forget(address),
 			onGone: (id) => this.fleet.engineGone(id),
-			onChanged: () => this.announceIfReader(),
+			onChanged: () => this.reading.changed(),
 		});
 		const { peers } = settings.listen;
 		this.fleet = new FleetView({
@@ -102,10 +88,9 @@
 			log,
 			life: Math.floor(random.next() * 2 ** 32),
 			onNewerConfiguration: (address) => void this.peers.fetchConfiguration(address),
-			storeNews: () => this.storeNews(),
-			onStoreNews: (address, store) => this.hearOfStore(address, store),
+			storeNews: () => this.reading.news(),
+			onStoreNews: (address, store) => this.reading.heard(address, store),
 		});
-		this.duty = new StoreDuty(settings.vm.id);
 		this.registry = new VmRegistry({
 			store: this.store,
 			clock,
@@ -115,8 +100,8 @@
 			vm: settings.vm.id,
 			peers,
 			sleep,
-			renewMs: () => this.duty.renewMs,
-			onUnreachable: () => this.restartFollowers(),
+			renewMs: () => this.reading.renewMs,
+			onUnreachable: () => this.reading.restart(),
 		});
 		this.peers = new PeerExchange({
 			log,
@@ -125,8 +110,7 @@
 			others: () => this.otherVms(),
 			configuration: () => this.configuration.text,
 			offer: (text, source) => this.configuration.offer(text, source),
-			engines: (since) =>
-				this.enginesFollower.isReachable ? this.engines.export(since) : undefined,
+			engines: (since) => this.reading.enginesSince(since),
 			takeEngines: (text) => this.engines.takeCopy(text),
 			enginesRevision: () => this.engines.revision,
 		});
@@ -137,10 +121,23 @@
 			onApplied: (table) => {
 				this.fleet.configurationVersion = table.version;
 				this.front.configure(table.configuration.limits);
-				this.enginesFollower.setActive(this.duty.isOn);
-				this.announceIfReader();
+				this.reading.configurationApplied();
 			},
 		});
+		this.reading = new StoreReading({
+			vm: settings.vm.id,
+			store: this.store,
+			clock,
+			random,
+			log,
+			keys: platform.keys,
+			drainMs: settings.drainMs,
+			configuration: this.configuration,
+			engines: this.engines,
+			fleet: this.fleet,
+			peers: () => this.peers,
+			sleep,
+		});
 		this.budget = new RetryBudget(settings.retries, () =>
 			this.fleetSize.count(this.fleet.size, this.registry.size, clock.monotonic()),
 		);
@@ -149,7 +146,7 @@
 			peers: () => this.fleet.size,
 			configurationVersion: () => this.configuration.version,
 			storeCalls: () => this.store.calls,
-			storeReachable: () => (this.knowsStore() ? 1 : 0),
+			storeReachable: () => (this.reading.isUpToDate ? 1 : 0),
 			logLinesDropped: linesDropped,
 		});
 		this.metricsServer = createMetricsServer(() => this.metrics.render());
@@ -164,8 +161,8 @@
 			onWorkChanged: () => this.peers.changed(),
 			budget: this.budget,
 			routes: () => this.configuration.table,
-			mayBeBehind: () => !this.knowsStore(),
-			storeSilentMs: () => this.storeSilentMs(),
+			mayBeBehind: () => !this.reading.isUpToDate,
+			storeSilentMs: () => this.reading.silentMs,
 			refusal: (route) => this.refusal(route),
 			metrics: this.metrics,
 		});
@@ -176,15 +173,6 @@
 			handle: (req, res) => this.relay.handle(req, res),
 		});
 		this.readiness = createReadinessServer(() => this.isReady());
-		this.enginesFollower = this.follower(
-			platform.keys.engines,
-			this.engines,
-			settings.drainMs * enginesPauseShare,
-		);
-		this.followers = [
-			this.follower(platform.keys.configuration, this.configuration, 0),
-			this.enginesFollower,
-		];
 	}
 
 	async start(): Promise<void> {
@@ -194,10 +182,8 @@
 		await listenOn(this.peers.server, peers.host, peers.port);
 		await listenOn(this.front.server, callers.host, callers.port);
 		await listenOn(this.readiness, readiness.host, readiness.port);
-		// Engines are of no use before a configuration; an outage at the start is then probed by one call, not two.
-		this.enginesFollower.setActive(false);
-		for (const follower of this.followers) {
-			this.runForever(follower.follow());
+		for (const loop of this.reading.follow()) {
+			this.runForever(loop);
 		}
 		this.runForever(this.registry.keep());
 		this.timers.push(setInterval(() => this.tick(), tickMs));
@@ -230,9 +216,7 @@
 	}
 
 	private async close(): Promise<void> {
-		for (const follower of this.followers) {
-			follower.stop();
-		}
+		this.reading.stop();
 		for (const timer of this.timers) {
 			clearInterval(timer);
 		}
@@ -255,7 +239,7 @@
 	}
 
 	private tick(): void {
-		this.updateDuty();
+		this.reading.update();
 		this.engines.sweep();
 		this.relay.checkSilence();
 	}
@@ -268,60 +252,6 @@
 		});
 	}
 
-	/** Takes up or lays down reading the store. */
-	private updateDuty(): void {
-		const { fleet, duty } = this;
-		const glance = { names: fleet.names(), freshReaders: fleet.storeReaders(freshContactMs) };
-		const before = duty.isOn;
-		duty.update(glance, this.clock.monotonic());
-		if (duty.isOn !== before) {
-			this.log.info('store.duty', { reads: duty.isOn, peers: fleet.size - 1 });
-			for (const follower of this.followers) {
-				follower.setActive(duty.isOn);
-			}
-		}
-		if (duty.isReliedOn && this.peers.silentForMs >= tellReadersMs) {
-			this.peers.announce();
-		}
-	}
-
-	/** Whether what this VM knows of configuration and engines is up to date. */
-	private knowsStore(): boolean {
-		if (this.duty.isOn) {
-			return this.followers.every((follower) => follower.isReachable);
-		}
-		return this.fleet.storeReaders(freshContactMs) > 0;
-	}
-
-	/** How long the store has not answered this VM; since the start when it never did. */
-	private storeSilentMs(): number {
-		return this.clock.monotonic() - Math.max(this.store.answeredAt, this.startedAt);
-	}
-
-	private storeNews(): StoreNews | undefined {
-		if (!this.enginesFollower.isReachable) {
-			return undefined;
-		}
-		const { revision, digest } = this.engines;
-		return { contactAgeMs: this.storeSilentMs(), revision, digest };
-	}
-
-	/** While this VM does not read the store itself, it takes changes of engines from a peer that does. */
-	private hearOfStore(address: string, store: StoreNews): void {
-		const { engines, enginesFollower } = this;
-		const isNews = store.revision >= engines.revision && store.digest !== engines.digest;
-		if (!enginesFollower.isReachable && store.contactAgeMs < freshContactMs && isNews) {
-			void this.peers.fetchEngines(address);
-		}
-	}
-
-	/** The others learn at once what only some VMs read from the store. */
-	private announceIfReader(): void {
-		if (this.followers.some((follower) => follower.isReachable)) {
-			this.peers.announce();
-		}
-	}
-
 	/** The VMs that are told news: those registered, those heard of, and the first to ask. */
 	private otherVms(): HostPort[] {
 		const { peers } = this.settings.listen;
@@ -348,12 +278,6 @@
 		this.log.info('daemon.reloaded', { seeds: settings.seeds.length });
 	}
 
-	private restartFollowers(): void {
-		for (const follower of this.followers) {
-			follower.restart();
-		}
-	}
-
 	private isReady(): boolean {
 		return this.stoppingAt === undefined && this.configuration.table !== undefined;
 	}
@@ -374,23 +298,6 @@
 	private cutAt(stoppingAt: number): number {
 		return stoppingAt + this.settings.stopMs - cutBeforeKillMs;
 	}
-
-	private follower(prefix: string, listener: PrefixListener, pauseMs: number): PrefixFollower {
-		const { store, clock, random, log } = this;
-		const isFirst = () => this.configuration.table === undefined;
-		const maxBackoffMs = () => (isFirst() ? firstBackoffMs : this.duty.maxBackoffMs);
-		return new PrefixFollower({
-			store,
-			prefix,
-			clock,
-			random,
-			log,
-			listener,
-			pauseMs,
-			maxBackoffMs,
-			sleep,
-		});
-	}
 }
 
 function sleep(ms: number): Promise<void> {
--- /dev/null
+++ b/src/daemon/relay/store-reading.ts
@@ -0,0 +1,163 @@
+/**
+ * How this VM learns what the store holds: by following it, or from peers that do. Ties the followers of
+ * configuration and engines to the VM's turn of reading and to what peers tell.
+ * @module
+ */
+import type { Clock, Log, Random } from '../../core/definitions.js';
+import type { EngineDirectory } from '../../core/engines/engine-directory.js';
+import type { FleetView } from '../../core/fleet/fleet-view.js';
+import { freshContactMs, StoreDuty, tellReadersMs } from '../../core/fleet/store-duty.js';
+import type { StoreNews } from '../../core/fleet/types.js';
+import type { ConfigurationState } from '../../core/routing/configuration-state.js';
+import type { Store } from '../../core/store/definitions.js';
+import type { PrefixListener } from '../../core/store/prefix-follower.js';
+import { PrefixFollower } from '../../core/store/prefix-follower.js';
+import type { PeerExchange } from './peer-exchange.js';
+
+/**
+ * Changes of engines within this share of the time that leaving engines have come with one call: each
+ * change would wake a watch of every VM that reads the store.
+ */
+const enginesPauseShare = 0.25;
+/** Longest back-off while there is no configuration yet, in milliseconds: until then nothing can be served. */
+const firstBackoffMs = 200;
+
+export interface StoreReadingOptions {
+	vm: string;
+	store: Store;
+	clock: Clock;
+	random: Random;
+	log: Log;
+	/** Prefixes of the keys that are followed. */
+	keys: { configuration: string; engines: string };
+	/** A leaving engine gets nothing new after this time, in milliseconds. */
+	drainMs: number;
+	configuration: ConfigurationState;
+	engines: EngineDirectory;
+	fleet: FleetView;
+	/** Given as a function, since peers are told of this object too. */
+	peers: () => PeerExchange;
+	sleep: (ms: number) => Promise<void>;
+}
+
+export class StoreReading {
+	private readonly duty: StoreDuty;
+	private readonly startedAt: number;
+	private readonly configurationFollower: PrefixFollower;
+	private readonly enginesFollower: PrefixFollower;
+
+	constructor(private readonly opts: StoreReadingOptions) {
+		const { keys, configuration, engines, drainMs } = opts;
+		this.duty = new StoreDuty(opts.vm);
+		this.startedAt = opts.clock.monotonic();
+		this.configurationFollower = this.follower(keys.configuration, configuration, 0);
+		this.enginesFollower = this.follower(keys.engines, engines, drainMs * enginesPauseShare);
+	}
+
+	/** Time between two renewals of this VM's registration, in milliseconds. */
+	get renewMs(): number {
+		return this.duty.renewMs;
+	}
+
+	/** Whether what this VM knows of configuration and engines is up to date. */
+	get isUpToDate(): boolean {
+		if (this.duty.isOn) {
+			return this.followers.every((follower) => follower.isReachable);
+		}
+		return this.opts.fleet.storeReaders(freshContactMs) > 0;
+	}
+
+	/** How long the store has not answered this VM, in milliseconds; since the start when it never did. */
+	get silentMs(): number {
+		const { clock, store } = this.opts;
+		return clock.monotonic() - Math.max(store.answeredAt, this.startedAt);
+	}
+
+	/** Follows until stopped; the loops end only by a defect. */
+	follow(): Promise<void>[] {
+		// Engines are of no use before a configuration; an outage at the start is then probed by one call, not two.
+		this.enginesFollower.setActive(false);
+		return this.followers.map((follower) => follower.follow());
+	}
+
+	/** Takes up or lays down reading the store; called several times a second. */
+	update(): void {
+		const { fleet, clock, log } = this.opts;
+		const { duty } = this;
+		const before = duty.isOn;
+		const freshReaders = fleet.storeReaders(freshContactMs);
+		duty.update({ names: fleet.names(), freshReaders }, clock.monotonic());
+		if (duty.isOn !== before) {
+			log.info('store.duty', { reads: duty.isOn, peers: fleet.size - 1 });
+			for (const follower of this.followers) {
+				follower.setActive(duty.isOn);
+			}
+		}
+		const peers = this.opts.peers();
+		if (duty.isReliedOn && peers.silentForMs >= tellReadersMs) {
+			peers.announce();
+		}
+	}
+
+	/** A configuration came into force: engines are of use now, and peers hear of it at once. */
+	configurationApplied(): void {
+		this.enginesFollower.setActive(this.duty.isOn);
+		this.changed();
+	}
+
+	/** Something that this VM read from the store changed: the others learn it at once. */
+	changed(): void {
+		if (this.followers.some((follower) => follower.isReachable)) {
+			this.opts.peers().announce();
+		}
+	}
+
+	/** What peers are told; undefined while this VM does not read the store itself. */
+	news(): StoreNews | undefined {
+		if (!this.enginesFollower.isReachable) {
+			return undefined;
+		}
+		const { revision, digest } = this.opts.engines;
+		return { contactAgeMs: this.silentMs, revision, digest };
+	}
+
+	/** A peer that reads the store told of it: changes of engines are fetched unless this VM reads it too. */
+	heard(address: string, store: StoreNews): void {
+		const { engines } = this.opts;
+		const isNews = store.revision >= engines.revision && store.digest !== engines.digest;
+		const isFresh = store.contactAgeMs < freshContactMs;
+		if (!this.enginesFollower.isReachable && isFresh && isNews) {
+			void this.opts.peers().fetchEngines(address);
+		}
+	}
+
+	/** Engines changed since a revision, as text for a peer; undefined while this VM does not read the store. */
+	enginesSince(revision: number): string | undefined {
+		return this.enginesFollower.isReachable ? this.opts.engines.export(revision) : undefined;
+	}
+
+	/** Drops watches that may hang on a dead connection, and reads all again. */
+	restart(): void {
+		for (const follower of this.followers) {
+			follower.restart();
+		}
+	}
+
+	stop(): void {
+		for (const follower of this.followers) {
+			follower.stop();
+		}
+	}
+
+	private get followers(): PrefixFollower[] {
+		return [this.configurationFollower, this.enginesFollower];
+	}
+
+	private follower(prefix: string, listener: PrefixListener, pauseMs: number): PrefixFollower {
+		const { store, clock, random, log, sleep, configuration } = this.opts;
+		const isFirst = () => configuration.table === undefined;
+		const maxBackoffMs = () => (isFirst() ? firstBackoffMs : this.duty.maxBackoffMs);
+		const common = { store, clock, random, log, sleep, maxBackoffMs };
+		return new PrefixFollower({ ...common, prefix, listener, pauseMs });
+	}
+}
