Soak: it ends its daemons however it ends; seeds that failed are kept

Cause: a run of the kept seeds stopped at 'did not happen within 10000 ms' (seed 148): on a machine with a load of 24 the daemons' own logs show starts of 3 to 10.5 s. The other run's daemons were left behind; ten were found from runs that were ended before. Change: 40 s for the start; daemons are killed on the way out, on signals too (tried: none left). Test: none of its own; the tries above.

--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -21,6 +21,8 @@
 	retryExtra: 20,
 	retryWindowMs: 10_000,
 };
+/** All daemons are ready within this time, in milliseconds; on a machine with a load of 24 one took 10.5 s to start. */
+const startMs = 40_000;
 /** A leaving engine serves on for so long, then ends, in milliseconds. */
 const lingerMs = 3000;
 
@@ -76,9 +78,17 @@
 		for (let at = 0; at < vms; at++) {
 			await this.addVm(`vm-${at + 1}`, `127.0.${firstHost}.${10 + at}`, ports);
 		}
-		await until(async () =>
-			(await Promise.all(this.vms.map((item) => this.isReady(item)))).every(Boolean),
-		);
+		await until(async () => {
+			const ready = await Promise.all(this.vms.map((item) => this.isReady(item)));
+			return ready.every(Boolean);
+		}, startMs);
+	}
+
+	/** Ends all daemons at once, without waiting; for when the soak itself is ended. */
+	killAll(): void {
+		for (const { vm } of this.vms) {
+			vm.process.kill('SIGKILL');
+		}
 	}
 
 	isReady(item: SoakVm): Promise<boolean> {
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -48,37 +48,45 @@
 		};
 const endAt = args.minutes === undefined ? undefined : Date.now() + args.minutes * 60_000;
 const first = args.seed ?? Math.floor(Math.random() * 1_000_000);
-const listed = args.regressions ? regressions.map((item) => item.seed) : undefined;
+const listed = args.regressions ? regressions : undefined;
 let taken = 0;
 let failed = 0;
 
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+	// The daemons are ended on the way out.
+	process.on(signal, () => process.exit(1));
+}
 await Promise.all(Array.from({ length: size.jobs }, () => work()));
 process.stdout.write(`${taken - failed} seeds without a finding, ${failed} with findings\n`);
 process.exit(failed > 0 ? 1 : 0);
 
+/** What differs between two runs. */
+interface Case {
+	seed: number;
+	seconds: number;
+	series: number;
+}
+
 async function work(): Promise<void> {
-	for (let seed = next(); seed !== undefined; seed = next()) {
-		await one(seed);
+	for (let item = next(); item !== undefined; item = next()) {
+		await one(item);
 	}
 }
 
-function next(): number | undefined {
+function next(): Case | undefined {
 	const most = listed?.length ?? (endAt === undefined ? args.seeds : Number.POSITIVE_INFINITY);
 	if (taken >= most || (endAt !== undefined && Date.now() >= endAt)) {
 		return undefined;
 	}
 	taken++;
-	return listed ? listed[taken - 1] : first + taken - 1;
+	const { seconds } = args;
+	return listed?.[taken - 1] ?? { seed: first + taken - 1, seconds, series: size.series };
 }
 
-async function one(seed: number): Promise<void> {
+async function one({ seed, seconds, series }: Case): Promise<void> {
 	const out = fs.mkdtempSync(path.join(os.tmpdir(), `soak-${seed}-`));
-	const { findings, requests, served, faults } = await runSoak({
-		...size,
-		seed,
-		seconds: args.seconds,
-		out,
-	});
+	const result = await runSoak({ ...size, seed, seconds, series, out });
+	const { findings, requests, served, faults } = result;
 	const verdict =
 		findings.length === 0 ? 'no finding' : `${findings.length} findings, kept in ${out}`;
 	process.stdout.write(
@@ -90,7 +98,7 @@
 	if (findings.length > 0) {
 		failed++;
 		process.stdout.write(
-			`  repeat: npm run soak -- --seed ${seed} --seconds ${args.seconds}${args.big ? ' --big' : ''}\n`,
+			`  repeat: npm run soak -- --seed ${seed} --seconds ${seconds} ${args.big ? '--big' : `--series ${series}`}\n`,
 		);
 	} else {
 		fs.rmSync(out, { recursive: true });
--- a/test/soak/regressions.ts
+++ b/test/soak/regressions.ts
@@ -5,8 +5,29 @@
 
 export interface Regression {
 	seed: number;
+	/** Length of the faults, in seconds, and faults at the same time, as in the run that failed. */
+	seconds: number;
+	series: number;
 	/** What was wrong, and where it was mended. */
 	cause: string;
 }
 
-export const regressions: readonly Regression[] = [];
+/** A proxy reads a reset together with the last bytes as an orderly end. */
+const resetAsEnd =
+	'the harness: a behaviour that no proxy can pass on, left out since (deployment.ts)';
+/** Bytes that waited in a proxy came after later ones. */
+const reordered =
+	'the harness: a proxy whose delay fell overtook its own bytes (loopback-proxy.ts)';
+
+export const regressions: readonly Regression[] = [
+	{ seed: 2, seconds: 8, series: 4, cause: resetAsEnd },
+	{
+		seed: 3,
+		seconds: 8,
+		series: 4,
+		cause: `${resetAsEnd}; then a stand-in changed its mind midway`,
+	},
+	{ seed: 118, seconds: 9, series: 6, cause: reordered },
+	{ seed: 132, seconds: 9, series: 6, cause: reordered },
+	{ seed: 148, seconds: 9, series: 6, cause: reordered },
+];
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -45,6 +45,8 @@
 export async function runSoak(opts: SoakOptions): Promise<SoakResult> {
 	fs.mkdirSync(opts.out, { recursive: true });
 	const deployment = new SoakDeployment(opts.out);
+	const killAll = () => deployment.killAll();
+	process.on('exit', killAll);
 	try {
 		await deployment.start(opts.vms, opts.engines, 1 + (opts.seed % 250));
 		await sleep(settleMs);
@@ -78,6 +80,7 @@
 		};
 	} finally {
 		await deployment.stop();
+		process.off('exit', killAll);
 	}
 }
 
