Words: reader selection; the soak reports a daemon that ends by itself at any time

'Duty' and 'in touch' are words of the users' pages; the class is ReaderSelection now, the event store.reading, the oracle asks for undisturbed VMs.

--- a/src/core/fleet/store-duty.ts
+++ b/src/core/fleet/reader-selection.ts
@@ -7,9 +7,9 @@
 import * as rendezvous from '../membership/rendezvous.js';
 
 /** In a fleet of this size or smaller all VMs read the store: its calls cost little there. */
-const largestAllRead = 12;
+const smallFleetSize = 12;
 /** VMs that read the store for the others; changes still come while three of them are cut off. */
-const readers = 4;
+const readerCount = 4;
 /** A peer reads the store if the store answered it within this time, in milliseconds; it proves that each half second. */
 export const freshContactMs = 1500;
 /** A VM that reads for others tells them so often at least, in milliseconds: three are lost before it seems cut off. */
@@ -25,34 +25,34 @@
 const renewMs = 2000;
 
 /** What the fleet looks like from this VM. */
-export interface FleetGlance {
+export interface FleetSnapshot {
 	/** VMs heard of lately, this one included. */
 	names: readonly string[];
 	/** Peers that the store answered lately. */
 	freshReaders: number;
 }
 
-export class StoreDuty {
+export class ReaderSelection {
 	private neededAt = 0;
-	private chosen = true;
+	private selected = true;
 	private fleetSize = 1;
 	private reads = true;
 
 	constructor(private readonly self: string) {}
 
 	/** Whether this VM reads the store now. */
-	get isOn(): boolean {
+	get isReader(): boolean {
 		return this.reads;
 	}
 
 	/** Looks at the fleet anew; called several times a second. */
-	update(glance: FleetGlance, now: number): void {
-		const { names, freshReaders } = glance;
+	update(fleet: FleetSnapshot, now: number): void {
+		const { names, freshReaders } = fleet;
 		this.fleetSize = names.length;
-		this.chosen =
-			names.length <= largestAllRead ||
-			rendezvous.pickTop('store readers', names, readers).includes(this.self);
-		if (this.chosen || freshReaders === 0) {
+		this.selected =
+			names.length <= smallFleetSize ||
+			rendezvous.pickTop('store readers', names, readerCount).includes(this.self);
+		if (this.selected || freshReaders === 0) {
 			this.neededAt = now;
 		}
 		this.reads = now - this.neededAt < lingerMs;
@@ -60,17 +60,17 @@
 
 	/** Whether other VMs rely on what this one reads: they must hear of it also when nothing changes. */
 	get isReliedOn(): boolean {
-		return this.reads && this.fleetSize > largestAllRead;
+		return this.reads && this.fleetSize > smallFleetSize;
 	}
 
 	/** Longest time between two tries at a store that does not answer, in milliseconds. */
 	get maxBackoffMs(): number {
-		return this.chosen ? readerBackoffMs : otherBackoffMs;
+		return this.selected ? readerBackoffMs : otherBackoffMs;
 	}
 
 	/** Time between two renewals of the registration, in milliseconds. */
 	get renewMs(): number {
-		if (this.fleetSize <= largestAllRead) {
+		if (this.fleetSize <= smallFleetSize) {
 			return renewMs;
 		}
 		return this.reads ? readerRenewMs : otherRenewMs;
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -120,7 +120,7 @@
 		fields: { prefix: 'keys that are followed', error: 'how the call failed' },
 	},
 	{
-		name: 'store.duty',
+		name: 'store.reading',
 		when: 'This VM takes up or lays down reading the store for the fleet.',
 		fields: { reads: 'whether it reads the store now', peers: 'VMs heard of lately' },
 	},
--- a/src/daemon/relay/store-reading.ts
+++ b/src/daemon/relay/store-reading.ts
@@ -6,7 +6,11 @@
 import type { Clock, Log, Random } from '../../core/definitions.js';
 import type { EngineDirectory } from '../../core/engines/engine-directory.js';
 import type { FleetView } from '../../core/fleet/fleet-view.js';
-import { freshContactMs, StoreDuty, tellReadersMs } from '../../core/fleet/store-duty.js';
+import {
+	freshContactMs,
+	ReaderSelection,
+	tellReadersMs,
+} from '../../core/fleet/reader-selection.js';
 import type { StoreNews } from '../../core/fleet/types.js';
 import type { ConfigurationState } from '../../core/routing/configuration-state.js';
 import type { Store } from '../../core/store/definitions.js';
@@ -41,14 +45,14 @@
 }
 
 export class StoreReading {
-	private readonly duty: StoreDuty;
+	private readonly selection: ReaderSelection;
 	private readonly startedAt: number;
 	private readonly configurationFollower: PrefixFollower;
 	private readonly enginesFollower: PrefixFollower;
 
 	constructor(private readonly opts: StoreReadingOptions) {
 		const { keys, configuration, engines, drainMs } = opts;
-		this.duty = new StoreDuty(opts.vm);
+		this.selection = new ReaderSelection(opts.vm);
 		this.startedAt = opts.clock.monotonic();
 		this.configurationFollower = this.follower(keys.configuration, configuration, 0);
 		this.enginesFollower = this.follower(keys.engines, engines, drainMs * enginesPauseShare);
@@ -56,12 +60,12 @@
 
 	/** Time between two renewals of this VM's registration, in milliseconds. */
 	get renewMs(): number {
-		return this.duty.renewMs;
+		return this.selection.renewMs;
 	}
 
 	/** Whether what this VM knows of configuration and engines is up to date. */
 	get isUpToDate(): boolean {
-		if (this.duty.isOn) {
+		if (this.selection.isReader) {
 			return this.followers.every((follower) => follower.isReachable);
 		}
 		return this.opts.fleet.storeReaders(freshContactMs) > 0;
@@ -83,25 +87,25 @@
 	/** Takes up or lays down reading the store; called several times a second. */
 	update(): void {
 		const { fleet, clock, log } = this.opts;
-		const { duty } = this;
-		const before = duty.isOn;
+		const { selection } = this;
+		const before = selection.isReader;
 		const freshReaders = fleet.storeReaders(freshContactMs);
-		duty.update({ names: fleet.names(), freshReaders }, clock.monotonic());
-		if (duty.isOn !== before) {
-			log.info('store.duty', { reads: duty.isOn, peers: fleet.size - 1 });
+		selection.update({ names: fleet.names(), freshReaders }, clock.monotonic());
+		if (selection.isReader !== before) {
+			log.info('store.reading', { reads: selection.isReader, peers: fleet.size - 1 });
 			for (const follower of this.followers) {
-				follower.setActive(duty.isOn);
+				follower.setActive(selection.isReader);
 			}
 		}
 		const peers = this.opts.peers();
-		if (duty.isReliedOn && peers.silentForMs >= tellReadersMs) {
+		if (selection.isReliedOn && peers.silentForMs >= tellReadersMs) {
 			peers.announce();
 		}
 	}
 
 	/** A configuration came into force: engines are of use now, and peers hear of it at once. */
 	configurationApplied(): void {
-		this.enginesFollower.setActive(this.duty.isOn);
+		this.enginesFollower.setActive(this.selection.isReader);
 		this.changed();
 	}
 
@@ -156,7 +160,7 @@
 	private follower(prefix: string, listener: PrefixListener, pauseMs: number): PrefixFollower {
 		const { store, clock, random, log, sleep, configuration } = this.opts;
 		const isFirst = () => configuration.table === undefined;
-		const maxBackoffMs = () => (isFirst() ? firstBackoffMs : this.duty.maxBackoffMs);
+		const maxBackoffMs = () => (isFirst() ? firstBackoffMs : this.selection.maxBackoffMs);
 		const common = { store, clock, random, log, sleep, maxBackoffMs };
 		return new PrefixFollower({ ...common, prefix, listener, pauseMs });
 	}
--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -199,8 +199,9 @@
 	private watchEnd(item: SoakVm): void {
 		const { vm } = item;
 		void vm.ended.then((code) => {
-			// A fault that ends processes marks the VM as busy before.
-			if (!item.busy && !this.stopping) {
+			// A fault that ends processes marks the VM as busy before, and leaves no code or 0.
+			const isByItself = !item.busy || (code !== null && code !== 0);
+			if (isByItself && !this.stopping) {
 				this.ended.push(`${item.name} ended with ${code}: ${vm.errors}`);
 			}
 		});
--- a/test/soak/oracle.ts
+++ b/test/soak/oracle.ts
@@ -100,7 +100,7 @@
 	const { drainMs } = records.bounds;
 	const left = records.left.find((item) => item.engine === run.engine);
 	const late = left ? run.at - left.at : 0;
-	if (left && late > drainMs + timingSlackMs && isInTouch(records, req.vm, left.at, run.at)) {
+	if (left && late > drainMs + timingSlackMs && isUndisturbed(records, req.vm, left.at, run.at)) {
 		find(promises.leaving, `${told}, reached ${run.engine} ${Math.round(late)} ms late`);
 	}
 }
@@ -121,7 +121,7 @@
 		const isOver = records.keys.some((other) => other.key === req.key && other.at > change.at);
 		const stillServed = change.kind === 'removed' && runs.length > 0;
 		const notYet = change.kind === 'added' && !isOver && req.status === 401;
-		if ((stillServed || notYet) && isInTouch(records, req.vm, change.at, req.endedAt)) {
+		if ((stillServed || notYet) && isUndisturbed(records, req.vm, change.at, req.endedAt)) {
 			find(
 				promises.configuration,
 				`${told}, key ${req.key} ${change.kind} ${Math.round(after)} ms before`,
@@ -181,7 +181,7 @@
 }
 
 /** No harm to the VM or the store from a while before the span to its end. */
-function isInTouch(records: SoakRecords, vm: string, from: number, until: number): boolean {
+function isUndisturbed(records: SoakRecords, vm: string, from: number, until: number): boolean {
 	const { contactMs } = records.bounds;
 	return !records.disturbances.some(
 		(item) =>
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -116,7 +116,8 @@
 /** VMs that hold more open files than their callers and engines explain. */
 function grownOf(deployment: SoakDeployment, opts: SoakOptions): string[] {
 	const most = spareFiles + opts.callers * (1 + opts.engines);
-	return deployment.vms.flatMap(({ name, vm }) => {
+	const running = deployment.vms.filter(({ vm }) => vm.process.exitCode === null);
+	return running.flatMap(({ name, vm }) => {
 		const files = fs.readdirSync(`/proc/${vm.process.pid}/fd`).length;
 		return files > most ? [`${name} holds ${files} open files, at most ${most} expected`] : [];
 	});
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -8,7 +8,11 @@
 import { EngineDirectory } from '../../src/core/engines/engine-directory.js';
 import { FleetSize } from '../../src/core/fleet/fleet-size.js';
 import type { FleetView } from '../../src/core/fleet/fleet-view.js';
-import { freshContactMs, StoreDuty, tellReadersMs } from '../../src/core/fleet/store-duty.js';
+import {
+	freshContactMs,
+	ReaderSelection,
+	tellReadersMs,
+} from '../../src/core/fleet/reader-selection.js';
 import type { PeerNews } from '../../src/core/fleet/types.js';
 import * as datagrams from '../../src/infra/relay/peer-datagrams.js';
 import * as platform from '../../src/platform/index.js';
@@ -134,8 +138,8 @@
 	const names = Array.from({ length: size }, (_, at) => `vm-${at + 1}`);
 	this.seen.set('names', names);
 	this.seen.set(
-		'duties',
-		names.map((name) => new StoreDuty(name)),
+		'selections',
+		names.map((name) => new ReaderSelection(name)),
 	);
 });
 
@@ -145,23 +149,23 @@
 		const names = seen<string[]>(this, 'names');
 		for (const until = clockOf(this).now + ms; clockOf(this).now < until; ) {
 			clockOf(this).now += 100;
-			for (const duty of seen<StoreDuty[]>(this, 'duties')) {
-				duty.update({ names, freshReaders }, clockOf(this).now);
+			for (const selection of seen<ReaderSelection[]>(this, 'selections')) {
+				selection.update({ names, freshReaders }, clockOf(this).now);
 			}
 		}
 	},
 );
 
 cucumber.Then('{int} of them read the store', function (this: FleetWorld, count: number) {
-	const duties = seen<StoreDuty[]>(this, 'duties');
-	assert.equal(duties.filter((duty) => duty.isOn).length, count);
+	const selections = seen<ReaderSelection[]>(this, 'selections');
+	assert.equal(selections.filter((selection) => selection.isReader).length, count);
 });
 
 cucumber.Then(
 	'{int} of them tell so three times before they seem cut off, however quiet it is',
 	function (this: FleetWorld, count: number) {
-		const duties = seen<StoreDuty[]>(this, 'duties');
-		assert.equal(duties.filter((duty) => duty.isReliedOn).length, count);
+		const selections = seen<ReaderSelection[]>(this, 'selections');
+		assert.equal(selections.filter((selection) => selection.isReliedOn).length, count);
 		assert.ok(3 * tellReadersMs < freshContactMs);
 	},
 );
@@ -169,8 +173,8 @@
 cucumber.Then(
 	'{int} of them ask a store that is away more often than each second',
 	function (this: FleetWorld, count: number) {
-		const duties = seen<StoreDuty[]>(this, 'duties');
-		assert.equal(duties.filter((duty) => duty.maxBackoffMs < 1000).length, count);
+		const selections = seen<ReaderSelection[]>(this, 'selections');
+		assert.equal(selections.filter((selection) => selection.maxBackoffMs < 1000).length, count);
 	},
 );
 
