A planned stop ends in order when news come due at its end

Ruled out: a lost request (the oracle found none in these runs); the soak's own kills (they leave no code). Change: a closed sender of datagrams passes over what comes due. Tests: one decision, failed before, passes; the nine seeds are kept and run again below.

--- a/src/infra/relay/peer-datagrams.ts
+++ b/src/infra/relay/peer-datagrams.ts
@@ -19,6 +19,7 @@
 export class PeerDatagrams {
 	private readonly socket = dgram.createSocket('udp4');
 	private refused = 0;
+	private closed = false;
 
 	constructor(
 		private readonly log: Log,
@@ -38,7 +39,11 @@
 		});
 	}
 
+	/** Sends nothing once closed: news may come due while the daemon ends. */
 	send(to: readonly HostPort[], news: PeerNews): void {
+		if (this.closed) {
+			return;
+		}
 		const datagram = encode(news);
 		for (const { host, port } of to) {
 			// A datagram that is lost, here or on the way, is made good by the next.
@@ -47,6 +52,7 @@
 	}
 
 	close(): void {
+		this.closed = true;
 		this.socket.close();
 	}
 
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -89,6 +89,10 @@
 		Then they are the same after encoding and decoding
 		And 1000 random datagrams are refused without an error
 
+	Scenario: News that come due after the datagrams were closed are dropped
+		Given news of work, reads and demand
+		Then a closed sender of datagrams passes over them
+
 	Scenario: Requests that share a prompt meet on one engine
 		Given 6 model engines
 		When 5 prompts of 6000 tokens share a part of 5000
--- a/test/soak/regressions.ts
+++ b/test/soak/regressions.ts
@@ -19,6 +19,9 @@
 const reordered =
 	'the harness: a proxy whose delay fell overtook its own bytes (loopback-proxy.ts)';
 
+/** News came due after the datagrams of a stopping daemon were closed; it ended with code 1. */
+const newsAfterStop = 'peer-datagrams.ts sent on a closed socket at the end of a planned stop';
+
 export const regressions: readonly Regression[] = [
 	{ seed: 2, seconds: 8, series: 4, cause: resetAsEnd },
 	{
@@ -30,4 +33,13 @@
 	{ seed: 118, seconds: 9, series: 6, cause: reordered },
 	{ seed: 132, seconds: 9, series: 6, cause: reordered },
 	{ seed: 148, seconds: 9, series: 6, cause: reordered },
+	{ seed: 7016, seconds: 6, series: 6, cause: newsAfterStop },
+	{ seed: 7017, seconds: 6, series: 6, cause: newsAfterStop },
+	{ seed: 7018, seconds: 6, series: 6, cause: newsAfterStop },
+	{ seed: 7020, seconds: 6, series: 6, cause: newsAfterStop },
+	{ seed: 7023, seconds: 6, series: 6, cause: newsAfterStop },
+	{ seed: 7030, seconds: 6, series: 6, cause: newsAfterStop },
+	{ seed: 7040, seconds: 6, series: 6, cause: newsAfterStop },
+	{ seed: 7045, seconds: 6, series: 6, cause: newsAfterStop },
+	{ seed: 7048, seconds: 6, series: 6, cause: newsAfterStop },
 ];
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -221,6 +221,13 @@
 	assert.deepEqual(datagrams.decode(datagrams.encode(told)), told);
 });
 
+cucumber.Then('a closed sender of datagrams passes over them', async function (this: FleetWorld) {
+	const sender = new datagrams.PeerDatagrams(silentLog, () => {});
+	await sender.bind({ host: '127.0.0.1', port: 0 });
+	sender.close();
+	sender.send([{ host: '127.0.0.1', port: 9 }], seen<PeerNews>(this, 'news'));
+});
+
 cucumber.Then('{int} random datagrams are refused without an error', (count: number) => {
 	const bytes = fc.uint8Array({ maxLength: 200 });
 	fc.assert(
