A VM is ready once it knows engines too

Seen in the code, and shown by a scenario in which the store withholds the engines: ready, and it fails before the change. Ruled out: the engine's own behaviour (mixes-up never answers 503). Change: ready once all registrations were read, from the store or a peer. Soak: tells its own event loop's delay.

--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -40,6 +40,7 @@
 	/** Newest revision of the store that the directory shows. */
 	private shownRevision = 0;
 	private contentDigest = 0;
+	private wasRead = false;
 	private storeLost = false;
 	private storeBackAt = Number.NEGATIVE_INFINITY;
 
@@ -59,6 +60,11 @@
 		return (this.ofService.get(service) ?? []).filter((engine) => engine.isOffered(now));
 	}
 
+	/** Whether all registrations were read once, from the store or a peer. */
+	get isKnown(): boolean {
+		return this.wasRead;
+	}
+
 	/** Newest revision of the store that the directory shows. */
 	get revision(): number {
 		return this.shownRevision;
@@ -117,6 +123,7 @@
 	}
 
 	private replaceAll(items: readonly StoreItem[], now: number): void {
+		this.wasRead = true;
 		const seen = new Set<string>();
 		for (const item of items) {
 			seen.add(this.opts.idOf(item.key));
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -279,7 +279,8 @@
 	}
 
 	private isReady(): boolean {
-		return this.stoppingAt === undefined && this.configuration.table !== undefined;
+		const knowsEnough = this.configuration.table !== undefined && this.engines.isKnown;
+		return this.stoppingAt === undefined && knowsEnough;
 	}
 
 	/** While stopping, what may not end before the kill is not begun. */
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -9,6 +9,16 @@
 		And "GET /plain/" is sent
 		Then it says to come back after 1.5 to 4 seconds
 
+	Scenario: A VM is not ready before it knows engines
+		Given a relay of 1 VM that has no configuration
+		When a configuration comes while the store withholds the engines
+		And 600 ms pass in quiet
+		Then the VM is not ready
+		When the store tells the engines
+		Then the VM is ready within 3000 ms
+		When "POST /once/" with body "order" is sent
+		Then the answer is 200
+
 	Scenario: A request reaches its engine unaltered and its answer comes back whole
 		Given a relay of 1 VM with engines "a"
 		When "POST /plain/x?q=1" with body "hello" is sent
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -86,11 +86,11 @@
 async function one({ seed, seconds, series }: Case): Promise<void> {
 	const out = fs.mkdtempSync(path.join(os.tmpdir(), `soak-${seed}-`));
 	const result = await runSoak({ ...size, seed, seconds, series, out });
-	const { findings, requests, served, faults } = result;
+	const { findings, requests, served, faults, loopDelayMs } = result;
 	const verdict =
 		findings.length === 0 ? 'no finding' : `${findings.length} findings, kept in ${out}`;
 	process.stdout.write(
-		`seed ${seed}: ${requests} requests, ${served} served, ${faults} faults, ${verdict}\n`,
+		`seed ${seed}: ${requests} requests, ${served} served, ${faults} faults, own delay ${loopDelayMs} ms, ${verdict}\n`,
 	);
 	for (const { promise, detail } of findings.slice(0, 10)) {
 		process.stdout.write(`  ${promise}: ${detail}\n`);
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as fs from 'node:fs';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { seeded } from '../../bench/random.js';
 import { key as permanentKey } from '../steps/relay-world.js';
 import { Callers } from './callers.js';
@@ -31,6 +32,8 @@
 	requests: number;
 	served: number;
 	faults: number;
+	/** Longest delay of the soak's own event loop but for one in a hundred, in milliseconds. */
+	loopDelayMs: number;
 }
 
 /** Time without traffic before faults, so that all VMs know each other, in milliseconds. */
@@ -44,6 +47,8 @@
 
 export async function runSoak(opts: SoakOptions): Promise<SoakResult> {
 	fs.mkdirSync(opts.out, { recursive: true });
+	const loopDelay = monitorEventLoopDelay({ resolution: 10 });
+	loopDelay.enable();
 	const deployment = new SoakDeployment(opts.out);
 	const killAll = () => deployment.killAll();
 	process.on('exit', killAll);
@@ -77,10 +82,12 @@
 			requests: callers.records.length,
 			served: callers.records.filter((record) => record.status === 200 && !record.cut).length,
 			faults: deployment.disturbances.length,
+			loopDelayMs: Math.round(loopDelay.percentile(99) / 1e6),
 		};
 	} finally {
 		await deployment.stop();
 		process.off('exit', killAll);
+		loopDelay.disable();
 	}
 }
 
--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -38,6 +38,8 @@
 	private readonly waiting = new Set<() => void>();
 	/** Every call is answered with this status. */
 	failWith?: number;
+	/** Items under this prefix are not told. */
+	withheld?: string;
 	/** Writes are done and not answered. */
 	loseAnswers = false;
 	/** VMs, by their address, whose calls are refused. */
@@ -145,7 +147,9 @@
 			return;
 		}
 		const [, call = '', id = ''] = url.pathname.split('/');
-		if (call === 'kv-range') {
+		if (call === 'kv-range' && url.searchParams.get('path-prefix') === this.withheld) {
+			reply(res, 503, {});
+		} else if (call === 'kv-range') {
 			reply(res, 200, this.range(url.searchParams));
 		} else if (call === 'kv-watch') {
 			await this.watch(url.searchParams, res, caller);
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -409,6 +409,22 @@
 	},
 );
 
+cucumber.When(
+	'a configuration comes while the store withholds the engines',
+	function (this: FleetWorld) {
+		fixtureOf(this).store.withheld = 'servers/';
+		fixtureOf(this).configure([permanentKey]);
+	},
+);
+
+cucumber.When('the store tells the engines', function (this: FleetWorld) {
+	fixtureOf(this).store.withheld = undefined;
+});
+
+cucumber.Then('the VM is ready within {int} ms', async function (this: FleetWorld, ms: number) {
+	await until(() => fixtureOf(this).isReady(firstVm(this)), ms);
+});
+
 cucumber.Then('the VM is not ready', async function (this: FleetWorld) {
 	assert.equal(await fixtureOf(this).isReady(firstVm(this)), false);
 });
