A VM that stopped reading the store does not come back; VMs that started together find each other at once

On the smallest VMs 250 to 300 ms pass between open ports and known engines; requests were held for 200. Change: only need begins reading; a VM reads the list of VMs once more 0.4 s after it registered; requests are held for 0.5 s at the most in the first second.

--- a/src/core/fleet/reader-selection.ts
+++ b/src/core/fleet/reader-selection.ts
@@ -56,11 +56,13 @@
 		this.selected =
 			names.length <= smallFleetSize ||
 			rendezvous.pickTop('store readers', names, readerCount).includes(this.self);
+		const linger = now - this.startedAt < startMs ? 0 : lingerMs;
 		if (this.selected || freshReaders === 0) {
 			this.neededAt = now;
+			this.reads = true;
+		} else if (now - this.neededAt > linger) {
+			this.reads = false;
 		}
-		const linger = now - this.startedAt < startMs ? 0 : lingerMs;
-		this.reads = now - this.neededAt <= linger;
 	}
 
 	/** Whether other VMs rely on what this one reads: they must hear of it also when nothing changes. */
--- a/src/core/fleet/vm-registry.ts
+++ b/src/core/fleet/vm-registry.ts
@@ -18,6 +18,8 @@
 const readEveryMs = 8000;
 const firstReadsEveryMs = 2000;
 const firstReads = 4;
+/** The others are read again so long after registering, in milliseconds: VMs that started together are listed then. */
+const secondReadMs = 400;
 /** Between tries to register, in milliseconds; all VMs may try at once after an outage. */
 const retryMs = 1500;
 /** A VM whose registration ended is still told news for so long, in milliseconds. */
@@ -115,6 +117,10 @@
 		this.lease = lease;
 		this.opts.log.info('vm.registered', { lease });
 		await this.readOthers();
+		await this.opts.sleep(secondReadMs);
+		if (!this.stopped) {
+			await this.readOthers();
+		}
 	}
 
 	/** Looks now and then, since a VM whose turn it becomes to read the store renews sooner. */
--- a/src/core/relay/start-hold.ts
+++ b/src/core/relay/start-hold.ts
@@ -7,10 +7,10 @@
 import type { Clock, Log } from '../definitions.js';
 import type { CallerRequest, CallerResponse } from './definitions.js';
 
-/** A request is held for so long at the most, in milliseconds: what the tightest known target leaves for the answer. */
-const longestHoldMs = 200;
+/** A request is held for so long at the most, in milliseconds: the smallest known VMs read for 300 after their ports open. */
+const longestHoldMs = 500;
 /** Requests are held for so long after the start, in milliseconds: a store that has not answered then is away. */
-const startMs = 600;
+const startMs = 1000;
 
 export interface StartHoldOptions {
 	clock: Clock;
