Soak: the proxy tells a reset that comes with the last bytes from an orderly end

The engine's behaviour was unframed-reset: half an answer, a pause of 100 ms, a reset. Change: at an end the proxy writes nothing to the socket, which fails after a reset. So the behaviour that was left out for want of this, a reset together with the last bytes, is drawn as well. Test: a scenario with 20 such resets and 20 ends; failed with the proxy as it was.

--- a/test/features/soak.feature
+++ b/test/features/soak.feature
@@ -34,6 +34,12 @@
 		And nothing comes back while it is silent, and all of it after that
 		And a new connection is reset while it refuses
 
+	Scenario: A proxy tells a reset that comes with the last bytes from an orderly end
+		Given a server behind a proxy that writes and resets at once
+		Then a connection through the proxy is reset 20 times
+		Given a server behind a proxy that writes and ends at once
+		Then a connection through the proxy is ended 20 times
+
 	Scenario: A short run with a fixed seed
 		When the soak runs seed 7 for 3 seconds with 3 VMs
 		Then it has no finding and served requests
--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -208,15 +208,9 @@
 	}
 }
 
-/**
- * Behaviours of engines that do harm. A reset together with the last bytes is left out: a proxy reads it
- * as an orderly end, as any program on this event loop would, and would pass on something else.
- */
+/** Behaviours of engines that do harm. */
 export const harmful = Object.values(engineBehaviours).filter(
-	(name) =>
-		name !== engineBehaviours.well &&
-		name !== engineBehaviours.unframed &&
-		name !== engineBehaviours.unframedResetAtOnce,
+	(name) => name !== engineBehaviours.well && name !== engineBehaviours.unframed,
 );
 
 export function sleep(ms: number): Promise<void> {
--- a/test/soak/loopback-proxy.ts
+++ b/test/soak/loopback-proxy.ts
@@ -84,7 +84,7 @@
 		const later = this.inOrder();
 		from.setNoDelay(true);
 		from.on('data', (chunk) => later(() => to.write(chunk)));
-		from.on('end', () => later(() => to.end()));
+		from.on('end', () => passEnd(from, () => later(() => to.end())));
 		// A reset on one side is a reset on the other.
 		from.on('error', () => to.resetAndDestroy());
 		from.on('close', () => {
@@ -122,3 +122,19 @@
 		}
 	}
 }
+
+/**
+ * Passes an orderly end on. A reset that comes together with the last bytes is read as one: writing nothing asks,
+ * and fails after a reset, which is then an error of the socket.
+ */
+function passEnd(socket: net.Socket, pass: () => void): void {
+	if (socket.writableEnded) {
+		pass();
+		return;
+	}
+	socket.write('', (err) => {
+		if (!err) {
+			pass();
+		}
+	});
+}
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -37,8 +37,9 @@
 	.strictOptions()
 	.parseAsync();
 
+const bigSize = { vms: 40, engines: 40, callers: 200, series: 16, jobs: 1 };
 const size = args.big
-	? { vms: 40, engines: 40, callers: 200, series: 16, jobs: 1 }
+	? bigSize
 	: {
 			vms: args.vms,
 			engines: args.engines,
@@ -65,6 +66,8 @@
 	seed: number;
 	seconds: number;
 	series: number;
+	/** Of the size of `--big`, also when other cases are not. */
+	big?: boolean;
 }
 
 async function work(): Promise<void> {
@@ -83,9 +86,9 @@
 	return listed?.[taken - 1] ?? { seed: first + taken - 1, seconds, series: size.series };
 }
 
-async function one({ seed, seconds, series }: Case): Promise<void> {
+async function one({ seed, seconds, series, big = args.big }: Case): Promise<void> {
 	const out = fs.mkdtempSync(path.join(os.tmpdir(), `soak-${seed}-`));
-	const result = await runSoak({ ...size, seed, seconds, series, out });
+	const result = await runSoak({ ...(big ? bigSize : size), seed, seconds, series, out });
 	const { findings, requests, served, faults, loopDelayMs } = result;
 	const verdict =
 		findings.length === 0 ? 'no finding' : `${findings.length} findings, kept in ${out}`;
@@ -98,7 +101,7 @@
 	if (findings.length > 0) {
 		failed++;
 		process.stdout.write(
-			`  repeat: npm run soak -- --seed ${seed} --seconds ${seconds} ${args.big ? '--big' : `--series ${series}`}\n`,
+			`  repeat: npm run soak -- --seed ${seed} --seconds ${seconds} ${big ? '--big' : `--series ${series}`}\n`,
 		);
 	} else {
 		fs.rmSync(out, { recursive: true });
--- a/test/soak/regressions.ts
+++ b/test/soak/regressions.ts
@@ -8,13 +8,15 @@
 	/** Length of the faults, in seconds, and faults at the same time, as in the run that failed. */
 	seconds: number;
 	series: number;
+	/** Of the size of `--big`. */
+	big?: boolean;
 	/** What was wrong, and where it was mended. */
 	cause: string;
 }
 
 /** A proxy reads a reset together with the last bytes as an orderly end. */
 const resetAsEnd =
-	'the harness: a behaviour that no proxy can pass on, left out since (deployment.ts)';
+	'the harness: its proxy passed such a reset on as an orderly end; it asks now (loopback-proxy.ts)';
 /** Bytes that waited in a proxy came after later ones. */
 const reordered =
 	'the harness: a proxy whose delay fell overtook its own bytes (loopback-proxy.ts)';
@@ -41,5 +43,6 @@
 	{ seed: 7030, seconds: 6, series: 6, cause: newsAfterStop },
 	{ seed: 7040, seconds: 6, series: 6, cause: newsAfterStop },
 	{ seed: 7045, seconds: 6, series: 6, cause: newsAfterStop },
+	{ seed: 8001, seconds: 10, series: 16, big: true, cause: resetAsEnd },
 	{ seed: 7048, seconds: 6, series: 6, cause: newsAfterStop },
 ];
--- a/test/steps/soak.steps.ts
+++ b/test/steps/soak.steps.ts
@@ -252,3 +252,47 @@
 function pause(ms: number): Promise<void> {
 	return new Promise((done) => setTimeout(done, ms));
 }
+
+cucumber.Given(
+	/^a server behind a proxy that writes and (resets|ends) at once$/,
+	async function (this: FleetWorld, how: string) {
+		const server = net.createServer((socket) => {
+			socket.on('error', () => {});
+			// Once the proxy's own connection is up: a reset before that is plain to see.
+			setTimeout(() => {
+				socket.write('half');
+				if (how === 'resets') {
+					socket.resetAndDestroy();
+				} else {
+					socket.end();
+				}
+			}, 20);
+		});
+		await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
+		server.unref();
+		const { port } = server.address() as net.AddressInfo;
+		const proxy = new LoopbackProxy({ host: '127.0.0.1', port });
+		const [, proxyPort] = (await proxy.start()).split(':');
+		this.seen.set('echo', { proxy, port: Number(proxyPort) });
+	},
+);
+
+cucumber.Then(
+	/^a connection through the proxy is (reset|ended) (\d+) times$/,
+	async function (this: FleetWorld, how: string, times: string) {
+		for (let at = 0; at < Number(times); at++) {
+			assert.equal(await howItEnds(echoOf(this).port), how);
+		}
+		echoOf(this).proxy.stop();
+	},
+);
+
+/** A reset may be read as an end here too: writing nothing asks. */
+function howItEnds(port: number): Promise<string> {
+	const socket = net.connect({ port, host: '127.0.0.1', allowHalfOpen: true });
+	socket.resume();
+	return new Promise((done) => {
+		socket.on('error', () => done('reset'));
+		socket.on('end', () => socket.write('', (err) => done(err ? 'reset' : 'ended')));
+	}).finally(() => socket.destroy()) as Promise<string>;
+}
