find: requests in logs by what became of them

Change: slategauge find lists the ends of requests by time, engine, route, VM, outcome and length, and counts outcomes; reading logs is shared with explain. Ruled out: filters as options of explain: its first argument is an id. Test: a scenario with the real command; undefined before. Measured: nothing; the daemon is not touched.

--- a/src/cli/explain/index.ts
+++ b/src/cli/explain/index.ts
@@ -2,14 +2,11 @@
  * `slategauge explain`: the story of one request from logs, without a running fleet.
  * @module
  */
-import * as fs from 'node:fs';
-import * as readline from 'node:readline';
 import type * as yargs from 'yargs';
-import type { LogLine } from '../../core/explain/log-line.js';
-import { parseLine } from '../../core/explain/log-line.js';
 import { tellStory } from '../../core/explain/story.js';
 import { formatFields } from '../../infra/line-log.js';
 import { exitCodes } from '../exit-codes.js';
+import { readLogs } from '../log-files.js';
 import type { GlobalArgs } from '../types.js';
 
 interface ExplainArgs extends GlobalArgs {
@@ -25,7 +22,7 @@
 			.positional('request', { type: 'string', demandOption: true, describe: 'id of the request' })
 			.positional('files', { type: 'string', array: true, describe: 'logs, lines in any order' }),
 	handler: async (args) => {
-		const lines = await readLines(args.files ?? []);
+		const lines = await readLogs(args.files ?? []);
 		const story = tellStory(args.request, lines);
 		for (const line of story.lines) {
 			process.stdout.write(`${formatFields(Object.fromEntries(line))}\n`);
@@ -36,18 +33,3 @@
 		process.exitCode = story.lines.length > 0 ? exitCodes.ok : exitCodes.failed;
 	},
 };
-
-async function readLines(files: readonly string[]): Promise<LogLine[]> {
-	const inputs =
-		files.length > 0 ? files.map((file) => fs.createReadStream(file)) : [process.stdin];
-	const lines: LogLine[] = [];
-	for (const input of inputs) {
-		for await (const text of readline.createInterface({ input })) {
-			const line = parseLine(text);
-			if (line) {
-				lines.push(line);
-			}
-		}
-	}
-	return lines;
-}
--- /dev/null
+++ b/src/cli/log-files.ts
@@ -0,0 +1,24 @@
+/**
+ * Reads logs of any VMs for the commands that need no running fleet.
+ * @module
+ */
+import * as fs from 'node:fs';
+import * as readline from 'node:readline';
+import type { LogLine } from '../core/explain/log-line.js';
+import { parseLine } from '../core/explain/log-line.js';
+
+/** @param files standard input when empty */
+export async function readLogs(files: readonly string[]): Promise<LogLine[]> {
+	const inputs =
+		files.length > 0 ? files.map((file) => fs.createReadStream(file)) : [process.stdin];
+	const lines: LogLine[] = [];
+	for (const input of inputs) {
+		for await (const text of readline.createInterface({ input })) {
+			const line = parseLine(text);
+			if (line) {
+				lines.push(line);
+			}
+		}
+	}
+	return lines;
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,6 +8,7 @@
 import { configCommand } from './config/index.js';
 import { exitCodes } from './exit-codes.js';
 import { explainCommand } from './explain/index.js';
+import { findCommand } from './find/index.js';
 import { hashTokenCommand } from './hash-token/index.js';
 import { queryCommand, runCommand } from './query/index.js';
 import { replayCommand } from './replay/index.js';
@@ -39,6 +40,7 @@
 	.command(configCommand)
 	.command(timelineCommand)
 	.command(explainCommand)
+	.command(findCommand)
 	.command(replayCommand)
 	.command(reportCommand)
 	.command(hashTokenCommand)
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -179,6 +179,20 @@
 		And the story of "r2" says that its end is not told
 		And the story of "r3" says that no line names it
 
+	Scenario: Requests are found in logs by what became of them
+		Given a file of logs in which requests ended so
+			| time  | vm   | request | route | engines | outcome   | took_ms |
+			| 10:00 | vm-1 | a       | chat  | e1      | complete  | 40      |
+			| 10:01 | vm-2 | b       | chat  | e1,e2   | cut       | 900     |
+			| 10:02 | vm-1 | c       | order | e2      | timed-out | 1200    |
+			| 10:03 | vm-2 | d       | order |         | refused   | 1       |
+		Then "find" with "" names "a, b, c, d"
+		And "find" with "--engine e1" names "a, b"
+		And "find" with "--route order --took 1000" names "c"
+		And "find" with "--outcome refused --vm vm-2" names "d"
+		And "find" with "--from 2026-01-01T10:01Z --to 2026-01-01T10:03Z" names "b, c"
+		And "find" with "--from yesterday" is refused
+
 	Scenario: Every event that the relay logs is declared
 		Then each event named in the sources of the relay is declared with its fields
 
--- a/test/steps/relay-log.steps.ts
+++ b/test/steps/relay-log.steps.ts
@@ -5,6 +5,9 @@
 import * as assert from 'node:assert/strict';
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs/promises';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as util from 'node:util';
 import * as cucumber from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { parseLine } from '../../src/core/explain/log-line.js';
@@ -14,6 +17,8 @@
 import { seen } from './relay-fakes.js';
 import type { FleetWorld } from './world.js';
 
+const run = util.promisify(childProcess.execFile);
+
 cucumber.Given('a stream of {int} events with ids', function (this: FleetWorld, count: number) {
 	const events = Array.from({ length: count }, (_, at) => `id: ${at + 1}\ndata: token ${at}\n\n`);
 	this.seen.set('stream', Buffer.from(events.join('')));
@@ -163,3 +168,39 @@
 		);
 	},
 );
+
+cucumber.Given(
+	'a file of logs in which requests ended so',
+	async function (this: FleetWorld, table: cucumber.DataTable) {
+		const lines = table.hashes().map(({ time, ...fields }) => {
+			const pairs = Object.entries(fields).map(([name, value]) => `${name}=${value}`);
+			return `time=2026-01-01T${time}:00.000Z level=info event=request.ended ${pairs.join(' ')}`;
+		});
+		const other = 'time=2026-01-01T10:00:00.000Z level=info event=peer.seen vm=vm-1 peer=vm-2';
+		const file = path.join(os.tmpdir(), `find-${process.pid}.log`);
+		// Newest first: the order of lines does not matter.
+		await fs.writeFile(file, [...lines.reverse(), other, 'no line of ours'].join('\n'));
+		this.seen.set('file', file);
+	},
+);
+
+cucumber.Then(
+	'"find" with {string} names {string}',
+	async function (this: FleetWorld, options: string, ids: string) {
+		const { stdout } = await find(seen<string>(this, 'file'), options);
+		const named = [...stdout.matchAll(/ request=(\S+)/g)].map(([, id]) => id);
+		assert.equal(named.join(', '), ids);
+	},
+);
+
+cucumber.Then(
+	'"find" with {string} is refused',
+	async function (this: FleetWorld, options: string) {
+		await assert.rejects(find(seen<string>(this, 'file'), options), /not a time/);
+	},
+);
+
+function find(file: string, options: string) {
+	const args = ['dist/src/cli/main.js', 'find', file, ...options.split(' ').filter(Boolean)];
+	return run(process.execPath, args);
+}
