Tests: steps of the relay split by what they are about

Cause: relay.steps.ts had grown to 490 lines: requests and answers beside the life of daemons. Features of the relay: 33 passed.

--- /dev/null
+++ b/test/steps/relay-vms.steps.ts
@@ -0,0 +1,255 @@
+/**
+ * Steps about the life of relay daemons: start, settings, what the store tells them, their end.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs/promises';
+import * as util from 'node:util';
+import * as cucumber from '@cucumber/cucumber';
+import { engineOf, firstVm, fixtureOf } from './relay-fixture.js';
+import type { Vm } from './relay-world.js';
+import { freePorts, key as permanentKey, until } from './relay-world.js';
+import type { FleetWorld } from './world.js';
+
+/** How the platform starts the daemon. */
+const deployed = 'deploy/start.cjs';
+const loadedModules = './test/stand-ins/loaded-modules.cjs';
+const example = 'deploy/settings-example.json';
+const run = util.promisify(childProcess.execFile);
+
+cucumber.Given('the bundle of the daemon', async () => {
+	await run('npm', ['run', '--silent', 'bundle']);
+	const { stderr } = await run(process.execPath, ['deploy/compile.cjs']);
+	assert.equal(stderr, '');
+});
+
+cucumber.Then('it finds nothing wrong with the example of settings', async () => {
+	const { stdout, stderr } = await run(process.execPath, [deployed, example, '--check']);
+	assert.match(stdout, /no findings/);
+	assert.equal(stderr, '');
+});
+
+cucumber.Then('it loads neither encryption nor clusters nor compression', async () => {
+	const { stderr } = await run(process.execPath, [
+		'--require',
+		loadedModules,
+		deployed,
+		example,
+		'--check',
+	]);
+	const loaded = stderr.split(',');
+	assert.ok(loaded.includes('NativeModule http'));
+	for (const name of ['crypto', 'tls', 'cluster', 'zlib']) {
+		assert.ok(!loaded.includes(`NativeModule ${name}`), name);
+	}
+});
+
+cucumber.Given(
+	/^a relay of 1 VM from the bundle with engines "(.*)"$/,
+	async function (this: FleetWorld, engines: string) {
+		fixtureOf(this).program = deployed;
+		await fixtureOf(this).start(1, engines.split(', '));
+	},
+);
+
+cucumber.Given('a relay of 1 VM that has no configuration', async function (this: FleetWorld) {
+	await fixtureOf(this).start(1, ['a'], false);
+});
+
+cucumber.When('{int} ms pass in quiet', async (ms: number) => {
+	await new Promise((done) => setTimeout(done, ms));
+});
+
+cucumber.Given('the store turns VM {int} away', function (this: FleetWorld, vm: number) {
+	const { address } = fixtureOf(this).vms[vm - 1] as Vm;
+	fixtureOf(this).store.turnAway(address);
+});
+
+cucumber.When(
+	'the store forgets its history while engine {string} leaves',
+	async function (this: FleetWorld, id: string) {
+		const { store } = fixtureOf(this);
+		store.failWith = 503;
+		store.remove(`servers/${id}`);
+		store.compact();
+		store.failWith = undefined;
+		// An outage may have cost the registration: the engine stays usable for two seconds.
+		await new Promise((done) => setTimeout(done, 3000));
+	},
+);
+
+cucumber.When(
+	'the key of customer {string} is taken away',
+	function (this: FleetWorld, _customer: string) {
+		fixtureOf(this).configure(['another-key']);
+	},
+);
+
+cucumber.When('the key of customer {string} is given back', function (this: FleetWorld, _: string) {
+	fixtureOf(this).configure([permanentKey]);
+});
+
+cucumber.Then(
+	'the store is not asked for all engines within {int} ms',
+	async function (this: FleetWorld, ms: number) {
+		const { store } = fixtureOf(this);
+		const before = store.rangesOf('servers/');
+		await new Promise((done) => setTimeout(done, ms));
+		assert.equal(store.rangesOf('servers/') - before, 0);
+	},
+);
+
+cucumber.Then(
+	'each VM answers {int} within {int} ms',
+	async function (this: FleetWorld, status: number, ms: number) {
+		const fixture = fixtureOf(this);
+		const answers = async (vm: Vm) => (await fixture.send('GET /plain/', '', { vm })).status;
+		const each = fixture.vms.map((vm) => until(async () => (await answers(vm)) === status, ms));
+		await Promise.all(each);
+	},
+);
+
+cucumber.Then(
+	'no VM sends work to engine {string} after {int} ms',
+	async function (this: FleetWorld, id: string, ms: number) {
+		const fixture = fixtureOf(this);
+		await new Promise((done) => setTimeout(done, ms));
+		const before = engineOf(this, id).seen.length;
+		const sent = fixture.vms.flatMap((vm) =>
+			[1, 2, 3].map(() => fixture.send('GET /plain/', '', { vm })),
+		);
+		const statuses = (await Promise.all(sent)).map((answer) => answer.status);
+		assert.ok(statuses.every((status) => status === 200));
+		assert.equal(engineOf(this, id).seen.length, before);
+	},
+);
+
+cucumber.When('a stream is on its way as the VM is stopped', async function (this: FleetWorld) {
+	const fixture = fixtureOf(this);
+	const { answer } = fixture.open('POST /stream/once/');
+	await until(() => engineOf(this, 'a').seen.length > 0);
+	firstVm(this).process.kill('SIGTERM');
+	fixture.answers.push(await answer);
+});
+
+cucumber.When(
+	'the relay starts with settings that lack a zone and a store',
+	async function (this: FleetWorld) {
+		const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
+		const ports = { callers, readiness, peers, metrics };
+		const fixture = fixtureOf(this);
+		fixture.vms.push(
+			await fixture.startVm('127.0.0.1', 'vm-x', ports, { drop: ['zone', 'platform'] }),
+		);
+	},
+);
+
+cucumber.Then(
+	'VM {int} sends nothing to engine {string} after {int} ms',
+	async function (this: FleetWorld, vm: number, id: string, ms: number) {
+		const fixture = fixtureOf(this);
+		await new Promise((done) => setTimeout(done, ms));
+		const before = engineOf(this, id).seen.length;
+		for (let at = 0; at < 10; at++) {
+			const answer = await fixture.send('GET /plain/', '', { vm: fixture.vms[vm - 1] });
+			assert.equal(answer.status, 200);
+		}
+		assert.equal(engineOf(this, id).seen.length, before);
+	},
+);
+
+cucumber.When(
+	'a second VM starts, turned away, with the first as its seed',
+	async function (this: FleetWorld) {
+		const fixture = fixtureOf(this);
+		const address = '127.0.0.12';
+		fixture.store.turnAway(address);
+		const first = firstVm(this);
+		const seeds = [`${first.address}:9`];
+		fixture.vms.push(await fixture.startVm(address, 'vm-2', first.ports, { seeds }));
+	},
+);
+
+cucumber.When(
+	'its settings are changed, then spoiled, with a signal each time',
+	async function (this: FleetWorld) {
+		const vm = firstVm(this);
+		const settings = JSON.parse(await fs.readFile(vm.file, 'utf8'));
+		for (const text of [JSON.stringify({ ...settings, 'seed-nodes': ['10.0.0.9:1'] }), '{']) {
+			await fs.writeFile(vm.file, text);
+			vm.process.kill('SIGHUP');
+			await new Promise((done) => setTimeout(done, 300));
+		}
+	},
+);
+
+cucumber.Then(
+	'its metrics tell {int} complete request(s) of route {string}',
+	async function (this: FleetWorld, count: number, route: string) {
+		const vm = firstVm(this);
+		const res = await fetch(`http://${vm.address}:${vm.ports.metrics}/metrics`);
+		const line = `slategauge_requests_total{route="${route}",outcome="complete"} ${count}`;
+		assert.ok((await res.text()).includes(line));
+	},
+);
+
+cucumber.Given('a store that withholds the engines', function (this: FleetWorld) {
+	fixtureOf(this).store.withheld = 'servers/';
+});
+
+cucumber.When('a configuration comes', function (this: FleetWorld) {
+	fixtureOf(this).configure([permanentKey]);
+});
+
+cucumber.When('the store tells the engines', function (this: FleetWorld) {
+	fixtureOf(this).store.withheld = undefined;
+});
+
+cucumber.Then('the VM is ready within {int} ms', async function (this: FleetWorld, ms: number) {
+	await until(() => fixtureOf(this).isReady(firstVm(this)), ms);
+});
+
+cucumber.Then('the VM is not ready', async function (this: FleetWorld) {
+	assert.equal(await fixtureOf(this).isReady(firstVm(this)), false);
+});
+
+cucumber.Then(
+	'VM {int} answers {int} within {int} ms',
+	async function (this: FleetWorld, vm: number, status: number, ms: number) {
+		const fixture = fixtureOf(this);
+		const target = fixture.vms[vm - 1] as Vm;
+		const answers = async () => (await fixture.send('GET /plain/', '', { vm: target })).status;
+		await until(async () => (await answers()) === status, ms);
+	},
+);
+
+cucumber.Then(
+	'VM {int} answers {int} to key {string} within {int} ms',
+	async function (this: FleetWorld, vm: number, status: number, key: string, ms: number) {
+		const fixture = fixtureOf(this);
+		const target = fixture.vms[vm - 1] as Vm;
+		const answer = () => fixture.send('GET /plain/', '', { vm: target, key });
+		await until(async () => (await answer()).status === status, ms);
+	},
+);
+
+cucumber.Then(
+	'the VM ends by itself within {int} ms',
+	async function (this: FleetWorld, ms: number) {
+		const late = new Promise<string>((done) => setTimeout(() => done('late'), ms));
+		assert.equal(await Promise.race([firstVm(this).ended, late]), 0);
+	},
+);
+
+cucumber.Then('it ends with code {int}', async function (this: FleetWorld, code: number) {
+	assert.equal(await firstVm(this).ended, code);
+});
+
+cucumber.Then(
+	'it names {string} and {string}',
+	function (this: FleetWorld, first: string, second: string) {
+		assert.match(firstVm(this).errors, new RegExp(first));
+		assert.match(firstVm(this).errors, new RegExp(second));
+	},
+);
