--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -44,6 +44,8 @@
 const answersToServe = 5;
 /** Open files that a daemon may hold beyond one for each caller and its own few. */
 const spareFiles = 60;
+/** Memory that a daemon may hold at the end, in megabytes: the users' bench saw 66 at the most, the smallest VM has 250. */
+const mostMemoryMb = 160;
 
 export async function runSoak(opts: SoakOptions): Promise<SoakResult> {
 	fs.mkdirSync(opts.out, { recursive: true });
@@ -120,12 +122,26 @@
 	return inRow >= answersToServe;
 }
 
-/** VMs that hold more open files than their callers and engines explain. */
+/** VMs that hold more open files than their callers and engines explain, or more memory than they should. */
 function grownOf(deployment: SoakDeployment, opts: SoakOptions): string[] {
-	const most = spareFiles + opts.callers * (1 + opts.engines);
+	const mostFiles = spareFiles + opts.callers * (1 + opts.engines);
 	const running = deployment.vms.filter(({ vm }) => vm.process.exitCode === null);
 	return running.flatMap(({ name, vm }) => {
-		const files = fs.readdirSync(`/proc/${vm.process.pid}/fd`).length;
-		return files > most ? [`${name} holds ${files} open files, at most ${most} expected`] : [];
+		const { pid } = vm.process;
+		const files = fs.readdirSync(`/proc/${pid}/fd`).length;
+		const memoryMb = residentMb(fs.readFileSync(`/proc/${pid}/status`, 'utf8'));
+		return [
+			...(files > mostFiles ? [`${name} holds ${files} open files, at most ${mostFiles}`] : []),
+			...(memoryMb > mostMemoryMb ? [`${name} holds ${memoryMb} MB, at most ${mostMemoryMb}`] : []),
+		];
 	});
 }
+
+/** @throws Error when the text is no status of a process */
+function residentMb(status: string): number {
+	const found = /^VmRSS:\s+(\d+)/m.exec(status);
+	if (!found) {
+		throw new Error('the status of a process names no resident memory');
+	}
+	return Math.round(Number(found[1]) / 1024);
+}
