--- a/src/core/engines/engine-health.ts
+++ b/src/core/engines/engine-health.ts
@@ -12,8 +12,8 @@
 const busyCloseMs = 200;
 /** An engine with requests under way that sends nothing for so long is not chosen, in milliseconds. */
 const silenceMs = 600;
-/** Prompt tokens that an engine reads in a millisecond, at the least; they may explain silence. */
-const promptTokensPerMs = 30;
+/** Reading prompts explains silence for so many times as long as it should take. */
+const readingMargin = 2;
 
 export class EngineHealth {
 	private failuresInRow = 0;
@@ -23,7 +23,8 @@
 	/** Something is under way and nothing was heard since. */
 	private awaitingSince?: number;
 	private running = 0;
-	private promptTokensAwaited = 0;
+	/** What reading the prompts under way should take, in milliseconds. */
+	private readingMsAwaited = 0;
 
 	/** Whether it may be given a request now. */
 	admits(now: number): boolean {
@@ -35,14 +36,17 @@
 	}
 
 	isSilent(now: number): boolean {
-		const allowed = silenceMs + this.promptTokensAwaited / promptTokensPerMs;
+		const allowed = silenceMs + this.readingMsAwaited * readingMargin;
 		return this.awaitingSince !== undefined && now - this.awaitingSince > allowed;
 	}
 
-	/** A request left for it. */
-	sent(now: number, promptTokens: number): void {
+	/**
+	 * A request left for it.
+	 * @param readingMs what reading its prompt should take
+	 */
+	sent(now: number, readingMs: number): void {
 		this.running++;
-		this.promptTokensAwaited += promptTokens;
+		this.readingMsAwaited += readingMs;
 		this.awaitingSince ??= now;
 		this.trial = this.closedUntil > 0;
 	}
@@ -52,10 +56,10 @@
 		this.awaitingSince = this.running > 0 ? now : undefined;
 	}
 
-	/** A request that was sent has ended, however. */
-	ended(promptTokens: number): void {
+	/** A request that was sent has ended, however; `readingMs` as it was when it was sent. */
+	ended(readingMs: number): void {
 		this.running--;
-		this.promptTokensAwaited -= promptTokens;
+		this.readingMsAwaited -= readingMs;
 		// A trial that ended without a verdict, such as by its caller leaving, may be repeated.
 		this.trial = false;
 		if (this.running === 0) {
--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -9,26 +9,28 @@
 import * as rendezvous from '../membership/rendezvous.js';
 import type { PromptPart } from '../relay/definitions.js';
 import type { EngineModel } from '../routing/types.js';
+import type { CostModel } from './cost-model.js';
 import type { Engine } from './engine.js';
 import type { Division } from './engine-division.js';
 import { EngineDivision } from './engine-division.js';
-import { copyingMs, longPromptTokens, readingMs, workMs } from './work-estimate.js';
+import type { CostFigures } from './work-estimate.js';
+import { copyingMs, readingMs, workMs } from './work-estimate.js';
 
+/** A prompt of more tokens is long: read in chunks, it holds up a stream for several events. */
+const longPromptTokens = 4000;
 /**
- * What it costs to read a shared token again, beside the reading itself, in milliseconds of waiting:
- * a part of 5,000 tokens goes to another engine when its own would let it wait for a second.
+ * Reading a shared part again costs so many times its reading, beside the reading itself: a request goes to another
+ * engine when its own would let it wait as much longer.
  */
-const rereadMsPerToken = 0.2;
-/** Copying a token from another engine costs so much beside the copying itself, in the same measure: a fifteenth. */
-const copyMsPerToken = 0.013;
+const rereadWeight = 12;
+/** Copying a part from another engine costs a fifteenth of reading it again. */
+const copyWeight = rereadWeight / 15;
 /** Fewer tokens are read again rather than copied: both take a few milliseconds. */
 const leastCopiedTokens = 100;
 /** Requests that share more tokens than this meet on one engine, rather than go where a connection is open. */
 const meetingTokens = 1000;
 /** Each request that runs beside slows a step a little, in milliseconds of waiting. */
 const runningMs = 1;
-/** Each request beyond the slots of an engine waits for one to end, in milliseconds. */
-const queuedMs = 60;
 /**
  * Costs that differ by less are taken for equal, in milliseconds; hashing then spreads the requests.
  * Older news blur costs more: without this all VMs would choose the same engine until they hear.
@@ -70,8 +72,12 @@
 
 export interface Placement {
 	engine: Engine;
-	/** Prompt tokens that it will have to read. */
+	/** Prompt tokens that it will have to read, and how long that should take, in milliseconds. */
 	promptTokens: number;
+	readingMs: number;
+	/** What decided: estimated time until the first event, and cost of reading a token, in milliseconds. */
+	waitMs: number;
+	readMsPerToken: number;
 	/** Prompt tokens that it is believed to keep. */
 	cachedTokens: number;
 	/** Prompt tokens that it should copy from another engine, and that engine; none if there is no gain. */
@@ -110,6 +116,13 @@
 	tokens: number;
 }
 
+/** What is the same for all engines that one request is weighed against. */
+interface Weighing {
+	req: PlacementRequest;
+	costs: CostFigures;
+	keeper?: Keeper;
+}
+
 export class EnginePlacement {
 	private readonly divisions = new Map<string, EngineDivision>();
 
@@ -117,6 +130,7 @@
 	constructor(
 		private readonly random: Random,
 		private readonly fleet: FleetView,
+		private readonly costs: CostModel,
 		private readonly hasFree: (address: string) => boolean,
 	) {}
 
@@ -137,7 +151,15 @@
 		const engine = best[Math.floor(this.random.next() * best.length)] as Engine;
 		const reason = `least running ${least.toFixed(2)}`;
 		const work = this.fleet.workAt(engine.id);
-		const tokens = { promptTokens: 0, cachedTokens: 0, copiedTokens: 0, heldTokens: 0 };
+		const tokens = {
+			promptTokens: 0,
+			readingMs: 0,
+			waitMs: 0,
+			readMsPerToken: 0,
+			cachedTokens: 0,
+			copiedTokens: 0,
+			heldTokens: 0,
+		};
 		return { engine, ...tokens, work, reason };
 	}
 
@@ -146,21 +168,25 @@
 		engines: readonly Engine[],
 		open: readonly Engine[],
 	): Placement | Refusal {
+		const costs = this.costs.of(req.service);
 		const isLong = req.promptTokens > longPromptTokens;
 		const division = this.divisionOf(req.service, engines);
 		const side = isLong ? division.long : division.short;
 		const keeper = this.keeperOf(req, open);
-		const best = this.bestOf(req, open, side, isLong, keeper);
+		const best = this.bestOf({ req, costs, keeper }, open, side, isLong);
 		if (req.leastUrgent && this.isOverloaded(req, best, isLong ? side.size : 0)) {
 			const refusal = `the prompt would wait ${Math.round(best.waitMs)} ms`;
 			return { refusal, retryAfterS: overloadedS };
 		}
 		const { engine, uncached, waitMs } = best;
 		const size = { promptTokens: uncached, answerTokens: req.answerTokens };
-		this.fleet.arrived(workMs(size, engine.entry.slots), isLong);
+		this.fleet.arrived(workMs(costs, size, engine.entry.slots), isLong);
 		return {
 			engine,
 			promptTokens: uncached,
+			readingMs: readingMs(costs, uncached),
+			waitMs,
+			readMsPerToken: costs.readMsPerToken,
 			cachedTokens: best.cached,
 			copiedTokens: best.copied,
 			copyFrom: best.copied > 0 ? keeper?.engine : undefined,
@@ -172,19 +198,18 @@
 
 	/** The cheapest engine of the request's side, or of all where that one is much cheaper. */
 	private bestOf(
-		req: PlacementRequest,
+		weighing: Weighing,
 		open: readonly Engine[],
 		side: ReadonlySet<string>,
 		isLong: boolean,
-		keeper: Keeper | undefined,
 	): Candidate {
 		const own = open.filter((engine) => side.has(engine.id));
 		const others = open.filter((engine) => !side.has(engine.id));
-		const ownBest = cheapest(own.map((engine) => this.weigh(req, engine, keeper)));
+		const ownBest = cheapest(own.map((engine) => this.weigh(weighing, engine)));
 		if (ownBest && (isLong || ownBest.waitMs < crossMs)) {
 			return ownBest;
 		}
-		const otherBest = cheapest(others.map((engine) => this.weigh(req, engine, keeper)));
+		const otherBest = cheapest(others.map((engine) => this.weigh(weighing, engine)));
 		if (!ownBest || !otherBest) {
 			return (ownBest ?? otherBest) as Candidate;
 		}
@@ -212,7 +237,7 @@
 		return best;
 	}
 
-	private weigh(req: PlacementRequest, engine: Engine, keeper: Keeper | undefined): Candidate {
+	private weigh({ req, costs, keeper }: Weighing, engine: Engine): Candidate {
 		const shared = req.parts.slice(0, -1);
 		const key = shared.at(-1)?.id ?? req.parts[0]?.id ?? '';
 		const work = this.fleet.workAt(engine.id);
@@ -221,10 +246,11 @@
 		const copied = missing >= leastCopiedTokens ? missing : 0;
 		const uncached = Math.max(0, req.promptTokens - cached - copied);
 		const queued = Math.max(0, work.running + 1 - engine.entry.slots);
-		const reading = readingMs(work.promptTokens + uncached);
-		const waitMs = reading + copyingMs(copied) + queued * queuedMs;
+		const waitingMs = work.promptTokens * costs.readMsPerToken + readingMs(costs, uncached);
+		const slotMs = (queued * costs.heldMs) / engine.entry.slots;
+		const waitMs = costs.firstMs + waitingMs + copyingMs(costs, copied) + slotMs;
 		const unread = tokensOf(shared) - cached - copied;
-		const reread = unread * rereadMsPerToken + copied * copyMsPerToken;
+		const reread = (unread * rereadWeight + copied * copyWeight) * costs.readMsPerToken;
 		const cost = waitMs + work.running * runningMs + reread;
 		return {
 			engine,
--- a/src/core/engines/work-estimate.ts
+++ b/src/core/engines/work-estimate.ts
@@ -1,23 +1,32 @@
 /**
- * How much work a request is for a model engine, from its tokens alone.
+ * How much work a request is for a model engine, from its tokens and what tokens cost on the engines of its
+ * service.
  * @module
  */
 
-/** A prompt of more tokens is long: read in chunks, it holds up a stream for several events. */
-export const longPromptTokens = 4000;
-/** Prompt tokens that an engine reads in a millisecond; both known sites say 62 to 66. */
-export const promptTokensPerMs = 60;
-/** Tokens that a well filled engine makes in a millisecond over all its streams; from their step times. */
-const answerTokensPerMs = 12;
-/** A stream gets a token in so many milliseconds; the known sites say 3.1 to 3.9 and a little more when full. */
-const answerTokenMs = 4;
-/** Each token of a long prompt is weighed against all before it, which slows reading; from the known sites. */
-const longPromptWeight = 1.25;
+/** What work costs on the engines of one service; see `cost-model` for where the figures come from. */
+export interface CostFigures {
+	/** Milliseconds to read one prompt token, with the steps of other requests between. */
+	readMsPerToken: number;
+	/** Milliseconds from sending a request to its first event beyond the reading. */
+	firstMs: number;
+	/** Milliseconds to copy one token that another engine has read. */
+	copyMsPerToken: number;
+	/** Milliseconds before a copy begins. */
+	copySetupMs: number;
+	/** Milliseconds between two events of a stream beside which no prompt is read. */
+	eventMs: number;
+	/** Milliseconds of a stream for each token that is expected of its answer. */
+	answerMsPerToken: number;
+	/** Milliseconds for which a request holds its slot, from the first event to the last, in the mean. */
+	heldMs: number;
+}
 
-/** Prompt tokens that an engine copies from another in a millisecond: 160 KiB each over 180 Gbit/s and more. */
-const copiedTokensPerMs = 130;
-/** Each copy takes so long to begin, in milliseconds; the known sites say 2.7 to 4. */
-const copySetupMs = 4;
+/**
+ * Each token of a prompt is weighed against all before it: a prompt of so many tokens takes twice as long as the
+ * same tokens in short ones. A property of the usual architectures at 70 billion parameters, not of a machine.
+ */
+const doublingTokens = 85_000;
 
 export interface RequestSize {
 	/** Prompt tokens that the engine has to read. */
@@ -25,25 +34,26 @@
 	answerTokens: number;
 }
 
+/** Tokens of short prompts that take as long to read as this prompt. */
+export function effectiveTokens(promptTokens: number): number {
+	return promptTokens * (1 + promptTokens / doublingTokens);
+}
+
 /** How long reading the prompt keeps an engine busy, in milliseconds. */
-export function readingMs(promptTokens: number): number {
-	const weight = promptTokens > longPromptTokens ? longPromptWeight : 1;
-	return (promptTokens * weight) / promptTokensPerMs;
+export function readingMs(costs: CostFigures, promptTokens: number): number {
+	return effectiveTokens(promptTokens) * costs.readMsPerToken;
 }
 
 /** How long an engine takes to copy read tokens from another, in milliseconds. */
-export function copyingMs(tokens: number): number {
-	return tokens === 0 ? 0 : copySetupMs + tokens / copiedTokensPerMs;
+export function copyingMs(costs: CostFigures, tokens: number): number {
+	return tokens === 0 ? 0 : costs.copySetupMs + tokens * costs.copyMsPerToken;
 }
 
 /**
- * How long the request keeps a whole engine busy, in milliseconds: by the work that it is, or by its share
- * of the slots for as long as it runs. Engines with many slots run out of work first, those with few out
- * of slots.
+ * How long the request keeps a whole engine busy, in milliseconds: reading takes the engine for itself, an
+ * answer takes one of its slots.
  */
-export function workMs(size: RequestSize, slots: number): number {
-	const reading = readingMs(size.promptTokens);
-	const byWork = reading + size.answerTokens / answerTokensPerMs;
-	const bySlots = (reading + size.answerTokens * answerTokenMs) / slots;
-	return Math.max(byWork, bySlots);
+export function workMs(costs: CostFigures, size: RequestSize, slots: number): number {
+	const answerMs = size.answerTokens * costs.answerMsPerToken;
+	return readingMs(costs, size.promptTokens) + answerMs / slots;
 }
--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock, Log } from '../definitions.js';
+import type { CostModel } from '../engines/cost-model.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type { PromptPart } from '../relay/definitions.js';
 import { DemandMeter } from './demand-meter.js';
@@ -16,6 +17,8 @@
 const leastSilentMs = 1000;
 /** A part's use is told again when the last word on it is so old, in milliseconds. */
 const tellReadAgainMs = 4000;
+/** Costs go along with every so many news of all work: about each second. */
+const costsEvery = 4;
 /** Reads that one datagram carries at the most. */
 const maxReads = 60;
 /** Time between two looks for peers that fell silent, in milliseconds: a tenth of the least time that makes one silent. */
@@ -47,6 +50,8 @@
 	life: number;
 	/** A peer has a newer configuration in force. */
 	onNewerConfiguration: (address: string, version: number) => void;
+	/** What work costs, as this VM has seen; peers add up what each has seen. */
+	costs: CostModel;
 	/** What this VM tells of the store; undefined while it does not read it itself. */
 	storeNews: () => StoreNews | undefined;
 	/** A peer that reads the store tells of it. */
@@ -67,6 +72,7 @@
 	private readonly cache = new PromptCacheMap();
 	private readonly meter = new DemandMeter();
 	private seq = 0;
+	private wholeNews = 0;
 	configurationVersion = 0;
 	/** How old news are at the most while all is well, in milliseconds. */
 	newsAgeMs = 0;
@@ -187,6 +193,8 @@
 		this.reads = whole ? this.reads : [];
 		this.changed.clear();
 		this.seq++;
+		this.wholeNews += whole ? 1 : 0;
+		const tellsCosts = whole && this.wholeNews % costsEvery === 1;
 		return {
 			from: this.opts.self,
 			life: this.opts.life,
@@ -197,6 +205,7 @@
 			work: work.map((item) => ({ ...item })),
 			reads,
 			demand: this.meter.read(this.opts.clock.monotonic()),
+			costs: tellsCosts ? this.opts.costs.export() : undefined,
 			store: this.opts.storeNews(),
 		};
 	}
@@ -230,6 +239,9 @@
 		for (const read of news.reads) {
 			this.cache.note(read.part, read.engine, now);
 		}
+		if (news.costs) {
+			this.opts.costs.take(news.from, news.costs);
+		}
 		if (news.configurationVersion > this.configurationVersion) {
 			this.opts.onNewerConfiguration(news.address, news.configurationVersion);
 		}
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -3,6 +3,8 @@
  * @module
  */
 
+import type { CostSums } from '../engines/cost-model.js';
+
 /** 32 bits that stand for an engine's id in messages. */
 export type EngineRef = number;
 /** 32 bits that stand for a prompt part's id in messages. */
@@ -58,6 +60,8 @@
 	work: EngineWork[];
 	reads: PartRead[];
 	demand: Demand;
+	/** What the sender has seen of the costs of work; now and then. */
+	costs?: CostSums[];
 	/** Present while the sender reads the store itself. */
 	store?: StoreNews;
 }
--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -18,12 +18,18 @@
 	held: Buffer[] = [];
 	heldBytes = 0;
 	private wasSent = false;
+	/** Monotonic milliseconds. */
+	private sentAt = 0;
+	private firstEventAt?: number;
+	private lastEventAt = 0;
+	private events = 0;
 	private hasStarted = false;
 	private hasEnded = false;
 
 	constructor(
 		private readonly ctx: RelayContext,
 		private readonly placement: Placement,
+		private readonly service: string,
 	) {
 		this.engine = placement.engine;
 	}
@@ -40,9 +46,10 @@
 
 	/** @param shared parts of the prompt that other requests may share */
 	sent(shared: readonly PromptPart[]): void {
-		const { promptTokens, heldTokens } = this.placement;
+		const { promptTokens, readingMs, heldTokens } = this.placement;
 		this.wasSent = true;
-		this.engine.health.sent(this.ctx.clock.monotonic(), promptTokens);
+		this.sentAt = this.ctx.clock.monotonic();
+		this.engine.health.sent(this.sentAt, readingMs);
 		this.ctx.fleet.changeWork(this.engine.id, { running: 1, promptTokens, heldTokens });
 		this.ctx.fleet.read(shared, this.engine.id);
 		this.ctx.onWorkChanged();
@@ -62,6 +69,40 @@
 		}
 	}
 
+	/**
+	 * Whole events came: what they tell of the engine's speed goes to the costs of its service.
+	 * @param isPaused the caller reads too slowly, so pauses tell nothing of the engine
+	 */
+	eventsCame(isPaused: boolean): void {
+		this.started();
+		const now = this.ctx.clock.monotonic();
+		this.events++;
+		if (this.firstEventAt === undefined) {
+			this.firstEventAt = now;
+			this.firstEventSeen(now - this.sentAt);
+		} else if (!isPaused) {
+			this.ctx.costs.pauseSeen(this.service, now - this.lastEventAt);
+		}
+		this.lastEventAt = now;
+	}
+
+	/**
+	 * The stream came to its end.
+	 * @param expectedTokens tokens that were expected of the answer
+	 */
+	streamEnded(expectedTokens: number): void {
+		if (this.firstEventAt !== undefined) {
+			const heldMs = this.lastEventAt - this.firstEventAt;
+			this.ctx.costs.answerSeen(this.service, { events: this.events, expectedTokens, heldMs });
+		}
+	}
+
+	private firstEventSeen(delayMs: number): void {
+		const { promptTokens, copiedTokens, work } = this.placement;
+		const aheadTokens = work.promptTokens;
+		this.ctx.costs.firstEvent(this.service, { promptTokens, aheadTokens, copiedTokens, delayMs });
+	}
+
 	hold(chunk: Buffer): void {
 		this.held.push(chunk);
 		this.heldBytes += chunk.length;
@@ -74,8 +115,8 @@
 		}
 		this.hasEnded = true;
 		this.started();
-		const { promptTokens, heldTokens } = this.placement;
+		const { readingMs, heldTokens } = this.placement;
 		this.ctx.fleet.changeWork(this.engine.id, { running: -1, heldTokens: -heldTokens });
-		this.engine.health.ended(promptTokens);
+		this.engine.health.ended(readingMs);
 	}
 }
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -132,6 +132,9 @@
 			reason: placement.reason,
 			fleet_running: placement.work.running,
 			fleet_prompt_tokens: placement.work.promptTokens,
+			unread_tokens: placement.promptTokens,
+			wait_ms: Math.round(placement.waitMs),
+			read_ms_per_token: Number(placement.readMsPerToken.toFixed(4)),
 			cached_tokens: placement.cachedTokens,
 			copied_tokens: placement.copiedTokens,
 			copied_from: placement.copyFrom?.id,
@@ -142,7 +145,7 @@
 			urgency: this.terms.urgency,
 			configuration: this.terms.configurationVersion,
 		});
-		const attempt = new Attempt(this.ctx, placement);
+		const attempt = new Attempt(this.ctx, placement, this.terms.service);
 		this.attempt = attempt;
 		attempt.call = this.ctx.transport.send(
 			{
@@ -218,7 +221,7 @@
 		if (!events) {
 			return;
 		}
-		attempt.started();
+		attempt.eventsCame(this.answer.isPaused);
 		this.answer.head(attempt.head as AnswerHead);
 		this.lastEventId = events.lastId ?? this.lastEventId;
 		this.write(attempt, events.bytes);
@@ -249,6 +252,7 @@
 			this.broke(attempt, 'the stream ended inside an event');
 		} else {
 			attempt.engine.health.succeeded();
+			attempt.streamEnded(this.terms.req.answerTokens);
 			this.endAttempt(attempt);
 			this.answer.head(head);
 			this.answer.end(Buffer.concat(attempt.held));
--- a/src/core/relay/types.ts
+++ b/src/core/relay/types.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { Clock, Log } from '../definitions.js';
+import type { CostModel } from '../engines/cost-model.js';
 import type { EngineDirectory } from '../engines/engine-directory.js';
 import type { EnginePlacement } from '../engines/placement.js';
 import type { FleetView } from '../fleet/fleet-view.js';
@@ -20,6 +21,7 @@
 	transport: EngineTransport;
 	budget: RetryBudget;
 	fleet: FleetView;
+	costs: CostModel;
 	metrics: RelayMetrics;
 	/** This VM's work at some engine changed. */
 	onWorkChanged: () => void;
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from 'node:http';
 import type { Log } from '../../core/definitions.js';
+import { CostModel } from '../../core/engines/cost-model.js';
 import { EngineDirectory } from '../../core/engines/engine-directory.js';
 import { EnginePlacement } from '../../core/engines/placement.js';
 import { FleetSize } from '../../core/fleet/fleet-size.js';
@@ -23,6 +24,7 @@
 import { SystemRandom } from '../../infra/system-random.js';
 import * as platform from '../../platform/index.js';
 import { listenOn } from '../listen.js';
+import { CostReport, costReportMs } from './cost-report.js';
 import { PeerExchange } from './peer-exchange.js';
 import { StoreReading } from './store-reading.js';
 
@@ -55,6 +57,8 @@
 	private readonly relay: Relay;
 	private readonly budget: RetryBudget;
 	private readonly fleetSize = new FleetSize();
+	private readonly costs = new CostModel();
+	private readonly costReport: CostReport;
 	private readonly reading: StoreReading;
 	private readonly fleet: FleetView;
 	private readonly peers: PeerExchange;
@@ -94,6 +98,7 @@
 			log,
 			life: Math.floor(random.next() * 2 ** 32),
 			onNewerConfiguration: (address) => void this.peers.fetchConfiguration(address),
+			costs: this.costs,
 			storeNews: () => this.reading.news(),
 			onStoreNews: (address, store) => this.reading.heard(address, store),
 		});
@@ -149,6 +154,7 @@
 		this.budget = new RetryBudget(settings.retries, () =>
 			this.fleetSize.count(this.fleet.size, this.registry.size, clock.monotonic()),
 		);
+		this.costReport = new CostReport(log, this.costs, () => this.modelServices());
 		this.metrics = new PrometheusMetrics({
 			open: () => this.relay.size,
 			peers: () => this.fleet.size,
@@ -156,6 +162,7 @@
 			storeCalls: () => this.store.calls,
 			storeReachable: () => (this.reading.isUpToDate ? 1 : 0),
 			logLinesDropped: linesDropped,
+			costs: () => this.costReport.samples(),
 		});
 		this.metricsServer = createMetricsServer(() => this.metrics.render());
 		this.startHold = new StartHold({ clock, log, isKnown: () => this.knowsEnough });
@@ -166,7 +173,10 @@
 			log,
 			transport,
 			engines: this.engines,
-			placement: new EnginePlacement(random, this.fleet, (address) => transport.hasFree(address)),
+			costs: this.costs,
+			placement: new EnginePlacement(random, this.fleet, this.costs, (address) =>
+				transport.hasFree(address),
+			),
 			fleet: this.fleet,
 			onWorkChanged: () => this.peers.changed(),
 			budget: this.budget,
@@ -199,6 +209,7 @@
 		this.runForever(this.registry.keep());
 		this.timers.push(setInterval(() => this.tick(), tickMs));
 		this.timers.push(setInterval(() => this.fleet.sweep(), peerSweepMs));
+		this.timers.push(setInterval(() => this.costReport.write(), costReportMs));
 		this.log.info('daemon.started', {
 			callers_port: callers.port,
 			domain: this.settings.vm.domain,
@@ -250,6 +261,12 @@
 		}
 	}
 
+	/** Names of the services whose engines run language models. */
+	private modelServices(): string[] {
+		const services = this.configuration.table?.configuration.services ?? [];
+		return services.filter(({ model }) => model !== undefined).map(({ name }) => name);
+	}
+
 	private tick(): void {
 		this.reading.update();
 		this.engines.sweep();
--- a/src/infra/relay/peer-datagrams.ts
+++ b/src/infra/relay/peer-datagrams.ts
@@ -6,13 +6,17 @@
 import * as dgram from 'node:dgram';
 import * as msgpack from '@msgpack/msgpack';
 import type { Log } from '../../core/definitions.js';
+import type { CostSums } from '../../core/engines/cost-model.js';
+import type { LineSums } from '../../core/engines/estimators.js';
 import type { Demand, PeerNews, StoreNews } from '../../core/fleet/types.js';
 import type { HostPort } from '../../core/relay/settings.js';
 
 /** Format of the message; peers of another one are not understood. */
-const format = 2;
+const format = 3;
 /** Payload that fits a usual path without fragments, in bytes. */
 const maxPayload = 1400;
+/** Engines whose work fits beside all else, at 15 bytes each. */
+const mostEngines = 70;
 
 type Row = readonly unknown[];
 
@@ -77,7 +81,7 @@
 	}
 	// What does not fit is left out: hints on reads first, then work beyond the first engines.
 	const shorter = pack(news, [], work);
-	return shorter.length <= maxPayload ? shorter : pack(news, [], work.slice(0, 80));
+	return shorter.length <= maxPayload ? shorter : pack(news, [], work.slice(0, mostEngines));
 }
 
 function pack(news: PeerNews, reads: PeerNews['reads'], work: PeerNews['work']): Uint8Array {
@@ -98,6 +102,7 @@
 		reads.map((item) => [item.part, item.engine]),
 		[toThousandths(news.demand.long), toThousandths(news.demand.short)],
 		news.store && [Math.round(news.store.contactAgeMs), news.store.revision, news.store.digest],
+		news.costs?.map(packCosts),
 	]);
 }
 
@@ -109,10 +114,11 @@
 	} catch {
 		return undefined;
 	}
-	if (!Array.isArray(row) || row[0] !== format || row.length < 11) {
+	if (!Array.isArray(row) || row[0] !== format || row.length < 12) {
 		return undefined;
 	}
-	const [, from, life, seq, version, address, whole, work, reads, demand, store] = row as Row;
+	const [, from, life, seq, version, address, whole, work, reads, demand, store, costs] =
+		row as Row;
 	const [long = 0, short = 0] = demand as number[];
 	const told: Demand = { long: long / 1000, short: short / 1000 };
 	return {
@@ -133,6 +139,7 @@
 		reads: (reads as number[][]).map(([part = 0, engine = 0]) => ({ part, engine })),
 		demand: told,
 		store: decodeStore(store),
+		costs: Array.isArray(costs) ? costs.map(decodeCosts) : undefined,
 	};
 }
 
@@ -144,6 +151,41 @@
 	return { contactAgeMs, revision, digest };
 }
 
+/** Sums as whole numbers: the weights are fractions, the rest is large. */
+function packLine({ weight, x, y, xx, xy }: LineSums): number[] {
+	return [toThousandths(weight), toThousandths(y), Math.round(x), Math.round(xx), Math.round(xy)];
+}
+
+function packCosts(sums: CostSums): unknown[] {
+	return [
+		sums.service,
+		packLine(sums.reading),
+		packLine(sums.copying),
+		toThousandths(sums.eventMs),
+		sums.eventWeight,
+		Math.round(sums.events),
+		Math.round(sums.expectedTokens),
+	];
+}
+
+function decodeLine(row: unknown): LineSums {
+	const [weight = 0, y = 0, x = 0, xx = 0, xy = 0] = row as number[];
+	return { weight: weight / 1000, y: y / 1000, x, xx, xy };
+}
+
+function decodeCosts(row: unknown): CostSums {
+	const [service, reading, copying, eventMs, eventWeight, events, expectedTokens] = row as Row;
+	return {
+		service: Number(service),
+		reading: decodeLine(reading),
+		copying: decodeLine(copying),
+		eventMs: Number(eventMs) / 1000,
+		eventWeight: Number(eventWeight),
+		events: Number(events),
+		expectedTokens: Number(expectedTokens),
+	};
+}
+
 /** Whole numbers take fewer bytes. */
 function toThousandths(value: number): number {
 	return Math.round(value * 1000);
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -5,6 +5,7 @@
  */
 import * as perfHooks from 'node:perf_hooks';
 import * as prometheus from 'prom-client';
+import type { CostFigures } from '../../core/engines/work-estimate.js';
 import type { RelayMetrics } from '../../core/relay/metrics.js';
 import type { RelayOutcome } from '../../core/relay/types.js';
 
@@ -22,6 +23,13 @@
 	/** 1 while the store answers. */
 	storeReachable: () => number;
 	logLinesDropped: () => number;
+	/** What work is estimated to cost, by service. */
+	costs: () => readonly CostSample[];
+}
+
+export interface CostSample {
+	service: string;
+	figures: CostFigures;
 }
 
 export class PrometheusMetrics implements RelayMetrics {
@@ -81,6 +89,24 @@
 			this.delay.reset();
 			return worst;
 		});
+		this.costGauge(
+			gauges,
+			'slategauge_read_seconds_per_token',
+			'Reading a prompt token',
+			'readMsPerToken',
+		);
+		this.costGauge(
+			gauges,
+			'slategauge_event_pause_seconds',
+			'Undisturbed pause of a stream',
+			'eventMs',
+		);
+		this.costGauge(
+			gauges,
+			'slategauge_copy_seconds_per_token',
+			'Copying a read token',
+			'copyMsPerToken',
+		);
 		this.gauge('slategauge_resident_bytes', 'Memory of the process', () =>
 			process.memoryUsage.rss(),
 		);
@@ -121,6 +147,26 @@
 		return new prometheus.Histogram({ name, help, labelNames, registers, buckets: secondBuckets });
 	}
 
+	/** One figure of all services, in seconds. */
+	private costGauge(
+		gauges: RelayGauges,
+		name: string,
+		what: string,
+		figure: keyof CostFigures,
+	): void {
+		new prometheus.Gauge({
+			name,
+			help: `${what}, as estimated, by service`,
+			labelNames: ['service'],
+			registers: [this.registry],
+			collect() {
+				for (const { service, figures } of gauges.costs()) {
+					this.set({ service }, figures[figure] / 1000);
+				}
+			},
+		});
+	}
+
 	private gauge(name: string, help: string, read: () => number): void {
 		new prometheus.Gauge({
 			name,
