--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -1,6 +1,6 @@
 /**
  * Chooses the engine for a request from what the fleet knows: where its prompt was read, and what
- * waits there. Refuses what no engine could begin in time.
+ * waits there.
  * @module
  */
 import type { Random } from '../definitions.js';
@@ -14,6 +14,7 @@
 import type { Engine } from './engine.js';
 import type { Division } from './engine-division.js';
 import { EngineDivision } from './engine-division.js';
+import { comeBackS, isOverloaded } from './overload.js';
 import type { CostFigures } from './work-estimate.js';
 import { copyingMs, longWorkMs, readingMs, shortWorkMs } from './work-estimate.js';
 
@@ -45,27 +46,8 @@
 const costStepOfNewsAge = 0.4;
 /** A short request goes to the engines of long ones when its own would let it wait this share of its target longer. */
 const crossShare = 0.6;
-/**
- * A request of the least urgent tier that would wait for longer than its target, times this, is
- * refused at once. More urgent ones never are: they go before those at the engines.
- */
-const longestWait = 0.8;
-/**
- * Of the time that a prompt takes itself at most this share of its target counts: the largest ones take longer than
- * their target by themselves, and were refused by engines that had nothing else to do.
- */
-const ownShare = 0.25;
-/**
- * Long prompts that keep their engines busier than this hold up the answers beside them until
- * those miss their deadlines; beyond it they are refused where they would wait a while.
- */
-const mostBusy = 1;
-/** Least wait, as a share of the target, at which busy engines refuse. */
-const busyWait = 0.5;
 /** More than any score by hashing. */
 const connectedScore = 2 ** 33;
-/** Seconds after which a caller refused in overload may come back. */
-const overloadedS = 1;
 
 export interface PlacementRequest {
 	service: string;
@@ -114,9 +96,10 @@
 interface Candidate {
 	engine: Engine;
 	work: EngineWork;
-	/** Milliseconds until its prompt begins to be read. */
+	/** Milliseconds until its prompt begins to be read, and for reading it. */
 	queueMs: number;
-	/** Milliseconds until its prompt is read. */
+	ownMs: number;
+	/** Milliseconds until its first event. */
 	waitMs: number;
 	/** Wait and what it costs the others, in steps. */
 	cost: number;
@@ -157,7 +140,7 @@
 	choose(req: PlacementRequest, engines: readonly Engine[], now: number): Placement | Refusal {
 		const open = engines.filter((engine) => !req.tried.has(engine.id) && engine.health.admits(now));
 		if (open.length === 0) {
-			return { refusal: 'no engine of the service can be used', retryAfterS: overloadedS };
+			return { refusal: 'no engine of the service can be used', retryAfterS: comeBackS };
 		}
 		return req.parts.length === 0 ? this.leastRunning(open) : this.byPrompt(req, engines, open);
 	}
@@ -193,9 +176,9 @@
 		const division = this.divisionOf(req.service, engines);
 		const side = isLong ? division.long : division.short;
 		const best = this.bestOf({ req, costs, kept }, open, side, isLong);
-		if (req.leastUrgent && this.isOverloaded(req, best, isLong ? side.size : 0)) {
+		if (req.leastUrgent && isOverloaded(best, req.targetMs, this.busyShare(isLong, side.size))) {
 			const refusal = `the prompt would wait ${Math.round(best.queueMs)} ms for others`;
-			return { refusal, retryAfterS: overloadedS };
+			return { refusal, retryAfterS: comeBackS };
 		}
 		const { engine, uncached, waitMs } = best;
 		const size = { promptTokens: uncached, answerTokens: req.answerTokens };
@@ -237,15 +220,9 @@
 		return otherBest.waitMs + crossMs < ownBest.waitMs ? otherBest : ownBest;
 	}
 
-	/** @param longEngines engines that long prompts share; 0 for a short prompt */
-	private isOverloaded(req: PlacementRequest, best: Candidate, longEngines: number): boolean {
-		const ownMs = Math.min(best.waitMs - best.queueMs, req.targetMs * ownShare);
-		const waitMs = best.queueMs + ownMs;
-		if (waitMs > req.targetMs * longestWait) {
-			return true;
-		}
-		const isBusy = longEngines > 0 && this.fleet.demand().long > longEngines * mostBusy;
-		return isBusy && waitMs > req.targetMs * busyWait;
+	/** How busy long prompts keep the engines that read them: 1 is all of the time; 0 for a short prompt. */
+	private busyShare(isLong: boolean, longEngines: number): number {
+		return isLong ? this.fleet.demand().long / longEngines : 0;
 	}
 
 	private keptOf(req: PlacementRequest, open: readonly Engine[]): Kept {
@@ -280,6 +257,7 @@
 			engine,
 			work,
 			queueMs,
+			ownMs,
 			waitMs,
 			cost: Math.round(cost / this.costStepMs),
 			uncached,
