--- a/test/steps/engine-costs.steps.ts
+++ b/test/steps/engine-costs.steps.ts
@@ -7,6 +7,7 @@
 import { CostModel } from '../../src/core/engines/cost-model.js';
 import { decode, encode } from '../../src/infra/relay/peer-datagrams.js';
 import { BatchEngine } from '../stand-ins/batch-engine.js';
+import { observed } from './observed-answer.js';
 import { news, seen, sequence } from './relay-fakes.js';
 import type { FleetWorld } from './world.js';
 
@@ -41,30 +42,11 @@
 		const expectedTokens = answerTokens * Math.exp(next() - 0.5);
 		const aheadTokens = unread;
 		unread += promptTokens;
-		let firstAt: number | undefined;
-		let lastAt = 0;
-		let events = 0;
-		engine.send({
-			sentAt: at,
-			promptTokens,
-			answerTokens,
-			onEvent: (now) => {
-				events++;
-				if (firstAt === undefined) {
-					firstAt = now;
-					unread -= promptTokens;
-					const delayMs = now - at;
-					model.firstEvent(service, { promptTokens, aheadTokens, copiedTokens: 0, delayMs });
-				} else {
-					model.pauseSeen(service, now - lastAt);
-				}
-				lastAt = now;
-			},
-			onEnd: () => {
-				const heldMs = lastAt - (firstAt ?? lastAt);
-				model.answerSeen(service, { events, expectedTokens, heldMs });
-			},
-		});
+		const sizes = { promptTokens, answerTokens, aheadTokens, expectedTokens };
+		const onFirst = () => {
+			unread -= promptTokens;
+		};
+		engine.send(observed(model, { service, sentAt: at, ...sizes, onFirst }));
 	}
 	engine.runUntil(seconds * 1000);
 }
--- a/test/steps/overload.steps.ts
+++ b/test/steps/overload.steps.ts
@@ -10,6 +10,7 @@
 import { EnginePlacement } from '../../src/core/engines/placement.js';
 import { FleetView } from '../../src/core/fleet/fleet-view.js';
 import { BatchEngine } from '../stand-ins/batch-engine.js';
+import { observed } from './observed-answer.js';
 import { entry, StepClock, seen, sequence, silentLog } from './relay-fakes.js';
 import type { FleetWorld } from './world.js';
 
@@ -172,32 +173,20 @@
 		const { promptTokens, answerTokens } = req;
 		const aheadTokens = this.fleet.workAt(engineId).promptTokens;
 		this.fleet.changeWork(engineId, { running: 1, promptTokens });
-		let firstAt: number | undefined;
-		let lastAt = 0;
-		let events = 0;
-		this.batches.get(engineId)?.send({
+		const request = observed(this.costs, {
+			service,
 			sentAt: now,
 			promptTokens,
 			answerTokens,
-			onEvent: (at) => {
-				events++;
-				if (firstAt === undefined) {
-					firstAt = at;
-					const delayMs = at - now;
-					this.fleet.changeWork(engineId, { promptTokens: -promptTokens });
-					this.costs.firstEvent(service, { promptTokens, aheadTokens, copiedTokens: 0, delayMs });
-					onFirst(delayMs);
-				} else {
-					this.costs.pauseSeen(service, at - lastAt);
-				}
-				lastAt = at;
-			},
-			onEnd: () => {
-				this.fleet.changeWork(engineId, { running: -1 });
-				const heldMs = lastAt - (firstAt ?? lastAt);
-				this.costs.answerSeen(service, { events, expectedTokens: answerTokens, heldMs });
+			aheadTokens,
+			expectedTokens: answerTokens,
+			onFirst: (delayMs) => {
+				this.fleet.changeWork(engineId, { promptTokens: -promptTokens });
+				onFirst(delayMs);
 			},
+			onEnd: () => this.fleet.changeWork(engineId, { running: -1 }),
 		});
+		this.batches.get(engineId)?.send(request);
 	}
 
 	private tallyOf(kind: Kind): Tally {
