--- a/src/core/requests/run.ts
+++ b/src/core/requests/run.ts
@@ -22,6 +22,7 @@
 import { AnswerStream } from './answer-stream.js';
 import type { CallerSink, CallTemplate } from './definitions.js';
 import { Pace } from './pace.js';
+import { RequestTimeline } from './request-timeline.js';
 import type { RetryBudget } from './retry-budget.js';
 import type { Request } from './types.js';
 import { outcomes } from './types.js';
@@ -72,6 +73,7 @@
 	private status = 0;
 	private bytesForwarded = false;
 	private readonly stream: AnswerStream;
+	private readonly timeline: RequestTimeline;
 	private pace = new Pace(0);
 
 	constructor(
@@ -82,6 +84,7 @@
 		private readonly recording?: RecordingSink,
 	) {
 		this.stream = new AnswerStream(req);
+		this.timeline = new RequestTimeline(host.timeline, req);
 	}
 
 	get isOver(): boolean {
@@ -136,8 +139,7 @@
 		if (this.over || this.slot) {
 			return;
 		}
-		const fields = { request: this.req.id, reason: data.name };
-		this.host.timeline.record(eventKinds.requestShed, { ...fields, ...this.labels() });
+		this.timeline.record(eventKinds.requestShed, { reason: data.name });
 		const retryAfterS = this.host.retryAfterS(this.req);
 		this.finishWith(new errors.UserError(data, [], { retryAfterS }));
 	}
@@ -148,11 +150,7 @@
 			return false;
 		}
 		this.call.cancel();
-		this.host.timeline.record(eventKinds.requestPreempted, {
-			request: this.req.id,
-			endpoint: this.slot.endpoint,
-			...this.labels(),
-		});
+		this.timeline.record(eventKinds.requestPreempted, { endpoint: this.slot.endpoint });
 		this.release(false, true);
 		this.waitAgain();
 		return true;
@@ -219,12 +217,10 @@
 			return;
 		}
 		this.resetAttempt();
-		this.host.timeline.record(eventKinds.requestStarted, {
-			request: this.req.id,
+		this.timeline.record(eventKinds.requestStarted, {
 			endpoint: slot.endpoint,
 			floor: slot.floor,
 			value: this.req.offset,
-			...this.labels(),
 		});
 		this.call = this.host.endpoints.open(
 			{
@@ -253,8 +249,7 @@
 		const now = this.host.clock.monotonic();
 		if (this.pace.note(this.stream.runTokens, now)) {
 			const value = Math.round(now - this.req.arrivedAt);
-			const fields = { request: this.req.id, endpoint: this.slot?.endpoint, value };
-			this.host.timeline.record(eventKinds.requestFirstToken, { ...fields, ...this.labels() });
+			this.timeline.record(eventKinds.requestFirstToken, { endpoint: this.slot?.endpoint, value });
 		}
 		const gapMs = this.pace.takeGapMs(this.stream.runTokens, now);
 		if (gapMs !== undefined && this.slot) {
@@ -266,17 +261,13 @@
 		const record = { attempt: this.req.id, vm: this.host.vm };
 		const claim = await this.host.claims.claim(this.req.customer, key, record);
 		if (claim.result === claimResults.taken) {
-			this.host.timeline.record(eventKinds.claimTaken, { request: this.req.id, ...this.labels() });
+			this.timeline.record(eventKinds.claimTaken);
 			return true;
 		}
 		if (this.over) {
 			return false;
 		}
-		this.host.timeline.record(eventKinds.claimRefused, {
-			request: this.req.id,
-			reason: claim.result,
-			...this.labels(),
-		});
+		this.timeline.record(eventKinds.claimRefused, { reason: claim.result });
 		this.release(false, true);
 		if (claim.result === claimResults.held) {
 			await this.attach(claim.holder);
@@ -308,18 +299,9 @@
 		this.release(true, false);
 		this.call = undefined;
 		this.req.avoid.set(endpoint, this.host.clock.monotonic() + avoidMs);
-		this.host.timeline.record(eventKinds.requestFailed, {
-			request: this.req.id,
-			endpoint,
-			reason: `${failure}: ${detail}`,
-			...this.labels(),
-		});
+		this.timeline.record(eventKinds.requestFailed, { endpoint, reason: `${failure}: ${detail}` });
 		if (this.mayGoOn(sent)) {
-			this.host.timeline.record(eventKinds.requestResumed, {
-				request: this.req.id,
-				value: this.req.offset,
-				...this.labels(),
-			});
+			this.timeline.record(eventKinds.requestResumed, { value: this.req.offset });
 			this.waitAgain();
 			return;
 		}
@@ -351,13 +333,8 @@
 	}
 
 	private recordEnd(outcome: string, reason?: string): void {
-		this.host.timeline.record(eventKinds.requestEnded, {
-			request: this.req.id,
-			outcome,
-			reason,
-			value: this.stream.totalTokens,
-			...this.labels(),
-		});
+		const value = this.stream.totalTokens;
+		this.timeline.record(eventKinds.requestEnded, { outcome, reason, value });
 		this.host.ended(this, outcome, this.stream.totalTokens);
 	}
 
@@ -377,8 +354,4 @@
 		const result = { firstTokenMs, tokens: this.stream.runTokens, streamedMs, failed, cancelled };
 		this.host.released(this, slot, result);
 	}
-
-	private labels(): { cls: string; tier: number; customer: string } {
-		return { cls: this.req.cls.name, tier: this.req.cls.tier, customer: this.req.customer };
-	}
 }
