--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -181,6 +181,11 @@
 			peers: 'VMs heard of',
 		},
 	},
+	{
+		name: 'engines.unreadable',
+		when: 'A peer’s list of engines cannot be understood; the list before stays.',
+		fields: { peer: 'its address', error: 'why' },
+	},
 	{
 		name: 'peer.fetch-failed',
 		when: 'A peer did not answer a question for configuration or engines.',
--- a/src/daemon/relay/peer-exchange.ts
+++ b/src/daemon/relay/peer-exchange.ts
@@ -3,8 +3,7 @@
  * peer has and this VM has not, such as when the store turns this VM away.
  * @module
  */
-import * as http from 'node:http';
-import * as undici from 'undici';
+import type * as http from 'node:http';
 import type { Clock, Log } from '../../core/definitions.js';
 import type { ListedVm } from '../../core/fleet/aggregator-selection.js';
 import { AggregatorSelection } from '../../core/fleet/aggregator-selection.js';
@@ -13,9 +12,8 @@
 import type { PeerNews } from '../../core/fleet/types.js';
 import type { HostPort } from '../../core/relay/settings.js';
 import { PeerDatagrams } from '../../infra/relay/peer-datagrams.js';
+import { PeerTransfers } from '../../infra/relay/peer-transfers.js';
 
-/** A peer that has the configuration answers in a few milliseconds. */
-const fetchTimeoutMs = 800;
 const configurationPath = '/configuration';
 const enginesPath = '/engines';
 
@@ -40,16 +38,13 @@
 }
 
 export class PeerExchange {
-	readonly server: http.Server;
 	private readonly datagrams: PeerDatagrams;
 	private readonly news: NewsExchange;
-	private readonly agent = new undici.Agent();
+	private readonly transfers: PeerTransfers;
 	private timer?: NodeJS.Timeout;
 	/** When the timer fires, in monotonic milliseconds. */
 	private timerAt = Number.POSITIVE_INFINITY;
 	private isStopped = false;
-	/** Paths that are being fetched. */
-	private readonly fetching = new Set<string>();
 
 	constructor(private readonly opts: PeerExchangeOptions) {
 		const { clock, log, self, fleet, listed, seeds } = opts;
@@ -64,7 +59,12 @@
 			seeds,
 			send: (to, news) => this.datagrams.send(to, news),
 		});
-		this.server = http.createServer((req, res) => this.serve(req, res));
+		this.transfers = new PeerTransfers({ log, textOf: (target) => this.textOf(target) });
+	}
+
+	/** Where peers fetch what this VM has. */
+	get server(): http.Server {
+		return this.transfers.server;
 	}
 
 	async start(): Promise<void> {
@@ -96,21 +96,33 @@
 	}
 
 	/** Fetches the configuration of a peer; one call at a time, news come again soon. */
-	fetchConfiguration(address: string): Promise<void> {
-		return this.fetch(address, configurationPath, (text) => {
+	async fetchConfiguration(address: string): Promise<void> {
+		const text = await this.transfers.fetch(address, configurationPath);
+		if (text !== undefined) {
 			this.opts.offer(text, `peer ${address}`);
-		});
+		}
 	}
 
 	/** Fetches what changed among the engines that a peer knows; all of them if that is not enough. */
 	async fetchEngines(address: string): Promise<void> {
-		let isWhole = true;
-		const take = (text: string) => {
-			isWhole = this.opts.takeEngines(text);
-		};
-		await this.fetch(address, `${enginesPath}?since=${this.opts.enginesRevision()}`, take);
-		if (!isWhole) {
-			await this.fetch(address, enginesPath, take);
+		const since = this.opts.enginesRevision();
+		const changed = await this.transfers.fetch(address, `${enginesPath}?since=${since}`);
+		if (changed === undefined || this.takeEngines(address, changed)) {
+			return;
+		}
+		const all = await this.transfers.fetch(address, enginesPath);
+		if (all !== undefined) {
+			this.takeEngines(address, all);
+		}
+	}
+
+	/** @returns whether it was enough; what cannot be read is logged, since asking again brings the same */
+	private takeEngines(address: string, text: string): boolean {
+		try {
+			return this.opts.takeEngines(text);
+		} catch (err) {
+			this.opts.log.error('engines.unreadable', { peer: address, error: (err as Error).message });
+			return true;
 		}
 	}
 
@@ -120,38 +132,11 @@
 		this.arm();
 	}
 
-	private async fetch(address: string, path: string, take: (text: string) => void): Promise<void> {
-		const [what = path] = path.split('?');
-		if (this.fetching.has(what)) {
-			return;
-		}
-		this.fetching.add(what);
-		try {
-			const res = await this.agent.request({
-				origin: `http://${address}`,
-				path,
-				method: 'GET',
-				signal: AbortSignal.timeout(fetchTimeoutMs),
-			});
-			const text = await res.body.text();
-			if (res.statusCode === 200) {
-				take(text);
-			}
-		} catch (err) {
-			const error = (err as Error).message;
-			this.opts.log.warn('peer.fetch-failed', { peer: address, path, error });
-		} finally {
-			this.fetching.delete(what);
-		}
-	}
-
 	stop(): void {
 		this.isStopped = true;
 		clearTimeout(this.timer);
 		this.datagrams.close();
-		void this.agent.destroy();
-		this.server.close();
-		this.server.closeAllConnections();
+		this.transfers.close();
 	}
 
 	private receive(news: PeerNews): void {
@@ -178,7 +163,7 @@
 		this.timer = setTimeout(() => this.run(), waitMs);
 	}
 
-	private textOf(target = ''): string | undefined {
+	private textOf(target: string): string | undefined {
 		const { pathname, searchParams } = new URL(target, 'http://peer');
 		if (pathname === configurationPath) {
 			return this.opts.configuration();
@@ -186,10 +171,4 @@
 		const since = Number(searchParams.get('since') ?? 0);
 		return pathname === enginesPath ? this.opts.engines(since) : undefined;
 	}
-
-	private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
-		const text = this.textOf(req.url);
-		res.writeHead(text === undefined ? 404 : 200, { 'content-type': 'application/json' });
-		res.end(text ?? '');
-	}
 }
