Registrations of another writer, engines that begin again under their id, and datagrams with wrong types inside

A missing zone, slots or state got a default and was used, an unknown state counted as draining; an engine that began again kept its health, work and known parts; a datagram of the right format with another type inside threw inside the socket's listener and ended the process. Change: a registration must hold all that engines write, in their types, else it names no engine, is logged once, and takes out one that it replaced. Each start has a key of its own (id and born), so what was told of an earlier start does not count. Work of an engine that is gone is not taken off a second time: that left rows of -1 in all news for good. Datagrams are read field by field (row-reader) and refused whole.

--- a/deploy/compile.cjs
+++ b/deploy/compile.cjs
@@ -77,8 +77,12 @@
 		'servers/': Array.from({ length: 4 }, () => ({
 			service: 'pool',
 			address: engineAddress,
+			zone: 'z',
+			version: 'v1',
 			slots: 4,
 			state: 'ready',
+			'warmup-left-ms': 0,
+			sequence: 1,
 		})),
 		'vms/': [],
 	};
--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -27,7 +27,7 @@
 	idOf: (key: string) => string;
 	/** No engine listens at this address any more. */
 	onAddressGone: (address: string) => void;
-	onGone: (id: string) => void;
+	onGone: (engine: Engine) => void;
 	/** Registrations changed. */
 	onChanged: () => void;
 	/** All registrations were read, from the store or a peer. */
@@ -39,6 +39,8 @@
 	private readonly ofService = new Map<string, Engine[]>();
 	/** Registrations as the store holds them, for peers that it turns away. */
 	private readonly items = new Map<string, StoreItem>();
+	/** Registrations that could not be read, by id, with their revision. */
+	private readonly unreadable = new Map<string, number>();
 	/** Newest revision of the store that the directory shows. */
 	private shownRevision = 0;
 	private contentDigest = 0;
@@ -166,16 +168,17 @@
 	}
 
 	private put(item: StoreItem): void {
-		let entry: EngineEntry;
-		try {
-			entry = this.opts.decode(item.key, item.value);
-		} catch (err) {
-			this.opts.log.warn('engine.unreadable', { key: item.key, error: (err as Error).message });
+		const entry = this.decode(item);
+		if (!entry) {
 			return;
 		}
-		this.setItem(entry.id, item);
 		const known = this.engines.get(entry.id);
-		if (!known) {
+		const isSame = known?.isStartOf(entry) ?? false;
+		if (known && !isSame) {
+			this.remove(known, 'it began again');
+		}
+		this.setItem(entry.id, item);
+		if (!known || !isSame) {
 			this.add(new Engine(entry), item.revision);
 			return;
 		}
@@ -186,6 +189,27 @@
 		known.missingUntil = undefined;
 	}
 
+	/** What is no engine's registration names no engine, whoever wrote it; it is logged once. */
+	private decode(item: StoreItem): EngineEntry | undefined {
+		const id = this.opts.idOf(item.key);
+		try {
+			const entry = this.opts.decode(item.key, item.value);
+			this.unreadable.delete(id);
+			return entry;
+		} catch (err) {
+			if (this.unreadable.get(id) !== item.revision) {
+				this.unreadable.set(id, item.revision);
+				const error = (err as Error).message;
+				this.opts.log.warn('engine.unreadable', { key: item.key, revision: item.revision, error });
+			}
+		}
+		const known = this.engines.get(id);
+		if (known) {
+			this.remove(known, 'its registration cannot be read');
+		}
+		return undefined;
+	}
+
 	private add(engine: Engine, revision: number): void {
 		this.engines.set(engine.id, engine);
 		const { service } = engine.entry;
@@ -197,6 +221,7 @@
 
 	/** The store says that the registration ended: it was there to see it. */
 	private gone(id: string): void {
+		this.unreadable.delete(id);
 		const engine = this.engines.get(id);
 		if (engine) {
 			this.remove(engine, 'registration ended');
@@ -219,11 +244,12 @@
 
 	private remove(engine: Engine, reason: string): void {
 		const { id, service, address } = engine.entry;
+		engine.isGone = true;
 		this.engines.delete(id);
 		this.setItem(id, undefined);
 		const left = (this.ofService.get(service) ?? []).filter((other) => other !== engine);
 		this.ofService.set(service, left);
-		this.opts.onGone(id);
+		this.opts.onGone(engine);
 		this.opts.log.info('engine.gone', { engine: id, service, reason });
 		if (![...this.engines.values()].some((other) => other.entry.address === address)) {
 			this.opts.onAddressGone(address);
--- a/src/core/engines/engine.ts
+++ b/src/core/engines/engine.ts
@@ -8,20 +8,34 @@
 import type { EngineEntry } from './types.js';
 
 export class Engine {
+	/**
+	 * Names this start alone. One that began again under the same id knows nothing of before: news that were on their way
+	 * about the start before must not count for it.
+	 */
+	readonly key: string;
 	/** 32 bits that stand for it in messages and maps. */
 	readonly ref: EngineRef;
 	readonly health = new EngineHealth();
+	/** It left or began again: what it had is no longer counted. */
+	isGone = false;
 	/** Missing in the store since its return; usable until then, in monotonic milliseconds. */
 	missingUntil?: number;
 
 	constructor(public entry: EngineEntry) {
-		this.ref = rendezvous.hashText(entry.id);
+		this.key = entry.bornAt === undefined ? entry.id : `${entry.id} ${entry.bornAt}`;
+		this.ref = rendezvous.hashText(this.key);
 	}
 
 	get id(): string {
 		return this.entry.id;
 	}
 
+	/** Whether a registration speaks for this start, rather than for a later one. */
+	isStartOf({ bornAt, service, address }: EngineEntry): boolean {
+		const { entry } = this;
+		return bornAt === entry.bornAt && service === entry.service && address === entry.address;
+	}
+
 	/** Whether it may be given new work at all. */
 	isOffered(now: number): boolean {
 		const present = this.missingUntil === undefined || now < this.missingUntil;
--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -149,12 +149,12 @@
 
 	/** The one with the fewest of the fleet's requests; of several any. */
 	private leastRunning(open: readonly Engine[]): Placement {
-		const loads = open.map((engine) => this.fleet.workAt(engine.id).running / engine.entry.slots);
+		const loads = open.map((engine) => this.fleet.workAt(engine.key).running / engine.entry.slots);
 		const least = Math.min(...loads);
 		const best = open.filter((_, at) => loads[at] === least);
 		const engine = best[Math.floor(this.random.next() * best.length)] as Engine;
 		const reason = `least running ${least.toFixed(2)}`;
-		const work = this.fleet.workAt(engine.id);
+		const work = this.fleet.workAt(engine.key);
 		const tokens = {
 			promptTokens: 0,
 			readingMs: 0,
@@ -258,7 +258,7 @@
 	private weigh({ req, costs, kept }: Weighing, engine: Engine): Candidate {
 		const shared = req.parts.slice(0, -1);
 		const key = shared.at(-1)?.id ?? req.parts[0]?.id ?? '';
-		const work = this.fleet.workAt(engine.id);
+		const work = this.fleet.workAt(engine.key);
 		const { cached } = kept.by.get(engine.ref) ?? nothingKept;
 		const missing = kept.copyable - cached;
 		const copied = missing >= leastCopiedTokens ? missing : 0;
--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -133,9 +133,9 @@
 	}
 
 	/** Work of the whole fleet at an engine. */
-	workAt(engineId: string): EngineWork {
+	workAt(engineKey: string): EngineWork {
 		this.dropSilent();
-		return this.work.at(refOf(engineId));
+		return this.work.at(refOf(engineKey));
 	}
 
 	/** Demand of the whole fleet. */
@@ -154,8 +154,8 @@
 	}
 
 	/** Adds to this VM's own work at an engine. */
-	changeWork(engineId: string, change: WorkChange): void {
-		this.work.change(refOf(engineId), change);
+	changeWork(engineKey: string, change: WorkChange): void {
+		this.work.change(refOf(engineKey), change);
 		this.isChanged = true;
 	}
 
@@ -163,8 +163,8 @@
 	 * The engine will read these parts for a request of this VM, or has read them.
 	 * @param isDone the first event after them has come
 	 */
-	read(parts: readonly PromptPart[], engineId: string, isDone: boolean): void {
-		this.parts.read(parts, engineId, isDone, this.now);
+	read(parts: readonly PromptPart[], engineKey: string, isDone: boolean): void {
+		this.parts.read(parts, engineKey, isDone, this.now);
 	}
 
 	/** How much of the start of a prompt each engine is believed to keep; those that keep nothing are left out. */
@@ -172,8 +172,8 @@
 		return this.parts.keptBy(parts, this.now);
 	}
 
-	engineGone(engineId: string): void {
-		const ref = refOf(engineId);
+	engineGone(engineKey: string): void {
+		const ref = refOf(engineKey);
 		this.parts.forgetEngine(ref);
 		this.work.forget(ref);
 		for (const source of this.sources.values()) {
--- a/src/core/fleet/known-parts.ts
+++ b/src/core/fleet/known-parts.ts
@@ -25,8 +25,8 @@
 	 * The engine will read these parts for a request of this VM, or has read them.
 	 * @param isDone the first event after them has come
 	 */
-	read(parts: readonly PromptPart[], engineId: string, isDone: boolean, now: number): void {
-		const engine = refOf(engineId);
+	read(parts: readonly PromptPart[], engineKey: string, isDone: boolean, now: number): void {
+		const engine = refOf(engineKey);
 		for (const { id } of parts) {
 			const read = { part: refOf(id), engine, isDone };
 			const known = this.cache.note(read, now);
--- a/src/core/fleet/news-parts.ts
+++ b/src/core/fleet/news-parts.ts
@@ -6,8 +6,8 @@
 
 /** Payload that fits a usual path without fragments, in bytes. */
 const payloadBytes = 1400;
-/** Names, numbers, costs of a service and four store readers beside the lists, in bytes; 310 in the largest seen. */
-const headBytes = 330;
+/** Names, numbers, costs of a service and four store readers beside the lists, in bytes; 330 in the largest seen. */
+const headBytes = 360;
 /** Bytes of one entry of each list as encoded, at the most. */
 const workBytes = 12;
 const readBytes = 12;
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -44,6 +44,8 @@
 	revision: number;
 	/** Stands for the whole list of engines; equal lists have equal digests. */
 	digest: number;
+	/** Fencing token under which it acts for the whole fleet; 0 while it does not. */
+	dutyToken: number;
 }
 
 /** A VM that reads the store, and what it tells. */
--- a/src/core/fleet/vm-registry.ts
+++ b/src/core/fleet/vm-registry.ts
@@ -232,7 +232,12 @@
 		if (name === self.name && item.value === encodeVm(self) && item.lease !== 0) {
 			this.leaseBefore = item.lease;
 		}
-		this.listed.set(name, { vm: decodeVm(name, item.value) });
+		const vm = decodeVm(name, item.value);
+		if (vm) {
+			this.listed.set(name, { vm });
+			return;
+		}
+		this.opts.log.warn('vm.unreadable', { key: item.key, revision: item.revision });
 	}
 
 	private gone(vm: string): void {
@@ -252,7 +257,13 @@
 	return `${addressOf(address)} ${cores} ${domain}`;
 }
 
-function decodeVm(name: string, value: string): ListedVm {
-	const [address = '', cores = '', ...domain] = value.split(' ');
-	return { name, domain: domain.join(' '), address: parseAddress(address), cores: Number(cores) };
+const vmPattern = /^(\d+\.\d+\.\d+\.\d+:\d+) (\d+(?:\.\d+)?) (.*)$/;
+
+/** @returns undefined when another writer left something else under the key */
+function decodeVm(name: string, value: string): ListedVm | undefined {
+	const [, address, cores, domain] = vmPattern.exec(value) ?? [];
+	if (address === undefined || domain === undefined) {
+		return undefined;
+	}
+	return { name, domain, address: parseAddress(address), cores: Number(cores) };
 }
--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -5,6 +5,7 @@
  */
 import type { Engine } from '../engines/engine.js';
 import type { Placement } from '../engines/placement.js';
+import type { WorkChange } from '../fleet/work-sums.js';
 import type { AnswerHead, PromptPart, RunningCall } from './definitions.js';
 import { EventSplitter } from './event-splitter.js';
 import type { RelayContext } from './types.js';
@@ -52,9 +53,9 @@
 		this.wasSent = true;
 		this.sentAt = this.ctx.clock.monotonic();
 		this.engine.health.sent(this.sentAt, readingMs);
-		this.ctx.fleet.changeWork(this.engine.id, { running: 1, promptTokens });
+		this.changeWork({ running: 1, promptTokens });
 		this.shared = shared;
-		this.ctx.fleet.read(shared, this.engine.id, false);
+		this.ctx.fleet.read(shared, this.engine.key, false);
 		this.ctx.onWorkChanged();
 	}
 
@@ -67,7 +68,7 @@
 		if (!this.hasStarted) {
 			this.hasStarted = true;
 			const promptTokens = -this.placement.promptTokens;
-			this.ctx.fleet.changeWork(this.engine.id, { promptTokens });
+			this.changeWork({ promptTokens });
 			this.ctx.onWorkChanged();
 		}
 	}
@@ -83,7 +84,7 @@
 		if (this.firstEventAt === undefined) {
 			this.firstEventAt = now;
 			this.firstEventSeen(now - this.sentAt);
-			this.ctx.fleet.read(this.shared, this.engine.id, true);
+			this.ctx.fleet.read(this.shared, this.engine.key, true);
 			this.ctx.onWorkChanged();
 		} else if (!isPaused) {
 			this.ctx.costs.pauseSeen(this.service, now - this.lastEventAt);
@@ -102,6 +103,13 @@
 		}
 	}
 
+	/** The work of an engine that is gone was forgotten whole: taken off once more, it would be told for ever. */
+	private changeWork(change: WorkChange): void {
+		if (!this.engine.isGone) {
+			this.ctx.fleet.changeWork(this.engine.key, change);
+		}
+	}
+
 	private firstEventSeen(delayMs: number): void {
 		const { promptTokens, copiedTokens, work } = this.placement;
 		const aheadTokens = work.promptTokens;
@@ -121,7 +129,7 @@
 		this.hasEnded = true;
 		this.started();
 		const { readingMs } = this.placement;
-		this.ctx.fleet.changeWork(this.engine.id, { running: -1 });
+		this.changeWork({ running: -1 });
 		this.engine.health.ended(readingMs);
 	}
 }
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -115,10 +115,15 @@
 			peers: 'VMs that told what they have seen',
 		},
 	},
+	{
+		name: 'vm.unreadable',
+		when: 'What stands under the key of a VM is no registration of one; it is passed over.',
+		fields: { key: 'key in the store', revision: 'of the store' },
+	},
 	{
 		name: 'engine.unreadable',
-		when: 'A registration cannot be understood; it is passed over.',
-		fields: { key: 'key in the store', error: 'what is wrong' },
+		when: 'A registration is not an engine’s: it names no engine. Once for each time it is written.',
+		fields: { key: 'key in the store', revision: 'of the store', error: 'what is wrong' },
 	},
 	{
 		name: 'configuration.applied',
--- a/src/daemon/relay/peer-exchange.ts
+++ b/src/daemon/relay/peer-exchange.ts
@@ -48,7 +48,11 @@
 
 	constructor(private readonly opts: PeerExchangeOptions) {
 		const { clock, log, self, fleet, listed, seeds } = opts;
-		this.datagrams = new PeerDatagrams(log, (news) => this.receive(news));
+		this.datagrams = new PeerDatagrams(log, {
+			news: (news) => this.receive(news),
+			usage: () => {},
+			usageTaken: () => {},
+		});
 		this.news = new NewsExchange({
 			clock,
 			log,
@@ -57,7 +61,7 @@
 			self: self.address,
 			listed,
 			seeds,
-			send: (to, news) => this.datagrams.send(to, news),
+			send: (to, news) => this.datagrams.sendNews(to, news),
 		});
 		this.transfers = new PeerTransfers({ log, textOf: (target) => this.textOf(target) });
 	}
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -85,7 +85,7 @@
 			decode: platform.decodeEngine,
 			idOf: platform.engineIdOf,
 			onAddressGone: (address) => transport.forget(address),
-			onGone: (id) => this.fleet.engineGone(id),
+			onGone: (engine) => this.fleet.engineGone(engine.key),
 			onChanged: () => this.reading.changed(),
 			onRead: () => this.startHold.release(),
 		});
--- a/src/daemon/relay/store-reading.ts
+++ b/src/daemon/relay/store-reading.ts
@@ -159,7 +159,7 @@
 			return undefined;
 		}
 		const { revision, digest } = this.opts.engines;
-		return { contactAgeMs: this.silentMs, revision, digest };
+		return { contactAgeMs: this.silentMs, revision, digest, dutyToken: 0 };
 	}
 
 	/** A peer that reads the store told of it: changes of engines are fetched unless this VM reads it too. */
--- /dev/null
+++ b/src/infra/relay/news-codec.ts
@@ -0,0 +1,130 @@
+/**
+ * News between VMs as MessagePack.
+ * @module
+ */
+import * as msgpack from '@msgpack/msgpack';
+import type { CostSums } from '../../core/engines/cost-model.js';
+import type { LineSums } from '../../core/engines/estimators.js';
+import type { NewsKind, PeerNews, StoreReader } from '../../core/fleet/types.js';
+import { newsKinds } from '../../core/fleet/types.js';
+import { messageFormat, messageTypes } from './message-types.js';
+import { RowError, type RowReader, toThousandths } from './row-reader.js';
+
+/** Kinds of news by the type of their message. */
+const kinds: Readonly<Record<number, NewsKind>> = {
+	[messageTypes.report]: newsKinds.report,
+	[messageTypes.group]: newsKinds.group,
+	[messageTypes.fleet]: newsKinds.fleet,
+};
+
+export function encodeNews(news: PeerNews): Uint8Array {
+	return msgpack.encode([
+		messageFormat,
+		messageTypes[news.kind],
+		news.from,
+		news.life,
+		news.seq,
+		news.configurationVersion,
+		news.address,
+		news.leaving,
+		Math.round(news.spacingMs),
+		news.vms,
+		[news.engines.from, news.engines.to],
+		news.work.map((item) => [item.engine, item.running, Math.round(item.promptTokens)]),
+		news.reads.map((item) => [item.part, item.engine, item.isDone]),
+		[toThousandths(news.demand.long), toThousandths(news.demand.short)],
+		news.readers.map(packReader),
+		news.heard.map((item) => [item.vm, item.seq]),
+		news.costs?.map(packCosts),
+	]);
+}
+
+/**
+ * @param type of the message
+ * @param row behind its type
+ * @throws RowError when the row is no news
+ */
+export function decodeNews(type: number, row: RowReader): PeerNews {
+	const kind = kinds[type];
+	if (kind === undefined) {
+		throw new RowError('a kind of news');
+	}
+	const news: PeerNews = {
+		kind,
+		from: row.text(),
+		life: row.number(),
+		seq: row.number(),
+		configurationVersion: row.number(),
+		address: row.text(),
+		leaving: row.flag(),
+		spacingMs: row.number(),
+		vms: row.number(),
+		engines: row.one((range) => ({ from: range.number(), to: range.number() })),
+		work: row.rows((item) => ({
+			engine: item.number(),
+			running: item.number(),
+			promptTokens: item.number(),
+		})),
+		reads: row.rows((item) => ({
+			part: item.number(),
+			engine: item.number(),
+			isDone: item.flag(),
+		})),
+		demand: row.one((item) => ({ long: item.thousandths(), short: item.thousandths() })),
+		readers: row.rows(readReader),
+		heard: row.rows((item) => ({ vm: item.number(), seq: item.number() })),
+		costs: row.optionalRows(readCosts),
+	};
+	row.end();
+	return news;
+}
+
+function packReader(reader: StoreReader): unknown[] {
+	const { address, contactAgeMs, revision, digest, dutyToken } = reader;
+	return [address, Math.round(contactAgeMs), revision, digest, dutyToken];
+}
+
+function readReader(row: RowReader): StoreReader {
+	return {
+		address: row.text(),
+		contactAgeMs: row.number(),
+		revision: row.number(),
+		digest: row.number(),
+		dutyToken: row.number(),
+	};
+}
+
+/** Sums as whole numbers: the weights are fractions, the rest is large. */
+function packLine({ weight, x, y, xx, xy }: LineSums): number[] {
+	return [toThousandths(weight), toThousandths(y), Math.round(x), Math.round(xx), Math.round(xy)];
+}
+
+function readLine(row: RowReader): LineSums {
+	const weight = row.thousandths();
+	const y = row.thousandths();
+	return { weight, y, x: row.number(), xx: row.number(), xy: row.number() };
+}
+
+function packCosts(sums: CostSums): unknown[] {
+	return [
+		sums.service,
+		packLine(sums.reading),
+		packLine(sums.copying),
+		toThousandths(sums.eventMs),
+		sums.eventWeight,
+		Math.round(sums.events),
+		Math.round(sums.expectedTokens),
+	];
+}
+
+function readCosts(row: RowReader): CostSums {
+	return {
+		service: row.number(),
+		reading: row.one(readLine),
+		copying: row.one(readLine),
+		eventMs: row.thousandths(),
+		eventWeight: row.number(),
+		events: row.number(),
+		expectedTokens: row.number(),
+	};
+}
--- /dev/null
+++ b/src/infra/relay/usage-codec.ts
@@ -0,0 +1,55 @@
+/**
+ * Counts of started requests between VMs as MessagePack.
+ * @module
+ */
+import * as msgpack from '@msgpack/msgpack';
+import type { UsageCounts, UsageTaken } from '../../core/duties/types.js';
+import { messageFormat, messageTypes } from './message-types.js';
+import type { RowReader } from './row-reader.js';
+
+/** Stands for a time that is not known. */
+const noTime = 0;
+
+export function encodeUsage(usage: UsageCounts): Uint8Array {
+	return msgpack.encode([
+		messageFormat,
+		messageTypes.usage,
+		usage.vm,
+		usage.life,
+		usage.address,
+		Math.round(usage.sentAt),
+		usage.window,
+		usage.total,
+		usage.isFinal,
+		usage.counts.map(({ customer, started }) => [customer, started]),
+	]);
+}
+
+/** @throws RowError when the row behind the type is none of counts */
+export function decodeUsage(row: RowReader): UsageCounts {
+	const usage: UsageCounts = {
+		vm: row.text(),
+		life: row.number(),
+		address: row.text(),
+		sentAt: row.number(),
+		window: row.number(),
+		total: row.number(),
+		isFinal: row.flag(),
+		counts: row.rows((item) => ({ customer: item.text(), started: item.number() })),
+	};
+	row.end();
+	return usage;
+}
+
+export function encodeUsageTaken({ life, window, total, time }: UsageTaken): Uint8Array {
+	const sent = time === undefined ? noTime : Math.round(time);
+	return msgpack.encode([messageFormat, messageTypes.usageTaken, life, window, total, sent]);
+}
+
+/** @throws RowError when the row behind the type is no such word */
+export function decodeUsageTaken(row: RowReader): UsageTaken {
+	const taken = { life: row.number(), window: row.number(), total: row.number() };
+	const time = row.number();
+	row.end();
+	return { ...taken, time: time === noTime ? undefined : time };
+}
--- a/src/platform/engines.ts
+++ b/src/platform/engines.ts
@@ -6,13 +6,21 @@
 import type { EngineEntry } from '../core/engines/types.js';
 import { keys } from './wire.js';
 
+/** Everything that an engine writes; an entry that lacks any of it, or has it in another form, is not an engine's. */
 const schema = zod.object({
-	service: zod.string(),
-	address: zod.string(),
-	zone: zod.string().default(''),
-	slots: zod.number().default(1),
-	state: zod.string().default('ready'),
-	'warmup-left-ms': zod.number().default(0),
+	service: zod.string().min(1),
+	address: zod.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected IP:PORT'),
+	zone: zod.string().min(1),
+	version: zod.string(),
+	slots: zod.int().positive(),
+	state: zod.enum(['ready', 'draining']),
+	'warmup-left-ms': zod.number().min(0),
+	/** Rises with each heartbeat. */
+	sequence: zod.int(),
+	/** Unix milliseconds of this start; the id may be that of an earlier one. */
+	born: zod.int().optional(),
+	/** It costs less and may be taken away at short notice. */
+	spot: zod.boolean().default(false),
 });
 
 /** Id of the engine that a key of the store belongs to. */
@@ -21,7 +29,7 @@
 }
 
 /**
- * @throws Error when the value is no registration
+ * @throws Error when the value is no engine's registration
  */
 export function decodeEngine(key: string, text: string): EngineEntry {
 	const raw = schema.parse(JSON.parse(text));
@@ -31,7 +39,9 @@
 		address: raw.address,
 		domain: raw.zone,
 		slots: raw.slots,
-		draining: raw.state !== 'ready',
+		draining: raw.state === 'draining',
 		warmupMs: raw['warmup-left-ms'],
+		bornAt: raw.born,
+		spot: raw.spot,
 	};
 }
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -22,6 +22,8 @@
 /** Watches hold a connection each, other calls share the rest. */
 const connections = 6;
 
+const utf8 = new TextDecoder('utf-8', { fatal: true });
+
 interface WireItem {
 	/** "Private key": just the key. */
 	'private-key': string;
@@ -207,12 +209,22 @@
 function toItem(raw: WireItem): StoreItem {
 	return {
 		key: raw['private-key'],
-		value: Buffer.from(raw.value, 'base64').toString(),
+		value: decodeValue(raw.value),
 		revision: raw.revision,
 		lease: raw['lease-id'],
 	};
 }
 
+/** Text of a value; empty when another writer left something that is no base64 of a text. */
+function decodeValue(raw: unknown): string {
+	try {
+		return utf8.decode(Buffer.from(String(raw), 'base64'));
+	} catch {
+		// Whoever decodes the empty text says what is wrong and where.
+		return '';
+	}
+}
+
 function toEvent(raw: WireEvent): StoreEvent {
 	return 'deleted' in raw && raw.deleted
 		? { kind: 'gone', key: raw['private-key'] }
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -45,6 +45,16 @@
 		And the registration of "a" ends
 		Then engines "b" are offered
 
+	Scenario: An engine that begins again under its id knows nothing of before
+		Given the fleet has 3 requests at "a"
+		When "a" begins again under its id
+		And news of 3 requests at the "a" before come late
+		Then the fleet has 0 requests at the "a" of now, and it is open
+
+	Scenario: What another writer leaves among the registrations names no engine
+		Then whatever another writer leaves under "b", engines "a, c" are offered
+		And whatever another writer leaves under "e", engines "a, b, c" are offered
+
 	Scenario: A VM learns from a peer which engines changed
 		Given a directory of engines "a, b, c"
 		And a peer with the same directory
@@ -104,6 +114,7 @@
 		Given news of work, reads, demand and costs
 		Then they are the same after encoding and decoding
 		And 1000 random datagrams are refused without an error
+		And a datagram of them with any field of another type is refused
 
 	Scenario: News that come due after the datagrams were closed are dropped
 		Given news of work, reads, demand and costs
--- a/test/steps/engine-costs.steps.ts
+++ b/test/steps/engine-costs.steps.ts
@@ -5,7 +5,8 @@
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
 import { CostModel } from '../../src/core/engines/cost-model.js';
-import { decode, encode } from '../../src/infra/relay/peer-datagrams.js';
+import { encodeNews } from '../../src/infra/relay/news-codec.js';
+import { newsIn } from '../../src/infra/relay/peer-datagrams.js';
 import { BatchEngine } from '../stand-ins/batch-engine.js';
 import { observed } from './observed-answer.js';
 import { news, seen, sequence } from './relay-fakes.js';
@@ -109,7 +110,7 @@
 cucumber.When('another VM starts and hears the news of the first', function (this: FleetWorld) {
 	const told = news({ costs: seen<CostModel>(this, 'model').export([]) });
 	const other = new CostModel();
-	other.take('vm-1', decode(encode(told))?.costs ?? []);
+	other.take('vm-1', newsIn(encodeNews(told))?.costs ?? []);
 	this.seen.set('other', other);
 });
 
--- a/test/steps/relay-fakes.ts
+++ b/test/steps/relay-fakes.ts
@@ -72,12 +72,25 @@
 }
 
 export function entry(id: string, slots = 48) {
-	const rest = { service: 'pool', domain: 'z', draining: false, warmupMs: 0 };
+	const rest = { service: 'pool', domain: 'z', draining: false, warmupMs: 0, spot: false };
 	return { id, address: `10.0.0.1:${id.length}`, slots, ...rest };
 }
 
-export function registration(id: string, revision: number) {
-	const value = JSON.stringify({ service: 'pool', address: '10.0.0.1:80', state: 'ready' });
+/** What an engine writes of itself. */
+export const registered = {
+	service: 'pool',
+	address: '10.0.0.1:80',
+	zone: 'z',
+	version: 'v1',
+	slots: 4,
+	state: 'ready',
+	'warmup-left-ms': 0,
+	sequence: 1,
+	born: 1_700_000_000_000,
+};
+
+export function registration(id: string, revision: number, part: Record<string, unknown> = {}) {
+	const value = JSON.stringify({ ...registered, ...part });
 	return { key: `${platform.keys.engines}${id}`, value, revision, lease: 0 };
 }
 
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -4,7 +4,9 @@
  */
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
+import * as msgpack from '@msgpack/msgpack';
 import fc from 'fast-check';
+import type { Engine } from '../../src/core/engines/engine.js';
 import { EngineDirectory } from '../../src/core/engines/engine-directory.js';
 import { FleetSize } from '../../src/core/fleet/fleet-size.js';
 import type { FleetView } from '../../src/core/fleet/fleet-view.js';
@@ -17,6 +19,7 @@
 import type { Store } from '../../src/core/store/definitions.js';
 import { StoreError, storeFailures } from '../../src/core/store/definitions.js';
 import { PrefixFollower } from '../../src/core/store/prefix-follower.js';
+import { encodeNews } from '../../src/infra/relay/news-codec.js';
 import * as datagrams from '../../src/infra/relay/peer-datagrams.js';
 import * as platform from '../../src/platform/index.js';
 import {
@@ -24,6 +27,7 @@
 	newFleet,
 	news,
 	newsOfWork,
+	registered,
 	registration,
 	seen,
 	silentLog,
@@ -44,14 +48,18 @@
 	},
 );
 
-function directory(world: FleetWorld, ids: string): EngineDirectory {
+function directory(
+	world: FleetWorld,
+	ids: string,
+	onGone: (engine: Engine) => void = () => {},
+): EngineDirectory {
 	const made = new EngineDirectory({
 		clock: clockOf(world),
 		log: silentLog,
 		decode: platform.decodeEngine,
 		idOf: platform.engineIdOf,
 		onAddressGone() {},
-		onGone() {},
+		onGone,
 		onRead() {},
 		onChanged() {},
 	});
@@ -64,6 +72,92 @@
 	this.seen.set('directory', directory(this, ids));
 });
 
+cucumber.Given('the fleet has {int} requests at {string}', fleetHas);
+
+function fleetHas(this: FleetWorld, count: number, id: string): void {
+	const fleet = newFleet(this);
+	const engines = directory(this, 'a, b', (engine) => fleet.engineGone(engine.key));
+	const [engine] = engines.offered('pool').filter((one) => one.id === id);
+	assert.ok(engine);
+	fleet.receive(newsOfWork(this, engine.key, count, { seq: 1 }));
+	assert.equal(fleet.workAt(engine.key).running, count);
+	this.seen.set('directory', engines);
+	this.seen.set('fleet', fleet);
+	this.seen.set('engine before', engine);
+}
+
+cucumber.When('{string} begins again under its id', function (this: FleetWorld, id: string) {
+	const item = registration(id, 2, { born: registered.born + 5000 });
+	const changes = { events: [{ kind: 'put' as const, item }], revision: 2 };
+	seen<EngineDirectory>(this, 'directory').changes(changes);
+});
+
+cucumber.When(
+	'news of {int} requests at the {string} before come late',
+	function (this: FleetWorld, count: number, id: string) {
+		const before = seen<Engine>(this, 'engine before');
+		assert.equal(before.id, id);
+		before.health.unreachable(clockOf(this).now);
+		seen<FleetView>(this, 'fleet').receive(newsOfWork(this, before.key, count, { seq: 2 }));
+	},
+);
+
+cucumber.Then(
+	'the fleet has {int} requests at the {string} of now, and it is open',
+	function (this: FleetWorld, count: number, id: string) {
+		const engines = seen<EngineDirectory>(this, 'directory');
+		const [engine] = engines.offered('pool').filter((one) => one.id === id);
+		assert.ok(engine);
+		assert.equal(seen<FleetView>(this, 'fleet').workAt(engine.key).running, count);
+		assert.ok(engine.health.admits(clockOf(this).now));
+		assert.ok(seen<Engine>(this, 'engine before').isGone);
+	},
+);
+
+/** What another writer may leave where an engine's registration is expected. */
+const foreignText = fc.oneof(
+	fc.string(),
+	fc.json(),
+	fc
+		.tuple(
+			fc.constantFrom(...Object.keys(registered)),
+			fc.oneof(fc.constant(undefined), fc.constant(null), fc.constant([]), fc.object()),
+		)
+		.map(([field, value]) => JSON.stringify({ ...registered, [field]: value }))
+		// An engine need not tell when it began.
+		.filter((text) => JSON.parse(text).born !== undefined),
+	fc
+		.constantFrom(
+			{ state: 'resting' },
+			{ slots: '4' },
+			{ slots: 0 },
+			{ address: 'a:1' },
+			{ born: 1.5 },
+			{ 'warmup-left-ms': -1 },
+			{ zone: '' },
+		)
+		.map((part) => JSON.stringify({ ...registered, ...part })),
+);
+
+cucumber.Then(
+	'whatever another writer leaves under {string}, engines {string} are offered',
+	function (this: FleetWorld, id: string, ids: string) {
+		fc.assert(
+			fc.property(foreignText, (value) => {
+				const engines = directory(this, 'a, b, c');
+				const item = { ...registration(id, 2), value };
+				engines.changes({ events: [{ kind: 'put' as const, item }], revision: 2 });
+				const offered = engines.offered('pool').map((engine) => engine.id);
+				assert.equal(offered.join(', '), ids);
+				const peer = directory(this, 'd');
+				assert.ok(peer.takeCopy(engines.export(0)));
+				assert.equal(peer.digest, engines.digest);
+			}),
+			{ numRuns: 300, seed: 11 },
+		);
+	},
+);
+
 cucumber.Given('a peer with the same directory', function (this: FleetWorld) {
 	const ids = seen<EngineDirectory>(this, 'directory').offered('pool');
 	this.seen.set('peer', directory(this, ids.map((engine) => engine.id).join(', ')));
@@ -291,7 +385,8 @@
 cucumber.Given('news of work, reads, demand and costs', function (this: FleetWorld) {
 	const work = [{ engine: 4_000_000_000, running: 3, promptTokens: 7000 }];
 	const reads = [{ part: 1, engine: 2, isDone: true }];
-	const readers = [{ address: '10.0.0.3:1', contactAgeMs: 250, revision: 12_345, digest: 77 }];
+	const store = { contactAgeMs: 250, revision: 12_345, digest: 77, dutyToken: 12_001 };
+	const readers = [{ address: '10.0.0.3:1', ...store }];
 	const engines = { from: 3_000_000_000, to: 2 ** 32 };
 	const heard = [{ vm: 4_000_000_001, seq: 70_000 }];
 	const line = { weight: 12.5, x: 4000, y: 130.25, xx: 9_000_000, xy: 800_000 };
@@ -314,20 +409,51 @@
 
 cucumber.Then('they are the same after encoding and decoding', function (this: FleetWorld) {
 	const told = seen<PeerNews>(this, 'news');
-	assert.deepEqual(datagrams.decode(datagrams.encode(told)), told);
+	assert.deepEqual(datagrams.newsIn(encodeNews(told)), told);
 });
 
 cucumber.Then('a closed sender of datagrams passes over them', async function (this: FleetWorld) {
-	const sender = new datagrams.PeerDatagrams(silentLog, () => {});
+	const sender = new datagrams.PeerDatagrams(silentLog, noListener);
 	await sender.bind({ host: '127.0.0.1', port: 0 });
 	sender.close();
-	sender.send([{ host: '127.0.0.1', port: 9 }], seen<PeerNews>(this, 'news'));
+	sender.sendNews([{ host: '127.0.0.1', port: 9 }], seen<PeerNews>(this, 'news'));
 });
 
+const noListener: datagrams.PeerListener = { news() {}, usage() {}, usageTaken() {} };
+
 cucumber.Then('{int} random datagrams are refused without an error', (count: number) => {
 	const bytes = fc.uint8Array({ maxLength: 200 });
 	fc.assert(
-		fc.property(bytes, (datagram) => datagrams.decode(datagram) === undefined),
+		fc.property(bytes, (datagram) => !datagrams.hand(datagram, noListener)),
 		{ numRuns: count, seed: 1 },
 	);
 });
+
+/** All places in nested lists, each as the way to it. */
+function placesOf(row: readonly unknown[], way: readonly number[] = []): number[][] {
+	return row.flatMap((value, at) => {
+		const place = [...way, at];
+		return [place, ...(Array.isArray(value) ? placesOf(value, place) : [])];
+	});
+}
+
+function replaceAt(
+	row: unknown[],
+	[at = 0, ...rest]: readonly number[],
+	value: unknown,
+): unknown[] {
+	const copy = [...row];
+	copy[at] = rest.length > 0 ? replaceAt(row[at] as unknown[], rest, value) : value;
+	return copy;
+}
+
+cucumber.Then(
+	'a datagram of them with any field of another type is refused',
+	function (this: FleetWorld) {
+		const row = msgpack.decode(encodeNews(seen<PeerNews>(this, 'news'))) as unknown[];
+		for (const place of placesOf(row)) {
+			const bytes = msgpack.encode(replaceAt(row, place, { of: 'another type' }));
+			assert.equal(datagrams.hand(bytes, noListener), false, place.join('.'));
+		}
+	},
+);
--- a/test/steps/relay-news.steps.ts
+++ b/test/steps/relay-news.steps.ts
@@ -265,7 +265,7 @@
 	const fleet = fleetOf(this);
 	fleet.run(1000);
 	const reader = memberOf(fleet);
-	reader.store = { contactAgeMs: 100, revision: 5, digest: 6 };
+	reader.store = { contactAgeMs: 100, revision: 5, digest: 6, dutyToken: 0 };
 	this.seen.set('reader', reader);
 });
 
--- a/test/steps/simulated-fleet.ts
+++ b/test/steps/simulated-fleet.ts
@@ -10,7 +10,8 @@
 import { NewsExchange } from '../../src/core/fleet/news-exchange.js';
 import type { PeerNews, StoreNews } from '../../src/core/fleet/types.js';
 import type { HostPort } from '../../src/core/relay/settings.js';
-import * as datagrams from '../../src/infra/relay/peer-datagrams.js';
+import { encodeNews } from '../../src/infra/relay/news-codec.js';
+import { newsIn } from '../../src/infra/relay/peer-datagrams.js';
 import { StepClock, sequence, silentLog } from './relay-fakes.js';
 
 const stepMs = 5;
@@ -161,7 +162,7 @@
 	}
 
 	private send(from: SimulatedVm, to: readonly HostPort[], news: PeerNews): void {
-		const bytes = datagrams.encode(news);
+		const bytes = encodeNews(news);
 		if (bytes.length > mostBytes) {
 			throw new Error(`${news.kind} of ${bytes.length} bytes`);
 		}
@@ -183,7 +184,7 @@
 		for (const { from, to, bytes } of due.sort((a, b) => a.at - b.at)) {
 			const vm = this.byAddress.get(to);
 			const isCut = vm?.side !== this.byAddress.get(from)?.side;
-			const news = datagrams.decode(bytes);
+			const news = newsIn(bytes);
 			if (vm?.isRunning && !isCut && news) {
 				vm.received++;
 				vm.exchange.receive(news);
