--- a/src/core/duties/engine-orders.ts
+++ b/src/core/duties/engine-orders.ts
@@ -12,8 +12,8 @@
 import type { DutyHolder } from './duty-holder.js';
 import type { DomainEngines, DomainPlan } from './engine-plan.js';
 import { planEngines } from './engine-plan.js';
-import type { EngineSizing } from './engine-sizing.js';
-import { PeakSizing } from './engine-sizing.js';
+import type { EngineSizing, SizingWay } from './engine-sizing.js';
+import { MostSizing, PeakSizing, sizingWays } from './engine-sizing.js';
 
 /** Between two looks at the plan, in milliseconds. */
 const lookMs = 250;
@@ -46,6 +46,7 @@
 	clock: Clock;
 	log: Log;
 	vm: string;
+	sizing: SizingWay;
 	/** Services whose engines may be ordered. */
 	services: () => readonly Service[];
 	/** Registered engines of a service. */
@@ -113,7 +114,7 @@
 		}
 		const engines = this.opts.engines(name);
 		this.noteFirst(name, neededFrom(engines, supply.domains.length));
-		const sizing = this.sizingOf(name);
+		const sizing = this.sizingOf(name, supply);
 		sizing.observe(this.opts.busyEngines(name), this.now);
 		const needed = sizing.needed(this.now);
 		if (needed === undefined) {
@@ -137,12 +138,20 @@
 		}
 	}
 
-	private sizingOf(service: string): EngineSizing {
-		const sizing = this.sizings.get(service) ?? new PeakSizing(() => this.first.get(service) ?? 0);
+	private sizingOf(service: string, supply: EngineSupply): EngineSizing {
+		const sizing = this.sizings.get(service) ?? this.newSizing(service, supply);
 		this.sizings.set(service, sizing);
 		return sizing;
 	}
 
+	private newSizing(service: string, supply: EngineSupply): EngineSizing {
+		if (this.opts.sizing === sizingWays.most) {
+			// All domains but the one that may be lost.
+			return new MostSizing(() => supply.most * Math.max(1, supply.domains.length - 1));
+		}
+		return new PeakSizing(() => this.first.get(service) ?? 0);
+	}
+
 	private present(
 		service: string,
 		domain: string,
--- a/src/core/duties/engine-sizing.ts
+++ b/src/core/duties/engine-sizing.ts
@@ -22,6 +22,28 @@
 	needed(now: number): number | undefined;
 }
 
+/** Ways to size; which one is a setting of ours. */
+export const sizingWays = {
+	/** By the greatest demand of late. */
+	peak: 'peak',
+	/** As many as may be ordered. */
+	most: 'most',
+} as const;
+export type SizingWay = (typeof sizingWays)[keyof typeof sizingWays];
+
+/** As many as may be ordered of the kind that may be taken away. */
+export class MostSizing implements EngineSizing {
+	constructor(private readonly most: () => number) {}
+
+	observe(): void {
+		// The number does not follow demand.
+	}
+
+	needed(): number {
+		return this.most();
+	}
+}
+
 /** As many as the greatest demand of late takes, with room for a burst. */
 export class PeakSizing implements EngineSizing {
 	private peak = 0;
--- a/src/daemon/relay/fleet-duties.ts
+++ b/src/daemon/relay/fleet-duties.ts
@@ -6,17 +6,21 @@
 import type { Clock, Log, Random } from '../../core/definitions.js';
 import type { DutyApi } from '../../core/duties/definitions.js';
 import { DutyHolder } from '../../core/duties/duty-holder.js';
+import { EngineOrders } from '../../core/duties/engine-orders.js';
+import type { SizingWay } from '../../core/duties/engine-sizing.js';
 import { FleetClock } from '../../core/duties/fleet-clock.js';
 import type { UsageCounts, UsageTaken } from '../../core/duties/types.js';
 import { UsageCollector } from '../../core/duties/usage-collector.js';
 import { UsageCounter } from '../../core/duties/usage-counter.js';
 import { UsageReporter } from '../../core/duties/usage-reporter.js';
 import { UsageSender } from '../../core/duties/usage-sender.js';
+import type { EngineDirectory } from '../../core/engines/engine-directory.js';
 import { parseAddress } from '../../core/fleet/aggregator-selection.js';
 import type { FleetView } from '../../core/fleet/fleet-view.js';
 import { freshContactMs } from '../../core/fleet/reader-selection.js';
 import type { DutySettings, HostPort } from '../../core/relay/settings.js';
 import type { UsageCount } from '../../core/relay/types.js';
+import type { Service } from '../../core/routing/types.js';
 import type { Store } from '../../core/store/definitions.js';
 import type { StoreReading } from './store-reading.js';
 
@@ -31,6 +35,7 @@
 
 export interface FleetDutiesOptions {
 	settings: DutySettings;
+	sizing: SizingWay;
 	vm: string;
 	/** Tells this process from an earlier one of the same VM. */
 	life: number;
@@ -43,8 +48,11 @@
 	log: Log;
 	keys: { holder: string; reports: string };
 	fleet: FleetView;
+	engines: EngineDirectory;
 	reading: () => StoreReading;
 	messages: () => UsageMessages;
+	/** Services of the configuration in force. */
+	services: () => readonly Service[];
 	registeredVms: () => number | undefined;
 	/** Names of those VMs. */
 	vmNames: () => readonly string[];
@@ -60,6 +68,7 @@
 	private readonly sender: UsageSender;
 	private readonly collector: UsageCollector;
 	private readonly reporter: UsageReporter;
+	private readonly orders: EngineOrders;
 	/** Windows reported in time and not, and orders that the platform took, since the start. */
 	readonly totals = { reported: 0, missed: 0, orders: 0 };
 
@@ -105,6 +114,19 @@
 			onReported: () => this.totals.reported++,
 			onMissed: () => this.totals.missed++,
 		});
+		this.orders = new EngineOrders({
+			api,
+			holder: this.holder,
+			clock,
+			log,
+			vm,
+			sizing: opts.sizing,
+			services: () => opts.services().filter(({ supply }) => supply !== undefined),
+			engines: (service) => this.enginesOf(service),
+			busyEngines: (service) => this.busyEngines(service),
+			isUpToDate: () => this.isUpToDate,
+			onOrdered: () => this.totals.orders++,
+		});
 	}
 
 	/** The token under which this VM acts for the fleet; undefined while it does not. */
@@ -137,6 +159,9 @@
 			this.setClockRight();
 			await this.reporter.update();
 		}
+		if (settings.ordersEngines) {
+			await this.orders.update();
+		}
 	}
 
 	/** Another VM, or this one, tells what it counted. */
@@ -196,4 +221,36 @@
 		}
 		return isSet;
 	}
+
+	private enginesOf(service: string) {
+		const entries = [...this.opts.engines.all()].map(({ entry }) => entry);
+		return entries.filter((entry) => entry.service === service);
+	}
+
+	/** Demand of the fleet, by the requests that run at the service's engines. */
+	private busyEngines(service: string): number {
+		const { fleet, engines } = this.opts;
+		const { long, short } = fleet.demand();
+		let running = 0;
+		let ofService = 0;
+		for (const engine of engines.all()) {
+			if (this.hasModel(engine.entry.service)) {
+				const work = Math.max(0, fleet.workAt(engine.key).running);
+				running += work;
+				ofService += engine.entry.service === service ? work : 0;
+			}
+		}
+		return running === 0 ? 0 : ((long + short) * ofService) / running;
+	}
+
+	private hasModel(service: string): boolean {
+		return this.opts.services().some(({ name, model }) => name === service && model !== undefined);
+	}
+
+	/** Of a fleet of which it hears less than half, a VM knows too little to order for it. */
+	private get isUpToDate(): boolean {
+		const { fleet, registeredVms, reading } = this.opts;
+		const hearsFleet = fleet.size * 2 >= (registeredVms() ?? Number.POSITIVE_INFINITY);
+		return hearsFleet && reading().isUpToDate;
+	}
 }
--- a/src/daemon/relay/main.ts
+++ b/src/daemon/relay/main.ts
@@ -6,6 +6,8 @@
 import * as fs from 'node:fs';
 import * as util from 'node:util';
 import type { Log } from '../../core/definitions.js';
+import type { SizingWay } from '../../core/duties/engine-sizing.js';
+import { sizingWays } from '../../core/duties/engine-sizing.js';
 import * as errors from '../../core/errors/index.js';
 import type { RelaySettings } from '../../core/relay/settings.js';
 import { BoundedWriter } from '../../infra/bounded-writer.js';
@@ -16,7 +18,7 @@
 import { RelayDaemon } from './relay-daemon.js';
 
 /** Exit codes, by the custom of sysexits. */
-const exitCodes = { ok: 0, failed: 1, unreadable: 66, configuration: 78 } as const;
+const exitCodes = { ok: 0, failed: 1, usage: 64, unreadable: 66, configuration: 78 } as const;
 const defaultFile = '/etc/slategauge/local.json';
 const standardOutput = 1;
 /** The promises of `node:fs` load a dozen modules that the daemon needs for nothing else. */
@@ -28,6 +30,8 @@
 		options: {
 			/** Port that serves metrics; without it the last of the platform's free ports. */
 			'metrics-port': { type: 'string' },
+			/** How many engines are ordered: `peak` (by the greatest demand of late) or `most` (all there may be). */
+			'engine-sizing': { type: 'string', default: sizingWays.peak },
 			/** Checks the settings, tells all findings and ends. */
 			check: { type: 'boolean' },
 		},
@@ -35,6 +39,7 @@
 	});
 	const file = args.positionals[0] ?? process.env.SLATEGAUGE_SETTINGS ?? defaultFile;
 	const settings = await load(file, args.values['metrics-port']);
+	const sizing = sizingOf(args.values['engine-sizing']);
 	if (args.values.check) {
 		process.stdout.write(`${file}: no findings\n`);
 		return;
@@ -47,7 +52,7 @@
 	});
 	const log = new BudgetedLog(lines, new SystemClock());
 	const linesDropped = () => writer.droppedTotal + log.leftOutTotal;
-	const daemon = new RelayDaemon(settings, log, linesDropped);
+	const daemon = new RelayDaemon(settings, log, linesDropped, sizing);
 	await daemon.start();
 	const onStop = () => void stop(daemon, writer);
 	process.on('SIGTERM', onStop);
@@ -55,6 +60,17 @@
 	process.on('SIGHUP', () => void reload(daemon, file, log));
 }
 
+/** A way that does not exist ends the start, with the ways that do. */
+function sizingOf(name: string): SizingWay {
+	const way = Object.values(sizingWays).find((known) => known === name);
+	if (way === undefined) {
+		const known = Object.values(sizingWays).join(', ');
+		process.stderr.write(`--engine-sizing ${name}: expected one of ${known}\n`);
+		process.exit(exitCodes.usage);
+	}
+	return way;
+}
+
 async function stop(daemon: RelayDaemon, writer: BoundedWriter): Promise<void> {
 	await daemon.stop();
 	await writer.drain();
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -4,6 +4,8 @@
  */
 import type * as http from 'node:http';
 import type { Log } from '../../core/definitions.js';
+import type { SizingWay } from '../../core/duties/engine-sizing.js';
+import { sizingWays } from '../../core/duties/engine-sizing.js';
 import { CostModel } from '../../core/engines/cost-model.js';
 import { EngineDirectory } from '../../core/engines/engine-directory.js';
 import { EnginePlacement } from '../../core/engines/placement.js';
@@ -82,6 +84,7 @@
 		private readonly log: Log,
 		/** Log lines that were not written, since the start. */
 		linesDropped: () => number,
+		sizing: SizingWay = sizingWays.peak,
 	) {
 		const { clock, random, transport } = this;
 		this.store = new platform.PlatformStore(settings.store.address);
@@ -172,6 +175,7 @@
 			});
 			this.duties = new FleetDuties({
 				settings: settings.duties,
+				sizing,
 				vm: settings.vm.id,
 				life,
 				address,
@@ -182,8 +186,10 @@
 				log,
 				keys: { holder: platform.keys.dutyHolder, reports: platform.keys.usageReports },
 				fleet: this.fleet,
+				engines: this.engines,
 				reading: () => this.reading,
 				messages: () => this.peers,
+				services: () => this.configuration.table?.configuration.services ?? [],
 				registeredVms: () => this.registry.size,
 				vmNames: () => this.registry.names,
 				onChanged: () => this.peers.announce(),
--- a/test/steps/engine-orders.steps.ts
+++ b/test/steps/engine-orders.steps.ts
@@ -62,6 +62,7 @@
 			clock: { monotonic: () => this.time.now, wall: () => this.time.now },
 			log: silentLog,
 			vm: 'vm-1',
+			sizing: 'peak',
 			services: () => [{ name: 'pool', healthPath: '/', maxConnections: 1, supply }],
 			engines: () => this.engines.filter((engine) => this.isRegistered(engine)),
 			busyEngines: () => this.demand,
