A VM that is gone is waited for during two windows, not as long as it stays registered

Ruled out: counts that were lost (all were there). Change: a VM that the holder has not heard for two windows is not waited for.

--- a/src/core/duties/usage-collector.ts
+++ b/src/core/duties/usage-collector.ts
@@ -19,8 +19,9 @@
 export class UsageCollector {
 	/** By window, then by VM and process. */
 	private readonly windows = new Map<number, Map<string, Counted>>();
-	/** The newest process of each VM. */
+	/** The newest process of each VM, and when it was heard last, in Unix milliseconds. */
 	private readonly lives = new Map<string, number>();
+	private readonly heardAt = new Map<string, number>();
 	/** How much later each VM thinks it is, in milliseconds. */
 	private readonly clockDifferences = new Map<string, number>();
 
@@ -33,6 +34,7 @@
 	 */
 	take(usage: UsageCounts): UsageTaken {
 		this.lives.set(usage.vm, usage.life);
+		this.heardAt.set(usage.vm, this.time());
 		this.clockDifferences.set(usage.vm, usage.sentAt - this.time());
 		const counted = this.countedOf(usage);
 		counted.total = Math.max(counted.total, usage.total);
@@ -68,10 +70,15 @@
 	/**
 	 * Whether these VMs have told all that they counted. One that began again tells nothing more of its life before, and
 	 * nothing of windows before that; one that is cut off may still come.
+	 * @param silentMs a VM that was not heard for so long is not waited for
 	 */
-	isComplete(window: number, vms: readonly string[]): boolean {
+	isComplete(window: number, vms: readonly string[], silentMs: number): boolean {
 		const ofWindow = this.windows.get(window);
+		const silentSince = this.time() - silentMs;
 		return vms.every((vm) => {
+			if ((this.heardAt.get(vm) ?? 0) < silentSince) {
+				return true;
+			}
 			const life = this.lives.get(vm);
 			const counted = ofWindow?.get(`${vm} ${life}`);
 			if (!counted) {
--- a/src/core/duties/usage-reporter.ts
+++ b/src/core/duties/usage-reporter.ts
@@ -18,6 +18,11 @@
  * of a second, and tell again after half a second what was lost. Before, it takes its own counts for all there are.
  */
 const hearsAllMs = 2000;
+/**
+ * VMs tell what they counted at least once a window: one that was silent for so many is dead, or cut off for longer than its
+ * counts can be waited for. Its registration outlives it by some twenty seconds.
+ */
+const silentWindows = 2;
 /** Counts are on their way for so long after the end of a window, in milliseconds. */
 const settleMs = 150;
 /**
@@ -116,10 +121,14 @@
 	private nextWindow(): number | undefined {
 		const { collector, windowMs, delayMs } = this.opts;
 		const now = this.opts.time();
-		const hearsAll = this.heldForMs > hearsAllMs;
+		const { heldForMs } = this;
+		// Since it holds the duty, it would have heard every VM that lives.
+		const silentMs = windowMs * silentWindows < heldForMs ? windowMs * silentWindows : Infinity;
+		const vms = this.opts.vms();
+		const isComplete = (window: number) => collector.isComplete(window, vms, silentMs);
 		for (const window of collector.known) {
 			const agoMs = now - (window + 1) * windowMs;
-			const isReady = hearsAll && agoMs > settleMs && collector.isComplete(window, this.opts.vms());
+			const isReady = heldForMs > hearsAllMs && agoMs > settleMs && isComplete(window);
 			const isLate = agoMs > Math.max(settleMs, delayMs - reportingMs);
 			if (this.isOpen(window) && (isReady || isLate)) {
 				return window;
--- a/test/features/duties.feature
+++ b/test/features/duties.feature
@@ -35,6 +35,13 @@
 		And 20 seconds go by
 		Then every window that is over for 9 seconds was reported within 0 of 100
 
+	Scenario: A VM that is gone for good is not waited for as long as it stays registered
+		Given 8 VMs that share a duty
+		When 12 seconds go by
+		And a VM that does not hold the duty is killed
+		And 26 seconds go by
+		Then every window that is over for 2 seconds was reported within 14 of 100
+
 	Scenario: A holder that wakes late is refused, stops, and does not come again under its token
 		Given 8 VMs that share a duty
 		When 12 seconds go by
--- a/test/steps/duties.steps.ts
+++ b/test/steps/duties.steps.ts
@@ -69,6 +69,13 @@
 	troubles[trouble]?.(fleet, holder);
 });
 
+cucumber.When('a VM that does not hold the duty is killed', function (this: FleetWorld) {
+	const fleet = dutiesOf(this);
+	const other = fleet.running.find((vm) => vm !== fleet.holder);
+	assert.ok(other);
+	other.isRunning = false;
+});
+
 cucumber.When('the holder’s cut ends', function (this: FleetWorld) {
 	seen<DutyVm>(this, 'holder').isCutOff = false;
 });
