--- a/src/core/duties/engine-orders.ts
+++ b/src/core/duties/engine-orders.ts
@@ -12,7 +12,7 @@
 import type { DutyHolder } from './duty-holder.js';
 import type { DomainEngines, DomainPlan } from './engine-plan.js';
 import { planEngines } from './engine-plan.js';
-import type { EngineSizing, SizingWay } from './engine-sizing.js';
+import type { EngineNeed, EngineSizing, SizingWay } from './engine-sizing.js';
 import { MostSizing, PeakSizing, sizingWays } from './engine-sizing.js';
 
 /** Between two looks at the plan, in milliseconds. */
@@ -116,16 +116,16 @@
 		this.noteFirst(name, neededFrom(engines, supply.domains.length));
 		const sizing = this.sizingOf(name, supply);
 		sizing.observe(this.opts.busyEngines(name), this.now);
-		const needed = sizing.needed(this.now);
-		if (needed === undefined) {
+		const need = sizing.need(this.now);
+		if (need === undefined) {
 			return;
 		}
 		const present = supply.domains.map((domain) =>
 			this.present(name, domain.name, engines, supply),
 		);
-		for (const plan of planEngines(needed, supply, present)) {
+		for (const plan of planEngines(need, supply, present)) {
 			const here = present.find(({ domain }) => domain === plan.domain);
-			if (here && !(await this.orderIn(name, supply, plan, here, needed))) {
+			if (here && !(await this.orderIn(name, supply, plan, here, need))) {
 				return;
 			}
 		}
@@ -145,11 +145,12 @@
 	}
 
 	private newSizing(service: string, supply: EngineSupply): EngineSizing {
+		const first = () => this.first.get(service) ?? 0;
 		if (this.opts.sizing === sizingWays.most) {
 			// All domains but the one that may be lost.
-			return new MostSizing(() => supply.most * Math.max(1, supply.domains.length - 1));
+			return new MostSizing(first, supply.most * Math.max(1, supply.domains.length - 1));
 		}
-		return new PeakSizing(() => this.first.get(service) ?? 0);
+		return new PeakSizing(first);
 	}
 
 	private present(
@@ -186,7 +187,7 @@
 		supply: EngineSupply,
 		plan: DomainPlan,
 		here: DomainEngines,
-		needed: number,
+		need: EngineNeed,
 	): Promise<boolean> {
 		const { domain } = plan;
 		const kinds = [
@@ -195,7 +196,7 @@
 		];
 		for (const { spot, count, serving } of kinds) {
 			const order = { service, domain, spot, count };
-			if (this.isDue(order, serving, supply) && !(await this.give(order, serving, needed))) {
+			if (this.isDue(order, serving, supply) && !(await this.give(order, serving, need))) {
 				return false;
 			}
 		}
@@ -245,7 +246,7 @@
 	}
 
 	/** @returns false when nothing more should be ordered for now */
-	private async give(order: EngineOrder, serving: number, needed: number): Promise<boolean> {
+	private async give(order: EngineOrder, serving: number, need: EngineNeed): Promise<boolean> {
 		const { api, holder, vm, log } = this.opts;
 		const { service, domain, spot, count } = order;
 		const key = keyOf(service, domain, spot);
@@ -261,7 +262,7 @@
 		const answer = await api.orderEngines({ vm, token }, order);
 		await holder.answered(answer !== dutyAnswers.unknown);
 		const busy = Number(this.opts.busyEngines(service).toFixed(1));
-		const fields = { service, domain, spot, count, serving, needed, busy, token, answer };
+		const fields = { service, domain, spot, count, serving, ...need, busy, token, answer };
 		log.info('engines.ordered', fields);
 		if (answer === dutyAnswers.done) {
 			this.ordered.set(key, { count, at: this.now, served: serving, isTaken: true });
--- a/src/core/duties/engine-plan.ts
+++ b/src/core/duties/engine-plan.ts
@@ -7,12 +7,7 @@
  * @module
  */
 import type { EngineSupply } from '../routing/types.js';
-
-/**
- * With this share of the engines that there should be, all work is still done as it comes, without room for a burst: four
- * to five times the price is paid only for what is missing to it.
- */
-const urgentShare = 0.6;
+import type { EngineNeed } from './engine-sizing.js';
 
 /** Engines of one service in one failure domain. */
 export interface DomainEngines {
@@ -34,17 +29,15 @@
 	regular: number;
 }
 
-/**
- * @param needed engines that should serve, wherever they are
- * @param now one entry a domain
- */
+/** @param now one entry a domain */
 export function planEngines(
-	needed: number,
+	need: EngineNeed,
 	supply: EngineSupply,
 	now: readonly DomainEngines[],
 ): DomainPlan[] {
-	const spot = spotOf(needed, supply, now);
-	const regular = regularOf(needed, supply, now);
+	const spot = spotOf(need.wanted, supply, now);
+	const isOnlyKind = supply.spotPrice >= 1;
+	const regular = regularOf(isOnlyKind ? need.wanted : need.required, supply, now);
 	return now.map(({ domain }, at) => {
 		const spotHere = spot[at] ?? 0;
 		const regularHere = regular[at] ?? 0;
@@ -55,15 +48,15 @@
 }
 
 /** Spread evenly, with room for the loss of a domain; a dry one keeps what it has, and the others take its share. */
-function spotOf(needed: number, supply: EngineSupply, now: readonly DomainEngines[]): number[] {
+function spotOf(wanted: number, supply: EngineSupply, now: readonly DomainEngines[]): number[] {
 	if (supply.spotPrice >= 1) {
 		return now.map(() => 0);
 	}
 	const domains = now.length;
-	const wanted = Math.ceil((needed * domains) / Math.max(1, domains - 1));
+	const withRoom = Math.ceil((wanted * domains) / Math.max(1, domains - 1));
 	const dry = now.filter(({ isSpotDry }) => isSpotDry);
 	const kept = dry.reduce((sum, { spot }) => sum + spot, 0);
-	const each = Math.ceil(Math.max(0, wanted - kept) / Math.max(1, domains - dry.length));
+	const each = Math.ceil(Math.max(0, withRoom - kept) / Math.max(1, domains - dry.length));
 	return now.map(({ spot, regular, isSpotDry }) => {
 		const room = Math.max(0, supply.most - regular);
 		return Math.min(isSpotDry ? spot : each, room);
@@ -74,12 +67,16 @@
  * Of the others: as many as are missing. Those that are there stay until enough of the cheaper ones serve; more are
  * ordered only for what those that boot will not make up for.
  */
-function regularOf(needed: number, supply: EngineSupply, now: readonly DomainEngines[]): number[] {
+function regularOf(
+	required: number,
+	supply: EngineSupply,
+	now: readonly DomainEngines[],
+): number[] {
 	const serving = now.reduce((sum, { spot }) => sum + spot, 0);
 	const booting = now.reduce((sum, one) => sum + (one.isSpotDry ? 0 : one.spotBooting), 0);
 	const present = now.reduce((sum, one) => sum + one.regular + one.regularBooting, 0);
-	const most = Math.max(0, needed - serving);
-	const least = Math.max(0, Math.ceil(needed * urgentShare) - serving - booting);
+	const most = Math.max(0, required - serving);
+	const least = Math.max(0, most - booting);
 	const wanted = Math.min(Math.max(present, least), most);
 	return share(wanted, supply, now);
 }
