The loop's delay is taken from the daemon's own timer; the duty is looked at with it

Cause: the runtime's monitor of the loop wakes each VM 50 times a second, and the look at the duty did ten times more. Change: the tick that runs anyway tells how late it was, and steps the duty.

--- a/src/core/duties/duty-holder.ts
+++ b/src/core/duties/duty-holder.ts
@@ -15,8 +15,6 @@
 const renewalsEach = 3;
 /** Part of the lease that is not counted on, for clocks that run apart. */
 const marginShare = 0.1;
-/** Time between two looks, in milliseconds. */
-const lookMs = 100;
 /** Time between two questions who holds the duty while nobody is heard of, in milliseconds. */
 const askMs = 400;
 /** Each VM ready to take over waits so much longer than the one ranked before it, in milliseconds: as news take. */
@@ -68,12 +66,12 @@
 	isCutOff: () => boolean;
 	/** This VM took the duty, or lost it. */
 	onChanged: () => void;
-	sleep: (ms: number) => Promise<void>;
 }
 
 export class DutyHolder {
 	private held?: Held;
 	private stopped = false;
+	private isBusy = false;
 	/** Since when nobody is heard of that holds the duty, in monotonic milliseconds. */
 	private vacantSince?: number;
 	private askAt = Number.NEGATIVE_INFINITY;
@@ -104,18 +102,21 @@
 		return this.held !== undefined && this.now < this.held.validUntil;
 	}
 
-	/** Takes, renews and loses the duty until stopped. */
-	async keep(): Promise<void> {
-		while (!this.stopped) {
-			try {
-				await this.step();
-			} catch (err) {
-				if (!(err instanceof StoreError)) {
-					throw err;
-				}
-				this.failed(err);
+	/** Takes, renews and loses the duty; called several times a second. Rejects only by a defect. */
+	async update(): Promise<void> {
+		if (this.isBusy || this.stopped) {
+			return;
+		}
+		this.isBusy = true;
+		try {
+			await this.step();
+		} catch (err) {
+			if (!(err instanceof StoreError)) {
+				throw err;
 			}
-			await this.opts.sleep(lookMs);
+			this.failed(err);
+		} finally {
+			this.isBusy = false;
 		}
 	}
 
--- a/src/daemon/relay/fleet-duties.ts
+++ b/src/daemon/relay/fleet-duties.ts
@@ -58,7 +58,6 @@
 	vmNames: () => readonly string[];
 	/** Something that the other VMs should know at once. */
 	onChanged: () => void;
-	sleep: (ms: number) => Promise<void>;
 }
 
 export class FleetDuties implements UsageCount {
@@ -91,7 +90,6 @@
 			isCutOff: () => opts.fleet.size === 1 && (opts.registeredVms() ?? 1) > 1,
 			heardToken: () => opts.fleet.dutyHolder(freshContactMs)?.dutyToken,
 			onChanged: opts.onChanged,
-			sleep: opts.sleep,
 		});
 		this.counter = new UsageCounter({ windowMs, keptMs: delayMs * keptDelays, time });
 		this.collector = new UsageCollector(time);
@@ -134,11 +132,6 @@
 		return this.holder.token;
 	}
 
-	/** Takes, renews and loses the duty until stopped. */
-	keep(): Promise<void> {
-		return this.holder.keep();
-	}
-
 	/** This VM stops: another may take the duty at once. */
 	release(): Promise<void> {
 		return this.holder.release();
@@ -154,14 +147,16 @@
 	async update(): Promise<void> {
 		const { settings } = this.opts;
 		this.time.update();
+		const due = [this.holder.update()];
 		if (settings.reportsUsage) {
 			this.sender.update(this.holderAddress);
 			this.setClockRight();
-			await this.reporter.update();
+			due.push(this.reporter.update());
 		}
 		if (settings.ordersEngines) {
-			await this.orders.update();
+			due.push(this.orders.update());
 		}
+		await Promise.all(due);
 	}
 
 	/** Another VM, or this one, tells what it counted. */
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -76,6 +76,7 @@
 	private readonly metricsServer: http.Server;
 	private readonly timers: NodeJS.Timeout[] = [];
 	private readonly startedAt = this.clock.monotonic();
+	private tickedAt = this.startedAt;
 	/** When the stop signal came, in monotonic milliseconds. */
 	private stoppingAt?: number;
 
@@ -193,7 +194,6 @@
 				registeredVms: () => this.registry.size,
 				vmNames: () => this.registry.names,
 				onChanged: () => this.peers.announce(),
-				sleep,
 			});
 		}
 		this.budget = new RetryBudget(settings.retries, () =>
@@ -254,9 +254,7 @@
 		await listenOn(this.front.server, callers.host, callers.port);
 		await listenOn(this.readiness, readiness.host, readiness.port);
 		this.runForever(this.registry.keep());
-		if (this.duties) {
-			this.runForever(this.duties.keep());
-		}
+		this.tickedAt = this.clock.monotonic();
 		this.timers.push(setInterval(() => this.tick(), tickMs));
 		this.timers.push(setInterval(() => this.fleet.sweep(), peerSweepMs));
 		this.timers.push(setInterval(() => this.costReport.write(), costReportMs));
@@ -313,6 +311,7 @@
 	}
 
 	private tick(): void {
+		this.noteDelay();
 		this.peers.update();
 		this.reading.update();
 		this.engines.sweep();
@@ -322,6 +321,12 @@
 		}
 	}
 
+	private noteDelay(): void {
+		const now = this.clock.monotonic();
+		this.metrics.delayed(Math.max(0, now - this.tickedAt - tickMs));
+		this.tickedAt = now;
+	}
+
 	/** An error that is no failure of the store is a defect: the process ends and is started anew. */
 	private runForever(loop: Promise<void>): void {
 		loop.catch((err: Error) => {
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -3,7 +3,6 @@
  * services come from the configuration, outcomes and statuses from the code.
  * @module
  */
-import * as perfHooks from 'node:perf_hooks';
 import * as prometheus from 'prom-client';
 import type { CostFigures } from '../../core/engines/work-estimate.js';
 import type { RelayMetrics } from '../../core/relay/metrics.js';
@@ -45,7 +44,8 @@
 
 export class PrometheusMetrics implements RelayMetrics {
 	private readonly registry = new prometheus.Registry();
-	private readonly delay = perfHooks.monitorEventLoopDelay({ resolution: 20 });
+	/** Largest delay of the loop since it was last asked for, in milliseconds. */
+	private delayMs = 0;
 	private readonly endedTotal = this.counter(
 		'slategauge_requests_total',
 		'Requests that ended, by route and outcome',
@@ -76,7 +76,6 @@
 	);
 
 	constructor(gauges: RelayGauges) {
-		this.delay.enable();
 		this.gauge('slategauge_open_requests', 'Requests that have not ended', gauges.open);
 		this.gauge('slategauge_fleet_vms', 'VMs heard of in the last second', gauges.peers);
 		this.gauge(
@@ -96,8 +95,8 @@
 			gauges.logLinesDropped,
 		);
 		this.gauge('slategauge_event_loop_delay_seconds', 'Largest delay since last asked', () => {
-			const worst = this.delay.max / 1e9;
-			this.delay.reset();
+			const worst = this.delayMs / 1000;
+			this.delayMs = 0;
 			return worst;
 		});
 		this.gauge(
@@ -163,6 +162,14 @@
 		this.closedTotal.inc();
 	}
 
+	/**
+	 * The daemon's own timer fired so much late, in milliseconds. A monitor of the runtime's would wake the process 50 times a
+	 * second for it, which at rest is as often as everything else together.
+	 */
+	delayed(ms: number): void {
+		this.delayMs = Math.max(this.delayMs, ms);
+	}
+
 	/** All figures as text. */
 	render(): Promise<string> {
 		return this.registry.metrics();
--- a/test/steps/simulated-duties.ts
+++ b/test/steps/simulated-duties.ts
@@ -81,7 +81,6 @@
 		vm.life = ++this.lives;
 		vm.isRunning = true;
 		Object.assign(vm, this.partsOf(vm));
-		void vm.holder.keep();
 	}
 
 	/** A request of a customer begins at the VM now. */
@@ -107,6 +106,7 @@
 				if (traffic && this.next() < 0.3) {
 					this.begin(vm, `customer-${Math.floor(this.next() * 3)}`);
 				}
+				void vm.holder.update();
 				vm.sender.update(this.holderSeenBy(vm)?.name);
 				void vm.reporter.update();
 			}
@@ -118,15 +118,6 @@
 		const clock = { monotonic: () => time.now, wall: () => this.wall };
 		const fleetClock = new FleetClock(clock);
 		const { life, name } = vm;
-		const isCurrent = () => vm.isRunning && vm.life === life;
-		const sleep = async (ms: number) => {
-			do {
-				await time.sleep(ms);
-			} while (vm.isFrozen && isCurrent());
-			if (!isCurrent()) {
-				await new Promise(() => {});
-			}
-		};
 		const ownStore = store.seenBy(name);
 		const holder = new DutyHolder({
 			store: ownStore,
@@ -141,7 +132,6 @@
 			isCutOff: () => vm.isCutOff,
 			heardToken: () => this.tokenHeardBy(vm),
 			onChanged: () => {},
-			sleep,
 		});
 		const now = () => time.now;
 		const wall = () => fleetClock.now();
