A request whose caller hung up while the VM was busy is not passed on

Ruled out: connections to engines that come up late (an abort before the first byte sends nothing). Change: while the loop is late by 100 ms, a request is handed on two turns later, unless its caller's end has come by then. The scenario (a request and the hang-up before the loop turns) fails before and passes now. Tried and not enough: one turn, and the answer's own word that it is closed, which comes later still.

--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -34,6 +34,8 @@
 
 /** Time between two looks at what is due, in milliseconds. */
 const tickMs = 100;
+/** Callers may have left meanwhile when the loop is so late, in milliseconds: a quarter of the shortest time they wait. */
+const lateMs = 100;
 /** Time between two looks for silent peers, in milliseconds. */
 const peerSweepMs = 1000;
 /**
@@ -77,6 +79,7 @@
 	private readonly timers: NodeJS.Timeout[] = [];
 	private readonly startedAt = this.clock.monotonic();
 	private tickedAt = this.startedAt;
+	private lastDelayMs = 0;
 	/** When the stop signal came, in monotonic milliseconds. */
 	private stoppingAt?: number;
 
@@ -237,6 +240,7 @@
 			clock,
 			log,
 			decode: platform.decodeRequest,
+			isLate: () => this.delayMs > lateMs,
 			handle: (req, res) => this.relay.handle(req, res),
 		});
 		this.readiness = createReadinessServer(() => this.isReady());
@@ -321,10 +325,17 @@
 		}
 	}
 
+	/** How late the loop is: the tick that is due, or the last one. */
+	private get delayMs(): number {
+		const sinceMs = this.clock.monotonic() - this.tickedAt;
+		return Math.max(0, sinceMs - tickMs, this.lastDelayMs);
+	}
+
 	private noteDelay(): void {
 		const now = this.clock.monotonic();
-		this.metrics.delayed(Math.max(0, now - this.tickedAt - tickMs));
+		this.lastDelayMs = Math.max(0, now - this.tickedAt - tickMs);
 		this.tickedAt = now;
+		this.metrics.delayed(this.lastDelayMs);
 	}
 
 	/** An error that is no failure of the store is a defect: the process ends and is started anew. */
--- a/src/infra/relay/callers-front.ts
+++ b/src/infra/relay/callers-front.ts
@@ -33,6 +33,8 @@
 	clock: Clock;
 	log: Log;
 	decode: RequestDecoder;
+	/** Whether the loop is so late that callers may have left meanwhile. */
+	isLate: () => boolean;
 	handle: (req: CallerRequest, res: CallerResponse) => void;
 }
 
@@ -98,7 +100,9 @@
 			refuse(req, res, 503, 'too many bodies are held', true);
 			return;
 		}
-		this.readBody(req, res, (body) => this.handOn(req, res, body, arrivedAt));
+		this.readBody(req, res, (body) =>
+			this.whenStillThere(req, () => this.handOn(req, res, body, arrivedAt)),
+		);
 	}
 
 	private readBody(
@@ -131,6 +135,25 @@
 		});
 	}
 
+	/**
+	 * A VM short of processor reads a request seconds late, and its caller's hang-up right after: in an overload ten requests
+	 * in a row went to engines half a second and more after their callers had left. The hang-up is read in the next turn of
+	 * the loop, so the request is handed on in the one after.
+	 */
+	private whenStillThere(req: http.IncomingMessage, handOn: () => void): void {
+		if (!this.opts.isLate()) {
+			handOn();
+			return;
+		}
+		setImmediate(() => {
+			setImmediate(() => {
+				if (!req.socket.readableEnded && !req.socket.destroyed) {
+					handOn();
+				}
+			});
+		});
+	}
+
 	private handOn(
 		req: http.IncomingMessage,
 		res: http.ServerResponse,
--- a/test/features/relay-transfers.feature
+++ b/test/features/relay-transfers.feature
@@ -1,4 +1,4 @@
-Feature: Copies of configurations between VMs
+Feature: Copies of configurations between VMs, and callers in front
 
 	Scenario: A configuration of 1,440 routes reaches all members of an aggregator over a slow link
 		Given a VM that has a configuration of 1440 routes
@@ -13,3 +13,9 @@
 		When the configuration is fetched from the silent VM
 		And 500 ms later from the other
 		Then each has the configuration as it was
+
+	Scenario: A request whose caller hung up before it was read is not passed on
+		Given a front for callers
+		When a caller sends a request and hangs up while the VM is busy
+		And another caller sends a request
+		Then only the request of the other is handed on
--- a/test/steps/relay-transfers.steps.ts
+++ b/test/steps/relay-transfers.steps.ts
@@ -5,8 +5,10 @@
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
 import * as cucumber from '@cucumber/cucumber';
+import type { CallerRequest } from '../../src/core/relay/definitions.js';
+import { CallersFront } from '../../src/infra/relay/callers-front.js';
 import { PeerTransfers } from '../../src/infra/relay/peer-transfers.js';
-import { seen, sequence, silentLog } from './relay-fakes.js';
+import { clockOf, seen, sequence, silentLog } from './relay-fakes.js';
 import type { FleetWorld } from './world.js';
 
 const path = '/configuration';
@@ -146,3 +148,56 @@
 		assert.ok(tookMs <= ms, `${bytes} bytes take ${tookMs} ms`);
 	},
 );
+
+cucumber.Given('a front for callers', async function (this: FleetWorld) {
+	const handed: string[] = [];
+	const front = new CallersFront({
+		clock: clockOf(this),
+		log: silentLog,
+		decode: ({ target }) => ({ target }) as CallerRequest,
+		isLate: () => true,
+		handle: ({ target }, res) => {
+			handed.push(target);
+			res.head(200, ['Content-Length', '0']);
+			res.end();
+		},
+	});
+	closeLater(this, () => {
+		front.server.close();
+		front.server.closeAllConnections();
+	});
+	this.seen.set('handed', handed);
+	this.seen.set('front', await addressOf(front.server));
+});
+
+async function connected(address: string): Promise<net.Socket> {
+	const [host, port] = address.split(':');
+	const socket = net.connect(Number(port), host);
+	socket.on('error', () => {});
+	await new Promise<void>((done) => socket.once('connect', done));
+	// The front has taken the connection.
+	await new Promise((done) => setTimeout(done, 20));
+	return socket;
+}
+
+cucumber.When(
+	'a caller sends a request and hangs up while the VM is busy',
+	async function (this: FleetWorld) {
+		const socket = await connected(seen<string>(this, 'front'));
+		// Both reach the front before its loop turns again.
+		socket.write('GET /left HTTP/1.1\r\nhost: a.example\r\n\r\n');
+		socket.destroy();
+		await new Promise((done) => setTimeout(done, 50));
+	},
+);
+
+cucumber.When('another caller sends a request', async function (this: FleetWorld) {
+	const socket = await connected(seen<string>(this, 'front'));
+	socket.write('GET /stays HTTP/1.1\r\nhost: a.example\r\n\r\n');
+	await new Promise<void>((done) => socket.once('data', () => done()));
+	socket.destroy();
+});
+
+cucumber.Then('only the request of the other is handed on', function (this: FleetWorld) {
+	assert.deepEqual(seen<string[]>(this, 'handed'), ['/stays']);
+});
