A log line is put together without copies of its fields

Cause: the profile of a VM at load gives 5 % of its time to log lines, a third of it to spreading and testing their fields. Change: the base fields are formatted once, numbers are not tested for blanks.

--- a/src/infra/line-log.ts
+++ b/src/infra/line-log.ts
@@ -26,12 +26,14 @@
 			minLevel: levels[opts.level],
 			hideLogPositionForProduction: true,
 		});
+		const base = formatFields(opts.base);
 		this.logger.attachTransport((record) => {
 			const event = String(record['0']);
 			const fields = (record['1'] ?? {}) as Fields;
 			const level = record._meta?.logLevelName.toLowerCase();
 			const head = { time: record._meta?.date.toISOString(), level, event };
-			write(`${formatFields({ ...head, ...opts.base, ...fields })}\n`);
+			const parts = [formatFields(head), base, formatFields(fields)];
+			write(`${parts.filter((part) => part !== '').join(' ')}\n`);
 		});
 	}
 
@@ -64,6 +66,8 @@
 }
 
 function formatValue(value: string | number | boolean): string {
-	const text = String(value);
-	return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+	if (typeof value !== 'string') {
+		return String(value);
+	}
+	return /^[^\s"=]+$/.test(value) ? value : JSON.stringify(value);
 }
