--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -14,7 +14,8 @@
 import { KnownParts } from './known-parts.js';
 import type { NewsContent } from './news-composer.js';
 import { NewsComposer } from './news-composer.js';
-import { NewsSource } from './news-source.js';
+import type { NewsSource } from './news-source.js';
+import { NewsSources, sumOfDemand } from './news-sources.js';
 import type { KeptTokens } from './prompt-cache-map.js';
 import { refOf } from './refs.js';
 import { StoreReaders } from './store-readers.js';
@@ -31,9 +32,6 @@
 import { newsKinds } from './types.js';
 import type { WorkChange } from './work-sums.js';
 
-/** A VM that missed so many of its times to tell is left out, and not sooner than this, in milliseconds. */
-const missedToSilent = 4;
-const leastSilentMs = 1000;
 /** Time between two looks for VMs that fell silent, in milliseconds: a tenth of the least time that makes one silent. */
 const silenceLookMs = 100;
 
@@ -56,10 +54,7 @@
 }
 
 export class FleetView {
-	/** VMs that are heard directly, by name. */
-	private readonly sources = new Map<string, NewsSource>();
-	/** Last news of VMs that left for another aggregator: earlier ones that come behind would count their work twice. */
-	private readonly left = new Map<string, PeerNews>();
+	private readonly sources: NewsSources;
 	private readonly work = new FleetWork();
 	private readonly parts = new KnownParts();
 	private readonly readers = new StoreReaders();
@@ -76,28 +71,29 @@
 
 	constructor(private readonly opts: FleetViewOptions) {
 		this.composer = new NewsComposer(opts);
+		this.sources = new NewsSources(opts.clock);
 	}
 
 	/** VMs heard of, directly or in sums, this one included. */
 	get size(): number {
-		const heard = [...this.sources.values()].filter((source) => this.isHeard(source));
+		const heard = this.sources.heard();
 		const told = heard.reduce((sum, source) => sum + source.vms, 0);
 		return this.aggregator === undefined ? 1 + told : Math.max(1, told);
 	}
 
 	/** VMs that report here. */
 	get members(): NewsSource[] {
-		return this.ofKind(newsKinds.report);
+		return this.sources.ofKind(newsKinds.report);
 	}
 
 	/** Other aggregators that tell their sums here. */
 	get otherAggregators(): NewsSource[] {
-		return this.ofKind(newsKinds.group);
+		return this.sources.ofKind(newsKinds.group);
 	}
 
 	/** Time between two news of the aggregator that this VM reports to, in milliseconds; undefined before any came. */
 	get sourceSpacingMs(): number | undefined {
-		return this.ofKind(newsKinds.fleet)[0]?.spacingMs;
+		return this.sources.ofKind(newsKinds.fleet)[0]?.spacingMs;
 	}
 
 	/** Whether the sums of an aggregator contain reports of this VM. */
@@ -118,7 +114,7 @@
 		const before = this.aggregator;
 		this.aggregator = address;
 		this.work.clearReports();
-		for (const source of [...this.sources.values()]) {
+		for (const source of this.sources.all()) {
 			// The sums of the aggregator before serve until the next one's come.
 			const isKept = before !== undefined && address !== undefined;
 			if (!isKept && !this.countsKind(source.kind)) {
@@ -149,7 +145,7 @@
 	/** Demand of the whole fleet. */
 	demand(): Demand {
 		const own = this.meter.read(this.now);
-		const heard = [...this.sources.values()].filter((source) => this.isHeard(source));
+		const heard = this.sources.heard();
 		const told = sumOfDemand(heard);
 		// Sums for members contain what they reported.
 		const isContained = this.aggregator !== undefined && heard.length > 0;
@@ -184,7 +180,7 @@
 		const ref = refOf(engineKey);
 		this.parts.forgetEngine(ref);
 		this.work.forget(ref);
-		for (const source of this.sources.values()) {
+		for (const source of this.sources.all()) {
 			source.work.delete(ref);
 		}
 	}
@@ -238,13 +234,13 @@
 			demand: this.demand(),
 			vms: this.size,
 			readers: [...this.ownReader(), ...this.readers.all(this.now)],
-			costsOf: [...this.sources.keys()],
+			costsOf: this.sources.names(),
 		});
 	}
 
 	/** @returns whether the news tell anything that those who hear of it from this VM do not know */
 	receive(news: PeerNews): boolean {
-		if (news.from === this.opts.self || this.isOlder(news)) {
+		if (news.from === this.opts.self || this.sources.isOlder(news)) {
 			return false;
 		}
 		const hasVersions = this.takeVersions(news);
@@ -253,7 +249,7 @@
 		}
 		if (news.leaving && news.kind !== newsKinds.fleet) {
 			this.dropNamed(news.from);
-			this.left.set(news.from, news);
+			this.sources.leaves(news);
 			return true;
 		}
 		const isNew = this.sources.get(news.from)?.isOther(news) ?? true;
@@ -268,11 +264,9 @@
 
 	/** Logs VMs that fell silent and forgets them; called each second. */
 	sweep(): void {
-		for (const source of [...this.sources.values()]) {
-			if (!this.isHeard(source)) {
-				this.drop(source);
-				this.opts.log.info('peer.lost', { peer: source.name, peers: this.size });
-			}
+		for (const source of this.sources.silent()) {
+			this.drop(source);
+			this.opts.log.info('peer.lost', { peer: source.name, peers: this.size });
 		}
 	}
 
@@ -280,12 +274,6 @@
 		return this.opts.clock.monotonic();
 	}
 
-	private isOlder(news: PeerNews): boolean {
-		const left = this.left.get(news.from);
-		const isBeforeLeave = left?.life === news.life && news.seq <= left.seq;
-		return isBeforeLeave || (this.sources.get(news.from)?.isOlder(news) ?? false);
-	}
-
 	/**
 	 * Configurations and changes in the store are of use whoever tells them.
 	 * @returns whether any of them is new
@@ -325,8 +313,7 @@
 		} else if (known) {
 			this.drop(known);
 		}
-		const source = new NewsSource(news, this.now);
-		this.sources.set(news.from, source);
+		const source = this.sources.add(news);
 		this.opts.log.info('peer.seen', { peer: news.from, peers: this.size });
 		return source;
 	}
@@ -347,25 +334,19 @@
 		return store ? [{ ...store, address: this.opts.address }] : [];
 	}
 
-	private ofKind(kind: NewsKind): NewsSource[] {
-		return [...this.sources.values()].filter((source) => source.kind === kind);
-	}
-
 	/** Work of VMs that fell silent no longer counts. */
 	private dropSilent(): void {
 		if (this.now - this.silenceLookedAt < silenceLookMs) {
 			return;
 		}
 		this.silenceLookedAt = this.now;
-		for (const source of this.sources.values()) {
-			if (!this.isHeard(source)) {
-				this.work.drop(source);
-			}
+		for (const source of this.sources.silent()) {
+			this.work.drop(source);
 		}
 	}
 
 	private dropAll(): void {
-		for (const source of [...this.sources.values()]) {
+		for (const source of this.sources.all()) {
 			this.drop(source);
 		}
 	}
@@ -379,21 +360,7 @@
 
 	private drop(source: NewsSource): void {
 		this.work.drop(source);
-		this.sources.delete(source.name);
+		this.sources.remove(source);
 		this.opts.costs.forget(source.name);
 	}
-
-	private isHeard(source: NewsSource): boolean {
-		const silentMs = Math.max(leastSilentMs, missedToSilent * source.spacingMs);
-		return this.now - source.heardAt < silentMs;
-	}
-}
-
-function sumOfDemand(sources: readonly NewsSource[]): Demand {
-	const sum = { long: 0, short: 0 };
-	for (const { demand } of sources) {
-		sum.long += demand.long;
-		sum.short += demand.short;
-	}
-	return sum;
 }
