Orders keep to half of the calls that the platform takes, and what it turned down raises no token

Cause: found by reading: an order answered 429 counted as one without an answer, so the token was raised (a write to the store) for each repeat, and a platform that takes few calls was asked as often as one that takes many. Change: orders take from an allowance of half the rate; a call that was turned down changes nothing. The scenario with four calls a second fails before (tokens raised) and passes now.

--- a/src/core/duties/engine-orders.ts
+++ b/src/core/duties/engine-orders.ts
@@ -30,13 +30,16 @@
 /** Between two tries of an order that brought nothing, in milliseconds. */
 const retryMs = 300;
 
+/** Share of the calls that the platform takes which orders may use: reports and other VMs' calls need the rest. */
+const callShare = 0.5;
+
 /** What was last ordered of one kind in one domain. */
 interface Ordered {
 	count: number;
 	at: number;
 	/** Most engines that have served since. */
 	served: number;
-	/** The platform took it. */
+	/** The platform took it; else no answer came, and it may be carried out late. */
 	isTaken: boolean;
 }
 
@@ -47,6 +50,8 @@
 	log: Log;
 	vm: string;
 	sizing: SizingWay;
+	/** Calls that the platform takes in a second, from all VMs together. */
+	callsPerSecond: number;
 	/** Services whose engines may be ordered. */
 	services: () => readonly Service[];
 	/** Registered engines of a service. */
@@ -70,6 +75,9 @@
 	private heldSince?: number;
 	private lookAt = Number.NEGATIVE_INFINITY;
 	private isBusy = false;
+	/** Calls that may be made now, and since when they are counted. */
+	private allowance = 1;
+	private allowedAt = 0;
 
 	constructor(private readonly opts: EngineOrdersOptions) {}
 
@@ -255,9 +263,10 @@
 			return false;
 		}
 		const token = holder.actingToken;
-		if (token === undefined) {
+		if (token === undefined || !this.takeAllowance()) {
 			return false;
 		}
+		const before = this.ordered.get(key);
 		this.ordered.set(key, { count, at: this.now, served: serving, isTaken: false });
 		const answer = await api.orderEngines({ vm, token }, order);
 		await holder.answered(answer !== dutyAnswers.unknown);
@@ -269,18 +278,37 @@
 			this.opts.onOrdered(order);
 			return true;
 		}
-		return this.notDone(order, token, answer === dutyAnswers.refused);
+		if (answer === dutyAnswers.busy) {
+			// Nothing was done: what was ordered before still stands.
+			this.restore(key, before);
+			return false;
+		}
+		return answer === dutyAnswers.refused && this.wasRefused(order, token);
 	}
 
-	/** @returns false when nothing more should be ordered for now */
-	private notDone(
-		{ service, domain, spot }: EngineOrder,
-		token: number,
-		isRefused: boolean,
-	): boolean {
-		if (!isRefused) {
+	private restore(key: string, before: Ordered | undefined): void {
+		if (before) {
+			this.ordered.set(key, before);
+		} else {
+			this.ordered.delete(key);
+		}
+	}
+
+	/** Takes one call of what the platform allows, if there is one. */
+	private takeAllowance(): boolean {
+		const perMs = (this.opts.callsPerSecond * callShare) / 1000;
+		const most = Math.max(1, this.opts.callsPerSecond * callShare);
+		this.allowance = Math.min(most, this.allowance + (this.now - this.allowedAt) * perMs);
+		this.allowedAt = this.now;
+		if (this.allowance < 1) {
 			return false;
 		}
+		this.allowance--;
+		return true;
+	}
+
+	/** @returns false when nothing more should be ordered for now */
+	private wasRefused({ service, domain, spot }: EngineOrder, token: number): boolean {
 		this.ordered.delete(keyOf(service, domain, spot));
 		if (spot && this.opts.holder.isSure) {
 			// No other VM can hold the duty, so there are no such engines there now.
--- a/src/daemon/relay/fleet-duties.ts
+++ b/src/daemon/relay/fleet-duties.ts
@@ -119,6 +119,7 @@
 			log,
 			vm,
 			sizing: opts.sizing,
+			callsPerSecond: settings.callsPerSecond,
 			services: () => opts.services().filter(({ supply }) => supply !== undefined),
 			engines: (service) => this.enginesOf(service),
 			busyEngines: (service) => this.busyEngines(service),
--- a/test/features/engine-orders.feature
+++ b/test/features/engine-orders.feature
@@ -58,3 +58,10 @@
 		Given the holder does not hear the fleet
 		When 20 seconds go by at a demand of 10 engines
 		Then no engine was ordered
+
+	Scenario: A platform that takes few calls is asked no more often, and no token is raised for what it turned down
+		Given the platform takes 4 calls a second
+		When 30 seconds go by at a demand of 20 engines
+		Then 40 to 70 engines serve
+		And at most 4 calls were turned down
+		And the token was never raised
--- a/test/steps/engine-orders.steps.ts
+++ b/test/steps/engine-orders.steps.ts
@@ -33,13 +33,15 @@
 	private engines: SuppliedEngine[] = [];
 	private carriedOut = 0;
 	private nextId = 1;
-	private token = 1000;
+	private raised = 0;
 
 	constructor(
 		each: number,
 		domains: readonly string[],
 		private readonly supply: EngineSupply,
+		callsPerSecond = 50,
 	) {
+		this.api.callsPerSecond = callsPerSecond;
 		for (const domain of domains) {
 			for (let at = 0; at < each; at++) {
 				this.boot(domain, false, 0);
@@ -50,11 +52,11 @@
 			refused() {},
 			answered: async () => {},
 			raiseToken: async () => {
-				this.token++;
+				this.raised++;
 				return true;
 			},
 		};
-		const token = () => this.token;
+		const token = () => 1000 + this.raised;
 		Object.defineProperty(holder, 'actingToken', { get: token });
 		this.orders = new EngineOrders({
 			api: this.api.seenBy(),
@@ -63,6 +65,7 @@
 			log: silentLog,
 			vm: 'vm-1',
 			sizing: 'peak',
+			callsPerSecond: this.api.callsPerSecond,
 			services: () => [{ name: 'pool', healthPath: '/', maxConnections: 1, supply }],
 			engines: () => this.engines.filter((engine) => this.isRegistered(engine)),
 			busyEngines: () => this.demand,
@@ -80,6 +83,11 @@
 		}
 	}
 
+	/** Times that the holder took a higher token. */
+	get tokensRaised(): number {
+		return this.raised;
+	}
+
 	serving(): SuppliedEngine[] {
 		return this.engines.filter((engine) => this.isRegistered(engine) && !engine.draining);
 	}
@@ -154,6 +162,7 @@
 			spotPrice: 0.22,
 			domains: names.map((name, at) => ({ name, price: 0.8 + 0.1 * at })),
 		};
+		this.seen.set('made of', { supply, names });
 		this.seen.set('supply', new SimulatedSupply(each, names, supply));
 	},
 );
@@ -165,6 +174,23 @@
 	},
 );
 
+cucumber.Given(
+	'the platform takes {int} calls a second',
+	function (this: FleetWorld, calls: number) {
+		const { supply, names } = seen<{ supply: EngineSupply; names: string[] }>(this, 'made of');
+		this.seen.set('supply', new SimulatedSupply(20, names, supply, calls));
+	},
+);
+
+cucumber.Then('at most {int} calls were turned down', function (this: FleetWorld, most: number) {
+	const { turnedDown } = supplyOf(this).api;
+	assert.ok(turnedDown <= most, `${turnedDown} were`);
+});
+
+cucumber.Then('the token was never raised', function (this: FleetWorld) {
+	assert.equal(supplyOf(this).tokensRaised, 0);
+});
+
 cucumber.Given('the holder does not hear the fleet', function (this: FleetWorld) {
 	supplyOf(this).hearsFleet = false;
 });
--- a/test/steps/simulated-platform.ts
+++ b/test/steps/simulated-platform.ts
@@ -173,6 +173,11 @@
 	/** Share of calls that get no answer and are carried out so much later, in milliseconds. */
 	late = { share: 0, ms: 0 };
 	isDown = false;
+	/** Calls that are taken in a second; more are turned down. */
+	callsPerSecond = 50;
+	/** Calls that were turned down. */
+	turnedDown = 0;
+	private calledAt: number[] = [];
 	private readonly highest = new Map<string, number>();
 
 	constructor(
@@ -198,6 +203,13 @@
 			await this.time.sleep(silentMs);
 			return dutyAnswers.unknown;
 		}
+		this.calledAt = this.calledAt.filter((at) => this.time.now - at < 1000);
+		if (this.calledAt.length >= this.callsPerSecond) {
+			this.turnedDown++;
+			await this.time.sleep(answerMs);
+			return dutyAnswers.busy;
+		}
+		this.calledAt.push(this.time.now);
 		if (this.next() < this.late.share) {
 			void this.time.sleep(this.late.ms).then(() => this.carryOut(caller, subject, what));
 			await this.time.sleep(silentMs);
