--- a/src/infra/relay/peer-transfers.ts
+++ b/src/infra/relay/peer-transfers.ts
@@ -7,7 +7,6 @@
  * @module
  */
 import * as http from 'node:http';
-import * as zlib from 'node:zlib';
 import * as undici from 'undici';
 import type { Log } from '../../core/definitions.js';
 
@@ -95,8 +94,7 @@
 				transfer.progressAt = performance.now();
 				timer.refresh();
 			}
-			const isWhole = res.statusCode === 200;
-			return isWhole ? zlib.inflateRawSync(Buffer.concat(chunks)).toString() : undefined;
+			return res.statusCode === 200 ? await unpack(Buffer.concat(chunks)) : undefined;
 		} finally {
 			clearTimeout(timer);
 		}
@@ -108,7 +106,7 @@
 			res.writeHead(404).end();
 			return;
 		}
-		const send = () => this.send(res, text);
+		const send = () => void this.send(res, text);
 		if (this.sending < sendsAtOnce) {
 			send();
 		} else {
@@ -116,7 +114,7 @@
 		}
 	}
 
-	private send(res: http.ServerResponse, text: string): void {
+	private async send(res: http.ServerResponse, text: string): Promise<void> {
 		this.sending++;
 		res.on('close', () => {
 			this.sending--;
@@ -128,15 +126,26 @@
 			return;
 		}
 		res.writeHead(200, { 'content-type': 'application/octet-stream' });
-		res.end(this.pack(text));
+		res.end(await this.pack(text));
 	}
 
 	/** Compresses each configuration once. */
-	private pack(text: string): Buffer {
+	private async pack(text: string): Promise<Buffer> {
 		if (text !== this.packedText) {
+			const zlib = await loadZlib();
 			this.packedText = text;
 			this.packed = zlib.deflateRawSync(text, compression);
 		}
 		return this.packed;
 	}
 }
+
+/** Loaded when it is needed first: a start that finds the store does not need it. */
+function loadZlib() {
+	return import('node:zlib');
+}
+
+async function unpack(bytes: Buffer): Promise<string> {
+	const zlib = await loadZlib();
+	return zlib.inflateRawSync(bytes).toString();
+}
