--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -30,8 +30,13 @@
 	process: childProcess.ChildProcess;
 	ended: Promise<number | null>;
 	errors: string;
+	/** The last of its log, where that does not go to a file. */
+	output: string;
 }
 
+/** Characters of a VM's log that are kept: some hundred lines, more than a start writes. */
+const keptOutput = 20_000;
+
 export class RelayFixture {
 	readonly store = new PlatformStoreStandIn();
 	readonly engines = new Map<string, PlatformEngineStandIn>();
@@ -60,9 +65,21 @@
 			this.vms.push(await this.startVm(`127.0.0.${10 + at}`, `vm-${at}`, ports));
 		}
 		for (const vm of this.vms) {
+			await this.untilStarted(vm, configured);
+		}
+	}
+
+	/** A VM that does not come up tells in its own words how far it came. */
+	private async untilStarted(vm: Vm, configured: boolean): Promise<void> {
+		try {
 			await until(
 				async () => (await this.readiness(vm)) !== 0 && (!configured || this.isReady(vm)),
 			);
+		} catch (err) {
+			const { exitCode } = vm.process;
+			throw new Error(
+				`${(err as Error).message}; exit ${exitCode}; it wrote:\n${vm.errors}${vm.output}`,
+			);
 		}
 	}
 
@@ -185,7 +202,7 @@
 		await fs.writeFile(file, JSON.stringify(settings));
 		const child = childProcess.spawn(process.execPath, [this.program], {
 			env: { ...process.env, SLATEGAUGE_SETTINGS: file },
-			stdio: ['ignore', opts.log ?? 'ignore', 'pipe'],
+			stdio: ['ignore', opts.log ?? 'pipe', 'pipe'],
 		});
 		const vm: Vm = {
 			address,
@@ -194,7 +211,11 @@
 			process: child,
 			ended: new Promise((done) => child.on('exit', done)),
 			errors: '',
+			output: '',
 		};
+		child.stdout?.on('data', (chunk: Buffer) => {
+			vm.output = (vm.output + chunk.toString()).slice(-keptOutput);
+		});
 		child.stderr?.on('data', (chunk: Buffer) => {
 			vm.errors += chunk.toString();
 		});
