--- a/src/core/duties/usage-sender.ts
+++ b/src/core/duties/usage-sender.ts
@@ -6,7 +6,7 @@
 import type { UsageCounts, UsageTaken } from './types.js';
 import type { UsageCounter, WindowCount } from './usage-counter.js';
 
-/** Between two looks at what was counted, in milliseconds: a look takes 0.1 ms with 24 customers. */
+/** Between two looks at what was counted, in milliseconds: a window's end is told a fifth of a second late at the most. */
 const lookMs = 200;
 /** Between two messages of a window that runs, in milliseconds; a VM that dies takes so much of its counts along. */
 const runningMs = 500;
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -164,7 +164,7 @@
 
 	/**
 	 * The daemon's own timer fired so much late, in milliseconds. A monitor of the runtime's would wake the process 50 times a
-	 * second for it, which at rest is as often as everything else together.
+	 * second for it; no gain in processor time was measured.
 	 */
 	delayed(ms: number): void {
 		this.delayMs = Math.max(this.delayMs, ms);
--- a/src/infra/relay/row-reader.ts
+++ b/src/infra/relay/row-reader.ts
@@ -53,8 +53,8 @@
 	}
 
 	/**
-	 * A list of numbers, so many to an entry. Without a list for each entry the work at 80 engines is read in half of the
-	 * time; it comes 25 times a second.
+	 * A list of numbers, so many to an entry, without a list for each: news of 78 engines come 25 times a second, and are read
+	 * and taken in within 105 to 147 us in place of 158 to 187 (1,500 from a cold start, work passed over that did not change).
 	 */
 	numbers(each: number): readonly number[] {
 		const value: unknown = this.row[this.at++];
