Sight: a line tells what the head of an answer says of its engine

The logs could not tell whether the words of an engine that leaves, or wants rest, were taken in and lost or never read. Ruled out: nothing yet; no decision is changed. The header of engines that leave is decoded beside Retry-After.

--- a/src/core/relay/definitions.ts
+++ b/src/core/relay/definitions.ts
@@ -84,6 +84,8 @@
 	framed: boolean;
 	/** Bytes of the body were changed on the way. */
 	encoded: boolean;
+	/** The engine serves what it has and ends soon. */
+	leaving: boolean;
 	/** Seconds after which the engine may be asked again. */
 	retryAfterS?: number;
 	/** Headers for the caller. */
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -133,6 +133,17 @@
 		when: 'After failures the engine gets no work for 0.5 to 4 s, then one request to try it.',
 		fields: { ...request, engine: 'id of the engine', reason: 'the last failure' },
 	},
+	{
+		name: 'engine.notice',
+		when: 'The head of an answer says something of its engine, beside what it says of the request.',
+		fields: {
+			...request,
+			engine: 'id of the engine',
+			status: 'status of that answer',
+			leaving: 'the engine leaves',
+			rest_s: 'the engine wants no request for so long',
+		},
+	},
 	{
 		name: 'engine.seen',
 		when: 'An engine registered, or says that it leaves.',
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -192,7 +192,10 @@
 		const ended = () => this.endAttempt(attempt);
 		return {
 			sent: () => current(() => this.sent(attempt), heard),
-			head: (head) => current(() => this.headCame(attempt, head), heard),
+			head: (head) => {
+				this.noticed(attempt, head);
+				current(() => this.headCame(attempt, head), heard);
+			},
 			data: (chunk) => current(() => this.dataCame(attempt, chunk), heard),
 			end: () => current(() => this.ended(attempt), ended),
 			fail: (reason, isRefused) => current(() => this.failed(attempt, reason, isRefused), ended),
@@ -204,6 +207,14 @@
 		this.outcome.sentTo.add(attempt.engine.id);
 	}
 
+	/** What the answer says of its engine, whatever becomes of the request. */
+	private noticed({ engine }: Attempt, { leaving, notRun, status, retryAfterS }: AnswerHead): void {
+		const restS = notRun ? retryAfterS : undefined;
+		if (leaving || restS !== undefined) {
+			this.outcome.log('engine.notice', { engine: engine.id, status, leaving, rest_s: restS });
+		}
+	}
+
 	private headCame(attempt: Attempt, head: AnswerHead): void {
 		attempt.heard();
 		if (head.id !== undefined && head.id !== this.id) {
--- a/src/platform/messages.ts
+++ b/src/platform/messages.ts
@@ -96,7 +96,8 @@
 		fromOther: status === 421,
 		framed: map.has('content-length') || map.has('transfer-encoding'),
 		encoded: encoding !== undefined && encoding !== 'identity',
-		retryAfterS: positiveNumber(map.get('retry-after')),
+		leaving: map.get(headers.leaving) === '1',
+		retryAfterS: positiveNumber(map.get(headers.retryAfter)),
 		headers: keepEndToEnd(rawHeaders),
 	};
 }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -25,6 +25,10 @@
 	notExecuted: 'slategauge-not-executed',
 	/** Engine's proof that the answer is its own. */
 	signature: 'slategauge-response-signature',
+	/** Present in all answers of an engine that leaves. */
+	leaving: 'server-leaving',
+	/** Seconds; of an engine: it wants nothing from this VM for so long. */
+	retryAfter: 'retry-after',
 	lastEventId: 'last-event-id',
 	/** Address of another engine, from which the engine copies what that one keeps of the prompt. */
 	copyFrom: 'kv-fetch',
