Failing test: an engine that says that it leaves, or wants rest, is heeded (known red)

The stand-in of an engine says in the head of each answer that it leaves, and asks for rest with its 503.

--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -44,6 +44,17 @@
 	rejected: boolean;
 	/** The caller's side went away before the answer ended. */
 	left: boolean;
+	/** What the head of its answer said of the engine, once that was sent. */
+	notice?: EngineNotice;
+}
+
+/** What an engine said of itself in the head of an answer. */
+export interface EngineNotice {
+	/** Monotonic milliseconds. */
+	at: number;
+	leaving: boolean;
+	/** It wants no request for so long, in milliseconds; 0 when it did not say so. */
+	restMs: number;
 }
 
 /** From the begin of a request that crashes its engine to the end of the engine, in milliseconds. */
@@ -61,6 +72,10 @@
 	delayMs = 0;
 	/** A request with this body ends the engine soon after it has begun to run. */
 	crashesOn?: string;
+	/** All its answers say that it leaves. */
+	isLeaving = false;
+	/** A 503 asks for so many seconds of rest. */
+	restS?: number;
 	onCrash?: () => void;
 	readonly server = http.createServer((req, res) => void this.handle(req, res));
 
@@ -87,7 +102,7 @@
 		const request = { method, url, headers, body, at: performance.now(), rejected, left: false };
 		const expected = headers['slategauge-expect-instance'];
 		if (expected !== undefined && expected !== this.id) {
-			res.writeHead(421, { 'slategauge-instance-id': this.id }).end();
+			res.writeHead(421, { 'slategauge-instance-id': this.id, ...this.leavingHead }).end();
 			return;
 		}
 		this.seen.push(request);
@@ -111,27 +126,29 @@
 		}
 		switch (this.behaviour) {
 			case engineBehaviours.rejects:
-				res.writeHead(503, { 'slategauge-not-executed': '1' }).end();
+				this.head(req, res, 503, { 'slategauge-not-executed': '1' }).end();
 				return;
 			case engineBehaviours.bare503:
-				res.writeHead(503, signed).end('busy');
+				this.head(req, res, 503, signed).end('busy');
 				return;
 			case engineBehaviours.resets:
 				socket.resetAndDestroy();
 				return;
 			case engineBehaviours.mixesUp:
-				res.writeHead(200, { ...signed, 'slategauge-attempt-id': 'another' }).end('not yours');
+				this.head(req, res, 200, { ...signed, 'slategauge-attempt-id': 'another' }).end(
+					'not yours',
+				);
 				return;
 			case engineBehaviours.unsigned:
-				res.writeHead(200, { 'slategauge-attempt-id': id }).end('whose?');
+				this.head(req, res, 200, { 'slategauge-attempt-id': id }).end('whose?');
 				return;
 			case engineBehaviours.fails:
-				res.writeHead(500, signed).end('failed');
+				this.head(req, res, 500, signed).end('failed');
 				return;
 			case engineBehaviours.unframed:
 			case engineBehaviours.unframedReset:
 			case engineBehaviours.unframedResetAtOnce:
-				await this.answerUnframed(id, socket);
+				await this.answerUnframed(req, socket);
 				return;
 			case engineBehaviours.silent:
 				return;
@@ -140,13 +157,36 @@
 		}
 	}
 
-	private async answerUnframed(id: string, socket: Socket): Promise<void> {
-		const { behaviour } = this;
+	/** Begins an answer, with what the engine says of itself. */
+	private head(
+		req: SeenRequest,
+		res: http.ServerResponse,
+		status: number,
+		headers: http.OutgoingHttpHeaders,
+	): http.ServerResponse {
+		const restS = status === 503 ? this.restS : undefined;
+		const rest = restS === undefined ? {} : { 'retry-after': String(restS) };
+		req.notice = {
+			at: performance.now(),
+			leaving: this.isLeaving,
+			restMs: (restS ?? 0) * 1000,
+		};
+		return res.writeHead(status, { ...headers, ...this.leavingHead, ...rest });
+	}
+
+	private get leavingHead(): Record<string, string> {
+		return this.isLeaving ? { 'server-leaving': '1' } : {};
+	}
+
+	private async answerUnframed(req: SeenRequest, socket: Socket): Promise<void> {
+		const { behaviour, isLeaving, leavingHead } = this;
+		req.notice = { at: performance.now(), leaving: isLeaving, restMs: 0 };
 		const head = [
 			'HTTP/1.1 200 OK',
-			`slategauge-attempt-id: ${id}`,
+			`slategauge-attempt-id: ${req.headers['slategauge-attempt-id']}`,
 			`slategauge-response-signature: by-${this.id}`,
 			'connection: close',
+			...Object.entries(leavingHead).map((header) => header.join(': ')),
 		];
 		socket.write(`${head.join('\r\n')}\r\n\r\nhalf`);
 		if (behaviour === engineBehaviours.unframedResetAtOnce) {
@@ -169,10 +209,10 @@
 	): Promise<void> {
 		if (!req.url.startsWith('/stream')) {
 			await pause(this.delayMs);
-			res.writeHead(200, signed).end(`answer to ${req.body || req.url}`);
+			this.head(req, res, 200, signed).end(`answer to ${req.body || req.url}`);
 			return;
 		}
-		res.writeHead(200, { ...signed, 'content-type': 'text/event-stream' });
+		this.head(req, res, 200, { ...signed, 'content-type': 'text/event-stream' });
 		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
 		for (let event = first; event <= streamLength; event++) {
 			if (this.behaviour === engineBehaviours.breaksOff && event === 4) {
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -154,8 +154,14 @@
 		return seen.filter((request) => request.body === body).length;
 	}
 
-	async register(engine: PlatformEngineStandIn, address: string, state = 'ready'): Promise<void> {
-		const entry = { service: 'pool', address, zone: 'z1', version: 'v1', slots: 4, state };
+	/** @param born Unix milliseconds of its start, where it tells */
+	async register(
+		engine: PlatformEngineStandIn,
+		address: string,
+		state = 'ready',
+		born?: number,
+	): Promise<void> {
+		const entry = { service: 'pool', address, zone: 'z1', version: 'v1', slots: 4, state, born };
 		this.store.put(`servers/${engine.id}`, { ...entry, 'warmup-left-ms': 0, sequence: 1 });
 	}
 
