What an engine says of itself in its answers counts for all requests: it leaves, or wants rest

Cause: an answer's head was read for its one request and then forgotten. Whether an engine may be given work was known from its registration and from failures alone, so an engine that left while the store took no writes went on getting requests, and one that asked for rest looked idle and got the more. Class: a word about the sender, kept only with the message that carried it. Ruled out: late requests (placed 2.5 s behind the answer); a word taken in and lost again (it happens with no change of the registration). Change: the words are kept by the engine's start, beside its registration, which may lag, lapse or be written again. One that leaves gets nothing more; one that rests gets nothing until its time is over, counted from boot so that suspension counts; a request whose connection comes up after the word goes elsewhere. Callers are told when the first engine may be asked, at once where one takes requests. The same cause elsewhere: an engine that left by its answers alone and ended counted as crashed, so the content that ran on three of them was quarantined for ten minutes; and it counted as present where engines are ordered. Both go by the one answer now.

--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -7,11 +7,24 @@
 import * as rendezvous from '../membership/rendezvous.js';
 import type { StoreChanges, StoreItem } from '../store/definitions.js';
 import type { PrefixListener } from '../store/prefix-follower.js';
-import { Engine } from './engine.js';
+import { Engine, startKey } from './engine.js';
+import { EngineNotices } from './engine-notices.js';
 import type { EngineEntry } from './types.js';
 
 /** Lapsed registrations are back within about 2 s of the store's return, if the engine lives. */
 const returnMs = 1900;
+/**
+ * What a start of an engine said is kept for so long after its registration went, in milliseconds: the longest lease, and
+ * far longer than an engine that leaves serves on. A registration that lapsed and came back would else read as ready.
+ */
+const noticesKeptMs = 600_000;
+
+/** What one start of an engine said, and until when that is kept once its registration is gone. */
+interface KeptNotices {
+	notices: EngineNotices;
+	/** In milliseconds since boot; undefined while it is registered. */
+	until?: number;
+}
 
 /** What one VM tells another of all engines: all ids, and the registrations that changed. */
 interface DirectoryCopy {
@@ -43,6 +56,7 @@
 	private readonly unreadable = new Map<string, number>();
 	/** Newest revision of the store that the directory shows. */
 	private shownRevision = 0;
+	private readonly kept = new Map<string, KeptNotices>();
 	private contentDigest = 0;
 	private wasRead = false;
 	private storeLost = false;
@@ -58,8 +72,21 @@
 		return this.engines.values();
 	}
 
-	/** Engines of a service that may be given new work, by id; health is not looked at. */
+	/** Engines of a service that may be given new work now, by id; health is not looked at. */
 	offered(service: string): Engine[] {
+		const now = this.opts.clock.sinceBoot();
+		return this.present(service).filter(({ notices }) => notices.restLeftMs(now) === 0);
+	}
+
+	/** For how long no engine of a service may be given work because all rest, in milliseconds; 0 when it has none. */
+	restLeftMs(service: string): number {
+		const now = this.opts.clock.sinceBoot();
+		const left = this.present(service).map(({ notices }) => notices.restLeftMs(now));
+		return left.length === 0 ? 0 : Math.min(...left);
+	}
+
+	/** Those that do not leave. */
+	private present(service: string): Engine[] {
 		const now = this.opts.clock.monotonic();
 		return (this.ofService.get(service) ?? []).filter((engine) => engine.isOffered(now));
 	}
@@ -157,8 +184,9 @@
 		this.storeLost = true;
 	}
 
-	/** Forgets engines whose registration did not come back; called several times a second. */
+	/** Forgets engines whose registration did not come back, and what engines said long ago; called several times a second. */
 	sweep(): void {
+		this.sweepNotices();
 		const now = this.opts.clock.monotonic();
 		for (const engine of [...this.engines.values()]) {
 			if (engine.missingUntil !== undefined && now >= engine.missingUntil) {
@@ -167,6 +195,26 @@
 		}
 	}
 
+	private sweepNotices(): void {
+		if (this.kept.size === this.engines.size) {
+			return;
+		}
+		const now = this.opts.clock.sinceBoot();
+		for (const [key, { until }] of this.kept) {
+			if (until !== undefined && now >= until) {
+				this.kept.delete(key);
+			}
+		}
+	}
+
+	/** The same for each registration of the same start. */
+	private noticesOf(entry: EngineEntry): EngineNotices {
+		const key = startKey(entry);
+		const notices = this.kept.get(key)?.notices ?? new EngineNotices();
+		this.kept.set(key, { notices });
+		return notices;
+	}
+
 	private put(item: StoreItem): void {
 		const entry = this.decode(item);
 		if (!entry) {
@@ -179,7 +227,7 @@
 		}
 		this.setItem(entry.id, item);
 		if (!known || !isSame) {
-			this.add(new Engine(entry), item.revision);
+			this.add(new Engine(entry, this.noticesOf(entry)), item.revision);
 			return;
 		}
 		if (entry.draining !== known.entry.draining) {
@@ -234,7 +282,7 @@
 		if (!engine) {
 			return;
 		}
-		const mayReturn = now < this.storeBackAt + returnMs && !engine.entry.draining;
+		const mayReturn = now < this.storeBackAt + returnMs && !engine.isLeaving;
 		if (mayReturn) {
 			engine.missingUntil ??= this.storeBackAt + returnMs;
 		} else {
@@ -245,6 +293,8 @@
 	private remove(engine: Engine, reason: string): void {
 		const { id, service, address } = engine.entry;
 		engine.isGone = true;
+		const until = this.opts.clock.sinceBoot() + noticesKeptMs;
+		this.kept.set(engine.key, { notices: engine.notices, until });
 		this.engines.delete(id);
 		this.setItem(id, undefined);
 		const left = (this.ofService.get(service) ?? []).filter((other) => other !== engine);
--- /dev/null
+++ b/src/core/engines/engine-notices.ts
@@ -0,0 +1,43 @@
+/**
+ * What one start of an engine says of itself in the heads of its answers. It is the engine's own and newest word: its
+ * registration in the store may be seconds behind, or missing, while the engine goes on answering.
+ * @module
+ */
+
+/** What the head of one answer says of its engine. */
+export interface EngineNotice {
+	/** It serves what it has and ends soon. */
+	leaving: boolean;
+	/** It wants no request from this VM for so many seconds; undefined when it did not say so. */
+	restS?: number;
+}
+
+export class EngineNotices {
+	private leaving = false;
+	/** In milliseconds since boot, which run on while the VM is suspended. */
+	private restUntil = Number.NEGATIVE_INFINITY;
+
+	/** An engine never takes back that it leaves; only a later start of it is ready again. */
+	get isLeaving(): boolean {
+		return this.leaving;
+	}
+
+	/**
+	 * @param now milliseconds since boot
+	 * @returns whether it tells anything new
+	 */
+	heard({ leaving, restS = 0 }: EngineNotice, now: number): boolean {
+		const restUntil = now + restS * 1000;
+		const isNew = (leaving && !this.leaving) || (restS > 0 && restUntil > this.restUntil);
+		this.leaving ||= leaving;
+		if (restS > 0) {
+			this.restUntil = Math.max(this.restUntil, restUntil);
+		}
+		return isNew;
+	}
+
+	/** For how long it still wants no request, in milliseconds; 0 when it takes some. */
+	restLeftMs(now: number): number {
+		return Math.max(0, this.restUntil - now);
+	}
+}
--- a/src/core/engines/engine.ts
+++ b/src/core/engines/engine.ts
@@ -5,6 +5,7 @@
 import type { EngineRef } from '../fleet/types.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import { EngineHealth } from './engine-health.js';
+import { EngineNotices } from './engine-notices.js';
 import type { EngineEntry } from './types.js';
 
 export class Engine {
@@ -21,8 +22,12 @@
 	/** Missing in the store since its return; usable until then, in monotonic milliseconds. */
 	missingUntil?: number;
 
-	constructor(public entry: EngineEntry) {
-		this.key = entry.bornAt === undefined ? entry.id : `${entry.id} ${entry.bornAt}`;
+	/** @param notices what this start has said in its answers so far */
+	constructor(
+		public entry: EngineEntry,
+		readonly notices = new EngineNotices(),
+	) {
+		this.key = startKey(entry);
 		this.ref = rendezvous.hashText(this.key);
 	}
 
@@ -36,9 +41,19 @@
 		return bornAt === entry.bornAt && service === entry.service && address === entry.address;
 	}
 
-	/** Whether it may be given new work at all. */
+	/** It takes nothing new and ends soon, by its registration or by its own answers. */
+	get isLeaving(): boolean {
+		return this.entry.draining || this.notices.isLeaving;
+	}
+
+	/** Whether it may be given new work at all, now or after some rest. */
 	isOffered(now: number): boolean {
 		const present = this.missingUntil === undefined || now < this.missingUntil;
-		return present && !this.entry.draining;
+		return present && !this.isLeaving;
 	}
 }
+
+/** Names one start of an engine. */
+export function startKey({ id, bornAt }: EngineEntry): string {
+	return bornAt === undefined ? id : `${id} ${bornAt}`;
+}
--- a/src/core/quarantine/request-suspicion.ts
+++ b/src/core/quarantine/request-suspicion.ts
@@ -33,10 +33,14 @@
 		return !this.mayBeKnown || this.quarantine.mayGoOn(this.content);
 	}
 
-	/** The attempt's engine broke it off, or fell silent under it. */
+	/**
+	 * The attempt's engine broke it off, or fell silent under it. An engine that leaves ends as planned, whatever runs there: the
+	 * content that ran on three such engines was kept from all engines for ten minutes.
+	 */
 	broke(attempt: Attempt): void {
-		const { runningMs } = attempt;
-		if (runningMs === undefined || runningMs < harmlessMs) {
+		const { runningMs, engine } = attempt;
+		const isShort = runningMs === undefined || runningMs < harmlessMs;
+		if (isShort && !engine.isLeaving) {
 			this.quarantine.broke(this.content, attempt.engine);
 		}
 	}
--- a/src/core/relay/definitions.ts
+++ b/src/core/relay/definitions.ts
@@ -2,6 +2,7 @@
  * Ports and messages of the relay: what callers send, what engines answer.
  * @module
  */
+import type { EngineNotice } from '../engines/engine-notices.js';
 
 /** Header names and values in turn, as they came or will go. */
 export type RawHeaders = string[];
@@ -84,16 +85,18 @@
 	framed: boolean;
 	/** Bytes of the body were changed on the way. */
 	encoded: boolean;
-	/** The engine serves what it has and ends soon. */
-	leaving: boolean;
-	/** Seconds after which the engine may be asked again. */
-	retryAfterS?: number;
+	/** What it says of its engine, whatever becomes of the request. */
+	notice: EngineNotice;
 	/** Headers for the caller. */
 	headers: RawHeaders;
 }
 
-/** Receives the answer of an engine; exactly one of `end` and `fail` is called last. */
+/** Receives the answer of an engine; exactly one of `end`, `fail` and `withdrawn` is called last. */
 export interface AnswerListener {
+	/** Asked when the connection is up: whether the engine may still be given the request. */
+	maySend(): boolean;
+	/** It was not: nothing was sent. */
+	withdrawn(): void;
 	/** Bytes of the request leave now: from here on it may run. */
 	sent(): void;
 	head(head: AnswerHead): void;
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -135,7 +135,7 @@
 	},
 	{
 		name: 'engine.notice',
-		when: 'The head of an answer says something of its engine, beside what it says of the request.',
+		when: 'The head of an answer says something new of its engine: that it leaves, or wants rest. It is sent no request from then on, or for so long.',
 		fields: {
 			...request,
 			engine: 'id of the engine',
@@ -144,6 +144,15 @@
 			rest_s: 'the engine wants no request for so long',
 		},
 	},
+	{
+		name: 'request.withdrawn',
+		when: 'Its engine asked for rest while the connection came up. Nothing was sent; another engine is chosen.',
+		fields: {
+			...request,
+			engine: 'id of the engine',
+			rest_ms: 'for how long it still wants no request',
+		},
+	},
 	{
 		name: 'engine.seen',
 		when: 'An engine registered, or says that it leaves.',
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -130,7 +130,7 @@
 			now,
 		);
 		if ('refusal' in placement) {
-			this.outcome.giveUp(placement.refusal, placement.retryAfterS);
+			this.outcome.giveUp(placement.refusal, this.restLeftS ?? placement.retryAfterS);
 			return;
 		}
 		this.send(placement);
@@ -191,6 +191,8 @@
 		const heard = () => attempt.heard();
 		const ended = () => this.endAttempt(attempt);
 		return {
+			maySend: () => this.restMsOf(attempt) === 0,
+			withdrawn: () => current(() => this.withdrawn(attempt), ended),
 			sent: () => current(() => this.sent(attempt), heard),
 			head: (head) => {
 				this.noticed(attempt, head);
@@ -207,14 +209,43 @@
 		this.outcome.sentTo.add(attempt.engine.id);
 	}
 
-	/** What the answer says of its engine, whatever becomes of the request. */
-	private noticed({ engine }: Attempt, { leaving, notRun, status, retryAfterS }: AnswerHead): void {
-		const restS = notRun ? retryAfterS : undefined;
-		if (leaving || restS !== undefined) {
+	/** What the answer says of its engine counts whoever still waits for the answer. */
+	private noticed({ engine }: Attempt, { notice, status, fromOther }: AnswerHead): void {
+		if (fromOther) {
+			return;
+		}
+		if (engine.notices.heard(notice, this.ctx.clock.sinceBoot())) {
+			const { leaving, restS } = notice;
 			this.outcome.log('engine.notice', { engine: engine.id, status, leaving, rest_s: restS });
 		}
 	}
 
+	private restMsOf({ engine }: Attempt): number {
+		return engine.notices.restLeftMs(this.ctx.clock.sinceBoot());
+	}
+
+	/**
+	 * The engine asked for rest while the connection came up, which takes up to 400 ms: what is under way to it when it asks
+	 * would else go on reaching it.
+	 */
+	private withdrawn(attempt: Attempt): void {
+		this.attempt = undefined;
+		this.outcome.log('request.withdrawn', {
+			engine: attempt.engine.id,
+			rest_ms: Math.round(this.restMsOf(attempt)),
+		});
+		this.place();
+	}
+
+	/**
+	 * Seconds until the first engine of the service ends its rest; undefined when one takes requests. The time that an engine
+	 * asks of this VM is not the caller's: another engine, or VM, may take the request at once.
+	 */
+	private get restLeftS(): number | undefined {
+		const leftMs = this.ctx.engines.restLeftMs(this.terms.service);
+		return leftMs === 0 ? undefined : Math.ceil(leftMs / 100) / 10;
+	}
+
 	private headCame(attempt: Attempt, head: AnswerHead): void {
 		attempt.heard();
 		if (head.id !== undefined && head.id !== this.id) {
@@ -328,7 +359,7 @@
 		if (this.tryAgain(attempt, `rejected with ${head.status}`)) {
 			return;
 		}
-		this.outcome.giveUp(`rejected with ${head.status}`, head.retryAfterS);
+		this.outcome.giveUp(`rejected with ${head.status}`, this.restLeftS);
 	}
 
 	private failed(attempt: Attempt, reason: string, isRefused: boolean): void {
--- a/src/daemon/relay/fleet-duties.ts
+++ b/src/daemon/relay/fleet-duties.ts
@@ -219,8 +219,9 @@
 	}
 
 	private enginesOf(service: string) {
-		const entries = [...this.opts.engines.all()].map(({ entry }) => entry);
-		return entries.filter((entry) => entry.service === service);
+		const ofService = [...this.opts.engines.all()].filter(({ entry }) => entry.service === service);
+		// One that says in its answers that it leaves is replaced before the store tells of it.
+		return ofService.map(({ entry, isLeaving }) => ({ ...entry, draining: isLeaving }));
 	}
 
 	/** Demand of the fleet, by the requests that run at the service's engines. */
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -111,7 +111,7 @@
 			onAddressGone: (address) => transport.forget(address),
 			onGone: (engine) => {
 				this.fleet.engineGone(engine.key);
-				if (!engine.entry.draining) {
+				if (!engine.isLeaving) {
 					this.quarantine.engineEnded(engine.ref);
 				}
 			},
--- a/src/infra/relay/engine-transport.ts
+++ b/src/infra/relay/engine-transport.ts
@@ -219,6 +219,13 @@
 			controller.abort(new Error('no longer wanted'));
 			return;
 		}
+		if (!this.listener.maySend()) {
+			this.done = true;
+			controller.abort(new Error('no longer wanted there'));
+			// Not from inside undici's queue: the request goes to another engine's.
+			setImmediate(() => this.listener.withdrawn());
+			return;
+		}
 		this.listener.sent();
 	}
 
--- a/src/platform/messages.ts
+++ b/src/platform/messages.ts
@@ -96,8 +96,10 @@
 		fromOther: status === 421,
 		framed: map.has('content-length') || map.has('transfer-encoding'),
 		encoded: encoding !== undefined && encoding !== 'identity',
-		leaving: map.get(headers.leaving) === '1',
-		retryAfterS: positiveNumber(map.get(headers.retryAfter)),
+		notice: {
+			leaving: map.get(headers.leaving) === '1',
+			restS: status === 503 ? positiveNumber(map.get(headers.retryAfter)) : undefined,
+		},
 		headers: keepEndToEnd(rawHeaders),
 	};
 }
--- a/test/features/engine-notices.feature
+++ b/test/features/engine-notices.feature
@@ -104,6 +104,25 @@
 		And "GET /plain/" is sent until engine "a" has answered 2 times
 		Then the answer is 200
 
+	Scenario: Rest is over in time, also where the VM is suspended meanwhile
+		Given a directory with engine "a"
+		When engine "a" asks for 3 seconds of rest there
+		Then engine "a" is not offered
+		When the VM is suspended for 3100 ms
+		Then engine "a" is offered
+
+	Scenario: A request that waits for its connection is not sent to an engine that has asked for rest meanwhile
+		Given a relayed request that waits for its connection to engine "a"
+		When engine "a" asks for 3 seconds of rest there
+		And the connection is up
+		Then nothing is sent to engine "a", and the request goes to engine "b"
+
+	Scenario: A call that is no longer wanted when its connection is up leaves no byte there
+		Given an engine that counts what it gets
+		When a call is taken back as its connection comes up
+		Then the call ends as not sent
+		And the engine got no request
+
 	Scenario: Engines that end as planned are no crashes
 		Given a relay of 1 VM with engines "a, b, c"
 		And engines "a, b, c" say in their answers that they leave
--- a/test/steps/engine-notices.steps.ts
+++ b/test/steps/engine-notices.steps.ts
@@ -3,8 +3,18 @@
  * @module
  */
 import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import type { AddressInfo } from 'node:net';
 import * as cucumber from '@cucumber/cucumber';
+import type { Engine } from '../../src/core/engines/engine.js';
+import { EngineDirectory } from '../../src/core/engines/engine-directory.js';
+import type { AnswerListener, EngineCall } from '../../src/core/relay/definitions.js';
+import { RelayedRequest } from '../../src/core/relay/relayed-request.js';
+import type { RelayContext } from '../../src/core/relay/types.js';
+import { UndiciEngineTransport } from '../../src/infra/relay/engine-transport.js';
+import * as platform from '../../src/platform/index.js';
 import { PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
+import { clockOf, registration, route, seen, silentLog } from './relay-fakes.js';
 import { engineOf, fixtureOf } from './relay-fixture.js';
 import { until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
@@ -158,6 +168,154 @@
 	assert.ok(engineOf(this, id).seen.length >= 2);
 });
 
+cucumber.Given('a directory with engine {string}', function (this: FleetWorld, id: string) {
+	this.seen.set('directory', directoryOf(this, [id]));
+});
+
+function directoryOf(world: FleetWorld, ids: readonly string[]): EngineDirectory {
+	const directory = new EngineDirectory({
+		clock: clockOf(world),
+		log: silentLog,
+		decode: platform.decodeEngine,
+		idOf: platform.engineIdOf,
+		onAddressGone() {},
+		onGone() {},
+		onChanged() {},
+		onRead() {},
+	});
+	const items = ids.map((id, at) => registration(id, at + 1, { address: `10.0.0.${at + 1}:80` }));
+	directory.snapshot(items, 0, ids.length);
+	return directory;
+}
+
+cucumber.When(
+	'engine {string} asks for {int} seconds of rest there',
+	function (this: FleetWorld, id: string, seconds: number) {
+		const engine = seen<EngineDirectory>(this, 'directory').get(id) as Engine;
+		engine.notices.heard({ leaving: false, restS: seconds }, clockOf(this).sinceBoot());
+	},
+);
+
+cucumber.When('the VM is suspended for {int} ms', function (this: FleetWorld, ms: number) {
+	clockOf(this).suspendedMs += ms;
+});
+
+const offeredIds = (world: FleetWorld) =>
+	seen<EngineDirectory>(world, 'directory')
+		.offered('pool')
+		.map(({ id }) => id);
+
+cucumber.Then('engine {string} is not offered', function (this: FleetWorld, id: string) {
+	assert.ok(!offeredIds(this).includes(id));
+});
+
+cucumber.Then('engine {string} is offered', function (this: FleetWorld, id: string) {
+	assert.ok(offeredIds(this).includes(id));
+});
+
+cucumber.Given(
+	'a relayed request that waits for its connection to engine "a"',
+	function (this: FleetWorld) {
+		const directory = directoryOf(this, ['a', 'b']);
+		const calls: { call: EngineCall; listener: AnswerListener }[] = [];
+		const running = { pause() {}, resume() {}, abort() {} };
+		const transport = {
+			send(call: EngineCall, listener: AnswerListener) {
+				calls.push({ call, listener });
+				return running;
+			},
+		};
+		const [first] = directory.offered('pool');
+		const work = { running: 0, promptTokens: 0 };
+		const choose = (_req: unknown, engines: readonly Engine[]) => {
+			return { engine: engines[0] ?? first, work, reason: 'test', readMsPerToken: 0, waitMs: 0 };
+		};
+		const ctx = {
+			clock: clockOf(this),
+			log: silentLog,
+			engines: directory,
+			placement: { choose },
+			transport,
+			budget: { requested() {}, left: () => 5, take: () => true },
+			fleet: { size: 1, changeWork() {}, read() {} },
+			metrics: { retried() {}, engineClosed() {} },
+			quarantine: { mayKnow: () => false },
+			onWorkChanged() {},
+		} as unknown as RelayContext;
+		const req = { id: 'r', parts: [], headers: [], arrivedAt: clockOf(this).sinceBoot() };
+		const terms = { req, route: route({}), service: 'pool', urgency: 0, leastUrgent: false };
+		const res = { head() {}, write: () => true, end() {}, onDrain() {}, onClosed() {} };
+		const request = new RelayedRequest(ctx, terms as never, res as never, () => {});
+		request.start();
+		this.seen.set('directory', directory);
+		this.seen.set('calls', calls);
+	},
+);
+
+type Calls = { call: EngineCall; listener: AnswerListener }[];
+
+cucumber.When('the connection is up', function (this: FleetWorld) {
+	const [{ listener }] = seen<Calls>(this, 'calls') as [Calls[number]];
+	if (listener.maySend()) {
+		listener.sent();
+	} else {
+		listener.withdrawn();
+	}
+});
+
+cucumber.Then(
+	'nothing is sent to engine "a", and the request goes to engine "b"',
+	function (this: FleetWorld) {
+		const engines = seen<Calls>(this, 'calls').map(({ call }) => call.engineId);
+		assert.deepEqual(engines, ['a', 'b']);
+		for (const { listener } of seen<Calls>(this, 'calls')) {
+			listener.fail('the test is over', false);
+		}
+	},
+);
+
+cucumber.Given('an engine that counts what it gets', async function (this: FleetWorld) {
+	const got: string[] = [];
+	const server = http.createServer((req, res) => {
+		got.push(req.url ?? '');
+		res.end();
+	});
+	await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
+	this.seen.set('server', server);
+	this.seen.set('got', got);
+});
+
+cucumber.When('a call is taken back as its connection comes up', async function (this: FleetWorld) {
+	const { port } = seen<http.Server>(this, 'server').address() as AddressInfo;
+	const transport = new UndiciEngineTransport(platform);
+	const req = { method: 'POST', target: '/', headers: [], body: Buffer.from('order'), id: 'r' };
+	const address = `127.0.0.1:${port}`;
+	const call = { address, engineId: 'a', req, deadlineMs: 1000, urgency: 5 } as unknown;
+	const end = await new Promise<string>((done) => {
+		transport.send(call as EngineCall, {
+			maySend: () => false,
+			withdrawn: () => done('withdrawn'),
+			sent: () => done('sent'),
+			head() {},
+			data() {},
+			end() {},
+			fail: () => done('failed'),
+		});
+	});
+	await sleep(clockSlackMs);
+	await transport.close();
+	seen<http.Server>(this, 'server').close();
+	this.seen.set('end', end);
+});
+
+cucumber.Then('the call ends as not sent', function (this: FleetWorld) {
+	assert.equal(seen<string>(this, 'end'), 'withdrawn');
+});
+
+cucumber.Then('the engine got no request', function (this: FleetWorld) {
+	assert.deepEqual(seen<string[]>(this, 'got'), []);
+});
+
 function sleep(ms: number): Promise<void> {
 	return new Promise((done) => setTimeout(done, ms));
 }
