Soak: engines that say in their answers that they leave, and that ask for rest; both are checked

Cause: no stand-in and no fault had ever done either, so no run could show that the words were not heeded. Change: two faults, two promises of the oracle with a deliberate defect each.

--- a/test/features/soak.feature
+++ b/test/features/soak.feature
@@ -12,6 +12,8 @@
 			| ends an answer too soon                  | whole         |
 			| joins the streams of two requests        | whole         |
 			| sends work to an engine that left        | leaving       |
+			| sends work to an engine that said so     | saidLeaving   |
+			| gives an engine no rest                  | rest          |
 			| cuts a request in a planned stop         | stop          |
 			| serves a key that was taken away         | configuration |
 			| refuses a key that was added             | configuration |
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Rng } from '../../bench/random.js';
+import { engineBehaviours } from '../stand-ins/platform-engine.js';
 import type { SoakDeployment, SoakEngine, SoakVm } from './deployment.js';
 import { harmful, sleep } from './deployment.js';
 import type { LinkState } from './loopback-proxy.js';
@@ -14,13 +15,20 @@
 const longestMs = 3500;
 /** VMs and engines that stay whole, so that requests can be served at all. */
 const spared = 1;
+/** Longest rest that an engine asks for, in seconds. */
+const mostRestS = 4;
+/** What an engine does that has too much to do. */
+const shedding = [engineBehaviours.rejects, engineBehaviours.bare503];
+const sheddingOrWell = [...shedding, engineBehaviours.well];
 
 type Fault = (run: FaultRun) => Promise<void>;
 
 export class FaultRun {
+	/** @param known draws among the first so many faults; all unless given */
 	constructor(
 		readonly deployment: SoakDeployment,
 		readonly rng: Rng,
+		private readonly known = faults.length,
 	) {}
 
 	/** Runs faults in several series until the time is over; resolves when all are put right. */
@@ -68,7 +76,7 @@
 
 	private async oneSeries(untilMs: number): Promise<void> {
 		while (performance.now() < untilMs) {
-			await this.pick(faults)(this);
+			await this.pick(faults.slice(0, this.known))(this);
 			await sleep(this.rng() * 400);
 		}
 	}
@@ -192,6 +200,32 @@
 	}
 };
 
+/** An engine says only in its answers that it leaves, whatever else it does; its registration goes later. */
+const engineSaysLeaving: Fault = async (run) => {
+	const { deployment } = run;
+	const whole = deployment.engines.filter((engine) => !engine.busy && !engine.leaving);
+	if (whole.length > spared) {
+		await deployment.addEngine();
+		const engine = run.pick(whole);
+		engine.leaving = true;
+		engine.standIn.isLeaving = true;
+		await sleep(run.duration());
+		engine.standIn.behaviour = run.pick(sheddingOrWell);
+		await sleep(run.duration());
+		await deployment.removeEngine(engine, false);
+	}
+};
+
+/** An engine turns requests away and asks for rest; it may take some again before that is over. */
+const engineSheds: Fault = (run) =>
+	run.withEngine('sheds', async ({ standIn }) => {
+		standIn.restS = run.rng() * mostRestS;
+		standIn.behaviour = run.pick(shedding);
+		await sleep(run.duration());
+		standIn.behaviour = 'well';
+		standIn.restS = undefined;
+	});
+
 const keyChange: Fault = async (run) => {
 	run.deployment.changeKey();
 };
@@ -222,6 +256,9 @@
 	engineLeaves,
 	keyChange,
 	keyStorm,
+	// New ones come last: seeds that failed draw among those that were there then.
+	engineSaysLeaving,
+	engineSheds,
 ];
 
 /** Waits until a started process says that it is ready; the store may be harmed meanwhile. */
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -7,7 +7,7 @@
 import * as path from 'node:path';
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
-import { regressions } from './regressions.js';
+import { firstFaults, regressions } from './regressions.js';
 import { runSoak } from './run.js';
 
 const args = await yargs(hideBin(process.argv))
@@ -68,6 +68,8 @@
 	series: number;
 	/** Of the size of `--big`, also when other cases are not. */
 	big?: boolean;
+	/** Draws among the first so many faults. */
+	faults?: number;
 }
 
 async function work(): Promise<void> {
@@ -83,12 +85,22 @@
 	}
 	taken++;
 	const { seconds } = args;
-	return listed?.[taken - 1] ?? { seed: first + taken - 1, seconds, series: size.series };
+	const regression = listed?.[taken - 1];
+	return regression
+		? { faults: firstFaults, ...regression }
+		: { seed: first + taken - 1, seconds, series: size.series };
 }
 
-async function one({ seed, seconds, series, big = args.big }: Case): Promise<void> {
+async function one({ seed, seconds, series, faults: drawn, big = args.big }: Case): Promise<void> {
 	const out = fs.mkdtempSync(path.join(os.tmpdir(), `soak-${seed}-`));
-	const result = await runSoak({ ...(big ? bigSize : size), seed, seconds, series, out });
+	const result = await runSoak({
+		...(big ? bigSize : size),
+		seed,
+		seconds,
+		series,
+		faults: drawn,
+		out,
+	});
 	const { findings, requests, served, faults, loopDelayMs } = result;
 	const verdict =
 		findings.length === 0 ? 'no finding' : `${findings.length} findings, kept in ${out}`;
--- a/test/soak/oracle.ts
+++ b/test/soak/oracle.ts
@@ -18,6 +18,8 @@
 	notRun: 'a request that was told as not run has run',
 	whole: 'an answer is not the whole answer to its own request',
 	leaving: 'a leaving engine got new work',
+	saidLeaving: 'an engine whose answer said that it leaves got new work',
+	rest: 'an engine that had asked for rest got requests',
 	stop: 'a planned stop cut a request',
 	configuration: 'a configuration is not in force in time',
 	back: 'a configuration went back',
@@ -41,6 +43,7 @@
 	}
 	checkVersions(records, runsOf, find);
 	checkRetries(records, find);
+	checkNotices(records, find);
 	for (const vm of records.notRecovered) {
 		find(promises.recovery, vm);
 	}
@@ -180,6 +183,48 @@
 	}
 }
 
+/** Requests that may reach an engine from a VM while it rests: they were on their way. */
+const mostInRest = 2;
+/** From an engine's word to the end of what was on its way to it, in milliseconds. */
+const onTheWayMs = 500;
+
+/** What an engine said in an answer counts for the VM that got it, until that starts again or is paused. */
+function checkNotices(records: SoakRecords, find: Find): void {
+	const requests = new Map(records.requests.map((req) => [req.id, req]));
+	const arrivals = records.arrivals.toSorted((a, b) => a.at - b.at);
+	for (const { id, engine, notice } of arrivals) {
+		const told = requests.get(id);
+		if (!told || !notice || !(notice.leaving || notice.restMs > 0)) {
+			continue;
+		}
+		const later = arrivals.filter(({ id: other, ...arrival }) => {
+			const req = requests.get(other);
+			const isSameVm = req?.vm === told.vm && req.life === told.life;
+			const isLater = arrival.engine === engine && arrival.at > notice.at;
+			return isSameVm && isLater && !wasHarmed(records, told.vm, notice.at, arrival.at);
+		});
+		const { drainMs } = records.bounds;
+		const latest = notice.at + drainMs + timingSlackMs;
+		const late = later.find(({ id: other }) => (requests.get(other)?.sentAt ?? 0) > latest);
+		if (notice.leaving && late) {
+			find(promises.saidLeaving, `${late.id} from ${told.vm} reached ${engine}, told by ${id}`);
+		}
+		const inRest = later.filter(
+			({ at }) => at > notice.at + onTheWayMs && at < notice.at + notice.restMs,
+		);
+		if (inRest.length > mostInRest) {
+			find(promises.rest, `${inRest.length} from ${told.vm} reached ${engine}, told by ${id}`);
+		}
+	}
+}
+
+/** The VM itself was stopped, paused or killed in the span. */
+function wasHarmed(records: SoakRecords, vm: string, from: number, until: number): boolean {
+	return records.disturbances.some(
+		(item) => item.target === vm && item.from < until && item.until > from,
+	);
+}
+
 /** No harm to the VM or the store from a while before the span to its end. */
 function isUndisturbed(records: SoakRecords, vm: string, from: number, until: number): boolean {
 	const { contactMs } = records.bounds;
--- a/test/soak/regressions.ts
+++ b/test/soak/regressions.ts
@@ -3,11 +3,16 @@
  * @module
  */
 
+/** Faults that there were when the first seeds failed. */
+export const firstFaults = 18;
+
 export interface Regression {
 	seed: number;
 	/** Length of the faults, in seconds, and faults at the same time, as in the run that failed. */
 	seconds: number;
 	series: number;
+	/** Faults that there were then; more would change what the seed draws. @default those of `firstFaults` */
+	faults?: number;
 	/** Of the size of `--big`. */
 	big?: boolean;
 	/** What was wrong, and where it was mended. */
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -23,6 +23,8 @@
 	callers: number;
 	/** Faults at the same time. */
 	series: number;
+	/** Draws among the first so many faults. @default all */
+	faults?: number;
 	/** Folder for logs and records. */
 	out: string;
 }
@@ -59,7 +61,7 @@
 		await sleep(settleMs);
 		const callers = new Callers(deployment, seeded(opts.seed * 2 + 1));
 		const traffic = callers.run(opts.callers);
-		const faults = new FaultRun(deployment, seeded(opts.seed * 2));
+		const faults = new FaultRun(deployment, seeded(opts.seed * 2), opts.faults);
 		await faults.run(opts.series, performance.now() + opts.seconds * 1000);
 		const notRecovered = await waitForAll(deployment, callers);
 		callers.stop();
@@ -101,6 +103,7 @@
 			at: seen.at,
 			rejected: seen.rejected,
 			customer: seen.headers['slategauge-tenant'] as string | undefined,
+			notice: seen.notice,
 		})),
 	);
 }
--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -2,6 +2,7 @@
  * What the soak sees at both ends, and what it did in between.
  * @module
  */
+import type { EngineNotice } from '../stand-ins/platform-engine.js';
 
 /** A request as its caller saw it. Times are monotonic milliseconds. */
 export interface CallerRecord {
@@ -28,6 +29,8 @@
 	/** The engine refused it and says that it did not run. */
 	rejected: boolean;
 	customer?: string;
+	/** What the head of its answer said of the engine. */
+	notice?: EngineNotice;
 }
 
 export const requestKinds = {
--- a/test/steps/soak.steps.ts
+++ b/test/steps/soak.steps.ts
@@ -92,6 +92,20 @@
 		records.requests.push(request({ id: 'x' }));
 		records.arrivals.push(arrival('x', { engine: 'e9' }));
 	},
+	'sends work to an engine that said so': (records) => {
+		const notice = { at: startAt, leaving: true, restMs: 0 };
+		records.arrivals.push(arrival('a', { notice }));
+		records.requests.push(request({ id: 'x', sentAt: startAt + 2500 }));
+		records.arrivals.push(arrival('x', { at: startAt + 2510 }));
+	},
+	'gives an engine no rest': (records) => {
+		const notice = { at: startAt, leaving: false, restMs: 3000 };
+		records.arrivals.push(arrival('e', { notice, rejected: true }));
+		for (const id of ['x', 'y', 'z']) {
+			records.requests.push(request({ id, sentAt: startAt + 1000 }));
+			records.arrivals.push(arrival(id, { at: startAt + 1010 }));
+		}
+	},
 	'cuts a request in a planned stop': (records) => {
 		const from = startAt - 200;
 		const stop = { target: 'vm-1', what: 'stopped', from, until: startAt + 4000, planned: true };
