--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -8,32 +8,12 @@
 import type { StoreChanges, StoreItem } from '../store/definitions.js';
 import type { PrefixListener } from '../store/prefix-follower.js';
 import { eraOf, storedRevision } from '../store/revisions.js';
-import { Engine, startKey } from './engine.js';
-import { EngineNotices } from './engine-notices.js';
+import type { Engine } from './engine.js';
+import { PastStarts } from './past-starts.js';
 import type { EngineEntry } from './types.js';
 
 /** Lapsed registrations are back within about 2 s of the store's return, if the engine lives. */
 const returnMs = 1900;
-/**
- * What a start of an engine said is kept for so long after its registration went, in milliseconds: the longest lease, and
- * far longer than an engine that leaves serves on. A registration that lapsed and came back would else read as ready.
- */
-const noticesKeptMs = 600_000;
-/**
- * A registration that had ended and stands again in an older copy of the store lapses within this time, in milliseconds, if its
- * engine is gone: after three heartbeats of at most two seconds.
- */
-const doubtMs = 6000;
-
-/** What one start of an engine said, and until when that is kept once its registration is gone. */
-interface KeptNotices {
-	notices: EngineNotices;
-	/** In milliseconds since boot; undefined while it is registered. */
-	until?: number;
-	/** Era of the store in which its registration ended. */
-	endedIn?: number;
-}
-
 /** What one VM tells another of all engines: all ids, and the registrations that changed. */
 interface DirectoryCopy {
 	revision: number;
@@ -64,13 +44,15 @@
 	private readonly unreadable = new Map<string, number>();
 	/** Newest revision of the store that the directory shows. */
 	private shownRevision = 0;
-	private readonly kept = new Map<string, KeptNotices>();
+	private readonly starts: PastStarts;
 	private contentDigest = 0;
 	private wasRead = false;
 	private storeLost = false;
 	private storeBackAt = Number.NEGATIVE_INFINITY;
 
-	constructor(private readonly opts: EngineDirectoryOptions) {}
+	constructor(private readonly opts: EngineDirectoryOptions) {
+		this.starts = new PastStarts(opts.clock, opts.log);
+	}
 
 	get(id: string): Engine | undefined {
 		return this.engines.get(id);
@@ -195,7 +177,7 @@
 
 	/** Forgets engines whose registration did not come back, and what engines said long ago; called several times a second. */
 	sweep(): void {
-		this.sweepNotices();
+		this.starts.sweep();
 		const now = this.opts.clock.monotonic();
 		for (const engine of [...this.engines.values()]) {
 			if (engine.missingUntil !== undefined && now >= engine.missingUntil) {
@@ -204,31 +186,6 @@
 		}
 	}
 
-	private sweepNotices(): void {
-		if (this.kept.size === this.engines.size) {
-			return;
-		}
-		const now = this.opts.clock.sinceBoot();
-		for (const [key, { until }] of this.kept) {
-			if (until !== undefined && now >= until) {
-				this.kept.delete(key);
-			}
-		}
-	}
-
-	/** What the same start said before counts on; one that had ended may stand in an older copy of the store only. */
-	private newEngine(entry: EngineEntry, revision: number): Engine {
-		const key = startKey(entry);
-		const { notices = new EngineNotices(), endedIn } = this.kept.get(key) ?? {};
-		this.kept.set(key, { notices });
-		const engine = new Engine(entry, notices);
-		if (endedIn !== undefined && endedIn < eraOf(revision)) {
-			engine.doubtedUntil = this.opts.clock.monotonic() + doubtMs;
-			this.opts.log.warn('engine.doubted', { engine: entry.id, ms: doubtMs });
-		}
-		return engine;
-	}
-
 	/** A change that a watch tells was written in the store's era: the engine lives. */
 	private isWrittenNow(item: StoreItem): void {
 		const engine = this.engines.get(this.opts.idOf(item.key));
@@ -259,7 +216,7 @@
 		const before = this.items.get(entry.id)?.revision ?? 0;
 		this.setItem(entry.id, item);
 		if (!known || !isSame) {
-			this.add(this.newEngine(entry, item.revision), item.revision);
+			this.add(this.starts.engineOf(entry, item.revision), item.revision);
 			return;
 		}
 		this.keepLeaving(known, entry, before, item.revision);
@@ -327,9 +284,7 @@
 	private remove(engine: Engine, reason: string): void {
 		const { id, service, address } = engine.entry;
 		engine.isGone = true;
-		const until = this.opts.clock.sinceBoot() + noticesKeptMs;
-		const endedIn = eraOf(this.shownRevision);
-		this.kept.set(engine.key, { notices: engine.notices, until, endedIn });
+		this.starts.ended(engine, eraOf(this.shownRevision));
 		this.engines.delete(id);
 		this.setItem(id, undefined);
 		const left = (this.ofService.get(service) ?? []).filter((other) => other !== engine);
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -21,7 +21,6 @@
 import { StartHold } from '../../core/relay/start-hold.js';
 import { ConfigurationState } from '../../core/routing/configuration-state.js';
 import type { Route } from '../../core/routing/types.js';
-import { eraOf, storedRevision } from '../../core/store/revisions.js';
 import { CallersFront } from '../../infra/relay/callers-front.js';
 import { UndiciEngineTransport } from '../../infra/relay/engine-transport.js';
 import { PrometheusMetrics } from '../../infra/relay/prometheus-metrics.js';
@@ -34,6 +33,7 @@
 import { FleetDuties } from './fleet-duties.js';
 import { PeerExchange } from './peer-exchange.js';
 import { StoreReading } from './store-reading.js';
+import { StoreRestoration } from './store-restoration.js';
 
 /** Time between two looks at what is due, in milliseconds. */
 const tickMs = 100;
@@ -69,6 +69,7 @@
 	private readonly costs = new CostModel();
 	private readonly costReport: CostReport;
 	private readonly reading: StoreReading;
+	private readonly restoration: StoreRestoration;
 	private readonly fleet: FleetView;
 	private readonly peers: PeerExchange;
 	private readonly registry: VmRegistry;
@@ -86,8 +87,6 @@
 	private tickedAt = this.clock.sinceBoot();
 	private lastDelayMs = 0;
 	private suspendedMs = 0;
-	/** The last era of the store that this VM has taken in. */
-	private restoredIn = 0;
 	/** When the stop signal came, in monotonic milliseconds. */
 	private stoppingAt?: number;
 
@@ -100,7 +99,7 @@
 	) {
 		const { clock, random, transport } = this;
 		this.store = new platform.PlatformStore(settings.store.address, clock, ({ era }) => {
-			this.storeRestored(era);
+			this.restoration.restored(era);
 		});
 		this.quarantine = new Quarantine({
 			clock,
@@ -202,7 +201,7 @@
 			registeredVms: () => this.registry.size,
 			vmNames: () => this.registry.names,
 			dutyToken: () => this.duties?.token,
-			onEraHeard: (era) => this.eraHeard(era),
+			onEraHeard: (era) => this.restoration.heard(era),
 			peers: () => this.peers,
 			sleep,
 		});
@@ -247,6 +246,17 @@
 			costs: () => this.costReport.samples(),
 			quarantined: () => this.quarantine.contents.size,
 		});
+		this.restoration = new StoreRestoration({
+			log,
+			store: this.store,
+			engines: this.engines,
+			configuration: this.configuration,
+			registry: this.registry,
+			quarantineRecords: this.quarantineRecords,
+			reading: this.reading,
+			duties: this.duties,
+			onRestored: () => this.metrics.storeRestored(),
+		});
 		this.metricsServer = createMetricsServer(() => this.metrics.render());
 		this.startHold = new StartHold({ clock, log, isKnown: () => this.knowsEnough });
 		this.relay = new Relay({
@@ -393,33 +403,6 @@
 		}
 	}
 
-	/** Peers that the store answers may know of a new era before this VM has an answer of its own. */
-	private eraHeard(era: number): void {
-		if (this.store.era > 0 && era > this.store.era) {
-			this.storeRestored(era);
-		}
-	}
-
-	/** The store came back from an older copy: what this VM wrote there since is written again, what it knows stays. */
-	private storeRestored(era: number): void {
-		if (era <= this.restoredIn) {
-			return;
-		}
-		this.restoredIn = era;
-		this.log.warn('store.restored', {
-			era,
-			era_before: eraOf(this.engines.revision),
-			revision_before: storedRevision(this.engines.revision),
-			configuration: this.configuration.version,
-			duty_token: this.duties?.token,
-		});
-		this.metrics.storeRestored();
-		this.duties?.restored();
-		this.registry.restored();
-		this.quarantineRecords.restored();
-		this.reading.restored();
-	}
-
 	/** An error that is no failure of the store is a defect: the process ends and is started anew. */
 	private runForever(loop: Promise<void>): void {
 		loop.catch((err: Error) => {
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -1,5 +1,5 @@
 /**
- * Client of the platform's store. Bodies are JSON, values base64 of their text.
+ * Client of the platform's store.
  * @module
  */
 import * as undici from 'undici';
@@ -8,7 +8,6 @@
 import type {
 	Store,
 	StoreChanges,
-	StoreEvent,
 	StoreItem,
 	StoreRange,
 	StoreRestored,
@@ -16,6 +15,8 @@
 } from '../core/store/definitions.js';
 import { StoreError, storeFailures } from '../core/store/definitions.js';
 import { eraOf, revisionIn, storedRevision } from '../core/store/revisions.js';
+import type { WireChanges, WireItem, WireRange } from './store-wire.js';
+import { decodeEra, toEvent, toItem } from './store-wire.js';
 import { headers } from './wire.js';
 
 /** An ordinary call; the store answers in 4 ms when well, up to 300 ms when slow. */
@@ -30,31 +31,6 @@
 /** Revision that a key must have which must not be there. */
 const absent = 0;
 
-const utf8 = new TextDecoder('utf-8', { fatal: true });
-
-interface WireItem {
-	/** "Private key": just the key. */
-	'private-key': string;
-	value: string;
-	revision: number;
-	'lease-id': number;
-}
-
-type WireEvent = WireItem | { 'private-key': string; revision: number; deleted: true };
-
-interface WireRange {
-	entries: WireItem[];
-	'has-more': boolean;
-	/** "Timestamp": revision of the whole store at the read, no time. */
-	timestamp: number;
-}
-
-interface WireChanges {
-	events: WireEvent[];
-	/** Revision from which the next watch goes on. */
-	timestamp: number;
-}
-
 interface Reply {
 	status: number;
 	body: unknown;
@@ -298,34 +274,3 @@
 	}
 	return { body: reply.body as T, era: reply.era };
 }
-
-/** Undefined where the answer tells none, or something else. */
-function decodeEra(raw: string | string[] | undefined): number | undefined {
-	const era = typeof raw === 'string' && raw !== '' ? Number(raw) : Number.NaN;
-	return Number.isInteger(era) && era >= 0 ? era : undefined;
-}
-
-function toItem(raw: WireItem, era: number): StoreItem {
-	return {
-		key: raw['private-key'],
-		value: decodeValue(raw.value),
-		revision: revisionIn(era, raw.revision),
-		lease: raw['lease-id'],
-	};
-}
-
-/** Text of a value; empty when another writer left something that is no base64 of a text. */
-function decodeValue(raw: unknown): string {
-	try {
-		return utf8.decode(Buffer.from(String(raw), 'base64'));
-	} catch {
-		// Whoever decodes the empty text says what is wrong and where.
-		return '';
-	}
-}
-
-function toEvent(raw: WireEvent, era: number): StoreEvent {
-	return 'deleted' in raw && raw.deleted
-		? { kind: 'gone', key: raw['private-key'] }
-		: { kind: 'put', item: toItem(raw as WireItem, era) };
-}
