--- a/src/core/explain/story.ts
+++ b/src/core/explain/story.ts
@@ -10,10 +10,14 @@
 /** Events that change what a VM believes. */
 const beliefEvents: ReadonlySet<string> = new Set([
 	'engine.closed',
+	'engine.notice',
+	'engine.doubted',
+	'engine.kept-leaving',
 	'engine.seen',
 	'engine.gone',
 	'store.lost',
 	'store.reached',
+	'store.restored',
 	'peer.lost',
 	'peer.seen',
 	'vm.suspended',
@@ -48,7 +52,8 @@
 	const to = Math.max(...times);
 	const beliefs = lines.filter((line) => {
 		const about = line.get('engine');
-		const concerns = about === undefined || engines.has(about);
+		// What was sent to no engine may have been refused for what any of them said.
+		const concerns = about === undefined || engines.size === 0 || engines.has(about);
 		const isOwn = line.get('request') === request;
 		const at = timeOf(line);
 		return (
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -250,6 +250,10 @@
 		Then the story of "r3" names, in order, "request.broken, request.broken, quarantine.entered, request.quarantined"
 		And nothing is missing from the story of "r3"
 
+	Scenario: The story of a request that was refused while all engines rest names what they said
+		Given logs in which engines "e1, e2" asked "vm-1" for rest and "r1" was refused there, and "e3" asked "vm-2"
+		Then the story of "r1" names, in order, "engine.notice, engine.notice, request.ended"
+
 	Scenario: Requests are found in logs by what became of them
 		Given a file of logs in which requests ended so
 			| time  | vm   | request | route | engines | outcome   | took_ms |
--- a/test/steps/relay-log.steps.ts
+++ b/test/steps/relay-log.steps.ts
@@ -125,6 +125,28 @@
 	},
 );
 
+cucumber.Given(
+	'logs in which engines {string} asked {string} for rest and {string} was refused there, and {string} asked {string}',
+	function (
+		this: FleetWorld,
+		engines: string,
+		vm: string,
+		request: string,
+		otherEngine: string,
+		otherVm: string,
+	) {
+		const at = (second: number) => `time=2026-03-01T06:00:0${second}.000Z level=info`;
+		const notice = (name: string, of: string) =>
+			`event=engine.notice vm=${name} request=other engine=${of} status=503 rest_s=3`;
+		const lines = [
+			...engines.split(', ').map((engine, index) => `${at(index + 1)} ${notice(vm, engine)}`),
+			`${at(1)} ${notice(otherVm, otherEngine)}`,
+			`${at(4)} event=request.ended vm=${vm} request=${request} outcome=refused engines=""`,
+		];
+		this.seen.set('lines', lines.map(parseLine));
+	},
+);
+
 function storyOf(world: FleetWorld, request: string) {
 	return tellStory(request, seen(world, 'lines'));
 }
