A fake of the list of engines knows how long engines rest

Cause: the scenario of a request under way in a suspension gave the relay a list of engines without the call that came with rest (TypeError in two runs of the whole script, 267 passed and 1 failed each). Its check is unchanged. Measured: suspension.feature passes.

--- a/test/steps/suspension.steps.ts
+++ b/test/steps/suspension.steps.ts
@@ -229,7 +229,7 @@
 	return {
 		clock,
 		log: silentLog,
-		engines: { offered: () => engines },
+		engines: { offered: () => engines, restLeftMs: () => 0 },
 		placement: {
 			choose({ tried }: { tried: ReadonlySet<string> }) {
 				const engine = engines.find(({ id }) => !tried.has(id));
