--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -109,6 +109,19 @@
 		When "POST /once/" with body "order" is sent
 		Then the answer is 200 "half and half", signed by "a"
 
+	Scenario: A second answer behind the first belongs to no request
+		Given a relay of 1 VM with engines "a"
+		And engine "a" answers-twice
+		When "GET /plain/" is sent 10 times
+		Then each answer is 200 "answer to /plain/"
+
+	Scenario: An engine that answers before it has read the body gets nothing else in its place
+		Given a relay of 1 VM with engines "a"
+		And engine "a" answers-early
+		When "POST /plain/" with 300000 bytes of body is sent 6 times
+		Then each answer is 200 "early answer to /plain/"
+		And engine "a" got each body of 300000 bytes whole, or not to its end
+
 	Scenario: An engine's own failure is passed on as it is
 		Given a relay of 1 VM with engines "a"
 		And engine "a" fails
--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -245,10 +245,16 @@
 	}
 }
 
+/** Not drawn as harm: they answer well, or came later than the seeds that failed once. */
+const notHarmful: ReadonlySet<string> = new Set([
+	engineBehaviours.well,
+	engineBehaviours.unframed,
+	engineBehaviours.answersTwice,
+	engineBehaviours.answersEarly,
+]);
+
 /** Behaviours of engines that do harm. */
-export const harmful = Object.values(engineBehaviours).filter(
-	(name) => name !== engineBehaviours.well && name !== engineBehaviours.unframed,
-);
+export const harmful = Object.values(engineBehaviours).filter((name) => !notHarmful.has(name));
 
 export function sleep(ms: number): Promise<void> {
 	return new Promise((done) => setTimeout(done, ms));
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -226,6 +226,13 @@
 		standIn.restS = undefined;
 	});
 
+const engineAnswersTwice: Fault = (run) =>
+	run.withEngine('answers twice', async ({ standIn }) => {
+		standIn.behaviour = engineBehaviours.answersTwice;
+		await sleep(run.duration());
+		standIn.behaviour = engineBehaviours.well;
+	});
+
 /** The store comes back from older copies, once or twice in a row. */
 const storeRestored: Fault = async (run) => {
 	const { deployment } = run;
@@ -269,6 +276,7 @@
 	engineSaysLeaving,
 	engineSheds,
 	storeRestored,
+	engineAnswersTwice,
 ];
 
 /** Waits until a started process says that it is ready; the store may be harmed meanwhile. */
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -28,6 +28,10 @@
 	unframed: 'unframed',
 	/** Its own failure. */
 	fails: 'fails',
+	/** Sends a second whole answer behind the first. */
+	answersTwice: 'answers-twice',
+	/** Answers before it has read the body, keeps the connection and reads on. */
+	answersEarly: 'answers-early',
 	/** Never answers. */
 	silent: 'silent',
 } as const;
@@ -92,6 +96,14 @@
 	}
 
 	private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (this.behaviour === engineBehaviours.answersEarly) {
+			const id = String(req.headers['slategauge-attempt-id']);
+			const signed = {
+				'slategauge-attempt-id': id,
+				'slategauge-response-signature': `by-${this.id}`,
+			};
+			res.writeHead(200, signed).end(`early answer to ${req.url}`);
+		}
 		const chunks: Buffer[] = [];
 		for await (const chunk of req) {
 			chunks.push(chunk as Buffer);
@@ -150,6 +162,19 @@
 			case engineBehaviours.unframedResetAtOnce:
 				await this.answerUnframed(req, socket);
 				return;
+			case engineBehaviours.answersTwice:
+				if (req.url.startsWith('/stream')) {
+					await this.serve(req, res, signed, socket);
+					return;
+				}
+				this.head(req, res, 200, signed).end(`answer to ${req.body || req.url}`, () => {
+					const head = `HTTP/1.1 200 OK\r\nslategauge-attempt-id: ${id}\r\n`;
+					socket.write(
+						`${head}slategauge-response-signature: again\r\ncontent-length: 5\r\n\r\nagain`,
+					);
+				});
+				return;
+			case engineBehaviours.answersEarly:
 			case engineBehaviours.silent:
 				return;
 			default:
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -23,7 +23,7 @@
 );
 
 cucumber.Given(
-	/^engine "(\w+)" (well|rejects|bare-503|resets|breaks-off|mixes-up|unsigned|fails|silent|unframed|unframed-reset|unframed-reset-at-once)$/,
+	/^engine "(\w+)" (well|rejects|bare-503|resets|breaks-off|mixes-up|unsigned|fails|silent|answers-twice|answers-early|unframed|unframed-reset|unframed-reset-at-once)$/,
 	function (this: FleetWorld, id: string, behaviour: EngineBehaviour) {
 		engineOf(this, id).behaviour = behaviour;
 	},
@@ -76,6 +76,37 @@
 	},
 );
 
+cucumber.When(
+	'{string} with {int} bytes of body is sent {int} times',
+	async function (this: FleetWorld, call: string, bytes: number, times: number) {
+		for (let at = 0; at < times; at++) {
+			await fixtureOf(this).send(call, String(at).repeat(bytes));
+		}
+	},
+);
+
+cucumber.Then(
+	'engine {string} got each body of {int} bytes whole, or not to its end',
+	function (this: FleetWorld, id: string, bytes: number) {
+		const bodies = engineOf(this, id).seen.map(({ body }) => body);
+		assert.ok(bodies.length > 0);
+		for (const body of bodies) {
+			const [first = ''] = body;
+			assert.ok(first.repeat(bytes).startsWith(body), `${body.length} bytes, others among them`);
+		}
+	},
+);
+
+cucumber.Then(
+	'each answer is {int} {string}',
+	function (this: FleetWorld, status: number, body: string) {
+		for (const answer of fixtureOf(this).answers) {
+			assert.equal(answer.status, status);
+			assert.equal(answer.body, body);
+		}
+	},
+);
+
 cucumber.When(
 	'{string} is sent with key {string}',
 	async function (this: FleetWorld, call: string, key: string) {
