Failing test: a VM that is turned away just after a change hears of the next one from its peers (known red)

Cause: the pause between two watches of engines waits, as the back-off does, until the configuration can be read, up to 5 s, and the VM counts as reading the store meanwhile, so it takes nothing from peers.

--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -193,6 +193,14 @@
 		When engine "a" starts to leave
 		Then VM 2 sends nothing to engine "a" after 3000 ms
 
+	Scenario: A VM that the store turns away just after a change hears of the next one from its peers
+		Given a relay of 2 VMs with engines "a, b"
+		And the registration of engine "b" is written 1 times more
+		When 100 ms pass in quiet
+		And the store turns VM 2 away
+		And engine "a" starts to leave
+		Then VM 2 sends nothing to engine "a" after 3000 ms
+
 	Scenario: A VM that starts while the store turns it away learns all from the first VM
 		Given a relay of 1 VM with engines "a"
 		When a second VM starts, turned away, with the first as its seed
