A VM that is turned away between two watches hears of engines from its peers

Cause: the follower of engines paused between two watches by the same wait as after a failed call, which holds until the configuration can be read (5 s at most), and counted as reading the store meanwhile. Class: one wait for two purposes. Ruled out: lost news and a copy that was not taken (no transfer was asked for), the eras (the code of before does it too). Change: the follower backs off by one wait and pauses by another, a plain one.

--- a/src/core/store/prefix-follower.ts
+++ b/src/core/store/prefix-follower.ts
@@ -44,6 +44,11 @@
 	/** Longest back-off now, in milliseconds; a store that is back is noticed within it. */
 	maxBackoffMs: () => number;
 	sleep: (ms: number) => Promise<void>;
+	/**
+	 * Waits after a failed call, for this time or until another try makes sense. Only then: a VM that waits so between two watches
+	 * would count as reading the store meanwhile, and hear of changes from nobody for up to 5 s.
+	 */
+	backOff: (ms: number) => Promise<void>;
 }
 
 export class PrefixFollower {
@@ -115,7 +120,7 @@
 				}
 				if (err.failure !== storeFailures.compacted && !this.cancel.signal.aborted) {
 					this.failed(err);
-					await this.opts.sleep(backoffMs * (0.5 + this.opts.random.next()));
+					await this.opts.backOff(backoffMs * (0.5 + this.opts.random.next()));
 					backoffMs = Math.min(backoffMs * 2, this.opts.maxBackoffMs());
 				}
 			}
--- a/src/daemon/relay/store-reading.ts
+++ b/src/daemon/relay/store-reading.ts
@@ -45,7 +45,7 @@
 const firstWatchLookMs = 20;
 
 /** How one prefix is followed. */
-type Reading = Pick<PrefixFollowerOptions, 'firstMayBeStale' | 'pauseMs' | 'sleep'>;
+type Reading = Pick<PrefixFollowerOptions, 'firstMayBeStale' | 'pauseMs' | 'backOff'>;
 
 export interface StoreReadingOptions {
 	vm: string;
@@ -87,7 +87,7 @@
 		this.configurationFollower = this.follower(keys.configuration, configuration, {
 			firstMayBeStale: false,
 			pauseMs: 0,
-			sleep: opts.sleep,
+			backOff: opts.sleep,
 		});
 		const listener: PrefixListener = {
 			snapshot: (...args) => engines.snapshot(...args),
@@ -97,7 +97,7 @@
 		this.enginesFollower = this.follower(keys.engines, listener, {
 			firstMayBeStale: true,
 			pauseMs: drainMs * enginesPauseShare,
-			sleep: (ms) => this.sleepWhileAway(ms),
+			backOff: (ms) => this.sleepWhileAway(ms),
 		});
 	}
 
@@ -264,10 +264,10 @@
 	}
 
 	private follower(prefix: string, listener: PrefixListener, reading: Reading): PrefixFollower {
-		const { store, clock, random, log, configuration } = this.opts;
+		const { store, clock, random, log, configuration, sleep } = this.opts;
 		const isFirst = () => configuration.table === undefined;
 		const maxBackoffMs = () => (isFirst() ? firstBackoffMs : this.selection.maxBackoffMs);
-		const common = { store, clock, random, log, maxBackoffMs };
+		const common = { store, clock, random, log, maxBackoffMs, sleep };
 		return new PrefixFollower({
 			...common,
 			prefix,
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -293,6 +293,7 @@
 		pauseMs: 0,
 		maxBackoffMs: () => 400,
 		sleep,
+		backOff: sleep,
 	});
 	void follower.follow();
 	this.seen.set('follower', { follower, sleeping, calls: () => calls });
--- a/test/steps/suspension.steps.ts
+++ b/test/steps/suspension.steps.ts
@@ -144,6 +144,7 @@
 		pauseMs: 0,
 		maxBackoffMs: () => 100,
 		sleep: async () => {},
+		backOff: async () => {},
 	});
 	void follower.follow();
 	await settled();
