Log the limit of requests a second that an engine names in its answers

Cause: the logs of the incident could not tell whether a VM hears an engine's limit, since no line names one. Ruled out: nothing yet. Change: the adapter decodes the limit, engine.notice logs when it is named, changes or ends. No decision goes by it. An empty number in a head reads as missing rather than as 0.

--- a/src/core/engines/engine-notices.ts
+++ b/src/core/engines/engine-notices.ts
@@ -10,12 +10,15 @@
 	leaving: boolean;
 	/** It wants no request from this VM for so many seconds; undefined when it did not say so. */
 	restS?: number;
+	/** Requests a second that it takes from all VMs together; undefined when it named no limit. */
+	limitPerS?: number;
 }
 
 export class EngineNotices {
 	private leaving = false;
 	/** In milliseconds since boot, which run on while the VM is suspended. */
 	private restUntil = Number.NEGATIVE_INFINITY;
+	private limitPerS?: number;
 
 	/** An engine never takes back that it leaves; only a later start of it is ready again. */
 	get isLeaving(): boolean {
@@ -26,9 +29,12 @@
 	 * @param now milliseconds since boot
 	 * @returns whether it tells anything new
 	 */
-	heard({ leaving, restS = 0 }: EngineNotice, now: number): boolean {
+	heard({ leaving, restS = 0, limitPerS }: EngineNotice, now: number): boolean {
 		const restUntil = now + restS * 1000;
-		const isNew = (leaving && !this.leaving) || (restS > 0 && restUntil > this.restUntil);
+		const isLeavingNew = leaving && !this.leaving;
+		const isRestNew = restS > 0 && restUntil > this.restUntil;
+		const isNew = isLeavingNew || isRestNew || limitPerS !== this.limitPerS;
+		this.limitPerS = limitPerS;
 		this.leaving ||= leaving;
 		if (restS > 0) {
 			this.restUntil = Math.max(this.restUntil, restUntil);
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -135,13 +135,15 @@
 	},
 	{
 		name: 'engine.notice',
-		when: 'The head of an answer says something new of its engine: that it leaves, or wants rest. It is sent no request from then on, or for so long.',
+		when: 'The head of an answer says something new of its engine: that it leaves, wants rest, or names (or no longer names) the requests a second that it takes.',
 		fields: {
 			...request,
 			engine: 'id of the engine',
 			status: 'status of that answer',
 			leaving: 'the engine leaves',
 			rest_s: 'the engine wants no request for so long',
+			limit_per_s:
+				'requests a second that the engine takes from all VMs together; left out when it names no limit',
 		},
 	},
 	{
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -215,8 +215,14 @@
 			return;
 		}
 		if (engine.notices.heard(notice, this.ctx.clock.sinceBoot())) {
-			const { leaving, restS } = notice;
-			this.outcome.log('engine.notice', { engine: engine.id, status, leaving, rest_s: restS });
+			const { leaving, restS, limitPerS } = notice;
+			this.outcome.log('engine.notice', {
+				engine: engine.id,
+				status,
+				leaving,
+				rest_s: restS,
+				limit_per_s: limitPerS,
+			});
 		}
 	}
 
--- a/src/platform/messages.ts
+++ b/src/platform/messages.ts
@@ -99,6 +99,7 @@
 		notice: {
 			leaving: map.get(headers.leaving) === '1',
 			restS: status === 503 ? positiveNumber(map.get(headers.retryAfter)) : undefined,
+			limitPerS: positiveNumber(map.get(headers.limit)),
 		},
 		headers: keepEndToEnd(rawHeaders),
 	};
@@ -154,7 +155,8 @@
 
 function positiveNumber(text: string | undefined): number | undefined {
 	const value = Number(text);
-	return text !== undefined && Number.isFinite(value) && value >= 0 ? value : undefined;
+	const isNumber = text !== undefined && text.trim() !== '' && Number.isFinite(value);
+	return isNumber && value >= 0 ? value : undefined;
 }
 
 /** "PROMPT,MOST": tokens of the prompt, then the most that may be generated. */
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -27,6 +27,8 @@
 	signature: 'slategauge-response-signature',
 	/** Present in all answers of an engine that leaves. */
 	leaving: 'server-leaving',
+	/** Requests a second that an engine takes from all VMs together, in all its answers for as long as it needs that. */
+	limit: 'server-limit',
 	/** Seconds; of an engine: it wants nothing from this VM for so long. */
 	retryAfter: 'retry-after',
 	/** In answers of the store: rises by one each time it came back from an older copy. */
