Failing tests: an engine that names the requests a second it takes gets more from the VMs together (known red)

Symptom: engines that had named 2.9 and 1 requests a second got 54 and 12 in 4 s, 22 and 11 allowed. Cause: open; the stand-in can name a limit now, which none could before. Measured: three of four scenarios fail on the code as it is (272 requests in 4 s where 23 are allowed); the fourth, that a limit which is no longer named ends, passes and is there for the mend.

--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -59,6 +59,8 @@
 	leaving: boolean;
 	/** It wants no request for so long, in milliseconds; 0 when it did not say so. */
 	restMs: number;
+	/** Requests a second that it takes from all VMs together, if it named that. */
+	limitPerS?: number;
 }
 
 /** From the begin of a request that crashes its engine to the end of the engine, in milliseconds. */
@@ -80,6 +82,8 @@
 	isLeaving = false;
 	/** A 503 asks for so many seconds of rest. */
 	restS?: number;
+	/** All its answers name this limit of requests a second. */
+	limitPerS?: number;
 	onCrash?: () => void;
 	readonly server = http.createServer((req, res) => void this.handle(req, res));
 
@@ -114,7 +118,7 @@
 		const request = { method, url, headers, body, at: performance.now(), rejected, left: false };
 		const expected = headers['slategauge-expect-instance'];
 		if (expected !== undefined && expected !== this.id) {
-			res.writeHead(421, { 'slategauge-instance-id': this.id, ...this.leavingHead }).end();
+			res.writeHead(421, { 'slategauge-instance-id': this.id, ...this.wordsHead }).end();
 			return;
 		}
 		this.seen.push(request);
@@ -195,23 +199,28 @@
 			at: performance.now(),
 			leaving: this.isLeaving,
 			restMs: (restS ?? 0) * 1000,
+			limitPerS: this.limitPerS,
 		};
-		return res.writeHead(status, { ...headers, ...this.leavingHead, ...rest });
+		return res.writeHead(status, { ...headers, ...this.wordsHead, ...rest });
 	}
 
-	private get leavingHead(): Record<string, string> {
-		return this.isLeaving ? { 'server-leaving': '1' } : {};
+	/** What all its answers say of it. */
+	private get wordsHead(): Record<string, string> {
+		const leaving = this.isLeaving ? { 'server-leaving': '1' } : undefined;
+		const limit =
+			this.limitPerS === undefined ? undefined : { 'server-limit': String(this.limitPerS) };
+		return { ...leaving, ...limit };
 	}
 
 	private async answerUnframed(req: SeenRequest, socket: Socket): Promise<void> {
-		const { behaviour, isLeaving, leavingHead } = this;
-		req.notice = { at: performance.now(), leaving: isLeaving, restMs: 0 };
+		const { behaviour, isLeaving, limitPerS, wordsHead } = this;
+		req.notice = { at: performance.now(), leaving: isLeaving, restMs: 0, limitPerS };
 		const head = [
 			'HTTP/1.1 200 OK',
 			`slategauge-attempt-id: ${req.headers['slategauge-attempt-id']}`,
 			`slategauge-response-signature: by-${this.id}`,
 			'connection: close',
-			...Object.entries(leavingHead).map((header) => header.join(': ')),
+			...Object.entries(wordsHead).map((header) => header.join(': ')),
 		];
 		socket.write(`${head.join('\r\n')}\r\n\r\nhalf`);
 		if (behaviour === engineBehaviours.unframedResetAtOnce) {
--- /dev/null
+++ b/test/steps/engine-limits.steps.ts
@@ -0,0 +1,132 @@
+/**
+ * Steps about the requests a second that an engine says it takes from all VMs together.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as cucumber from '@cucumber/cucumber';
+import { engineOf, fixtureOf } from './relay-fixture.js';
+import type { Answer, Vm } from './relay-world.js';
+import type { FleetWorld } from './world.js';
+
+/** Arrivals are counted in spans of this length, in milliseconds. */
+const spanMs = 4000;
+/** What may come in a span: so many times what the limit allows, and so many requests more. */
+const overShare = 1.5;
+const overRequests = 5;
+/** From the first answer that names a limit until it is kept, in milliseconds. */
+const knownMs = 1500;
+/** Between two requests of one caller, in milliseconds. */
+const betweenMs = 20;
+
+/** One answer and how long it took, in milliseconds. */
+interface TimedAnswer {
+	answer: Answer;
+	tookMs: number;
+}
+
+const timedAnswers = (world: FleetWorld): TimedAnswer[] => {
+	const known = (world.seen.get('timed') as TimedAnswer[] | undefined) ?? [];
+	world.seen.set('timed', known);
+	return known;
+};
+
+cucumber.Given(
+	/^engines? "([^"]+)" names? a limit of ([\d.]+) requests a second$/,
+	function (this: FleetWorld, ids: string, limit: string) {
+		for (const id of ids.split(', ')) {
+			engineOf(this, id).limitPerS = Number(limit);
+		}
+	},
+);
+
+cucumber.When('engine {string} no longer names a limit', function (this: FleetWorld, id: string) {
+	engineOf(this, id).limitPerS = undefined;
+});
+
+cucumber.When(
+	'{string} is sent through all VMs for {int} ms',
+	{ timeout: 30_000 },
+	async function (this: FleetWorld, call: string, ms: number) {
+		await Promise.all(fixtureOf(this).vms.map((vm) => sendFor(this, call, ms, vm)));
+	},
+);
+
+cucumber.When(
+	'{string} is sent through one VM for {int} ms',
+	{ timeout: 30_000 },
+	async function (this: FleetWorld, call: string, ms: number) {
+		const vm = fixtureOf(this).vms[0] as Vm;
+		await Promise.all([1, 2, 3].map(() => sendFor(this, call, ms, vm)));
+	},
+);
+
+async function sendFor(world: FleetWorld, call: string, ms: number, vm: Vm): Promise<void> {
+	const latest = performance.now() + ms;
+	while (performance.now() < latest) {
+		const sentAt = performance.now();
+		const answer = await fixtureOf(world).send(call, '', { vm });
+		timedAnswers(world).push({ answer, tookMs: performance.now() - sentAt });
+		await new Promise((done) => setTimeout(done, betweenMs));
+	}
+}
+
+/** Times at which requests reached an engine once its limit had to be known, and that limit. */
+function arrivals(world: FleetWorld, id: string): { times: number[]; limit: number } {
+	const { seen } = engineOf(world, id);
+	const first = seen.find(({ notice }) => notice?.limitPerS !== undefined)?.notice;
+	assert.ok(first?.limitPerS);
+	const from = first.at + knownMs;
+	const times = seen.map(({ at }) => at).filter((at) => at >= from);
+	return { times, limit: first.limitPerS };
+}
+
+cucumber.Then('engine {string} got no more than it takes', function (this: FleetWorld, id: string) {
+	const { times, limit } = arrivals(this, id);
+	const allowed = (overShare * limit * spanMs) / 1000 + overRequests;
+	const counts = times.map((from) => times.filter((at) => at >= from && at < from + spanMs).length);
+	assert.ok(Math.max(0, ...counts) <= allowed, `${Math.max(...counts)} in 4 s, allowed ${allowed}`);
+});
+
+cucumber.Then(
+	'engine {string} got at least {float} of what it takes',
+	function (this: FleetWorld, id: string, share: number) {
+		const { times, limit } = arrivals(this, id);
+		const all = engineOf(this, id).seen;
+		const from = (all[0]?.at ?? 0) + knownMs;
+		const lastedS = ((all.at(-1)?.at ?? 0) - from) / 1000;
+		const used = times.length / (limit * lastedS);
+		assert.ok(used >= share, `used ${used.toFixed(2)} of its limit`);
+	},
+);
+
+cucumber.Then(
+	'engine {string} got more than {int} requests in the last {int} ms',
+	function (this: FleetWorld, id: string, least: number, ms: number) {
+		const { seen } = engineOf(this, id);
+		const from = (seen.at(-1)?.at ?? 0) - ms;
+		const count = seen.filter(({ at }) => at > from).length;
+		assert.ok(count > least, `${count} requests`);
+	},
+);
+
+cucumber.Then('all answers were 200', function (this: FleetWorld) {
+	const others = timedAnswers(this).filter(({ answer }) => answer.status !== 200);
+	assert.equal(others.length, 0);
+});
+
+cucumber.Then('all answers were 200 or 503', function (this: FleetWorld) {
+	const others = timedAnswers(this).filter(({ answer }) => ![200, 503].includes(answer.status));
+	assert.equal(others.length, 0);
+});
+
+cucumber.Then(
+	'each refusal came within {int} ms and said when to come back',
+	function (this: FleetWorld, ms: number) {
+		const refusals = timedAnswers(this).filter(({ answer }) => answer.status === 503);
+		assert.ok(refusals.length > 0);
+		for (const { answer, tookMs } of refusals) {
+			assert.ok(Number(answer.headers['retry-after']) > 0);
+			assert.ok(tookMs < ms, `${tookMs} ms`);
+		}
+	},
+);
