Engines that name a limit are not counted on for the others' work where engines are ordered

Cause: an engine that names how few requests it takes still counts as one that serves, so the number ordered stays as if it bore its share. Ruled out: counting it as leaving, which would order its kind down. Change: as many more are wanted as name a limit; hysteresis and bounds as before. Asking for a permit is worth it at once when a limit rises or ends, and asks that wait are granted then.

--- a/src/core/duties/engine-orders.ts
+++ b/src/core/duties/engine-orders.ts
@@ -56,6 +56,8 @@
 	services: () => readonly Service[];
 	/** Registered engines of a service. */
 	engines: (service: string) => readonly EngineEntry[];
+	/** Engines of a service that name how many requests a second they take. */
+	limitedEngines: (service: string) => number;
 	/** Engines kept busy by what callers bring to the fleet now. */
 	busyEngines: (service: string) => number;
 	/** Whether engines and the fleet's work are known as they are now. */
@@ -124,10 +126,11 @@
 		this.noteFirst(name, neededFrom(engines, supply.domains.length));
 		const sizing = this.sizingOf(name, supply);
 		sizing.observe(this.opts.busyEngines(name), this.now);
-		const need = sizing.need(this.now);
-		if (need === undefined) {
+		const forDemand = sizing.need(this.now);
+		if (forDemand === undefined) {
 			return;
 		}
+		const need = besideLimited(forDemand, this.opts.limitedEngines(name));
 		const present = supply.domains.map((domain) =>
 			this.present(name, domain.name, engines, supply),
 		);
@@ -320,6 +323,11 @@
 	}
 }
 
+/** Engines that name how few requests they take serve little: the others would have to bear what was counted on them for. */
+function besideLimited({ wanted, required }: EngineNeed, limited: number): EngineNeed {
+	return { wanted: wanted + limited, required: required + limited };
+}
+
 /** Engines that were wanted when this VM took the duty, by the operators or the holder before: without what a loss takes. */
 function neededFrom(engines: readonly EngineEntry[], domains: number): number {
 	const present = engines.filter(({ draining }) => !draining);
--- a/src/core/limits/engine-permits.ts
+++ b/src/core/limits/engine-permits.ts
@@ -81,10 +81,6 @@
 		return Math.min(Number.POSITIVE_INFINITY, ...times);
 	}
 
-	get hasPending(): boolean {
-		return this.pending.size > 0;
-	}
-
 	/** For how long asking for an engine is no use, in milliseconds; 0 when it is, or when the engine names no limit. */
 	closedMs(engine: EngineRef, urgency: number): number {
 		if (this.opts.wordOf(engine).perS === undefined) {
@@ -147,6 +143,11 @@
 		}
 	}
 
+	/** The engine takes more than before: asking is worth it again at once. */
+	reopen(engine: EngineRef): void {
+		this.closedUntil.delete(engine);
+	}
+
 	forget(engine: EngineRef): void {
 		this.closedUntil.delete(engine);
 		this.aloneAt.delete(engine);
--- a/src/core/limits/fleet-limits.ts
+++ b/src/core/limits/fleet-limits.ts
@@ -55,9 +55,13 @@
 		this.ledger = new LimitLedger({
 			clock,
 			onChanged: onNews,
-			onLimit: ({ engine, perS, version }) => {
+			onLimit: ({ engine, perS, version }, before) => {
 				const fields = { engine: engineId(engine) ?? engine, limit_per_s: perS, version };
 				log.info('engine.limit', fields);
+				if (perS === undefined || (before !== undefined && perS > before)) {
+					this.permits.reopen(engine);
+					onDue();
+				}
 			},
 		});
 		const wordOf = (engine: EngineRef) => this.ledger.wordOf(engine);
@@ -92,9 +96,7 @@
 
 	/** Monotonic milliseconds at which `run` should be called next. */
 	get dueAt(): number {
-		return this.ledger.size === 0 && !this.permits.hasPending
-			? Number.POSITIVE_INFINITY
-			: Math.min(this.permits.dueAt, this.issuer.dueAt);
+		return Math.min(this.permits.dueAt, this.issuer.dueAt);
 	}
 
 	run(): void {
--- a/src/core/limits/limit-ledger.ts
+++ b/src/core/limits/limit-ledger.ts
@@ -40,8 +40,8 @@
 	clock: Clock;
 	/** A word changed that others should hear. */
 	onChanged: () => void;
-	/** A limit was named, changed or ended. */
-	onLimit: (word: LimitWord) => void;
+	/** A limit was named, changed or ended; `before` in requests a second. */
+	onLimit: (word: LimitWord, before: number | undefined) => void;
 }
 
 export class LimitLedger {
@@ -149,7 +149,7 @@
 		this.count();
 		this.opts.onChanged();
 		if (perS !== before) {
-			this.opts.onLimit({ engine, perS, version });
+			this.opts.onLimit({ engine, perS, version }, before);
 		}
 	}
 
--- a/src/core/limits/permit-issuer.ts
+++ b/src/core/limits/permit-issuer.ts
@@ -146,7 +146,8 @@
 		}
 		for (const [engine, turns] of this.engines) {
 			if (turns.waiting.length > 0) {
-				const readyAt = turns.readyAt(this.intervalMs(engine) ?? 0);
+				const intervalMs = this.intervalMs(engine);
+				const readyAt = intervalMs === undefined ? this.now : turns.readyAt(intervalMs);
 				dueAt = Math.min(dueAt, readyAt, ...turns.waiting.map(({ until }) => until));
 			}
 		}
--- a/src/daemon/relay/fleet-duties.ts
+++ b/src/daemon/relay/fleet-duties.ts
@@ -18,6 +18,7 @@
 import { parseAddress } from '../../core/fleet/aggregator-selection.js';
 import type { FleetView } from '../../core/fleet/fleet-view.js';
 import { freshContactMs } from '../../core/fleet/reader-selection.js';
+import type { LimitLedger } from '../../core/limits/limit-ledger.js';
 import type { DutySettings, HostPort } from '../../core/relay/settings.js';
 import type { UsageCount } from '../../core/relay/types.js';
 import type { Service } from '../../core/routing/types.js';
@@ -49,6 +50,7 @@
 	keys: { holder: string; reports: string };
 	fleet: FleetView;
 	engines: EngineDirectory;
+	limits: LimitLedger;
 	reading: () => StoreReading;
 	messages: () => UsageMessages;
 	/** Services of the configuration in force. */
@@ -122,6 +124,7 @@
 			callsPerSecond: settings.callsPerSecond,
 			services: () => opts.services().filter(({ supply }) => supply !== undefined),
 			engines: (service) => this.enginesOf(service),
+			limitedEngines: (service) => this.limitedEngines(service),
 			busyEngines: (service) => this.busyEngines(service),
 			isUpToDate: () => this.isUpToDate,
 			onOrdered: () => this.totals.orders++,
@@ -230,6 +233,14 @@
 		return ofService.map(({ entry, isLeaving }) => ({ ...entry, draining: isLeaving }));
 	}
 
+	private limitedEngines(service: string): number {
+		const { engines, limits } = this.opts;
+		const limited = [...engines.all()].filter(({ entry, ref }) => {
+			return entry.service === service && limits.perS(ref) !== undefined;
+		});
+		return limited.length;
+	}
+
 	/** Demand of the fleet, by the requests that run at the service's engines. */
 	private busyEngines(service: string): number {
 		const { fleet, engines } = this.opts;
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -243,6 +243,7 @@
 				keys: { holder: platform.keys.dutyHolder, reports: platform.keys.usageReports },
 				fleet: this.fleet,
 				engines: this.engines,
+				limits: limits.ledger,
 				reading: () => this.reading,
 				messages: () => this.peers,
 				services: () => this.configuration.table?.configuration.services ?? [],
--- a/test/features/engine-orders.feature
+++ b/test/features/engine-orders.feature
@@ -65,3 +65,12 @@
 		Then 40 to 70 engines serve
 		And at most 4 calls were turned down
 		And the token was never raised
+
+	Scenario: Engines that name how few requests they take are not counted on for the others
+		When 30 seconds go by at a demand of 20 engines
+		And 30 engines name a limit
+		And 8 seconds go by at a demand of 20 engines
+		Then at least 85 engines serve
+		When no engine names a limit
+		And 90 seconds go by at a demand of 20 engines
+		Then 40 to 75 engines serve
--- a/test/steps/engine-orders.steps.ts
+++ b/test/steps/engine-orders.steps.ts
@@ -31,6 +31,8 @@
 	demand = 0;
 	hearsFleet = true;
 	private engines: SuppliedEngine[] = [];
+	/** Engines that name a limit. */
+	limited = 0;
 	private carriedOut = 0;
 	private nextId = 1;
 	private raised = 0;
@@ -72,6 +74,7 @@
 			callsPerSecond: this.api.callsPerSecond,
 			services: () => [{ name: 'pool', healthPath: '/', maxConnections: 1, supply }],
 			engines: () => this.engines.filter((engine) => this.isRegistered(engine)),
+			limitedEngines: () => this.limited,
 			busyEngines: () => this.demand,
 			isUpToDate: () => this.hearsFleet,
 			onOrdered() {},
@@ -199,6 +202,14 @@
 	supplyOf(this).hearsFleet = false;
 });
 
+cucumber.When('{int} engines name a limit', function (this: FleetWorld, count: number) {
+	supplyOf(this).limited = count;
+});
+
+cucumber.When('no engine names a limit', function (this: FleetWorld) {
+	supplyOf(this).limited = 0;
+});
+
 cucumber.When(
 	/^(\d+) seconds? (?:go|goes) by at a demand of (\d+) engines$/,
 	async function (this: FleetWorld, seconds: string, demand: string) {
