--- /dev/null
+++ b/src/core/relay/engine-failures.ts
@@ -0,0 +1,54 @@
+/**
+ * What failed attempts of one request say of their engines: their health, and whether the request itself may have ended them.
+ * @module
+ */
+import { nameOf } from '../quarantine/content-hash.js';
+import type { RequestSuspicion } from '../quarantine/request-suspicion.js';
+import type { Attempt } from './attempt.js';
+import type { RequestOutcome } from './request-outcome.js';
+import type { RelayContext } from './types.js';
+
+export class EngineFailures {
+	constructor(
+		private readonly ctx: RelayContext,
+		private readonly outcome: RequestOutcome,
+		private readonly suspicion: RequestSuspicion,
+	) {}
+
+	/** The engine had the request and did not answer it as it should. */
+	failed({ engine }: Attempt, reason: string): void {
+		if (engine.health.failed(this.ctx.clock.monotonic())) {
+			this.closed(engine.id, reason);
+		}
+	}
+
+	/** Nothing of the request reached it. */
+	unreachable({ engine }: Attempt, reason: string): void {
+		if (engine.health.unreachable(this.ctx.clock.monotonic())) {
+			this.closed(engine.id, reason);
+		}
+	}
+
+	/** Nothing listens at its address, or another engine does. */
+	ended({ engine }: Attempt): void {
+		this.ctx.quarantine.engineEnded(engine.ref);
+	}
+
+	/** The engine may have ended under this request. */
+	brokeUnder(attempt: Attempt, reason: string): void {
+		this.suspicion.broke(attempt);
+		const { sentMs, runningMs } = attempt;
+		this.outcome.log('request.broken', {
+			engine: attempt.engine.id,
+			reason,
+			content: nameOf(this.suspicion.content),
+			sent_ms: Math.round(sentMs),
+			running_ms: runningMs === undefined ? undefined : Math.round(runningMs),
+		});
+	}
+
+	private closed(engine: string, reason: string): void {
+		this.ctx.metrics.engineClosed();
+		this.outcome.log('engine.closed', { engine, reason }, 'warn');
+	}
+}
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -4,13 +4,16 @@
  */
 
 import type { Placement } from '../engines/placement.js';
-import { nameOf } from '../quarantine/content-hash.js';
 import { RequestSuspicion } from '../quarantine/request-suspicion.js';
 import type { Route } from '../routing/types.js';
 import { repeatabilities } from '../routing/types.js';
+import { takeNotice } from './answer-notice.js';
+import { AnswerRelay } from './answer-relay.js';
 import { Attempt } from './attempt.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { AnswerHead, AnswerListener, CallerResponse } from './definitions.js';
+import { EngineFailures } from './engine-failures.js';
+import { logPlaced } from './placement-log.js';
 import { RequestOutcome } from './request-outcome.js';
 import { RequestPlacement } from './request-placement.js';
 import type { RelayContext, RelayOutcome, RequestTerms } from './types.js';
@@ -18,8 +21,6 @@
 
 /** Statuses that tell a caller that its request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-/** A whole answer is held up to this size, so that a broken one can be asked again, in bytes. */
-const maxHeldAnswer = 256 * 1024;
 /** Engines that could not be reached before a request is refused. */
 const maxUnreachable = 4;
 
@@ -31,7 +32,8 @@
 	private readonly answer: CallerAnswer;
 	private readonly outcome: RequestOutcome;
 	private readonly suspicion: RequestSuspicion;
-	private lastEventId?: string;
+	private readonly relayed: AnswerRelay;
+	private readonly failures: EngineFailures;
 	private readonly timer: NodeJS.Timeout;
 
 	constructor(
@@ -43,7 +45,6 @@
 		const { req, route } = terms;
 		const heldMs = Math.min(req.deadlineMs ?? route.timeoutMs, route.timeoutMs);
 		this.deadlineAt = req.arrivedAt + heldMs;
-		this.lastEventId = req.lastEventId;
 		this.suspicion = new RequestSuspicion(ctx.quarantine, req, terms.customer?.name);
 		this.timer = setTimeout(() => this.expired(), Math.max(1, this.leftMs));
 		this.answer = new CallerAnswer(res, ctx.clock, () => this.attempt?.call?.resume());
@@ -52,16 +53,14 @@
 			this.stopTimer();
 			onEnd(outcome, this);
 		});
+		this.relayed = new AnswerRelay(this.answer, req.lastEventId);
+		this.failures = new EngineFailures(ctx, this.outcome, this.suspicion);
 		this.placing = new RequestPlacement({
 			ctx,
 			terms,
 			onPlaced: (placement) => this.send(placement),
 			onRefused: (reason, retryAfterS) => this.outcome.giveUp(reason, retryAfterS),
-			onDenied: (engine, { retryAfterMs }) => {
-				const retry_ms = Math.round(retryAfterMs);
-				this.outcome.log('permit.denied', { engine: engine.id, retry_ms });
-				ctx.metrics.permitDenied(terms.service);
-			},
+			outcome: this.outcome,
 		});
 		res.onClosed(() => this.callerLeft());
 	}
@@ -131,25 +130,8 @@
 	private send(placement: Placement): void {
 		const { engine } = placement;
 		const { req, customer } = this.terms;
-		this.outcome.log('request.placed', {
-			engine: engine.id,
-			reason: placement.reason,
-			fleet_running: placement.work.running,
-			fleet_prompt_tokens: placement.work.promptTokens,
-			unread_tokens: placement.promptTokens,
-			wait_ms: Math.round(placement.waitMs),
-			read_ms_per_token: Number(placement.readMsPerToken.toFixed(4)),
-			cached_tokens: placement.cachedTokens,
-			copied_tokens: placement.copiedTokens,
-			copied_from: placement.copyFrom?.id,
-			peers: this.ctx.fleet.size - 1,
-			left_ms: Math.round(this.leftMs),
-			last_event: this.lastEventId,
-			limit_per_s: this.ctx.limits.ledger.perS(engine.ref),
-			customer: customer?.name,
-			urgency: this.terms.urgency,
-			configuration: this.terms.configurationVersion,
-		});
+		const { lastEventId } = this.relayed;
+		logPlaced(this.ctx, this.terms, this.outcome, placement, { leftMs: this.leftMs, lastEventId });
 		const attempt = new Attempt(this.ctx, placement, this.terms.service, customer?.name);
 		this.attempt = attempt;
 		attempt.call = this.ctx.transport.send(
@@ -160,7 +142,7 @@
 				customer: customer?.name,
 				deadlineMs: this.leftMs,
 				urgency: this.terms.urgency,
-				lastEventId: this.lastEventId,
+				lastEventId,
 				copyFrom: placement.copyFrom?.entry.address,
 			},
 			this.listen(attempt),
@@ -187,7 +169,7 @@
 			withdrawn: () => current(() => this.withdrawn(attempt), ended),
 			sent: () => current(() => this.sent(attempt), heard),
 			head: (head) => {
-				this.noticed(attempt, head);
+				takeNotice(this.ctx, this.outcome, attempt, head, this.id);
 				current(() => this.headCame(attempt, head), heard);
 			},
 			data: (chunk) => current(() => this.dataCame(attempt, chunk), heard),
@@ -201,47 +183,10 @@
 		this.outcome.sentTo.add(attempt.engine.id);
 	}
 
-	/** What the answer says of its engine counts whoever still waits for the answer. */
-	private noticed(attempt: Attempt, head: AnswerHead): void {
-		const { engine } = attempt;
-		const { notice, status, fromOther } = head;
-		if (fromOther) {
-			return;
-		}
-		this.limitNoticed(attempt, head);
-		if (engine.notices.heard(notice, this.ctx.clock.sinceBoot())) {
-			const { leaving, restS, limitPerS } = notice;
-			this.outcome.log('engine.notice', {
-				engine: engine.id,
-				status,
-				leaving,
-				rest_s: restS,
-				limit_per_s: limitPerS,
-			});
-		}
-	}
-
-	/** Only an answer that is surely the engine's own says by its silence that a limit is over. */
-	private limitNoticed({ engine, sentAt }: Attempt, head: AnswerHead): void {
-		const { ledger } = this.ctx.limits;
-		const { limitPerS } = head.notice;
-		if (limitPerS !== undefined) {
-			ledger.named(engine.ref, limitPerS);
-		} else if (head.id === this.id && (head.signed || head.notRun)) {
-			ledger.notNamed(engine.ref, sentAt);
-		}
-	}
-
 	/** Its engine asked for rest, or named a limit, while the connection came up: what is under way to it would go on reaching it. */
 	private withdrawn(attempt: Attempt): void {
-		const { engine } = attempt;
 		this.attempt = undefined;
-		this.outcome.log('request.withdrawn', {
-			engine: engine.id,
-			rest_ms: Math.round(this.placing.restMs(engine)),
-			limit_per_s: this.ctx.limits.ledger.perS(engine.ref),
-		});
-		this.placing.withdrawn(engine);
+		this.placing.withdrawn(attempt.engine);
 		this.place();
 	}
 
@@ -264,40 +209,7 @@
 
 	private dataCame(attempt: Attempt, chunk: Buffer): void {
 		attempt.heard();
-		if (this.isStream(attempt)) {
-			this.eventsCame(attempt, chunk);
-			return;
-		}
-		attempt.hold(chunk);
-		if (attempt.heldBytes > maxHeldAnswer) {
-			this.flushHeld(attempt);
-		}
-	}
-
-	private eventsCame(attempt: Attempt, chunk: Buffer): void {
-		const events = attempt.splitter.feed(chunk);
-		if (!events) {
-			return;
-		}
-		attempt.eventsCame(this.answer.isPaused);
-		this.answer.head(attempt.head as AnswerHead);
-		this.lastEventId = events.lastId ?? this.lastEventId;
-		this.write(attempt, events.bytes);
-	}
-
-	/** A large answer is passed on as it comes; it can no longer be asked again. */
-	private flushHeld(attempt: Attempt): void {
-		this.answer.head(attempt.head as AnswerHead);
-		for (const chunk of attempt.held) {
-			this.write(attempt, chunk);
-		}
-		attempt.held = [];
-	}
-
-	private write(attempt: Attempt, bytes: Buffer): void {
-		if (!this.answer.write(bytes)) {
-			attempt.call?.pause();
-		}
+		this.relayed.dataCame(attempt, chunk, this.isStream(attempt));
 	}
 
 	private ended(attempt: Attempt): void {
@@ -313,8 +225,7 @@
 			this.suspicion.served();
 			attempt.streamEnded(this.terms.req.answerTokens);
 			this.endAttempt(attempt);
-			this.answer.head(head);
-			this.answer.end(Buffer.concat(attempt.held));
+			this.relayed.end(attempt, head);
 			this.outcome.finish(relayOutcomes.complete);
 		}
 	}
@@ -328,7 +239,7 @@
 		}
 		this.outcome.mayHaveRun = true;
 		if (head.status >= 500) {
-			this.noteFailure(attempt, `status ${head.status}`);
+			this.failures.failed(attempt, `status ${head.status}`);
 			if (this.repeatable && this.tryAgain(attempt, `status ${head.status}`)) {
 				return;
 			}
@@ -342,16 +253,15 @@
 			this.outcome.tell(502, 'the engine failed', relayOutcomes.unknown);
 			return;
 		}
-		this.answer.head(head);
-		this.answer.end(Buffer.concat(attempt.held));
+		this.relayed.end(attempt, head);
 		this.outcome.finish(relayOutcomes.engineFailure, `status ${head.status}`);
 	}
 
 	/** The engine did not run it. */
 	private rejected(attempt: Attempt, head: AnswerHead): void {
 		if (head.fromOther) {
-			this.ctx.quarantine.engineEnded(attempt.engine.ref);
-			this.noteUnreachable(attempt, 'another engine listens at its address');
+			this.failures.ended(attempt);
+			this.failures.unreachable(attempt, 'another engine listens at its address');
 		} else {
 			attempt.engine.health.rejected(this.ctx.clock.monotonic());
 		}
@@ -370,9 +280,9 @@
 		}
 		// Nothing of the request left this VM.
 		if (isRefused) {
-			this.ctx.quarantine.engineEnded(attempt.engine.ref);
+			this.failures.ended(attempt);
 		}
-		this.noteUnreachable(attempt, reason);
+		this.failures.unreachable(attempt, reason);
 		this.attempt = undefined;
 		this.unreachable++;
 		if (this.unreachable < maxUnreachable) {
@@ -387,8 +297,8 @@
 		attempt.call?.abort();
 		this.endAttempt(attempt);
 		this.outcome.mayHaveRun = true;
-		this.brokeUnder(attempt, reason);
-		this.noteFailure(attempt, reason);
+		this.failures.brokeUnder(attempt, reason);
+		this.failures.failed(attempt, reason);
 		const maySendAgain = this.answer.started ? this.terms.route.resumable : this.repeatable;
 		if (maySendAgain && this.tryAgain(attempt, reason)) {
 			return;
@@ -400,19 +310,6 @@
 		}
 	}
 
-	/** The engine may have ended under this request. */
-	private brokeUnder(attempt: Attempt, reason: string): void {
-		this.suspicion.broke(attempt);
-		const { sentMs, runningMs } = attempt;
-		this.outcome.log('request.broken', {
-			engine: attempt.engine.id,
-			reason,
-			content: nameOf(this.suspicion.content),
-			sent_ms: Math.round(sentMs),
-			running_ms: runningMs === undefined ? undefined : Math.round(runningMs),
-		});
-	}
-
 	/** Sends it to another engine if route and budget allow. */
 	private tryAgain(attempt: Attempt, reason: string): boolean {
 		const now = this.ctx.clock.monotonic();
@@ -424,7 +321,7 @@
 		this.outcome.log('request.retried', {
 			engine: attempt.engine.id,
 			reason,
-			last_event: this.lastEventId,
+			last_event: this.relayed.lastEventId,
 		});
 		this.place();
 		return true;
@@ -436,23 +333,6 @@
 		return hasTries && this.ctx.budget.left(service, now) >= 1 && this.suspicion.mayGoOn;
 	}
 
-	private noteFailure(attempt: Attempt, reason: string): void {
-		if (attempt.engine.health.failed(this.ctx.clock.monotonic())) {
-			this.engineClosed(attempt, reason);
-		}
-	}
-
-	private noteUnreachable(attempt: Attempt, reason: string): void {
-		if (attempt.engine.health.unreachable(this.ctx.clock.monotonic())) {
-			this.engineClosed(attempt, reason);
-		}
-	}
-
-	private engineClosed(attempt: Attempt, reason: string): void {
-		this.ctx.metrics.engineClosed();
-		this.outcome.log('engine.closed', { engine: attempt.engine.id, reason }, 'warn');
-	}
-
 	private isStream(attempt: Attempt): boolean {
 		return this.terms.route.streamed && (attempt.head?.status ?? 0) < 300;
 	}
@@ -481,8 +361,8 @@
 		}
 		const { attempt } = this;
 		if (attempt?.isSent && !attempt.head) {
-			this.brokeUnder(attempt, 'no answer in time');
-			this.noteFailure(attempt, 'no answer in time');
+			this.failures.brokeUnder(attempt, 'no answer in time');
+			this.failures.failed(attempt, 'no answer in time');
 		}
 		this.abortAttempt();
 		if (this.answer.started) {
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -5,6 +5,7 @@
 import type { Engine } from '../engines/engine.js';
 import type { Placement } from '../engines/placement.js';
 import type { PermitCall, PermitResult } from '../limits/engine-permits.js';
+import type { RequestOutcome } from './request-outcome.js';
 import type { RelayContext, RequestTerms } from './types.js';
 
 /** Permits that are asked for before a request is refused, or goes where none is needed. */
@@ -21,8 +22,8 @@
 	onPlaced: (placement: Placement) => void;
 	/** @param retryAfterS when the caller may come back; undefined for the usual time */
 	onRefused: (reason: string, retryAfterS: number | undefined) => void;
-	/** A permit was denied. */
-	onDenied: (engine: Engine, result: PermitResult) => void;
+	/** Where decisions are logged. */
+	outcome: RequestOutcome;
 }
 
 export class RequestPlacement {
@@ -83,11 +84,16 @@
 
 	/** Nothing was sent to the engine: it may be chosen again. */
 	withdrawn(engine: Engine): void {
+		this.opts.outcome.log('request.withdrawn', {
+			engine: engine.id,
+			rest_ms: Math.round(this.restMs(engine)),
+			limit_per_s: this.opts.ctx.limits.ledger.perS(engine.ref),
+		});
 		this.tried.delete(engine.id);
 		this.permitted = undefined;
 	}
 
-	restMs({ notices }: Engine): number {
+	private restMs({ notices }: Engine): number {
 		return notices.restLeftMs(this.opts.ctx.clock.sinceBoot());
 	}
 
@@ -126,7 +132,7 @@
 	}
 
 	private ask(placement: Placement, engines: readonly Engine[]): void {
-		const { ctx, terms, onPlaced, onDenied } = this.opts;
+		const { ctx, terms, onPlaced } = this.opts;
 		const { engine } = placement;
 		const waitMs = this.waitMs(engines);
 		this.asks++;
@@ -139,12 +145,18 @@
 				ctx.limits.returns(terms.service).letThrough(this.now);
 				onPlaced(placement);
 			} else {
-				onDenied(engine, result);
+				this.denied(engine, result);
 				this.next();
 			}
 		});
 	}
 
+	private denied(engine: Engine, { retryAfterMs }: PermitResult): void {
+		const { ctx, terms, outcome } = this.opts;
+		outcome.log('permit.denied', { engine: engine.id, retry_ms: Math.round(retryAfterMs) });
+		ctx.metrics.permitDenied(terms.service);
+	}
+
 	/** Seconds until the caller may come back where engines rest, or all name limits; undefined for the usual time. */
 	private comeBackS(engines: readonly Engine[]): number | undefined {
 		const { ctx, terms } = this.opts;
--- /dev/null
+++ b/src/daemon/relay/fleet-links.ts
@@ -0,0 +1,151 @@
+/**
+ * What a VM knows of the other VMs, and what it tells them: registrations, news, limits that engines name.
+ * @module
+ */
+import type { Clock, Log, Random } from '../../core/definitions.js';
+import type { CostModel } from '../../core/engines/cost-model.js';
+import type { EngineDirectory } from '../../core/engines/engine-directory.js';
+import type { ListedVm } from '../../core/fleet/aggregator-selection.js';
+import { addressOf } from '../../core/fleet/aggregator-selection.js';
+import { FleetSize } from '../../core/fleet/fleet-size.js';
+import { FleetView } from '../../core/fleet/fleet-view.js';
+import { VmRegistry } from '../../core/fleet/vm-registry.js';
+import type { FleetLimits } from '../../core/limits/fleet-limits.js';
+import type { Quarantine } from '../../core/quarantine/quarantine.js';
+import type { HostPort, RelaySettings } from '../../core/relay/settings.js';
+import type { ConfigurationState } from '../../core/routing/configuration-state.js';
+import type { Store } from '../../core/store/definitions.js';
+import type { FleetDuties } from './fleet-duties.js';
+import { LimitExchange } from './limit-exchange.js';
+import { PeerExchange } from './peer-exchange.js';
+import type { StoreReading } from './store-reading.js';
+
+export interface FleetLinksOptions {
+	settings: () => RelaySettings;
+	clock: Clock;
+	random: Random;
+	log: Log;
+	store: Store;
+	/** Prefix of the keys of all VMs. */
+	vmPrefix: string;
+	/** Tells this process from an earlier one of the same VM. */
+	life: number;
+	costs: CostModel;
+	quarantine: Quarantine;
+	engines: EngineDirectory;
+	configuration: () => ConfigurationState;
+	reading: () => StoreReading;
+	duties: () => FleetDuties | undefined;
+	sleep: (ms: number) => Promise<void>;
+}
+
+export class FleetLinks {
+	readonly fleet: FleetView;
+	readonly registry: VmRegistry;
+	readonly peers: PeerExchange;
+	readonly limits: FleetLimits;
+	private readonly limitExchange: LimitExchange;
+	private readonly size = new FleetSize();
+
+	constructor(private readonly opts: FleetLinksOptions) {
+		const { clock, random, log, engines, configuration, reading, duties } = opts;
+		const { vm, listen } = opts.settings();
+		const { id: name, domain, cores } = vm;
+		const self: ListedVm = { name, domain, cores, address: listen.peers };
+		this.limitExchange = new LimitExchange({
+			clock,
+			log,
+			random,
+			self,
+			listed: () => this.registry.others(),
+			engineId: (ref) => engines.ofRef(ref)?.id,
+			heardVms: () => this.fleet.size,
+			vms: () => this.knownVms,
+			sendAsk: (to, ask) => this.peers.sendPermitAsk(to, ask),
+			sendAnswer: (to, answer) => this.peers.sendPermitAnswer(to, answer),
+			onNews: () => this.peers.changed(),
+		});
+		const { limits } = this.limitExchange;
+		this.limits = limits;
+		this.fleet = new FleetView({
+			self: name,
+			address: addressOf(listen.peers),
+			clock,
+			log,
+			life: opts.life,
+			onNewerConfiguration: (address) => void this.peers.fetchConfiguration(address),
+			costs: opts.costs,
+			storeNews: () => reading().news(),
+			onStoreNews: (address, store) => reading().heard(address, store),
+			crashes: opts.quarantine.ledger,
+			limits,
+		});
+		this.registry = new VmRegistry({
+			store: opts.store,
+			clock,
+			random,
+			log,
+			prefix: opts.vmPrefix,
+			self,
+			sleep: opts.sleep,
+			renewMs: () => reading().renewMs,
+			isStoreAway: () => reading().isAway,
+			onUnreachable: () => reading().restart(),
+		});
+		this.peers = new PeerExchange({
+			clock,
+			log,
+			self,
+			fleet: this.fleet,
+			listed: () => this.registry.others(),
+			seeds: () => this.seeds(),
+			configuration: () => configuration().text,
+			offer: (text, source) => configuration().offer(text, source),
+			engines: (since) => reading().enginesSince(since),
+			takeEngines: (text) => engines.takeCopy(text),
+			enginesRevision: () => engines.revision,
+			onUsage: (usage) => duties()?.receiveUsage(usage),
+			onUsageTaken: (taken) => duties()?.receiveTaken(taken),
+			onPermitAsk: (ask) => limits.asked(ask),
+			onPermitAnswer: (answer) => limits.answered(answer),
+		});
+	}
+
+	/** VMs of the fleet, silent ones included; undefined while not known. */
+	get knownVms(): number | undefined {
+		const { fleet, registry, opts } = this;
+		return this.size.count(fleet.size, registry.size, opts.clock.monotonic());
+	}
+
+	/** Called several times a second. */
+	update(): void {
+		this.limitExchange.update();
+		this.peers.update();
+	}
+
+	/** Forgets what is old; called each second. */
+	sweep(): void {
+		this.fleet.sweep();
+		this.limits.sweep((ref) => this.opts.engines.ofRef(ref) !== undefined);
+	}
+
+	/** This VM stops: others do what it did for them. */
+	retire(): void {
+		this.limits.retire();
+		this.peers.retire();
+	}
+
+	stop(): void {
+		this.limitExchange.stop();
+		this.peers.stop();
+		this.registry.stop();
+	}
+
+	/** VMs to ask before any is known. Seeds name another port of the same VM; ports are alike on all VMs. */
+	private seeds(): HostPort[] {
+		const { seeds, listen } = this.opts.settings();
+		const hosts = new Set(seeds.map((seed) => seed.host));
+		hosts.delete(listen.peers.host);
+		return [...hosts].map((host) => ({ host, port: listen.peers.port }));
+	}
+}
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -9,18 +9,14 @@
 import { CostModel } from '../../core/engines/cost-model.js';
 import { EngineDirectory } from '../../core/engines/engine-directory.js';
 import { EnginePlacement } from '../../core/engines/placement.js';
-import type { ListedVm } from '../../core/fleet/aggregator-selection.js';
-import { FleetSize } from '../../core/fleet/fleet-size.js';
-import { FleetView } from '../../core/fleet/fleet-view.js';
-import { VmRegistry } from '../../core/fleet/vm-registry.js';
+import { addressOf } from '../../core/fleet/aggregator-selection.js';
 import { Quarantine } from '../../core/quarantine/quarantine.js';
 import { QuarantineRecords } from '../../core/quarantine/quarantine-records.js';
 import { Relay } from '../../core/relay/relay.js';
 import { RetryBudget } from '../../core/relay/retry-budget.js';
-import type { HostPort, RelaySettings } from '../../core/relay/settings.js';
+import type { RelaySettings } from '../../core/relay/settings.js';
 import { StartHold } from '../../core/relay/start-hold.js';
 import { ConfigurationState } from '../../core/routing/configuration-state.js';
-import type { Route } from '../../core/routing/types.js';
 import { CallersFront } from '../../infra/relay/callers-front.js';
 import { UndiciEngineTransport } from '../../infra/relay/engine-transport.js';
 import { PrometheusMetrics } from '../../infra/relay/prometheus-metrics.js';
@@ -31,24 +27,16 @@
 import { listenOn } from '../listen.js';
 import { CostReport, costReportMs } from './cost-report.js';
 import { FleetDuties } from './fleet-duties.js';
-import { LimitExchange } from './limit-exchange.js';
-import { PeerExchange } from './peer-exchange.js';
+import { FleetLinks } from './fleet-links.js';
+import { LoopWatch, tickMs } from './loop-watch.js';
+import { PlannedStop, takeStreamsMs } from './planned-stop.js';
 import { StoreReading } from './store-reading.js';
 import { StoreRestoration } from './store-restoration.js';
 
-/** Time between two looks at what is due, in milliseconds. */
-const tickMs = 100;
 /** Callers may have left meanwhile when the loop is so late, in milliseconds: a quarter of the shortest time they wait. */
 const lateMs = 100;
 /** Time between two looks for silent peers, and for what is old enough to be forgotten, in milliseconds. */
 const peerSweepMs = 1000;
-/**
- * Streams are still taken for so long after the stop signal: the balancer asks each second, needs
- * two misses, and callers go on using kept connections. Later ones might not end before the kill.
- */
-const takeStreamsMs = 2900;
-/** What has not ended so long before the kill is cut, in milliseconds. */
-const cutBeforeKillMs = 300;
 /** A VM waits so long after its start to know the others before it is ready, in milliseconds; a dozen calls. */
 const meetPeersMs = 500;
 /** Where nothing is done for the whole fleet. */
@@ -66,15 +54,11 @@
 	private readonly startHold: StartHold;
 	private readonly relay: Relay;
 	private readonly budget: RetryBudget;
-	private readonly fleetSize = new FleetSize();
 	private readonly costs = new CostModel();
 	private readonly costReport: CostReport;
 	private readonly reading: StoreReading;
 	private readonly restoration: StoreRestoration;
-	private readonly fleet: FleetView;
-	private readonly peers: PeerExchange;
-	private readonly limitExchange: LimitExchange;
-	private readonly registry: VmRegistry;
+	private readonly links: FleetLinks;
 	/** Absent where nothing is done for the whole fleet. */
 	private readonly duties?: FleetDuties;
 	private readonly dutyApi?: platform.PlatformDutyApi;
@@ -86,11 +70,8 @@
 	private readonly metricsServer: http.Server;
 	private readonly timers: NodeJS.Timeout[] = [];
 	private readonly startedAt = this.clock.monotonic();
-	private tickedAt = this.clock.sinceBoot();
-	private lastDelayMs = 0;
-	private suspendedMs = 0;
-	/** When the stop signal came, in monotonic milliseconds. */
-	private stoppingAt?: number;
+	private readonly watch: LoopWatch;
+	private readonly planned: PlannedStop;
 
 	constructor(
 		private settings: RelaySettings,
@@ -100,13 +81,14 @@
 		sizing: SizingWay = sizingWays.peak,
 	) {
 		const { clock, random, transport } = this;
+		const life = Math.floor(random.next() * 2 ** 32);
 		this.store = new platform.PlatformStore(settings.store.address, clock, ({ era }) => {
 			this.restoration.restored(era);
 		});
 		this.quarantine = new Quarantine({
 			clock,
 			log,
-			onNews: () => this.peers.changed(),
+			onNews: () => this.links.peers.changed(),
 			isDeserted: (address) => transport.isDeserted(address),
 		});
 		this.engines = new EngineDirectory({
@@ -116,8 +98,8 @@
 			idOf: platform.engineIdOf,
 			onAddressGone: (address) => transport.forget(address),
 			onGone: (engine) => {
-				this.fleet.engineGone(engine.key);
-				this.limitExchange.limits.permits.forget(engine.ref);
+				this.links.fleet.engineGone(engine.key);
+				this.links.limits.permits.forget(engine.ref);
 				if (!engine.isLeaving) {
 					this.quarantine.engineEnded(engine.ref);
 				}
@@ -125,83 +107,39 @@
 			onChanged: () => this.reading.changed(),
 			onRead: () => this.startHold.release(),
 		});
-		const { peers } = settings.listen;
-		const { id: name, domain, cores } = settings.vm;
-		const self: ListedVm = { name, domain, cores, address: peers };
-		const life = Math.floor(random.next() * 2 ** 32);
-		const address = `${peers.host}:${peers.port}`;
-		this.limitExchange = new LimitExchange({
+		this.links = new FleetLinks({
+			settings: () => this.settings,
 			clock,
-			log,
 			random,
-			self,
-			listed: () => this.registry.others(),
-			engineId: (ref) => this.engines.ofRef(ref)?.id,
-			heardVms: () => this.fleet.size,
-			vms: () => this.knownVms(),
-			sendAsk: (to, ask) => this.peers.sendPermitAsk(to, ask),
-			sendAnswer: (to, answer) => this.peers.sendPermitAnswer(to, answer),
-			onNews: () => this.peers.changed(),
-		});
-		const { limits } = this.limitExchange;
-		this.fleet = new FleetView({
-			self: settings.vm.id,
-			address,
-			clock,
 			log,
+			store: this.store,
+			vmPrefix: platform.keys.vms,
 			life,
-			onNewerConfiguration: (address) => void this.peers.fetchConfiguration(address),
 			costs: this.costs,
-			storeNews: () => this.reading.news(),
-			onStoreNews: (address, store) => this.reading.heard(address, store),
-			crashes: this.quarantine.ledger,
-			limits,
-		});
-		this.registry = new VmRegistry({
-			store: this.store,
-			clock,
-			random,
-			log,
-			prefix: platform.keys.vms,
-			self,
+			quarantine: this.quarantine,
+			engines: this.engines,
+			configuration: () => this.configuration,
+			reading: () => this.reading,
+			duties: () => this.duties,
 			sleep,
-			renewMs: () => this.reading.renewMs,
-			isStoreAway: () => this.reading.isAway,
-			onUnreachable: () => this.reading.restart(),
 		});
+		const { fleet, registry, peers, limits } = this.links;
 		this.quarantineRecords = new QuarantineRecords({
 			store: this.store,
 			clock,
 			log,
 			prefix: platform.keys.quarantine,
 			quarantine: this.quarantine,
-			missesPeers: () => this.fleet.size < (this.registry.size ?? 0),
+			missesPeers: () => fleet.size < (registry.size ?? 0),
 			isStoreAway: () => !this.reading.isUpToDate,
 			onRead: () => this.startHold.release(),
 		});
-		this.peers = new PeerExchange({
-			clock,
-			log,
-			self,
-			fleet: this.fleet,
-			listed: () => this.registry.others(),
-			seeds: () => this.seeds(),
-			configuration: () => this.configuration.text,
-			offer: (text, source) => this.configuration.offer(text, source),
-			engines: (since) => this.reading.enginesSince(since),
-			takeEngines: (text) => this.engines.takeCopy(text),
-			enginesRevision: () => this.engines.revision,
-			onUsage: (usage) => this.duties?.receiveUsage(usage),
-			onUsageTaken: (taken) => this.duties?.receiveTaken(taken),
-			onPermitAsk: (ask) => limits.asked(ask),
-			onPermitAnswer: (answer) => limits.answered(answer),
-		});
 		this.configuration = new ConfigurationState({
 			log,
 			key: platform.keys.configuration,
 			decode: platform.decodeConfiguration,
 			onApplied: (table) => {
-				this.fleet.configurationVersion = table.version;
+				fleet.configurationVersion = table.version;
 				this.front.configure(table.configuration.limits);
 				this.reading.configurationApplied();
 				this.startHold.release();
@@ -217,12 +155,12 @@
 			drainMs: settings.drainMs,
 			configuration: this.configuration,
 			engines: this.engines,
-			fleet: this.fleet,
-			registeredVms: () => this.registry.size,
-			vmNames: () => this.registry.names,
+			fleet,
+			registeredVms: () => registry.size,
+			vmNames: () => registry.names,
 			dutyToken: () => this.duties?.token,
 			onEraHeard: (era) => this.restoration.heard(era),
-			peers: () => this.peers,
+			peers: () => peers,
 			sleep,
 		});
 		if (settings.duties) {
@@ -234,29 +172,29 @@
 				sizing,
 				vm: settings.vm.id,
 				life,
-				address,
+				address: addressOf(settings.listen.peers),
 				api: this.dutyApi,
 				store: this.store,
 				clock,
 				random,
 				log,
 				keys: { holder: platform.keys.dutyHolder, reports: platform.keys.usageReports },
-				fleet: this.fleet,
+				fleet,
 				engines: this.engines,
 				limits: limits.ledger,
 				reading: () => this.reading,
-				messages: () => this.peers,
+				messages: () => peers,
 				services: () => this.configuration.table?.configuration.services ?? [],
-				registeredVms: () => this.registry.size,
-				vmNames: () => this.registry.names,
-				onChanged: () => this.peers.announce(),
+				registeredVms: () => registry.size,
+				vmNames: () => registry.names,
+				onChanged: () => peers.announce(),
 			});
 		}
-		this.budget = new RetryBudget(settings.retries, () => this.knownVms());
+		this.budget = new RetryBudget(settings.retries, () => this.links.knownVms);
 		this.costReport = new CostReport(log, this.costs, () => this.modelServices());
 		this.metrics = new PrometheusMetrics({
 			open: () => this.relay.size,
-			peers: () => this.fleet.size,
+			peers: () => fleet.size,
 			configurationVersion: () => this.configuration.version,
 			storeCalls: () => this.store.calls,
 			storeReachable: () => (this.reading.isUpToDate ? 1 : 0),
@@ -271,7 +209,7 @@
 			store: this.store,
 			engines: this.engines,
 			configuration: this.configuration,
-			registry: this.registry,
+			registry,
 			quarantineRecords: this.quarantineRecords,
 			reading: this.reading,
 			duties: this.duties,
@@ -287,45 +225,52 @@
 			transport,
 			engines: this.engines,
 			costs: this.costs,
-			placement: new EnginePlacement(random, this.fleet, this.costs, (address) =>
+			placement: new EnginePlacement(random, fleet, this.costs, (address) =>
 				transport.hasFree(address),
 			),
-			fleet: this.fleet,
+			fleet,
 			limits,
 			usage: this.duties,
-			onWorkChanged: () => this.peers.changed(),
+			onWorkChanged: () => peers.changed(),
 			budget: this.budget,
 			quarantine: this.quarantine,
 			routes: () => this.configuration.table,
 			mayBeBehind: () => !this.reading.isUpToDate,
 			storeSilentMs: () => this.reading.silentMs,
-			refusal: (route) => this.refusal(route),
+			refusal: (route) => this.planned.refusal(route),
 			metrics: this.metrics,
 		});
 		this.front = new CallersFront({
 			clock,
 			log,
 			decode: platform.decodeRequest,
-			isLate: () => this.delayMs > lateMs,
+			isLate: () => this.watch.delayMs > lateMs,
 			handle: (req, res) => this.relay.handle(req, res),
 		});
+		this.watch = new LoopWatch({
+			clock,
+			log,
+			onDelay: (ms) => this.metrics.delayed(ms),
+			onSuspended: () => this.reading.wokeUp(),
+		});
+		this.planned = new PlannedStop(clock, () => this.settings.stopMs);
 		this.readiness = createReadinessServer(() => this.isReady());
 	}
 
 	async start(): Promise<void> {
 		const { callers, readiness, peers, metrics } = this.settings.listen;
-		await this.peers.start();
+		await this.links.peers.start();
 		// Before the ports are open: the store's answers take as long as that.
 		for (const loop of this.reading.follow()) {
 			this.runForever(loop);
 		}
 		this.runForever(this.quarantineRecords.update());
 		await listenOn(this.metricsServer, metrics.host, metrics.port);
-		await listenOn(this.peers.server, peers.host, peers.port);
+		await listenOn(this.links.peers.server, peers.host, peers.port);
 		await listenOn(this.front.server, callers.host, callers.port);
 		await listenOn(this.readiness, readiness.host, readiness.port);
-		this.runForever(this.registry.keep());
-		this.tickedAt = this.clock.sinceBoot();
+		this.runForever(this.links.registry.keep());
+		this.watch.start();
 		this.timers.push(setInterval(() => this.tick(), tickMs));
 		this.timers.push(setInterval(() => this.sweep(), peerSweepMs));
 		this.timers.push(setInterval(() => this.costReport.write(), costReportMs));
@@ -338,26 +283,23 @@
 
 	/** Planned stop: not ready at once, open work ends, then the process may end. */
 	async stop(): Promise<void> {
-		if (this.stoppingAt !== undefined) {
+		if (this.planned.isStopping) {
 			return;
 		}
-		const startedAt = this.clock.monotonic();
-		this.stoppingAt = startedAt;
+		this.planned.begin();
 		this.log.info('daemon.stopping', { requests: this.relay.size });
 		this.front.stopKeeping();
-		this.limitExchange.limits.retire();
-		this.peers.retire();
+		this.links.retire();
 		await this.duties?.release();
 		await sleep(takeStreamsMs);
-		const cutAt = this.cutAt(startedAt);
-		while (this.front.open > 0 && this.clock.monotonic() < cutAt) {
+		while (this.front.open > 0 && !this.planned.isOver) {
 			this.front.closeIdle();
 			await sleep(stopPollMs);
 		}
 		this.relay.cutAll('the daemon stops');
 		this.front.server.close();
 		await this.close();
-		this.log.info('daemon.stopped', { took_ms: Math.round(this.clock.monotonic() - startedAt) });
+		this.log.info('daemon.stopped', { took_ms: Math.round(this.planned.tookMs) });
 	}
 
 	private async close(): Promise<void> {
@@ -365,9 +307,7 @@
 		for (const timer of this.timers) {
 			clearInterval(timer);
 		}
-		this.limitExchange.stop();
-		this.peers.stop();
-		this.registry.stop();
+		this.links.stop();
 		this.metricsServer.close();
 		this.metricsServer.closeAllConnections();
 		this.readiness.close();
@@ -377,12 +317,6 @@
 		await this.store.close();
 	}
 
-	/** VMs of the fleet, silent ones included; undefined while not known. */
-	private knownVms(): number | undefined {
-		const { fleet, registry, clock } = this;
-		return this.fleetSize.count(fleet.size, registry.size, clock.monotonic());
-	}
-
 	/** Names of the services whose engines run language models. */
 	private modelServices(): string[] {
 		const services = this.configuration.table?.configuration.services ?? [];
@@ -390,10 +324,8 @@
 	}
 
 	private tick(): void {
-		this.noteDelay();
-		this.noteSuspension();
-		this.limitExchange.update();
-		this.peers.update();
+		this.watch.tick();
+		this.links.update();
 		this.reading.update();
 		this.engines.sweep();
 		this.relay.checkSilence();
@@ -406,32 +338,8 @@
 	}
 
 	private sweep(): void {
-		this.fleet.sweep();
+		this.links.sweep();
 		this.quarantine.sweep();
-		this.limitExchange.limits.sweep((ref) => this.engines.ofRef(ref) !== undefined);
-	}
-
-	/** How late the loop is: the tick that is due, or the last one. */
-	private get delayMs(): number {
-		const sinceMs = this.clock.sinceBoot() - this.tickedAt;
-		return Math.max(0, sinceMs - tickMs, this.lastDelayMs);
-	}
-
-	private noteDelay(): void {
-		const now = this.clock.sinceBoot();
-		this.lastDelayMs = Math.max(0, now - this.tickedAt - tickMs);
-		this.tickedAt = now;
-		this.metrics.delayed(this.lastDelayMs);
-	}
-
-	private noteSuspension(): void {
-		const { suspendedMs } = this.clock;
-		const newMs = suspendedMs - this.suspendedMs;
-		if (newMs > 0) {
-			this.suspendedMs = suspendedMs;
-			this.log.warn('vm.suspended', { ms: Math.round(newMs) });
-			this.reading.wokeUp();
-		}
 	}
 
 	/** An error that is no failure of the store is a defect: the process ends and is started anew. */
@@ -442,14 +350,6 @@
 		});
 	}
 
-	/** VMs to ask before any is known. Seeds name another port of the same VM; ports are alike on all VMs. */
-	private seeds(): HostPort[] {
-		const { peers } = this.settings.listen;
-		const hosts = new Set(this.settings.seeds.map((seed) => seed.host));
-		hosts.delete(peers.host);
-		return [...hosts].map((host) => ({ host, port: peers.port }));
-	}
-
 	/** Takes in a changed settings file; addresses stay until the next start. */
 	reload(settings: RelaySettings): void {
 		this.settings = { ...settings, listen: this.settings.listen, vm: this.settings.vm };
@@ -458,13 +358,13 @@
 	}
 
 	private isReady(): boolean {
-		return this.stoppingAt === undefined && this.knowsEnough && this.mayHaveMetPeers;
+		return !this.planned.isStopping && this.knowsEnough && this.mayHaveMetPeers;
 	}
 
 	/** A VM that the store turns away before it knows any other would not hear of new configurations. */
 	private get mayHaveMetPeers(): boolean {
 		const runningMs = this.clock.monotonic() - this.startedAt;
-		return this.registry.size !== undefined || runningMs > meetPeersMs;
+		return this.links.registry.size !== undefined || runningMs > meetPeersMs;
 	}
 
 	/** Requests can be placed. */
@@ -472,23 +372,6 @@
 		const isConfigured = this.configuration.table !== undefined && this.engines.isKnown;
 		return isConfigured && this.quarantineRecords.isKnown;
 	}
-
-	/** While stopping, what may not end before the kill is not begun. */
-	private refusal(route: Route): string | undefined {
-		if (this.stoppingAt === undefined) {
-			return undefined;
-		}
-		const now = this.clock.monotonic();
-		const latest = route.streamed
-			? this.stoppingAt + takeStreamsMs
-			: this.cutAt(this.stoppingAt) - route.timeoutMs;
-		return now > latest ? 'the daemon stops' : undefined;
-	}
-
-	/** What has not ended then is cut. */
-	private cutAt(stoppingAt: number): number {
-		return stoppingAt + this.settings.stopMs - cutBeforeKillMs;
-	}
 }
 
 function sleep(ms: number): Promise<void> {
