Soak: engines that name limits, and the check that the VMs together keep them

Cause: nothing that the soak drew named a limit. Change: engines name limits for 4 to 9 s, one after another, shedding meanwhile, beside all other faults; the oracle counts arrivals in sliding 4 s from the VMs that the engine told, and excuses VMs that were started again or frozen.

--- a/test/features/soak.feature
+++ b/test/features/soak.feature
@@ -14,6 +14,7 @@
 			| sends work to an engine that left        | leaving       |
 			| sends work to an engine that said so     | saidLeaving   |
 			| gives an engine no rest                  | rest          |
+			| divides a limit by nothing               | limit         |
 			| cuts a request in a planned stop         | stop          |
 			| serves a key that was taken away         | configuration |
 			| refuses a key that was added             | configuration |
--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -9,7 +9,7 @@
 import type { Ports, Vm } from '../steps/relay-world.js';
 import { freePorts, key, RelayFixture, until } from '../steps/relay-world.js';
 import { LoopbackProxy } from './loopback-proxy.js';
-import type { Disturbance, EngineLeft, KeyChange, SoakBounds } from './types.js';
+import type { Disturbance, EngineLeft, KeyChange, LimitNamed, SoakBounds } from './types.js';
 
 /** The bounds that the daemons read from their settings; the settings of the fixture leave them at defaults. */
 export const bounds: SoakBounds = {
@@ -58,6 +58,7 @@
 	readonly disturbances: Disturbance[] = [];
 	readonly keys: KeyChange[] = [];
 	readonly left: EngineLeft[] = [];
+	readonly limits: LimitNamed[] = [];
 	/** Processes that ended without having been told to. */
 	readonly ended: string[] = [];
 	/** The key of the newest configuration beside the permanent one, and the one before. */
@@ -115,6 +116,19 @@
 		};
 	}
 
+	/** An engine names a limit from now on, or none. */
+	nameLimit({ standIn }: SoakEngine, perS: number | undefined): void {
+		const now = performance.now();
+		const before = this.limits.findLast(({ engine }) => engine === standIn.id);
+		if (before) {
+			before.until = Math.min(before.until, now);
+		}
+		if (perS !== undefined) {
+			this.limits.push({ engine: standIn.id, perS, from: now, until: Number.POSITIVE_INFINITY });
+		}
+		standIn.limitPerS = perS;
+	}
+
 	async addEngine(): Promise<SoakEngine> {
 		const standIn = new PlatformEngineStandIn(`e${this.nextEngine++}`);
 		const [host = '', port = ''] = (await standIn.start()).split(':');
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -17,6 +17,10 @@
 const spared = 1;
 /** Longest rest that an engine asks for, in seconds. */
 const mostRestS = 4;
+/** Limits that an engine names, in requests a second, and for how long, in milliseconds. */
+const limits = [0.5, 1, 3, 10, 30];
+const shortestLimitMs = 4000;
+const longestLimitMs = 9000;
 /** What an engine does that has too much to do. */
 const shedding = [engineBehaviours.rejects, engineBehaviours.bare503];
 const sheddingOrWell = [...shedding, engineBehaviours.well];
@@ -226,6 +230,21 @@
 		standIn.restS = undefined;
 	});
 
+/** An engine names a limit, perhaps another one later, and may shed or say that it leaves meanwhile. */
+const engineLimits: Fault = (run) =>
+	run.withEngine('names a limit', async (engine) => {
+		const { deployment, rng } = run;
+		deployment.nameLimit(engine, run.pick(limits));
+		await sleep(shortestLimitMs + rng() * (longestLimitMs - shortestLimitMs));
+		if (rng() < 0.3) {
+			engine.standIn.behaviour = run.pick(shedding);
+			deployment.nameLimit(engine, run.pick(limits));
+			await sleep(shortestLimitMs);
+			engine.standIn.behaviour = engineBehaviours.well;
+		}
+		deployment.nameLimit(engine, undefined);
+	});
+
 const engineAnswersTwice: Fault = (run) =>
 	run.withEngine('answers twice', async ({ standIn }) => {
 		standIn.behaviour = engineBehaviours.answersTwice;
@@ -277,6 +296,8 @@
 	engineSheds,
 	storeRestored,
 	engineAnswersTwice,
+	engineLimits,
+	engineLimits,
 ];
 
 /** Waits until a started process says that it is ready; the store may be harmed meanwhile. */
--- a/test/soak/oracle.ts
+++ b/test/soak/oracle.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { wholeStream } from '../stand-ins/platform-engine.js';
+import { brokenLimits } from './limit-check.js';
 import type { CallerRecord, EngineRecord, SoakFinding, SoakRecords } from './types.js';
 import { requestKinds, singleRunKinds } from './types.js';
 
@@ -20,6 +21,7 @@
 	leaving: 'a leaving engine got new work',
 	saidLeaving: 'an engine whose answer said that it leaves got new work',
 	rest: 'an engine that had asked for rest got requests',
+	limit: 'an engine that names a limit got more',
 	stop: 'a planned stop cut a request',
 	configuration: 'a configuration is not in force in time',
 	back: 'a configuration went back',
@@ -44,6 +46,9 @@
 	checkVersions(records, runsOf, find);
 	checkRetries(records, find);
 	checkNotices(records, find);
+	for (const detail of brokenLimits(records)) {
+		find(promises.limit, detail);
+	}
 	for (const vm of records.notRecovered) {
 		find(promises.recovery, vm);
 	}
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -73,6 +73,7 @@
 			disturbances: deployment.disturbances,
 			keys: deployment.keys,
 			left: deployment.left,
+			limits: deployment.limits,
 			notRecovered,
 			grown: grownOf(deployment, opts),
 			ended: deployment.ended,
--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -74,6 +74,15 @@
 	at: number;
 }
 
+/** An engine named a limit of requests a second in all its answers. */
+export interface LimitNamed {
+	engine: string;
+	perS: number;
+	from: number;
+	/** Infinity while it does. */
+	until: number;
+}
+
 /** Bounds that the daemons were started with, in milliseconds unless said otherwise. */
 export interface SoakBounds {
 	contactMs: number;
@@ -93,6 +102,7 @@
 	disturbances: Disturbance[];
 	keys: KeyChange[];
 	left: EngineLeft[];
+	limits: LimitNamed[];
 	/** VMs that did not serve again in time after the last fault. */
 	notRecovered: string[];
 	/** VMs that held more open files at the end than bounds allow. */
--- a/test/steps/soak.steps.ts
+++ b/test/steps/soak.steps.ts
@@ -57,6 +57,7 @@
 			arrival('d'),
 			arrival('e', { rejected: true }),
 		],
+		limits: [],
 		disturbances: [],
 		keys: [
 			{ key: 'old', version: 3, at: 1000, kind: 'added' },
@@ -106,6 +107,19 @@
 			records.arrivals.push(arrival(id, { at: startAt + 1010 }));
 		}
 	},
+	'divides a limit by nothing': (records) => {
+		const notice = { at: startAt, leaving: false, restMs: 0, limitPerS: 2 };
+		records.limits.push({ engine: 'e1', perS: 2, from: startAt - 10, until: startAt + 9000 });
+		records.requests.push(request({ id: 'f' }), request({ id: 'g', vm: 'vm-2' }));
+		records.arrivals.push(arrival('f', { notice }), arrival('g', { notice }));
+		for (let count = 0; count < 9; count++) {
+			for (const vm of ['vm-1', 'vm-2']) {
+				const id = `${vm}-${count}`;
+				records.requests.push(request({ id, vm, sentAt: startAt + 4000 }));
+				records.arrivals.push(arrival(id, { at: startAt + 4000 + count * 400 }));
+			}
+		}
+	},
 	'cuts a request in a planned stop': (records) => {
 		const from = startAt - 200;
 		const stop = { target: 'vm-1', what: 'stopped', from, until: startAt + 4000, planned: true };
