Permits for limited engines are kept a moment for urgent requests that were denied, so that others that can wait longer do not take them

Callers of the most urgent tier were refused while the least urgent got what an engine takes: requests wait for a permit for an eighth of their target, so the batch, with the longest targets, nearly always stood in line when a permit came. Ruled out: the order among those that wait (the urgent went first there, but few waited at that moment). Change: for a second after a request was denied, or the time of one permit, less urgent ones get a permit only when no more can be kept; every eighth still goes to whoever waits longest. Asks of one engine and their order stand in a module of their own.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import { controlCostBench } from './control-cost.js';
 import { hotPathBench } from './hot-path.js';
 import { kvBench } from './kv.js';
+import { limitsBench } from './limits.js';
 import { messageCostBench } from './message-cost.js';
 
 /** Options of every bench. */
@@ -34,6 +35,7 @@
 	'hot-path': (args) => hotPathBench(args.out),
 	'control-cost': (args) => controlCostBench(args.sizes, args.policies, args.out),
 	'message-cost': (args) => messageCostBench(args.out),
+	limits: (args) => limitsBench(args.sizes, args.out),
 	kv: (args) => kvBench(args.sizes, args.out),
 };
 
--- a/src/core/limits/permit-issuer.ts
+++ b/src/core/limits/permit-issuer.ts
@@ -5,14 +5,10 @@
  */
 import type { Clock, Random } from '../definitions.js';
 import type { EngineRef } from '../fleet/types.js';
+import type { WaitingAsk } from './engine-turns.js';
+import { EngineTurns } from './engine-turns.js';
 import type { LimitWord, PermitAnswer, PermitAsk } from './types.js';
 
-/**
- * Unused permits are kept up to so many, or as many as come in so many milliseconds: asks come in bursts. The engine's bound leaves
- * room for five requests and half of its limit more.
- */
-const leastKept = 3;
-const keptMs = 200;
 /** An engine that takes less is asked this often whether it still does, in requests a second. */
 export const leastPerS = 0.1;
 /** So many asks come in the time of one permit, once all that were denied have spread: most permits are then used at once. */
@@ -23,102 +19,9 @@
 const notIssuingMs = 200;
 /** Whoever is denied asks again after so long at the least, in milliseconds. */
 const leastRetryMs = 20;
-/** VMs that asked in this time count as those that will ask again, in milliseconds. */
-const askersMs = 1000;
-/** Each so many permits go to whoever waits longest, so that no class starves. */
-const turnsToLongest = 8;
 /** A doubled ask gets the same answer within this time, in milliseconds. */
 const rememberedMs = 1000;
 
-interface WaitingAsk {
-	ask: PermitAsk;
-	until: number;
-	answer: (answer: PermitAnswer) => void;
-}
-
-/** A VM that asked for permits. */
-interface Asker {
-	askedAt: number;
-	/** When it last got one. */
-	grantedAt: number;
-}
-
-/** Asks and permits of one engine. All times in monotonic milliseconds. */
-class EngineTurns {
-	waiting: WaitingAsk[] = [];
-	/** VMs that asked lately. */
-	private readonly askers = new Map<string, Asker>();
-	private granted = 0;
-
-	/** When all that were issued so far have been used up at the engine's rate. */
-	private usedUpAt: number;
-
-	/** Nothing is kept at first: another VM may have issued permits just before. */
-	constructor(now: number, intervalMs: number) {
-		this.usedUpAt = now + aheadMs(intervalMs);
-	}
-
-	/** When a permit may be issued. */
-	readyAt(intervalMs: number): number {
-		return this.usedUpAt - aheadMs(intervalMs);
-	}
-
-	/** @returns whether one was ready, which is taken */
-	take(now: number, intervalMs: number): boolean {
-		// After a change of the rate no more is owed than can have been issued ahead.
-		this.usedUpAt = Math.min(this.usedUpAt, now + aheadMs(intervalMs) + intervalMs);
-		if (now < this.readyAt(intervalMs)) {
-			return false;
-		}
-		this.usedUpAt = Math.max(this.usedUpAt, now) + intervalMs;
-		this.granted++;
-		return true;
-	}
-
-	/** An ask that waits until its turn, or until its time is over. */
-	wait(one: WaitingAsk, now: number): void {
-		const { from } = one.ask;
-		const grantedAt = this.askers.get(from)?.grantedAt ?? Number.NEGATIVE_INFINITY;
-		this.askers.set(from, { askedAt: now, grantedAt });
-		this.waiting.push(one);
-	}
-
-	/** Takes out the ask whose turn it is: the most urgent, and of several that of the VM that had no permit for longest. */
-	shift(now: number): WaitingAsk {
-		const [first, ...others] = this.waiting as [WaitingAsk, ...WaitingAsk[]];
-		const toLongest = this.granted % turnsToLongest === 0;
-		let next = first;
-		for (const one of toLongest ? [] : others) {
-			next = this.goesBefore(one.ask, next.ask) ? one : next;
-		}
-		this.waiting = this.waiting.filter((other) => other !== next);
-		this.askers.set(next.ask.from, { askedAt: now, grantedAt: now });
-		return next;
-	}
-
-	/** VMs that asked lately. */
-	countAskers(now: number): number {
-		for (const [vm, { askedAt }] of this.askers) {
-			if (now - askedAt > askersMs) {
-				this.askers.delete(vm);
-			}
-		}
-		return this.askers.size;
-	}
-
-	private goesBefore(one: PermitAsk, other: PermitAsk): boolean {
-		const grantedAt = ({ from }: PermitAsk) => this.askers.get(from)?.grantedAt ?? 0;
-		return one.urgency === other.urgency
-			? grantedAt(one) < grantedAt(other)
-			: one.urgency < other.urgency;
-	}
-}
-
-/** For how long ahead permits may be issued at once. */
-function aheadMs(intervalMs: number): number {
-	return Math.max((leastKept - 1) * intervalMs, keptMs - intervalMs);
-}
-
 export interface PermitIssuerOptions {
 	clock: Clock;
 	random: Random;
@@ -147,8 +50,8 @@
 		for (const [engine, turns] of this.engines) {
 			if (turns.waiting.length > 0) {
 				const intervalMs = this.intervalMs(engine);
-				const readyAt = intervalMs === undefined ? this.now : turns.readyAt(intervalMs);
-				dueAt = Math.min(dueAt, readyAt, ...turns.waiting.map(({ until }) => until));
+				const at = intervalMs === undefined ? this.now : turns.dueAt(this.now, intervalMs);
+				dueAt = Math.min(dueAt, at);
 			}
 		}
 		return dueAt;
@@ -230,16 +133,24 @@
 	private issue(engine: EngineRef, turns: EngineTurns): void {
 		const { now } = this;
 		const intervalMs = this.intervalMs(engine);
-		const isReady = () => intervalMs === undefined || turns.take(now, intervalMs);
-		while (turns.waiting.length > 0 && isReady()) {
-			this.settle(turns.shift(now), true, 0);
-		}
 		if (intervalMs === undefined) {
+			for (const one of turns.waiting.splice(0)) {
+				this.settle(one, true, 0);
+			}
 			return;
 		}
+		while (turns.waiting.length > 0 && turns.isReady(now, intervalMs)) {
+			const next = turns.shift(now, intervalMs);
+			if (!next) {
+				break;
+			}
+			turns.take(now, intervalMs);
+			this.settle(next, true, 0);
+		}
 		const late = turns.waiting.filter(({ until }) => now >= until);
 		turns.waiting = turns.waiting.filter(({ until }) => now < until);
 		for (const one of late) {
+			turns.denied(one.ask.urgency, now);
 			this.settle(one, false, this.retryAfterMs(turns, one.ask.urgency, intervalMs));
 		}
 	}
--- a/test/features/engine-limits.feature
+++ b/test/features/engine-limits.feature
@@ -106,6 +106,21 @@
 		Then the urgent requests got most of the permits
 		And the others got at least 0.05 of them
 
+	Scenario Outline: Urgent requests that can wait little are not passed over for others that can wait long
+		Given a simulated fleet of 8 VMs before an engine that takes <limit> requests a second
+		And ten times as much work comes to all VMs, a third of it urgent with little time
+		When the fleet works for 30 seconds
+		Then the limit was kept at all times
+		And at least 0.75 of it was used after 4 seconds
+		And the urgent requests got most of the permits
+		And the others got at least 0.05 of them
+
+		Examples:
+			| limit |
+			| 1     |
+			| 3     |
+			| 20    |
+
 	Scenario: An engine that began again has no limit, and an older word of it does not come back
 		Given a simulated fleet of 8 VMs before an engine that takes 3 requests a second
 		And three times as much work comes to all VMs
--- a/test/steps/limited-load.steps.ts
+++ b/test/steps/limited-load.steps.ts
@@ -5,6 +5,7 @@
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
 import { IssuerElection } from '../../src/core/limits/issuer-election.js';
+import type { LimitedLoadOptions } from './limited-load.js';
 import { LimitedLoad } from './limited-load.js';
 import { clockOf, seen, silentLog } from './relay-fakes.js';
 import type { SimulatedVm } from './simulated-fleet.js';
@@ -46,7 +47,9 @@
 	},
 );
 
-function startLoad(world: FleetWorld, where: string, urgency?: () => number): void {
+type Kinds = Pick<LimitedLoadOptions, 'urgency' | 'waitMs'>;
+
+function startLoad(world: FleetWorld, where: string, kinds: Kinds = {}, times = overload): void {
 	const { vms, engines, perS } = seen<Fleet>(world, 'made of');
 	const load: LimitedLoad = new LimitedLoad({
 		vms,
@@ -55,9 +58,9 @@
 		perS,
 		requestsPerS: (vm, at) => {
 			const most = Math.max(perS, load.engines[0]?.perS ?? 0);
-			return overload * engines * most * (demand[where] as Where)(load, vm, at);
+			return times * engines * most * (demand[where] as Where)(load, vm, at);
 		},
-		urgency,
+		...kinds,
 	});
 	world.seen.set('load', load);
 }
@@ -73,7 +76,16 @@
 	'three times as much work comes to all VMs, half of it urgent',
 	function (this: FleetWorld) {
 		let count = 0;
-		startLoad(this, 'to all VMs', () => (count++ % 2 === 0 ? 0 : 7));
+		startLoad(this, 'to all VMs', { urgency: () => (count++ % 2 === 0 ? 0 : 7) });
+	},
+);
+
+cucumber.Given(
+	'ten times as much work comes to all VMs, a third of it urgent with little time',
+	function (this: FleetWorld) {
+		let count = 0;
+		const urgency = () => (count++ % 3 === 0 ? 0 : 7);
+		startLoad(this, 'to all VMs', { urgency, waitMs: (level) => (level === 0 ? 30 : 250) }, 10);
 	},
 );
 
--- a/test/steps/limited-load.ts
+++ b/test/steps/limited-load.ts
@@ -17,7 +17,7 @@
 /** From the first answer that names a limit until it has to be kept, in milliseconds. */
 const knownMs = 2000;
 /** Longest wait of a request for a permit, in milliseconds. */
-const waitMs = 50;
+const usualWaitMs = 50;
 
 export interface LimitedEngine {
 	ref: number;
@@ -37,6 +37,8 @@
 	requestsPerS: (vm: SimulatedVm, at: number) => number;
 	/** @default all alike */
 	urgency?: () => number;
+	/** Longest wait of a request for a permit, in milliseconds. @default 50 */
+	waitMs?: (urgency: number) => number;
 	seed?: number;
 }
 
@@ -158,6 +160,7 @@
 		const from = Math.floor(this.next() * this.engines.length);
 		const turn = [...this.engines.slice(from), ...this.engines.slice(0, from)];
 		const level = Math.min(urgency, urgencyLevels - 1);
+		const waitMs = this.opts.waitMs?.(urgency) ?? usualWaitMs;
 		const engine = turn.find(({ ref }) => permits.closedMs(ref, level) <= waitMs);
 		if (!engine) {
 			this.refused++;
