Engines that drop idle connections, reset new ones or begin again: scenarios, and in the soak

Change: the stand-in forgets connections, or resets new ones; the soak draws both, and engines that begin again under their id.

--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -122,6 +122,28 @@
 		Then each answer is 200 "early answer to /plain/"
 		And engine "a" got each body of 300000 bytes whole, or not to its end
 
+	Scenario: An engine that drops idle connections fails no request that may run again
+		Given a relay of 1 VM with engines "a, b"
+		And engine "a" drops idle connections
+		When "GET /plain/" is sent 30 times
+		Then each answer is 200 "answer to /plain/"
+		And engine "a" was asked again
+
+	Scenario: A request that was reset on an idle connection may have run, and its caller is not told that it has not
+		Given a relay of 1 VM with engines "a"
+		When "POST /once/" with body "order" is sent
+		And engine "a" drops idle connections
+		And "POST /once/" with body "order" is sent
+		Then the answer is 502
+		And 1 requests ran
+
+	Scenario: An engine that resets new connections ran nothing, and another takes the request
+		Given a relay of 1 VM with engines "a, b"
+		And engine "a" resets new connections
+		When "POST /once/" with body "order" is sent 10 times
+		Then each answer is 200 "answer to order"
+		And engine "b" ran 10 requests
+
 	Scenario: An engine's own failure is passed on as it is
 		Given a relay of 1 VM with engines "a"
 		And engine "a" fails
--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -47,6 +47,8 @@
 	busy: boolean;
 	/** It leaves or has left. */
 	leaving: boolean;
+	/** Unix milliseconds of its last start, once it began again. */
+	born?: number;
 	/** What its registration says; undefined once that is gone. */
 	state?: 'ready' | 'draining';
 }
@@ -141,6 +143,14 @@
 		return engine;
 	}
 
+	/** An engine starts again under its id and its address: what it said before no longer counts. */
+	async beginAgain(engine: SoakEngine): Promise<void> {
+		this.nameLimit(engine, undefined);
+		engine.standIn.server.closeAllConnections();
+		engine.born = Date.now();
+		await this.write(engine, 'ready');
+	}
+
 	/** @param announced it says that it leaves; else its registration goes without a word */
 	async removeEngine(engine: SoakEngine, announced: boolean): Promise<void> {
 		engine.leaving = true;
@@ -183,7 +193,7 @@
 
 	private async write(engine: SoakEngine, state: 'ready' | 'draining'): Promise<void> {
 		engine.state = state;
-		await this.fixture.register(engine.standIn, engine.address, state);
+		await this.fixture.register(engine.standIn, engine.address, state, engine.born);
 	}
 
 	private unregister(engine: SoakEngine): void {
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -272,6 +272,19 @@
 	}
 };
 
+/** An engine forgets idle connections, or resets new ones, or both. */
+const engineDropsConnections: Fault = (run) =>
+	run.withEngine('drops connections', async ({ standIn }) => {
+		standIn.dropsIdle = run.rng() < 0.7;
+		standIn.resetsNew = !standIn.dropsIdle || run.rng() < 0.3;
+		await sleep(run.duration());
+		standIn.dropsIdle = false;
+		standIn.resetsNew = false;
+	});
+
+const engineBeginsAgain: Fault = (run) =>
+	run.withEngine('begins again', (engine) => run.deployment.beginAgain(engine));
+
 const faults: readonly Fault[] = [
 	kill,
 	pause,
@@ -298,6 +311,8 @@
 	engineAnswersTwice,
 	engineLimits,
 	engineLimits,
+	engineDropsConnections,
+	engineBeginsAgain,
 ];
 
 /** Waits until a started process says that it is ready; the store may be harmed meanwhile. */
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -84,10 +84,22 @@
 	restS?: number;
 	/** All its answers name this limit of requests a second. */
 	limitPerS?: number;
+	/** It forgets connections that were used once: the next request there is reset. */
+	dropsIdle = false;
+	/** It resets new connections, as an engine that has too many. */
+	resetsNew = false;
+	/** Connections that it has answered on. */
+	private readonly used = new WeakSet<Socket>();
 	onCrash?: () => void;
 	readonly server = http.createServer((req, res) => void this.handle(req, res));
 
-	constructor(readonly id: string) {}
+	constructor(readonly id: string) {
+		this.server.on('connection', (socket) => {
+			if (this.resetsNew) {
+				socket.resetAndDestroy();
+			}
+		});
+	}
 
 	async start(): Promise<string> {
 		await new Promise<void>((done) => this.server.listen(0, '127.0.0.1', done));
@@ -100,6 +112,11 @@
 	}
 
 	private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (this.dropsIdle && this.used.has(req.socket)) {
+			req.socket.resetAndDestroy();
+			return;
+		}
+		this.used.add(req.socket);
 		if (this.behaviour === engineBehaviours.answersEarly) {
 			const id = String(req.headers['slategauge-attempt-id']);
 			const signed = {
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -76,6 +76,23 @@
 	},
 );
 
+cucumber.When(
+	'{string} with body {string} is sent {int} times',
+	async function (this: FleetWorld, call: string, body: string, times: number) {
+		for (let at = 0; at < times; at++) {
+			await fixtureOf(this).send(call, body);
+		}
+	},
+);
+
+cucumber.Given('engine {string} drops idle connections', function (this: FleetWorld, id: string) {
+	engineOf(this, id).dropsIdle = true;
+});
+
+cucumber.Given('engine {string} resets new connections', function (this: FleetWorld, id: string) {
+	engineOf(this, id).resetsNew = true;
+});
+
 cucumber.When(
 	'{string} with {int} bytes of body is sent {int} times',
 	async function (this: FleetWorld, call: string, bytes: number, times: number) {
