--- a/test/features/engine-limits.feature
+++ b/test/features/engine-limits.feature
@@ -142,3 +142,9 @@
 		When the VM is suspended for 3000 ms
 		Then it issues no permits
 		And it has given way to another that was heard meanwhile
+
+	Scenario: Callers that are refused because all engines name limits come back one after the other
+		Given 8 requests were let through in the last 4 seconds
+		When 10 callers are refused, and the first engine may be asked again in 300 ms
+		Then they come back 0.3 to 5 seconds later, half a second apart
+		And a caller that is refused after many others comes back within 8 seconds
--- a/test/steps/engine-limits.steps.ts
+++ b/test/steps/engine-limits.steps.ts
@@ -4,6 +4,7 @@
  */
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
+import { ReturnSchedule } from '../../src/core/limits/return-schedule.js';
 import { engineOf, fixtureOf } from './relay-fixture.js';
 import type { Answer, Vm } from './relay-world.js';
 import type { FleetWorld } from './world.js';
@@ -130,3 +131,47 @@
 		}
 	},
 );
+
+/** When the requests of the scenario about refused callers come, in monotonic milliseconds. */
+const refusedAt = 10_000;
+
+cucumber.Given(
+	'{int} requests were let through in the last {int} seconds',
+	function (this: FleetWorld, count: number, seconds: number) {
+		const schedule = new ReturnSchedule();
+		for (let at = count; at > 0; at--) {
+			schedule.letThrough(refusedAt - ((at - 0.5) * seconds * 1000) / count);
+		}
+		this.seen.set('schedule', schedule);
+	},
+);
+
+cucumber.When(
+	'{int} callers are refused, and the first engine may be asked again in {int} ms',
+	function (this: FleetWorld, count: number, openMs: number) {
+		const schedule = this.seen.get('schedule') as ReturnSchedule;
+		const times = Array.from({ length: count }, () => schedule.nextS(refusedAt, openMs));
+		this.seen.set('times', times);
+	},
+);
+
+cucumber.Then(
+	'they come back {float} to {float} seconds later, half a second apart',
+	function (this: FleetWorld, least: number, most: number) {
+		const times = this.seen.get('times') as number[];
+		assert.equal(times[0], least);
+		assert.ok((times.at(-1) ?? 0) <= most);
+		for (const [at, time] of times.slice(1).entries()) {
+			assert.ok(Math.abs(time - (times[at] as number) - 0.5) < 0.11);
+		}
+	},
+);
+
+cucumber.Then(
+	'a caller that is refused after many others comes back within {int} seconds',
+	function (this: FleetWorld, seconds: number) {
+		const schedule = this.seen.get('schedule') as ReturnSchedule;
+		const times = Array.from({ length: 100 }, () => schedule.nextS(refusedAt, 300));
+		assert.ok(Math.max(...times) <= seconds);
+	},
+);
