An ask for a permit that cannot be answered is no message

A datagram of the right format with an address that is none could end the daemon that answered it, and one with a huge urgency could hold its loop. Cause: asks were decoded by the types of their fields only. Change: address, urgency and wait are checked as they are decoded; requests wait for a permit for 2 s at the most, whatever the target. An unanswered ask no longer makes up an answer of the issuer. Measured: relay-decisions.feature 56 of 56; its eleven new cases fail without the check.

--- a/src/core/limits/engine-permits.ts
+++ b/src/core/limits/engine-permits.ts
@@ -122,12 +122,9 @@
 	/** The issuer's answer, which may come late, or again. */
 	answered({ id, isGranted, retryAfterMs }: PermitAnswer): void {
 		const pending = this.pending.get(id);
-		if (!pending) {
-			return;
+		if (pending) {
+			this.settle(id, pending, { isGranted, retryAfterMs });
 		}
-		this.pending.delete(id);
-		this.note(pending.ask, { isGranted, retryAfterMs });
-		pending.done({ isGranted, retryAfterMs });
 	}
 
 	/** Sends again what was not answered, and gives up what will not be. */
@@ -135,7 +132,7 @@
 		const { now } = this;
 		for (const [id, pending] of [...this.pending]) {
 			if (now >= pending.until) {
-				this.unanswered(id);
+				this.unanswered(id, pending);
 			} else if (now >= pending.resendAt) {
 				pending.resendAt = now + resendMs;
 				this.resend(pending.ask);
@@ -168,17 +165,18 @@
 		}
 	}
 
-	private unanswered(id: number): void {
+	private unanswered(id: number, pending: Pending): void {
 		const address = this.opts.issuer();
 		if (address !== undefined) {
 			this.closedIssuer = { address, until: this.now + unansweredMs };
 		}
-		this.answered({
-			id,
-			word: { engine: 0, version: 0 },
-			isGranted: false,
-			retryAfterMs: resendMs,
-		});
+		this.settle(id, pending, { isGranted: false, retryAfterMs: resendMs });
+	}
+
+	private settle(id: number, { ask, done }: Pending, result: PermitResult): void {
+		this.pending.delete(id);
+		this.note(ask, result);
+		done(result);
 	}
 
 	/** Requests at least as little urgent as one that was denied are not worth asking for sooner. */
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -15,6 +15,8 @@
  * meanwhile go first, and whoever gets none hears of it while coming back is still of use.
  */
 const waitShare = 0.125;
+/** And no longer than this, in milliseconds. */
+const mostWaitMs = 2000;
 
 export interface RequestPlacementOptions {
 	ctx: RelayContext;
@@ -128,7 +130,8 @@
 			return 0;
 		}
 		const waitedMs = this.waitedFrom === undefined ? 0 : this.now - this.waitedFrom;
-		return Math.max(0, this.opts.terms.route.targetMs * waitShare - waitedMs);
+		const mostMs = Math.min(this.opts.terms.route.targetMs * waitShare, mostWaitMs);
+		return Math.max(0, mostMs - waitedMs);
 	}
 
 	private ask(placement: Placement, engines: readonly Engine[]): void {
--- a/src/infra/relay/limit-codec.ts
+++ b/src/infra/relay/limit-codec.ts
@@ -2,12 +2,20 @@
  * Limits of engines and permits between VMs as MessagePack.
  * @module
  */
+import * as net from 'node:net';
 import * as msgpack from '@msgpack/msgpack';
+import { parseAddress } from '../../core/fleet/aggregator-selection.js';
 import type { LimitWord, PermitAnswer, PermitAsk } from '../../core/limits/types.js';
+import { urgencyLevels } from '../../core/relay/definitions.js';
 import { messageFormat, messageTypes } from './message-types.js';
 import type { RowReader } from './row-reader.js';
-import { toThousandths } from './row-reader.js';
+import { RowError, toThousandths } from './row-reader.js';
 
+/** Largest port. */
+const mostPort = 65_535;
+const urgencies = Array.from({ length: urgencyLevels }, (_, level) => level);
+/** No request waits longer for a permit, in milliseconds: an eighth of the longest targets is far less. */
+const mostWaitMs = 60_000;
 /** In place of requests a second: the engine names no limit. */
 const noLimit = -1;
 
@@ -35,7 +43,7 @@
 	]);
 }
 
-/** @throws RowError when the row behind the type is no ask */
+/** @throws RowError when the row behind the type is no ask, or one that cannot be answered */
 export function decodePermitAsk(row: RowReader): PermitAsk {
 	const ask = {
 		from: row.text(),
@@ -45,9 +53,19 @@
 		waitMs: row.number(),
 	};
 	row.end();
+	const isWait = ask.waitMs >= 0 && ask.waitMs <= mostWaitMs;
+	if (!isAddress(ask.from) || !urgencies.includes(ask.urgency) || !isWait) {
+		throw new RowError('an ask of a VM');
+	}
 	return ask;
 }
 
+/** Whether an answer can be sent there: an address that is none would end the process that sends. */
+function isAddress(text: string): boolean {
+	const { host, port } = parseAddress(text);
+	return net.isIPv4(host) && Number.isInteger(port) && port > 0 && port <= mostPort;
+}
+
 export function encodePermitAnswer(answer: PermitAnswer): Uint8Array {
 	const { id, word, isGranted, retryAfterMs } = answer;
 	const { permitAnswer } = messageTypes;
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -110,6 +110,24 @@
 		When 2 seconds pass
 		Then the fleet has 0 running requests at "a"
 
+	Scenario Outline: An ask for a permit that cannot be answered is refused as no message
+		Given an ask for a permit whose <field> is <value>
+		Then the datagram is refused
+
+		Examples:
+			| field   | value            |
+			| from    | 10.0.0.1         |
+			| from    | 10.0.0.1:0       |
+			| from    | 10.0.0.1:99999   |
+			| from    | 10.0.0.1:x       |
+			| from    | a.example:7000   |
+			| urgency | -1               |
+			| urgency | 10               |
+			| urgency | 1.5              |
+			| urgency | 1000000000       |
+			| waitMs  | -1               |
+			| waitMs  | 1e12             |
+
 	Scenario: News survive the way as a datagram, other bytes are refused
 		Given news of work, reads, demand and costs
 		Then they are the same after encoding and decoding
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -19,6 +19,7 @@
 import type { Store } from '../../src/core/store/definitions.js';
 import { StoreError, storeFailures } from '../../src/core/store/definitions.js';
 import { PrefixFollower } from '../../src/core/store/prefix-follower.js';
+import { encodePermitAsk } from '../../src/infra/relay/limit-codec.js';
 import { encodeNews } from '../../src/infra/relay/news-codec.js';
 import * as datagrams from '../../src/infra/relay/peer-datagrams.js';
 import * as platform from '../../src/platform/index.js';
@@ -469,3 +470,18 @@
 		}
 	},
 );
+
+cucumber.Given(
+	/^an ask for a permit whose (from|urgency|waitMs) is (\S+)$/,
+	function (this: FleetWorld, field: string, value: string) {
+		const word = { engine: 1, perS: 3, version: 1 };
+		const right = { from: '10.0.0.1:7000', id: 1, word, urgency: 0, waitMs: 30 };
+		assert.ok(datagrams.hand(encodePermitAsk(right), noListener));
+		const part = { [field]: field === 'from' ? value : Number(value) };
+		this.seen.set('datagram', encodePermitAsk({ ...right, ...part }));
+	},
+);
+
+cucumber.Then('the datagram is refused', function (this: FleetWorld) {
+	assert.equal(datagrams.hand(seen<Uint8Array>(this, 'datagram'), noListener), false);
+});
