A limit ends by the silence of a success alone

An engine in need that turned requests away without naming its limit again would have got its old rate until the next success named it. Cause: any answer that is surely the engine's own counted, refusals and failures among them. Change: a signed success to a request that left after the word. Measured: 9 of 9 cases, 4 of them (503 twice, 429, 500) fail without the change.

--- a/src/core/relay/answer-notice.ts
+++ b/src/core/relay/answer-notice.ts
@@ -34,7 +34,10 @@
 	}
 }
 
-/** Only an answer that is surely the engine's own says by its silence that a limit is over. */
+/**
+ * Only a success that is surely the engine's own says by its silence that a limit is over: an engine that turns requests away, or fails, may
+ * leave the limit out while it is most in need.
+ */
 function takeLimit(
 	{ limits }: RelayContext,
 	{ engine, sentAt }: Attempt,
@@ -44,7 +47,7 @@
 	const { limitPerS } = head.notice;
 	if (limitPerS !== undefined) {
 		limits.ledger.named(engine.ref, limitPerS);
-	} else if (head.id === requestId && (head.signed || head.notRun)) {
+	} else if (head.status < 300 && head.signed && head.id === requestId) {
 		limits.ledger.notNamed(engine.ref, sentAt);
 	}
 }
--- a/test/features/engine-limits.feature
+++ b/test/features/engine-limits.feature
@@ -41,6 +41,23 @@
 		And "GET /plain/" is sent through all VMs for 4000 ms
 		Then engine "a" got more than 30 requests in the last 2000 ms
 
+	Scenario Outline: A limit ends by the silence of a success alone
+		Given a VM that heard an engine name a limit of 3
+		When that engine answers a later request with <status>, <marks>, without a limit
+		Then the limit is <then>
+
+		Examples:
+			| status | marks                | then     |
+			| 200    | signed               | over     |
+			| 503    | as not run           | in force |
+			| 503    | signed               | in force |
+			| 429    | as not run           | in force |
+			| 500    | signed               | in force |
+			| 200    | unsigned             | in force |
+			| 200    | for another request  | in force |
+			| 200    | sent before the word | in force |
+			| 421    | as another engine    | in force |
+
 	Scenario Outline: A limit is kept and used in a fleet of any size, wherever its work comes from
 		Given a simulated fleet of <vms> VMs before an engine that takes <limit> requests a second
 		And three times as much work comes <where>
--- a/test/steps/engine-limits.steps.ts
+++ b/test/steps/engine-limits.steps.ts
@@ -4,7 +4,15 @@
  */
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
+import { EngineNotices } from '../../src/core/engines/engine-notices.js';
+import { LimitLedger } from '../../src/core/limits/limit-ledger.js';
 import { ReturnSchedule } from '../../src/core/limits/return-schedule.js';
+import { takeNotice } from '../../src/core/relay/answer-notice.js';
+import type { Attempt } from '../../src/core/relay/attempt.js';
+import type { RequestOutcome } from '../../src/core/relay/request-outcome.js';
+import type { RelayContext } from '../../src/core/relay/types.js';
+import * as platform from '../../src/platform/index.js';
+import { clockOf } from './relay-fakes.js';
 import { engineOf, fixtureOf } from './relay-fixture.js';
 import type { Answer, Vm } from './relay-world.js';
 import type { FleetWorld } from './world.js';
@@ -175,3 +183,42 @@
 		assert.ok(Math.max(...times) <= seconds);
 	},
 );
+
+/** Headers of an answer to the request of the scenarios about silence, as the engine sends them. */
+const marks: Readonly<Record<string, readonly string[]>> = {
+	signed: ['slategauge-attempt-id', 'r', 'slategauge-response-signature', 's'],
+	unsigned: ['slategauge-attempt-id', 'r'],
+	'as not run': ['slategauge-attempt-id', 'r', 'slategauge-not-executed', '1'],
+	'as another engine': ['slategauge-instance-id', 'b'],
+	'for another request': ['slategauge-attempt-id', 'q', 'slategauge-response-signature', 's'],
+	'sent before the word': ['slategauge-attempt-id', 'r', 'slategauge-response-signature', 's'],
+};
+
+cucumber.Given(
+	'a VM that heard an engine name a limit of {int}',
+	function (this: FleetWorld, perS: number) {
+		const clock = clockOf(this);
+		const ledger = new LimitLedger({ clock, onChanged() {}, onLimit() {} });
+		ledger.named(1, perS);
+		this.seen.set('ledger', ledger);
+	},
+);
+
+cucumber.When(
+	/^that engine answers a later request with (\d+), (.+), without a limit$/,
+	function (this: FleetWorld, status: string, mark: string) {
+		const ledger = this.seen.get('ledger') as LimitLedger;
+		const clock = clockOf(this);
+		const sentAt = clock.now + (mark === 'sent before the word' ? -1 : 1);
+		const attempt = { engine: { ref: 1, notices: new EngineNotices() }, sentAt };
+		const head = platform.decodeAnswer(Number(status), [...(marks[mark] ?? [])]);
+		const ctx = { clock, limits: { ledger } } as unknown as RelayContext;
+		const outcome = { log() {} } as unknown as RequestOutcome;
+		takeNotice(ctx, outcome, attempt as unknown as Attempt, head, 'r');
+	},
+);
+
+cucumber.Then(/^the limit is (over|in force)$/, function (this: FleetWorld, state: string) {
+	const ledger = this.seen.get('ledger') as LimitLedger;
+	assert.equal(ledger.perS(1), state === 'over' ? undefined : 3);
+});
