A request that has ended is not sent when a permit for it comes after all

A caller that had been told that its request has not run could have it run after that. Cause: a denial may come before the call of the ask returns, and the next ask with it; the first call was then kept in place of the second, and the end of the request took back the wrong one. Found by reading. Change: the end of a request is remembered where it is placed. Measured: the scenario fails without the change and passes with it.

--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -30,7 +30,10 @@
 
 export class RequestPlacement {
 	private readonly tried = new Set<string>();
+	/** The last ask for a permit. */
 	private call?: PermitCall;
+	/** The request has ended: a permit that comes after all is not used. */
+	private isOver = false;
 	private asks = 0;
 	private waitedFrom?: number;
 	/** The engine that it has a permit for. */
@@ -70,10 +73,10 @@
 		}
 	}
 
-	/** No permit is waited for any more. */
+	/** The request has ended: it is sent nowhere any more. */
 	cancel(): void {
+		this.isOver = true;
 		this.call?.cancel();
-		this.call = undefined;
 	}
 
 	/**
@@ -140,8 +143,11 @@
 		const waitMs = this.waitMs(engines);
 		this.asks++;
 		this.waitedFrom ??= this.now;
+		// A denial may come before the call returns, and the next ask with it: that one's call would be lost here.
 		this.call = ctx.limits.permits.ask(engine.ref, terms.urgency, waitMs, (result) => {
-			this.call = undefined;
+			if (this.isOver) {
+				return;
+			}
 			if (result.isGranted) {
 				this.permitted = engine;
 				this.tried.add(engine.id);
--- a/test/features/engine-limits.feature
+++ b/test/features/engine-limits.feature
@@ -165,3 +165,8 @@
 		When 10 callers are refused, and the first engine may be asked again in 300 ms
 		Then they come back 0.3 to 5 seconds later, half a second apart
 		And a caller that is refused after many others comes back within 8 seconds
+
+	Scenario: A request that has ended is not sent when a permit for it comes after all
+		Given a request that was denied one permit at once, and waits for another
+		When the request ends, and the permit comes
+		Then it is sent nowhere
--- a/test/steps/engine-limits.steps.ts
+++ b/test/steps/engine-limits.steps.ts
@@ -4,15 +4,18 @@
  */
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
+import { Engine } from '../../src/core/engines/engine.js';
 import { EngineNotices } from '../../src/core/engines/engine-notices.js';
+import type { PermitResult } from '../../src/core/limits/engine-permits.js';
 import { LimitLedger } from '../../src/core/limits/limit-ledger.js';
 import { ReturnSchedule } from '../../src/core/limits/return-schedule.js';
 import { takeNotice } from '../../src/core/relay/answer-notice.js';
 import type { Attempt } from '../../src/core/relay/attempt.js';
 import type { RequestOutcome } from '../../src/core/relay/request-outcome.js';
+import { RequestPlacement } from '../../src/core/relay/request-placement.js';
 import type { RelayContext } from '../../src/core/relay/types.js';
 import * as platform from '../../src/platform/index.js';
-import { clockOf } from './relay-fakes.js';
+import { clockOf, entry, route } from './relay-fakes.js';
 import { engineOf, fixtureOf } from './relay-fixture.js';
 import type { Answer, Vm } from './relay-world.js';
 import type { FleetWorld } from './world.js';
@@ -222,3 +225,66 @@
 	const ledger = this.seen.get('ledger') as LimitLedger;
 	assert.equal(ledger.perS(1), state === 'over' ? undefined : 3);
 });
+
+interface LatePermit {
+	placement: RequestPlacement;
+	/** The issuer grants the second ask, unless it was taken back. */
+	grant: () => void;
+	sent: string[];
+}
+
+cucumber.Given(
+	'a request that was denied one permit at once, and waits for another',
+	function (this: FleetWorld) {
+		const engines = ['a', 'b'].map((id) => new Engine(entry(id)));
+		const asked: string[] = [];
+		let grant = () => {};
+		const permits = {
+			closedMs: () => 0,
+			ask(ref: number, _urgency: number, _waitMs: number, done: (result: PermitResult) => void) {
+				const engine = engines.find((one) => one.ref === ref) as Engine;
+				asked.push(engine.id);
+				let isWanted = true;
+				if (engine.id === 'a') {
+					done({ isGranted: false, retryAfterMs: 100 });
+				} else {
+					grant = () => (isWanted ? done({ isGranted: true, retryAfterMs: 0 }) : undefined);
+				}
+				return {
+					cancel() {
+						isWanted = false;
+					},
+				};
+			},
+		};
+		const choose = () => ({ engine: engines[asked.length] });
+		const ctx = {
+			clock: clockOf(this),
+			engines: { offered: () => engines },
+			placement: { choose },
+			limits: { ledger: { perS: () => 3 }, permits, returns: () => new ReturnSchedule() },
+			metrics: { permitDenied() {} },
+		} as unknown as RelayContext;
+		const sent: string[] = [];
+		const placement = new RequestPlacement({
+			ctx,
+			terms: { req: {}, route: route({}), service: 'pool', urgency: 0 } as never,
+			outcome: { log() {} } as unknown as RequestOutcome,
+			onPlaced: ({ engine }) => sent.push(engine.id),
+			onRefused() {},
+		});
+		placement.next();
+		assert.deepEqual(asked, ['a', 'b']);
+		this.seen.set('late permit', { placement, grant: () => grant(), sent });
+	},
+);
+
+cucumber.When('the request ends, and the permit comes', function (this: FleetWorld) {
+	const { placement, grant } = this.seen.get('late permit') as LatePermit;
+	placement.cancel();
+	grant();
+});
+
+cucumber.Then('it is sent nowhere', function (this: FleetWorld) {
+	assert.deepEqual((this.seen.get('late permit') as LatePermit).sent, []);
+});
