--- a/src/core/engines/engine-notices.ts
+++ b/src/core/engines/engine-notices.ts
@@ -18,6 +18,7 @@
 	private leaving = false;
 	/** In milliseconds since boot, which run on while the VM is suspended. */
 	private restUntil = Number.NEGATIVE_INFINITY;
+	/** Named last, so that a change is told; what the VMs go by is known to the fleet. */
 	private limitPerS?: number;
 
 	/** An engine never takes back that it leaves; only a later start of it is ready again. */
