--- a/src/daemon/relay/limit-exchange.ts
+++ b/src/daemon/relay/limit-exchange.ts
@@ -10,6 +10,10 @@
 import { issuerRank } from '../../core/limits/issuer-election.js';
 import type { PermitAnswer, PermitAsk } from '../../core/limits/types.js';
 import type { HostPort } from '../../core/relay/settings.js';
+import { DueTimer } from './due-timer.js';
+
+/** An ask that is due while the loop is late does not keep it busy, in milliseconds. */
+const leastWaitMs = 1;
 
 export interface LimitExchangeOptions {
 	clock: Clock;
@@ -31,12 +35,9 @@
 
 export class LimitExchange {
 	readonly limits: FleetLimits;
-	private timer?: NodeJS.Timeout;
-	/** When the timer fires, in monotonic milliseconds. */
-	private timerAt = Number.POSITIVE_INFINITY;
-	private isStopped = false;
+	private readonly timer: DueTimer;
 
-	constructor(private readonly opts: LimitExchangeOptions) {
+	constructor(opts: LimitExchangeOptions) {
 		const { self, listed, sendAsk, sendAnswer, ...ports } = opts;
 		this.limits = new FleetLimits({
 			...ports,
@@ -44,36 +45,20 @@
 			rank: (without) => issuerRank(self, listed(), without),
 			sendAsk: (to, ask) => sendAsk(parseAddress(to), ask),
 			sendAnswer: (to, answer) => sendAnswer(parseAddress(to), answer),
-			onDue: () => this.arm(),
+			onDue: () => this.timer.arm(),
 		});
+		const { limits } = this;
+		const run = () => limits.run();
+		this.timer = new DueTimer(opts.clock, () => limits.dueAt, run, leastWaitMs);
 	}
 
 	/** Called several times a second. */
 	update(): void {
 		this.limits.update();
-		this.arm();
+		this.timer.arm();
 	}
 
 	stop(): void {
-		this.isStopped = true;
-		clearTimeout(this.timer);
-	}
-
-	private run(): void {
-		this.timerAt = Number.POSITIVE_INFINITY;
-		this.limits.run();
-		this.arm();
-	}
-
-	/** Sets the timer for the next permit or ask that is due, unless it fires in time already. */
-	private arm(): void {
-		const { dueAt } = this.limits;
-		if (this.isStopped || this.timerAt <= dueAt) {
-			return;
-		}
-		clearTimeout(this.timer);
-		this.timerAt = dueAt;
-		const waitMs = Math.max(1, dueAt - this.opts.clock.monotonic());
-		this.timer = setTimeout(() => this.run(), waitMs);
+		this.timer.stop();
 	}
 }
--- a/src/daemon/relay/peer-exchange.ts
+++ b/src/daemon/relay/peer-exchange.ts
@@ -15,6 +15,7 @@
 import type { HostPort } from '../../core/relay/settings.js';
 import { PeerDatagrams } from '../../infra/relay/peer-datagrams.js';
 import { PeerTransfers } from '../../infra/relay/peer-transfers.js';
+import { DueTimer } from './due-timer.js';
 
 const configurationPath = '/configuration';
 const enginesPath = '/engines';
@@ -49,10 +50,7 @@
 	private readonly datagrams: PeerDatagrams;
 	private readonly news: NewsExchange;
 	private readonly transfers: PeerTransfers;
-	private timer?: NodeJS.Timeout;
-	/** When the timer fires, in monotonic milliseconds. */
-	private timerAt = Number.POSITIVE_INFINITY;
-	private isStopped = false;
+	private readonly timer: DueTimer;
 
 	constructor(private readonly opts: PeerExchangeOptions) {
 		const { clock, log, self, fleet, listed, seeds } = opts;
@@ -73,6 +71,12 @@
 			seeds,
 			send: (to, news) => this.datagrams.sendNews(to, news),
 		});
+		const { news } = this;
+		this.timer = new DueTimer(
+			clock,
+			() => news.dueAt,
+			() => news.run(),
+		);
 		this.transfers = new PeerTransfers({ log, textOf: (target) => this.textOf(target) });
 	}
 
@@ -84,7 +88,8 @@
 	async start(): Promise<void> {
 		await this.datagrams.bind(this.opts.self.address);
 		this.news.update();
-		this.run();
+		this.news.run();
+		this.timer.arm();
 	}
 
 	/** How long no news were sent, in milliseconds. */
@@ -111,13 +116,13 @@
 	/** Something changed that peers should know. */
 	changed(): void {
 		this.news.changed();
-		this.arm();
+		this.timer.arm();
 	}
 
 	/** Looks anew who gathers this VM's news; called several times a second. */
 	update(): void {
 		this.news.update();
-		this.arm();
+		this.timer.arm();
 	}
 
 	/** This VM stops: others gather news from now on. */
@@ -159,38 +164,18 @@
 	/** Tells peers at once of something that cannot wait. */
 	announce(): void {
 		this.news.sendNow();
-		this.arm();
+		this.timer.arm();
 	}
 
 	stop(): void {
-		this.isStopped = true;
-		clearTimeout(this.timer);
+		this.timer.stop();
 		this.datagrams.close();
 		this.transfers.close();
 	}
 
 	private receive(news: PeerNews): void {
 		this.news.receive(news);
-		this.arm();
-	}
-
-	private run(): void {
-		this.timer = undefined;
-		this.timerAt = Number.POSITIVE_INFINITY;
-		this.news.run();
-		this.arm();
-	}
-
-	/** Sets the timer for the next news, unless it fires in time already. */
-	private arm(): void {
-		const { dueAt } = this.news;
-		if (this.isStopped || this.timerAt <= dueAt) {
-			return;
-		}
-		clearTimeout(this.timer);
-		this.timerAt = dueAt;
-		const waitMs = Math.max(0, dueAt - this.opts.clock.monotonic());
-		this.timer = setTimeout(() => this.run(), waitMs);
+		this.timer.arm();
 	}
 
 	private textOf(target: string): string | undefined {
