Engines that fail the requests of several VMs are avoided by all of them

Cause: each VM closes an engine only after three failures in a row of its own. Before 62 VMs that send a few requests a second each, an engine that fails everything failed requests of nearly every VM, and one that fails every second request was closed by none.

Change: VMs tell their answers of engines in doubt with the news; three failures at two VMs, a quarter of the answers, close the engine for 2.5 s, then VMs try it in turn. Where half of a service would be left out all are used.

Simulated (fleet-health.feature): at most 12, 20 and 60 failures in 6 s with 9, 62 and 300 VMs; without the change all of the engine's share of the requests, some 74 with 62 VMs (worked out: the VMs' own rule needs three in a row, each VM sends it one request in 5 s).

--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -8,6 +8,7 @@
  */
 import type { Clock, Log } from '../definitions.js';
 import type { CostModel } from '../engines/cost-model.js';
+import type { AnswerNews } from '../engines/fleet-health.js';
 import type { LimitNews } from '../limits/fleet-limits.js';
 import type { CrashNews } from '../quarantine/types.js';
 import type { PromptPart } from '../relay/definitions.js';
@@ -49,6 +50,8 @@
 	onNewerConfiguration: (address: string, version: number) => void;
 	/** What work costs, as this VM has seen; peers add up what each has seen. */
 	costs: CostModel;
+	/** Answers of engines that fail, of this VM and as peers tell. */
+	answers: AnswerNews;
 	/** What this VM tells of the store; undefined while it does not read it itself. */
 	storeNews: () => StoreNews | undefined;
 	/** A peer that reads the store tells of it. */
@@ -203,7 +206,7 @@
 			demand: this.meter.read(this.now),
 			vms: 1,
 			readers: this.ownReader(),
-			costsOf: [],
+			sumsOf: [],
 		});
 		this.work.reported(this.composer.seq, work);
 		this.parts.clearDown();
@@ -225,7 +228,7 @@
 			demand: { long: own.long + told.long, short: own.short + told.short },
 			vms: 1 + members.length,
 			readers: [...this.ownReader(), ...this.readers.members(this.sinceBoot)],
-			costsOf: members.map(({ name }) => name),
+			sumsOf: members.map(({ name }) => name),
 		});
 	}
 
@@ -240,7 +243,7 @@
 			demand: this.demand(),
 			vms: this.size,
 			readers: [...this.ownReader(), ...this.readers.all(this.sinceBoot)],
-			costsOf: this.sources.names(),
+			sumsOf: this.sources.names(),
 		});
 	}
 
@@ -265,7 +268,8 @@
 		if (news.costs) {
 			this.opts.costs.take(news.from, news.costs);
 		}
-		return hasVersions || isNew || hasWork || news.reads.length > 0;
+		const hasAnswers = this.takeAnswers(news);
+		return hasVersions || isNew || hasWork || hasAnswers || news.reads.length > 0;
 	}
 
 	/** Logs VMs that fell silent and forgets them; called each second. */
@@ -306,6 +310,11 @@
 		return isNew;
 	}
 
+	private takeAnswers({ from, kind, answers }: PeerNews): boolean {
+		const isTotal = kind === newsKinds.fleet;
+		return answers !== undefined && this.opts.answers.take(from, answers, isTotal);
+	}
+
 	private counts(news: PeerNews): boolean {
 		const isForMe = this.aggregator === undefined || news.address === this.aggregator;
 		return isForMe && this.countsKind(news.kind);
@@ -382,5 +391,6 @@
 		this.work.drop(source);
 		this.sources.remove(source);
 		this.opts.costs.forget(source.name);
+		this.opts.answers.forget(source.name);
 	}
 }
--- a/src/core/fleet/news-composer.ts
+++ b/src/core/fleet/news-composer.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from '../definitions.js';
 import type { CostModel } from '../engines/cost-model.js';
+import type { AnswerNews } from '../engines/fleet-health.js';
 import type { IssuerWord, LimitWord } from '../limits/types.js';
 import type { CrashRow } from '../quarantine/types.js';
 import { cutNews } from './news-parts.js';
@@ -30,8 +31,8 @@
 	demand: Demand;
 	vms: number;
 	readers: StoreReader[];
-	/** VMs whose costs are added to those that this VM has seen. */
-	costsOf: readonly string[];
+	/** VMs whose costs, and answers of failing engines, are added to those that this VM has seen. */
+	sumsOf: readonly string[];
 	crashes: CrashRow[];
 	limits: LimitWord[];
 	issuer?: IssuerWord;
@@ -51,6 +52,8 @@
 	life: number;
 	clock: Clock;
 	costs: CostModel;
+	/** Answers of engines that fail. */
+	answers: AnswerNews;
 }
 
 export class NewsComposer {
@@ -65,11 +68,12 @@
 	}
 
 	compose(content: NewsContent, head: NewsHead): PeerNews[] {
-		const { work, reads, heard, costsOf, crashes, limits, ...rest } = content;
+		const { work, reads, heard, sumsOf, crashes, limits, ...rest } = content;
 		const { self, address, life } = this.opts;
-		const costs = this.tellsCosts(rest.kind) ? this.opts.costs.export(costsOf) : undefined;
+		const costs = this.tellsCosts(rest.kind) ? this.opts.costs.export(sumsOf) : undefined;
+		const answers = this.opts.answers.export(sumsOf);
 		this.lastSeq++;
-		return cutNews(work, reads, heard, crashes.length, limits.length).map((part, at) => ({
+		return cutNews(work, reads, heard, { crashes, limits, answers }).map((part, at) => ({
 			...rest,
 			...part,
 			...head,
@@ -80,6 +84,7 @@
 			leaving: false,
 			heard,
 			costs: at === 0 ? costs : undefined,
+			answers: at === 0 ? answers : undefined,
 			crashes: at === 0 ? crashes : [],
 			limits: at === 0 ? limits : [],
 		}));
--- a/src/core/fleet/news-parts.ts
+++ b/src/core/fleet/news-parts.ts
@@ -14,9 +14,19 @@
 const heardBytes = 10;
 const crashBytes = 16;
 const limitBytes = 16;
+const answerBytes = 12;
 /** First number beyond those of engines. */
 export const endOfRefs = 2 ** 32;
 
+/** Lists that the first part alone carries. */
+export interface FirstLists {
+	crashes: readonly unknown[];
+	limits: readonly unknown[];
+	answers: readonly unknown[];
+}
+
+const noLists: FirstLists = { crashes: [], limits: [], answers: [] };
+
 export interface NewsPart {
 	engines: EngineRange;
 	work: EngineWork[];
@@ -26,18 +36,15 @@
 /**
  * @param reads as many go along as fit, those that do not stay
  * @param heard goes with each part
- * @param crashes rows that go with the first part
- * @param limits words that go with the first part
+ * @param first lists that go with the first part
  */
 export function cutNews(
 	work: readonly EngineWork[],
 	reads: PartRead[],
 	heard: readonly HeardReport[],
-	crashes = 0,
-	limits = 0,
+	first: FirstLists = noLists,
 ): NewsPart[] {
-	const rows = heard.length * heardBytes + crashes * crashBytes + limits * limitBytes;
-	const room = payloadBytes - headBytes - rows;
+	const room = payloadBytes - headBytes - heard.length * heardBytes - bytesOf(first);
 	const most = Math.max(1, Math.floor(room / workBytes));
 	const sorted = [...work].sort((a, b) => a.engine - b.engine);
 	const parts: NewsPart[] = [];
@@ -52,6 +59,10 @@
 	return parts;
 }
 
+function bytesOf({ crashes, limits, answers }: FirstLists): number {
+	return crashes.length * crashBytes + limits.length * limitBytes + answers.length * answerBytes;
+}
+
 export function isWithin(engine: number, { from, to }: EngineRange): boolean {
 	return engine >= from && engine < to;
 }
--- a/src/core/relay/engine-failures.ts
+++ b/src/core/relay/engine-failures.ts
@@ -17,6 +17,7 @@
 
 	/** The engine had the request and did not answer it as it should. */
 	failed({ engine }: Attempt, reason: string): void {
+		this.ctx.fleetHealth.failed(engine);
 		if (engine.health.failed(this.ctx.clock.monotonic())) {
 			this.closed(engine.id, reason);
 		}
@@ -24,11 +25,18 @@
 
 	/** Nothing of the request reached it. */
 	unreachable({ engine }: Attempt, reason: string): void {
+		this.ctx.fleetHealth.failed(engine);
 		if (engine.health.unreachable(this.ctx.clock.monotonic())) {
 			this.closed(engine.id, reason);
 		}
 	}
 
+	/** The engine answered it to the end. */
+	served({ engine }: Attempt): void {
+		engine.health.succeeded();
+		this.ctx.fleetHealth.served(engine);
+	}
+
 	/** Nothing listens at its address, or another engine does. */
 	ended({ engine }: Attempt): void {
 		this.ctx.quarantine.engineEnded(engine.ref);
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -134,6 +134,21 @@
 		when: 'After failures the engine gets no work for 0.5 to 4 s, then one request to try it.',
 		fields: { ...request, engine: 'id of the engine', reason: 'the last failure' },
 	},
+	{
+		name: 'engine.suspected',
+		when: 'The engine failed requests of several VMs: this VM gives it none for a while, then tries it.',
+		fields: {
+			engine: 'id of the engine',
+			failed: 'requests that it failed in the last seconds, over all VMs',
+			served: 'requests that it served in that time, as far as they are told',
+			close_ms: 'how long it gets nothing',
+		},
+	},
+	{
+		name: 'engine.restored',
+		when: 'An engine that was suspected has served a request, of this VM or another one.',
+		fields: { engine: 'id of the engine' },
+	},
 	{
 		name: 'engine.notice',
 		when: 'The head of an answer says something new of its engine: that it leaves, wants rest, or names (or no longer names) the requests a second that it takes.',
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -221,7 +221,7 @@
 		} else if (attempt.splitter.hasRest) {
 			this.broke(attempt, 'the stream ended inside an event');
 		} else {
-			attempt.engine.health.succeeded();
+			this.failures.served(attempt);
 			this.suspicion.served();
 			attempt.streamEnded(this.terms.req.answerTokens);
 			this.endAttempt(attempt);
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -45,7 +45,7 @@
 	next(): void {
 		const { ctx, terms, onPlaced, onRefused } = this.opts;
 		const { req, service } = terms;
-		const engines = ctx.engines.offered(service);
+		const engines = this.usable(ctx.engines.offered(service));
 		const placement = ctx.placement.choose(
 			{
 				service,
@@ -73,6 +73,12 @@
 		}
 	}
 
+	/** Those that the fleet's answers do not speak against, unless the request was sent to all of these. */
+	private usable(offered: readonly Engine[]): readonly Engine[] {
+		const admitted = this.opts.ctx.fleetHealth.admitted(offered);
+		return admitted.some(({ id }) => !this.tried.has(id)) ? admitted : offered;
+	}
+
 	/** The request has ended: it is sent nowhere any more. */
 	cancel(): void {
 		this.isOver = true;
--- a/src/core/relay/types.ts
+++ b/src/core/relay/types.ts
@@ -5,6 +5,7 @@
 import type { Clock, Log } from '../definitions.js';
 import type { CostModel } from '../engines/cost-model.js';
 import type { EngineDirectory } from '../engines/engine-directory.js';
+import type { FleetHealth } from '../engines/fleet-health.js';
 import type { EnginePlacement } from '../engines/placement.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { FleetLimits } from '../limits/fleet-limits.js';
@@ -32,6 +33,8 @@
 	transport: EngineTransport;
 	budget: RetryBudget;
 	quarantine: Quarantine;
+	/** Engines that fail the requests of several VMs. */
+	fleetHealth: Pick<FleetHealth, 'admitted' | 'failed' | 'served'>;
 	fleet: FleetView;
 	limits: RequestLimits;
 	costs: CostModel;
--- a/src/daemon/relay/fleet-links.ts
+++ b/src/daemon/relay/fleet-links.ts
@@ -5,6 +5,7 @@
 import type { Clock, Log, Random } from '../../core/definitions.js';
 import type { CostModel } from '../../core/engines/cost-model.js';
 import type { EngineDirectory } from '../../core/engines/engine-directory.js';
+import { FleetHealth } from '../../core/engines/fleet-health.js';
 import type { ListedVm } from '../../core/fleet/aggregator-selection.js';
 import { addressOf } from '../../core/fleet/aggregator-selection.js';
 import { FleetSize } from '../../core/fleet/fleet-size.js';
@@ -44,6 +45,7 @@
 	readonly registry: VmRegistry;
 	readonly peers: PeerExchange;
 	readonly limits: FleetLimits;
+	readonly health: FleetHealth;
 	private readonly limitExchange: LimitExchange;
 	private readonly size = new FleetSize();
 
@@ -67,6 +69,14 @@
 		});
 		const { limits } = this.limitExchange;
 		this.limits = limits;
+		this.health = new FleetHealth({
+			clock,
+			log,
+			random,
+			heardVms: () => this.fleet.size,
+			onNews: () => this.peers.changed(),
+			engineId: (ref) => engines.ofRef(ref)?.id,
+		});
 		this.fleet = new FleetView({
 			self: name,
 			address: addressOf(listen.peers),
@@ -75,6 +85,7 @@
 			life: opts.life,
 			onNewerConfiguration: (address) => void this.peers.fetchConfiguration(address),
 			costs: opts.costs,
+			answers: this.health,
 			storeNews: () => reading().news(),
 			onStoreNews: (address, store) => reading().heard(address, store),
 			crashes: opts.quarantine.ledger,
@@ -126,6 +137,7 @@
 	/** Forgets what is old; called each second. */
 	sweep(): void {
 		this.fleet.sweep();
+		this.health.sweep();
 		this.limits.sweep((ref) => this.opts.engines.ofRef(ref) !== undefined);
 	}
 
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -123,7 +123,7 @@
 			duties: () => this.duties,
 			sleep,
 		});
-		const { fleet, registry, peers, limits } = this.links;
+		const { fleet, registry, peers, limits, health } = this.links;
 		this.quarantineRecords = new QuarantineRecords({
 			store: this.store,
 			clock,
@@ -228,6 +228,7 @@
 			placement: new EnginePlacement(random, fleet, this.costs, (address) =>
 				transport.hasFree(address),
 			),
+			fleetHealth: health,
 			fleet,
 			limits,
 			usage: this.duties,
--- a/src/infra/relay/news-codec.ts
+++ b/src/infra/relay/news-codec.ts
@@ -5,6 +5,7 @@
 import * as msgpack from '@msgpack/msgpack';
 import type { CostSums } from '../../core/engines/cost-model.js';
 import type { LineSums } from '../../core/engines/estimators.js';
+import type { EngineAnswers } from '../../core/engines/recent-answers.js';
 import type {
 	EngineWork,
 	HeardReport,
@@ -54,6 +55,7 @@
 		news.readers.map(packReader),
 		news.heard.flatMap((item) => [item.vm, item.seq]),
 		news.costs?.map(packCosts),
+		news.answers?.map(packAnswers),
 		news.crashes.flatMap(packCrash),
 		news.limits.map(packLimit),
 		news.issuer && [packIssuer(news.issuer)],
@@ -91,6 +93,7 @@
 		readers: row.rows(readReader),
 		heard: readHeard(row.numbers(heardFields)),
 		costs: row.optionalRows(readCosts),
+		answers: row.optionalRows(readAnswers),
 		crashes: readCrashes(row.numbers(crashFields)),
 		limits: row.rows(readLimit),
 		issuer: row.optionalRows(readIssuer)?.[0],
@@ -193,3 +196,16 @@
 		expectedTokens: row.number(),
 	};
 }
+
+function packAnswers({ engine, failed, served, failingVms }: EngineAnswers): number[] {
+	return [engine, failed, served, failingVms];
+}
+
+function readAnswers(row: RowReader): EngineAnswers {
+	return {
+		engine: row.number(),
+		failed: row.number(),
+		served: row.number(),
+		failingVms: row.number(),
+	};
+}
--- a/test/steps/engine-limits.steps.ts
+++ b/test/steps/engine-limits.steps.ts
@@ -15,7 +15,7 @@
 import { RequestPlacement } from '../../src/core/relay/request-placement.js';
 import type { RelayContext } from '../../src/core/relay/types.js';
 import * as platform from '../../src/platform/index.js';
-import { clockOf, entry, route } from './relay-fakes.js';
+import { allWell, clockOf, entry, route } from './relay-fakes.js';
 import { engineOf, fixtureOf } from './relay-fixture.js';
 import type { Answer, Vm } from './relay-world.js';
 import type { FleetWorld } from './world.js';
@@ -262,6 +262,7 @@
 			clock: clockOf(this),
 			engines: { offered: () => engines },
 			placement: { choose },
+			fleetHealth: allWell,
 			limits: { ledger: { perS: () => 3 }, permits, returns: () => new ReturnSchedule() },
 			metrics: { permitDenied() {} },
 		} as unknown as RelayContext;
--- a/test/steps/engine-notices.steps.ts
+++ b/test/steps/engine-notices.steps.ts
@@ -14,7 +14,15 @@
 import { UndiciEngineTransport } from '../../src/infra/relay/engine-transport.js';
 import * as platform from '../../src/platform/index.js';
 import { PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
-import { clockOf, noRequestLimits, registration, route, seen, silentLog } from './relay-fakes.js';
+import {
+	allWell,
+	clockOf,
+	noRequestLimits,
+	registration,
+	route,
+	seen,
+	silentLog,
+} from './relay-fakes.js';
 import { engineOf, fixtureOf } from './relay-fixture.js';
 import { until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
@@ -240,6 +248,7 @@
 			fleet: { size: 1, changeWork() {}, read() {} },
 			metrics: { retried() {}, engineClosed() {} },
 			quarantine: { mayKnow: () => false },
+			fleetHealth: allWell,
 			limits: noRequestLimits,
 			onWorkChanged() {},
 		} as unknown as RelayContext;
--- /dev/null
+++ b/test/steps/fleet-health.steps.ts
@@ -0,0 +1,130 @@
+/**
+ * Steps about engines that fail requests of several VMs, in a simulated fleet: each VM sends its requests to any engine that it does
+ * not avoid.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as cucumber from '@cucumber/cucumber';
+import { seen, sequence } from './relay-fakes.js';
+import type { SimulatedVm } from './simulated-fleet.js';
+import { SimulatedFleet } from './simulated-fleet.js';
+import type { FleetWorld } from './world.js';
+
+const stepMs = 20;
+const settleMs = 1500;
+const failingEngine = 7;
+
+/** Whether a request of the VM fails at the engine. */
+type Failure = (vm: SimulatedVm, engine: number, chance: number) => boolean;
+
+class Requests {
+	readonly fleet: SimulatedFleet;
+	readonly engines: { ref: number }[];
+	failed = 0;
+	/** Requests that each engine got. */
+	sent = new Map<number, number>();
+	private readonly next = sequence(7);
+
+	constructor(
+		vms: number,
+		engines: number,
+		private readonly perS: number,
+	) {
+		this.fleet = new SimulatedFleet(vms, 3);
+		this.engines = Array.from({ length: engines }, (_, ref) => ({ ref }));
+		this.fleet.run(settleMs);
+	}
+
+	run(ms: number, fails: Failure): void {
+		this.failed = 0;
+		this.sent = new Map();
+		for (let passed = 0; passed < ms; passed += stepMs) {
+			for (const vm of this.fleet.running) {
+				if (this.next() < (this.perS * stepMs) / 1000) {
+					this.request(vm, fails);
+				}
+			}
+			this.fleet.run(stepMs);
+		}
+	}
+
+	private request(vm: SimulatedVm, fails: Failure): void {
+		const admitted = vm.health.admitted(this.engines);
+		const engine = admitted[Math.floor(this.next() * admitted.length)] as { ref: number };
+		this.sent.set(engine.ref, (this.sent.get(engine.ref) ?? 0) + 1);
+		if (fails(vm, engine.ref, this.next())) {
+			this.failed++;
+			vm.health.failed(engine);
+		} else {
+			vm.health.served(engine);
+		}
+	}
+}
+
+cucumber.Given(
+	'{int} VMs before {int} engines, each VM with {int} requests a second',
+	function (this: FleetWorld, vms: number, engines: number, perS: number) {
+		this.seen.set('requests', new Requests(vms, engines, perS));
+	},
+);
+
+cucumber.Given('{int} % of the news are lost', function (this: FleetWorld, percent: number) {
+	seen<Requests>(this, 'requests').fleet.lost = percent / 100;
+});
+
+cucumber.When(
+	'one engine fails {int} % of its requests for {int} s',
+	function (this: FleetWorld, percent: number, seconds: number) {
+		const fails: Failure = (_, engine, chance) =>
+			engine === failingEngine && chance < percent / 100;
+		seen<Requests>(this, 'requests').run(seconds * 1000, fails);
+	},
+);
+
+cucumber.When(
+	'all engines fail {int} % of their requests for {int} s',
+	function (this: FleetWorld, percent: number, seconds: number) {
+		seen<Requests>(this, 'requests').run(
+			seconds * 1000,
+			(_vm, _engine, chance) => chance < percent / 100,
+		);
+	},
+);
+
+cucumber.When(
+	'one VM fails at all engines for {int} s',
+	function (this: FleetWorld, seconds: number) {
+		const requests = seen<Requests>(this, 'requests');
+		const [cut] = requests.fleet.vms;
+		requests.run(seconds * 1000, (vm) => vm === cut);
+	},
+);
+
+cucumber.Then('at most {int} requests fail', function (this: FleetWorld, most: number) {
+	const { failed } = seen<Requests>(this, 'requests');
+	assert.ok(failed <= most, `${failed} failed`);
+});
+
+cucumber.Then(
+	'{int} s later the engine gets work as the others do',
+	function (this: FleetWorld, seconds: number) {
+		const requests = seen<Requests>(this, 'requests');
+		requests.run(seconds * 1000, () => false);
+		requests.run(4000, () => false);
+		const all = [...requests.sent.values()].reduce((sum, count) => sum + count, 0);
+		const share = (requests.sent.get(failingEngine) ?? 0) / all;
+		assert.ok(share > 0.5 / requests.engines.length, `${share} of the requests`);
+	},
+);
+
+cucumber.Then('no other VM avoids an engine', function (this: FleetWorld) {
+	const { fleet, engines } = seen<Requests>(this, 'requests');
+	const avoiding = fleet.vms.slice(1).filter((vm) => vm.health.admitted(engines) !== engines);
+	assert.equal(avoiding.length, 0, `${avoiding.length} VMs avoid engines`);
+});
+
+cucumber.Then('each VM may use all engines', function (this: FleetWorld) {
+	const { fleet, engines } = seen<Requests>(this, 'requests');
+	const avoiding = fleet.vms.filter((vm) => vm.health.admitted(engines).length < engines.length);
+	assert.equal(avoiding.length, 0, `${avoiding.length} VMs avoid engines`);
+});
--- a/test/steps/overload.steps.ts
+++ b/test/steps/overload.steps.ts
@@ -13,6 +13,7 @@
 import { observed } from './observed-answer.js';
 import {
 	entry,
+	noAnswerNews,
 	noCrashes,
 	noLimitNews,
 	StepClock,
@@ -104,6 +105,7 @@
 			clock: this.clock,
 			log: silentLog,
 			costs: this.costs,
+			answers: noAnswerNews,
 			onNewerConfiguration() {},
 			onStoreNews() {},
 			crashes: noCrashes(),
--- a/test/steps/relay-fakes.ts
+++ b/test/steps/relay-fakes.ts
@@ -4,12 +4,13 @@
  */
 import type { Log } from '../../src/core/definitions.js';
 import { CostModel } from '../../src/core/engines/cost-model.js';
+import type { AnswerNews } from '../../src/core/engines/fleet-health.js';
 import { FleetView } from '../../src/core/fleet/fleet-view.js';
 import type { EngineRange, PeerNews } from '../../src/core/fleet/types.js';
 import { newsKinds } from '../../src/core/fleet/types.js';
 import type { LimitNews } from '../../src/core/limits/fleet-limits.js';
 import { CrashLedger } from '../../src/core/quarantine/crash-ledger.js';
-import type { RequestLimits } from '../../src/core/relay/types.js';
+import type { RelayContext, RequestLimits } from '../../src/core/relay/types.js';
 import type { Route, RoutingConfiguration } from '../../src/core/routing/types.js';
 import * as platform from '../../src/platform/index.js';
 import type { FleetWorld } from './world.js';
@@ -57,6 +58,16 @@
 	take: () => false,
 };
 
+/** No engine fails. */
+export const noAnswerNews: AnswerNews = { export: () => [], take: () => false, forget() {} };
+
+/** What a relayed request goes by where no engine fails. */
+export const allWell: RelayContext['fleetHealth'] = {
+	admitted: (engines) => engines,
+	failed() {},
+	served() {},
+};
+
 /** What a request is placed by where no engine names a limit. */
 export const unlimited = { admits: () => true, isLimited: () => false };
 
@@ -129,6 +140,7 @@
 	const ports = {
 		log: silentLog,
 		costs: new CostModel(),
+		answers: noAnswerNews,
 		onNewerConfiguration() {},
 		onStoreNews() {},
 		crashes: noCrashes(),
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -405,6 +405,7 @@
 		engines,
 		vms: 195,
 		costs,
+		answers: [{ engine: 4_000_000_000, failed: 4, served: 1, failingVms: 3 }],
 		limits: [
 			{ engine: 4_000_000_000, perS: 2.9, version: 3 },
 			{ engine: 2, perS: undefined, version: 70 },
--- a/test/steps/simulated-fleet.ts
+++ b/test/steps/simulated-fleet.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { CostModel } from '../../src/core/engines/cost-model.js';
+import { FleetHealth } from '../../src/core/engines/fleet-health.js';
 import type { ListedVm } from '../../src/core/fleet/aggregator-selection.js';
 import { AggregatorSelection, addressOf } from '../../src/core/fleet/aggregator-selection.js';
 import { FleetView } from '../../src/core/fleet/fleet-view.js';
@@ -40,6 +41,7 @@
 	costs: CostModel;
 	quarantine: Quarantine;
 	limits: FleetLimits;
+	health: FleetHealth;
 	/** Running requests at each engine. */
 	work: Map<string, number>;
 	sent: number;
@@ -97,6 +99,14 @@
 			onNews: () => vm.exchange?.changed(),
 			onDue() {},
 		});
+		const health = new FleetHealth({
+			clock: this.clock,
+			log: silentLog,
+			random: { next: this.next, hex: () => '' },
+			heardVms: () => fleet.size,
+			onNews: () => vm.exchange.changed(),
+			engineId: () => undefined,
+		});
 		const fleet = new FleetView({
 			self: listed.name,
 			address: addressOf(listed.address),
@@ -104,6 +114,7 @@
 			log: silentLog,
 			life: ++this.lives,
 			costs,
+			answers: health,
 			onNewerConfiguration: (_, version) => {
 				vm.newestSeen = Math.max(vm.newestSeen, version);
 				fleet.configurationVersion = Math.max(fleet.configurationVersion, version);
@@ -131,6 +142,7 @@
 			costs,
 			quarantine,
 			limits,
+			health,
 			work: new Map(),
 			sent: 0,
 			received: 0,
@@ -162,6 +174,7 @@
 					vm.fleet.sweep();
 					vm.quarantine.sweep();
 					vm.limits.update();
+					vm.health.sweep();
 				}
 				vm.exchange.run();
 				vm.limits.run();
