Calls to engines without the pool of undici: one client a connection, kept by our own list

Change: `engine-connections` keeps undici's clients itself, the last one used first, and opens their sockets; the call is a handler in the form of undici's own core. Whether a connection broke, empty lines behind its end, and time-outs are as before. A client whose call broke is destroyed; it was kept and connected again before. Ruled out: keep-alive probes of the system, first sent after 60 s: no unused connection lives as long, and calls have deadlines.

--- a/src/infra/relay/engine-transport.ts
+++ b/src/infra/relay/engine-transport.ts
@@ -1,9 +1,9 @@
 /**
- * Connections to engines by undici: one request at a time on each, kept between requests.
+ * Sends calls to engines by undici.
  * @module
  */
 import * as net from 'node:net';
-import * as undici from 'undici';
+import type * as undici from 'undici';
 import type {
 	AnswerHead,
 	AnswerListener,
@@ -12,15 +12,8 @@
 	RawHeaders,
 	RunningCall,
 } from '../../core/relay/definitions.js';
-
-/** A connection between VMs comes up in 2 to 4 ms; one that takes longer is likely dead. */
-const connectTimeoutMs = 400;
-/** Unused connections are closed after this time unless the engine names another, in milliseconds. */
-const idleMs = 4000;
-/** Longest time that an engine's own word keeps an unused connection, in milliseconds. */
-const maxIdleMs = 60_000;
-/** Closed so long before the engine would close it, in milliseconds. */
-const idleMarginMs = 500;
+import type { EngineConnection } from './engine-connections.js';
+import { connectTimeoutMs, EngineConnections } from './engine-connections.js';
 
 /** Code of the error when nothing listens at a port. */
 const refusedCode = 'ECONNREFUSED';
@@ -32,31 +25,24 @@
 }
 
 export class UndiciEngineTransport implements EngineTransport {
-	private readonly pools = new Map<string, undici.Pool>();
+	private readonly engines = new Map<string, EngineConnections>();
 
 	constructor(private readonly codec: HeadCodec) {}
 
 	send(call: EngineCall, listener: AnswerListener): RunningCall {
-		const handler = new CallHandler(this.codec, listener);
-		const { req } = call;
-		try {
-			const opts: TrackedOptions = {
-				method: req.method as undici.Dispatcher.HttpMethod,
-				path: req.target,
-				headers: this.codec.encodeCall(call),
-				body: req.body.length > 0 ? req.body : undefined,
-				onConnection: (connection) => handler.onConnection(connection),
-			};
-			this.pool(call.address).dispatch(opts, handler);
-		} catch (err) {
-			// undici refuses heads that it cannot write; nothing left this process.
-			setImmediate(() => handler.refused(err as Error));
-		}
-		return handler;
+		const { address, req } = call;
+		const running = new EngineRunningCall(this.codec, listener, this.connectionsTo(address));
+		running.start({
+			method: req.method as undici.Dispatcher.HttpMethod,
+			path: req.target,
+			headers: this.codec.encodeCall(call),
+			body: req.body.length > 0 ? req.body : undefined,
+		});
+		return running;
 	}
 
 	hasFree(address: string): boolean {
-		return (this.pools.get(address)?.stats.free ?? 0) > 0;
+		return this.engines.get(address)?.hasFree === true;
 	}
 
 	isDeserted(address: string): Promise<boolean> {
@@ -74,154 +60,78 @@
 	}
 
 	forget(address: string): void {
-		const pool = this.pools.get(address);
-		if (pool) {
-			this.pools.delete(address);
-			// Calls that run may end; unused connections are closed at once.
-			pool.close().catch(() => {});
-		}
+		this.engines.get(address)?.close();
+		this.engines.delete(address);
 	}
 
 	async close(): Promise<void> {
-		await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
+		await Promise.all([...this.engines.values()].map((engine) => engine.destroy()));
 	}
 
-	private pool(address: string): undici.Pool {
-		let pool = this.pools.get(address);
-		if (!pool) {
-			pool = new undici.Pool(`http://${address}`, {
-				pipelining: 1,
-				factory: (origin, opts) => new TrackedClient(origin, opts as undici.Client.Options),
-				headersTimeout: 0,
-				bodyTimeout: 0,
-				keepAliveTimeout: idleMs,
-				keepAliveMaxTimeout: maxIdleMs,
-				keepAliveTimeoutThreshold: idleMarginMs,
-			});
-			this.pools.set(address, pool);
+	private connectionsTo(address: string): EngineConnections {
+		let engine = this.engines.get(address);
+		if (!engine) {
+			engine = new EngineConnections(address);
+			this.engines.set(address, engine);
 		}
-		return pool;
+		return engine;
 	}
 }
 
-/** What the transport knows of one connection. */
-interface Connection {
-	/** It ended by an error, not by the engine's orderly close. */
-	broken: boolean;
-	/** Settles once it is known how the connection ended. */
-	ended?: Promise<void>;
-}
-
-/** Code of the errors with which undici closes a connection that it no longer needs. */
-const ownClose = 'UND_ERR_INFO';
-/** An empty line between two requests; servers pass over it (RFC 9112, section 2.2). */
-const emptyLine = '\r\n';
-
-/**
- * Learns how a connection ends. A reset that comes together with the last bytes is read as an
- * orderly end: the event loop takes the hang-up for the end of the stream without asking for the
- * error behind it. Writing asks: it fails after a reset and succeeds after an orderly end.
- */
-function watchEnd(socket: net.Socket, connection: Connection): void {
-	socket.on('error', (err: NodeJS.ErrnoException) => {
-		connection.broken ||= err.code !== ownClose;
-	});
-	socket.prependListener('end', () => {
-		connection.ended = new Promise((done) => {
-			socket.write(emptyLine, (err) => {
-				const { code } = (err ?? {}) as NodeJS.ErrnoException;
-				connection.broken ||= code === 'EPIPE' || code === 'ECONNRESET';
-				done();
-			});
-		});
-	});
-}
-
-interface TrackedOptions extends undici.Dispatcher.DispatchOptions {
-	onConnection: (connection: Connection) => void;
-}
-
-const connect = undici.buildConnector({ timeout: connectTimeoutMs });
-
 /**
- * A connection that remembers whether it broke: undici takes a reset for the end of an answer that
- * has no length, which may cut that answer short unseen.
+ * One call. It takes undici's answers in the form of its own core: the newer one wraps this one, and reads all headers a second time
+ * into a table that nothing here needs.
  */
-class TrackedClient extends undici.Client {
-	private readonly connection: Connection;
-
-	constructor(origin: URL, opts: undici.Client.Options) {
-		const connection: Connection = { broken: false };
-		super(origin, {
-			...opts,
-			connect: (options, callback) =>
-				connect(options, (...result) => {
-					const [, socket] = result;
-					connection.broken = false;
-					connection.ended = undefined;
-					if (socket) {
-						watchEnd(socket, connection);
-					}
-					callback(...result);
-				}),
-		});
-		this.connection = connection;
-	}
-
-	override dispatch(
-		opts: undici.Dispatcher.DispatchOptions,
-		handler: undici.Dispatcher.DispatchHandler,
-	): boolean {
-		(opts as TrackedOptions).onConnection(this.connection);
-		return super.dispatch(opts, handler);
-	}
-}
-
-/** Turns one undici dispatch into calls of the listener. */
-class CallHandler implements undici.Dispatcher.DispatchHandler, RunningCall {
-	private controller?: undici.Dispatcher.DispatchController;
-	private connection?: Connection;
+class EngineRunningCall implements undici.Dispatcher.DispatchHandler, RunningCall {
+	private readonly connection: EngineConnection;
+	private abortCall?: (err?: Error) => void;
+	private resumeReading?: () => void;
+	private isPaused = false;
+	private isStarting = true;
 	private framed = true;
 	private done = false;
 
 	constructor(
 		private readonly codec: HeadCodec,
 		private readonly listener: AnswerListener,
-	) {}
+		private readonly engine: EngineConnections,
+	) {
+		this.connection = engine.take();
+	}
+
+	start(opts: undici.Dispatcher.DispatchOptions): void {
+		this.connection.dispatch(opts, this);
+		this.isStarting = false;
+	}
 
 	pause(): void {
-		this.controller?.pause();
+		this.isPaused = true;
 	}
 
 	resume(): void {
-		this.controller?.resume();
+		if (this.isPaused) {
+			this.isPaused = false;
+			this.resumeReading?.();
+		}
 	}
 
 	abort(): void {
 		if (!this.done) {
-			this.done = true;
-			this.controller?.abort(new Error('no longer wanted'));
+			this.drop();
+			this.abortCall?.(new Error('no longer wanted'));
 		}
 	}
 
-	onConnection(connection: Connection): void {
-		this.connection = connection;
-	}
-
-	refused(err: Error): void {
-		this.fail(err);
-	}
-
 	/** undici calls this before it writes the first byte. */
-	onRequestStart(controller: undici.Dispatcher.DispatchController): void {
-		this.controller = controller;
+	onConnect(abort: (err?: Error) => void): void {
+		this.abortCall = abort;
 		if (this.done) {
-			controller.abort(new Error('no longer wanted'));
+			abort(new Error('no longer wanted'));
 			return;
 		}
 		if (!this.listener.maySend()) {
-			this.done = true;
-			controller.abort(new Error('no longer wanted there'));
+			this.drop();
+			abort(new Error('no longer wanted there'));
 			// Not from inside undici's queue: the request goes to another engine's.
 			setImmediate(() => this.listener.withdrawn());
 			return;
@@ -229,25 +139,29 @@
 		this.listener.sent();
 	}
 
-	onResponseStart(controller: undici.Dispatcher.DispatchController, status: number): void {
-		if (this.done || status < 200) {
-			return;
+	onHeaders(status: number, rawHeaders: Buffer[], resume: () => void): boolean {
+		this.resumeReading = resume;
+		if (!this.done && status >= 200) {
+			const headers: RawHeaders = [];
+			for (const value of rawHeaders) {
+				headers.push(value.toString('latin1'));
+			}
+			const head = this.codec.decodeAnswer(status, headers);
+			this.framed = head.framed;
+			this.listener.head(head);
 		}
-		const raw = (controller as unknown as { rawHeaders: Buffer[] }).rawHeaders;
-		const headers = raw.map((value) => value.toString('latin1'));
-		const head = this.codec.decodeAnswer(status, headers);
-		this.framed = head.framed;
-		this.listener.head(head);
+		return !this.isPaused;
 	}
 
-	onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+	onData(chunk: Buffer): boolean {
 		if (!this.done) {
 			this.listener.data(chunk);
 		}
+		return !this.isPaused;
 	}
 
-	onResponseEnd(): void {
-		if (this.framed || !this.connection?.ended) {
+	onComplete(): void {
+		if (this.framed || !this.connection.ended) {
 			this.finish();
 			return;
 		}
@@ -257,23 +171,34 @@
 		);
 	}
 
+	onError(err: Error): void {
+		if (this.isStarting) {
+			// undici refuses heads that it cannot write; nothing left this process.
+			setImmediate(() => this.fail(err));
+		} else {
+			this.fail(err);
+		}
+	}
+
 	private finish(): void {
-		if (!this.framed && this.connection?.broken) {
+		if (!this.framed && this.connection.broken) {
 			this.fail(new Error('an answer without a length was reset'));
 		} else if (!this.done) {
 			this.done = true;
+			this.engine.giveBack(this.connection);
 			this.listener.end();
 		}
 	}
 
-	onResponseError(_controller: undici.Dispatcher.DispatchController, err: Error): void {
-		this.fail(err);
-	}
-
 	private fail(err: NodeJS.ErrnoException): void {
 		if (!this.done) {
-			this.done = true;
+			this.drop();
 			this.listener.fail(err.message, err.code === refusedCode);
 		}
 	}
+
+	private drop(): void {
+		this.done = true;
+		this.engine.drop(this.connection);
+	}
 }
