Heads of requests and answers are read once

Cause: names of headers were lowered three times for a request and twice for an answer, with a table or list for each pass. Change: one pass makes the names and the table; what is dropped stands in one set a direction. One listener in place of two waits for the end of an answer to a caller.

--- a/src/infra/relay/callers-front.ts
+++ b/src/infra/relay/callers-front.ts
@@ -83,8 +83,10 @@
 
 	private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
 		this.inFlight++;
+		const held = { bytes: 0 };
 		res.on('close', () => {
 			this.inFlight--;
+			this.heldBytes -= held.bytes;
 		});
 		const arrivedAt = this.opts.clock.sinceBoot();
 		if (headBytes(req.rawHeaders) > this.limits.headBytes) {
@@ -100,7 +102,7 @@
 			refuse(req, res, 503, 'too many bodies are held', true);
 			return;
 		}
-		this.readBody(req, res, (body) =>
+		this.readBody(req, res, held, (body) =>
 			this.whenStillThere(req, () => this.handOn(req, res, body, arrivedAt)),
 		);
 	}
@@ -108,17 +110,14 @@
 	private readBody(
 		req: http.IncomingMessage,
 		res: http.ServerResponse,
+		held: { bytes: number },
 		done: (body: Buffer) => void,
 	): void {
 		const chunks: Buffer[] = [];
-		let size = 0;
-		res.on('close', () => {
-			this.heldBytes -= size;
-		});
 		req.on('data', (chunk: Buffer) => {
-			size += chunk.length;
+			held.bytes += chunk.length;
 			this.heldBytes += chunk.length;
-			if (size > this.limits.bodyBytes && !res.headersSent) {
+			if (held.bytes > this.limits.bodyBytes && !res.headersSent) {
 				chunks.length = 0;
 				refuse(req, res, 413, 'the body is too large');
 				return;
@@ -131,7 +130,7 @@
 			}
 		});
 		req.on('error', (err) => {
-			this.opts.log.debug('callers.body-broken', { error: err.message, body_bytes: size });
+			this.opts.log.debug('callers.body-broken', { error: err.message, body_bytes: held.bytes });
 		});
 	}
 
@@ -210,7 +209,11 @@
 }
 
 function headBytes(rawHeaders: readonly string[]): number {
-	return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+	let bytes = 0;
+	for (const text of rawHeaders) {
+		bytes += text.length + 2;
+	}
+	return bytes;
 }
 
 /** Refuses a request that was not read whole or cannot be read; its connection ends. */
--- a/src/platform/messages.ts
+++ b/src/platform/messages.ts
@@ -31,8 +31,24 @@
 /** A damaged answer may name any number; more than an engine can take is no limit, and goes into messages as a whole number. */
 const mostLimitPerS = 1e6;
 
-/** First value of each header, by lower-case name. */
-type HeaderMap = Map<string, string>;
+/** What callers send under these names does not go to engines as it came. */
+const ownRequestHeaders: ReadonlySet<string> = new Set([
+	...connectionHeaders,
+	...routerOnlyHeaders,
+	'authorization',
+	'content-length',
+]);
+
+const noNames: ReadonlySet<string> = new Set();
+
+/** A head, read once. */
+interface Head {
+	raw: RawHeaders;
+	/** Names in lower case, in the order of the head. */
+	names: string[];
+	/** First value of each header, by lower-case name. */
+	values: Map<string, string>;
+}
 
 export interface CallerHead {
 	method: string;
@@ -43,7 +59,8 @@
 
 /** @returns the request, or undefined when its head lacks an id or a host */
 export function decodeRequest(head: CallerHead, body: Buffer): CallerRequest | undefined {
-	const map = mapOf(head.rawHeaders);
+	const read = readHead(head.rawHeaders);
+	const map = read.values;
 	const id = map.get(headers.attemptId);
 	const host = map.get('host');
 	if (id === undefined || host === undefined) {
@@ -62,7 +79,7 @@
 		promptTokens,
 		answerTokens,
 		lastEventId: map.get(headers.lastEventId),
-		headers: requestHeaders(head.rawHeaders, body.length),
+		headers: requestHeaders(read, body.length),
 		body,
 		arrivedAt: head.arrivedAt,
 	};
@@ -88,7 +105,8 @@
 }
 
 export function decodeAnswer(status: number, rawHeaders: RawHeaders): AnswerHead {
-	const map = mapOf(rawHeaders);
+	const read = readHead(rawHeaders);
+	const map = read.values;
 	const encoding = map.get('content-encoding');
 	const signed = map.has(headers.signature);
 	return {
@@ -104,52 +122,55 @@
 			restS: status === 503 ? positiveNumber(map.get(headers.retryAfter)) : undefined,
 			limitPerS: decodeLimit(map.get(headers.limit)),
 		},
-		headers: keepEndToEnd(rawHeaders),
+		headers: keepEndToEnd(read, connectionHeaders),
 	};
 }
 
-function requestHeaders(rawHeaders: RawHeaders, bodyBytes: number): RawHeaders {
-	const kept = keepEndToEnd(rawHeaders, (name) => {
-		return name !== 'authorization' && name !== 'content-length' && !routerOnlyHeaders.has(name);
-	});
-	if (bodyBytes > 0 || mapOf(rawHeaders).has('content-length')) {
+function requestHeaders(read: Head, bodyBytes: number): RawHeaders {
+	const kept = keepEndToEnd(read, ownRequestHeaders);
+	if (bodyBytes > 0 || read.values.has('content-length')) {
 		kept.push('content-length', String(bodyBytes));
 	}
 	return kept;
 }
 
-/** Drops what concerns one connection only, headers that `Connection` names among it. */
-function keepEndToEnd(raw: RawHeaders, keep: (name: string) => boolean = () => true): RawHeaders {
-	const named = new Set(connectionTokens(raw));
+/** Drops headers of these names, and those that `Connection` names. */
+function keepEndToEnd(read: Head, dropped: ReadonlySet<string>): RawHeaders {
+	const { raw, names, values } = read;
+	const named = values.has('connection') ? connectionTokens(read) : noNames;
 	const kept: RawHeaders = [];
-	for (let at = 0; at + 1 < raw.length; at += 2) {
-		const name = (raw[at] as string).toLowerCase();
-		if (!connectionHeaders.has(name) && !named.has(name) && keep(name)) {
-			kept.push(raw[at] as string, raw[at + 1] as string);
+	for (let at = 0; at < names.length; at++) {
+		const name = names[at] as string;
+		if (!dropped.has(name) && !named.has(name)) {
+			kept.push(raw[2 * at] as string, raw[2 * at + 1] as string);
 		}
 	}
 	return kept;
 }
 
-function connectionTokens(raw: RawHeaders): string[] {
-	const tokens: string[] = [];
-	for (let at = 0; at + 1 < raw.length; at += 2) {
-		if ((raw[at] as string).toLowerCase() === 'connection') {
-			tokens.push(...(raw[at + 1] as string).split(',').map((token) => token.trim().toLowerCase()));
+function connectionTokens({ raw, names }: Head): ReadonlySet<string> {
+	const tokens = new Set<string>();
+	for (let at = 0; at < names.length; at++) {
+		if (names[at] === 'connection') {
+			for (const token of (raw[2 * at + 1] as string).split(',')) {
+				tokens.add(token.trim().toLowerCase());
+			}
 		}
 	}
 	return tokens;
 }
 
-function mapOf(raw: RawHeaders): HeaderMap {
-	const map: HeaderMap = new Map();
+function readHead(raw: RawHeaders): Head {
+	const names: string[] = [];
+	const values = new Map<string, string>();
 	for (let at = 0; at + 1 < raw.length; at += 2) {
 		const name = (raw[at] as string).toLowerCase();
-		if (!map.has(name)) {
-			map.set(name, raw[at + 1] as string);
+		names.push(name);
+		if (!values.has(name)) {
+			values.set(name, raw[at + 1] as string);
 		}
 	}
-	return map;
+	return { raw, names, values };
 }
 
 function bearerKey(authorization: string | undefined): string | undefined {
