A pace for each engine, learned from answers; placement, division and pauses go by it

Change: paces of reading and steps for each engine as sums that fade and add up over VMs; what waits for slots is expected by the age of the news; keepers of a shared part are drawn from where they are many.

--- a/src/core/engines/cost-model.ts
+++ b/src/core/engines/cost-model.ts
@@ -3,11 +3,13 @@
  * what other VMs tell. Decisions about waiting, division and refusal rest on these figures alone.
  * @module
  */
+import type { EngineRef } from '../fleet/types.js';
 import * as rendezvous from '../membership/rendezvous.js';
+import { EngineSpeeds } from './engine-speeds.js';
 import type { LineSums } from './estimators.js';
 import { addSums, LineEstimate, noSums, QuantileEstimate } from './estimators.js';
 import type { CostFigures } from './work-estimate.js';
-import { effectiveTokens } from './work-estimate.js';
+import { effectiveTokens, paced, readingMs } from './work-estimate.js';
 
 /**
  * Figures before anything was seen: the middle of what published figures of large models on current
@@ -67,6 +69,21 @@
 	copiedTokens: number;
 	/** From sending to the first event, in milliseconds. */
 	delayMs: number;
+	engine: EngineRef;
+	/** When the first event came, in monotonic milliseconds. */
+	at: number;
+	/** The engine had no free slot for it when it was sent, as far as was known. */
+	isQueued: boolean;
+}
+
+/** One pause between two events of a stream that its caller reads at once. */
+export interface Pause {
+	ms: number;
+	engine: EngineRef;
+	/** When it ended, in monotonic milliseconds. */
+	at: number;
+	/** Prompts wait at the engine, as far as is known, and may be read between two events. */
+	isBesidePrompts: boolean;
 }
 
 /** One stream that came to its end. */
@@ -206,6 +223,8 @@
 }
 
 export class CostModel {
+	/** How much faster or slower than the figures of its service each engine is. */
+	readonly speeds = new EngineSpeeds();
 	private readonly services = new Map<number, ServiceCosts>();
 
 	/** Figures of a service, those of the prior before anything was seen. */
@@ -213,19 +232,34 @@
 		return this.costsOf(rendezvous.hashText(service)).figures();
 	}
 
+	/** Figures of one engine of a service, by its own pace now. */
+	at(service: string, engine: EngineRef, now: number): CostFigures {
+		return paced(this.of(service), this.speeds.pace(service, engine, now));
+	}
+
 	/** What stands behind the figures: first events that this VM saw, and VMs that told of theirs. */
 	sources(service: string): { observations: number; peers: number } {
 		const { observations, peers } = this.costsOf(rendezvous.hashText(service));
 		return { observations, peers };
 	}
 
+	/** The service's figures learn from it what an engine of usual pace would have taken. */
 	firstEvent(service: string, seen: FirstEvent): void {
-		this.costsOf(rendezvous.hashText(service)).firstEvent(seen);
+		const { engine, at, delayMs } = seen;
+		const { reading } = this.speeds.pace(service, engine, at);
+		this.paceSeen(service, seen);
+		const costs = this.costsOf(rendezvous.hashText(service));
+		costs.firstEvent({ ...seen, delayMs: delayMs / reading });
 	}
 
-	/** @param ms between two events of a stream that its caller reads at once */
-	pauseSeen(service: string, ms: number): void {
-		this.costsOf(rendezvous.hashText(service)).pauseSeen(ms);
+	/** The same for a pause. */
+	pauseSeen(service: string, { ms, engine, at, isBesidePrompts }: Pause): void {
+		const costs = this.costsOf(rendezvous.hashText(service));
+		const { steps } = this.speeds.pace(service, engine, at);
+		if (!isBesidePrompts) {
+			this.speeds.pauseSeen(service, engine, ms / costs.figures().eventMs, at);
+		}
+		costs.pauseSeen(ms / steps);
 	}
 
 	answerSeen(service: string, answer: WholeAnswer): void {
@@ -247,12 +281,25 @@
 	}
 
 	/** Another VM no longer tells anything: others speak for what it has seen. */
-	forget(from: string): void {
+	forget(from: string, now: number): void {
+		this.speeds.forget(from, now);
 		for (const costs of this.services.values()) {
 			costs.forget(from);
 		}
 	}
 
+	private paceSeen(service: string, seen: FirstEvent): void {
+		const { engine, at, delayMs, promptTokens, aheadTokens, copiedTokens, isQueued } = seen;
+		if (isQueued || copiedTokens > 0) {
+			return;
+		}
+		const costs = this.of(service);
+		const ownMs = costs.firstMs + readingMs(costs, promptTokens);
+		const expectedMs = ownMs + aheadTokens * costs.readMsPerToken;
+		// What others' prompts cost is known roughly.
+		this.speeds.firstEventSeen(service, engine, delayMs / expectedMs, ownMs / expectedMs, at);
+	}
+
 	private costsOf(ref: number): ServiceCosts {
 		let costs = this.services.get(ref);
 		if (!costs) {
--- a/src/core/engines/engine-division.ts
+++ b/src/core/engines/engine-division.ts
@@ -15,7 +15,7 @@
 const longBusy = 0.8;
 /** Long prompts keep at least this share of the engines while there are any. */
 const leastLongShare = 0.25;
-/** The border moves when the wanted place is farther away, in engines. */
+/** The border moves when the wanted place is farther away, in engines of usual pace. */
 const border = 0.75;
 /** A service with fewer engines is not divided. */
 const leastDivided = 3;
@@ -23,43 +23,89 @@
 export interface Division {
 	long: ReadonlySet<string>;
 	short: ReadonlySet<string>;
+	/** What those of long prompts do, in engines of usual pace. */
+	longCapacity: number;
 }
 
 export class EngineDivision {
 	private count?: number;
 	private key = '';
-	private cached: Division = { long: new Set(), short: new Set() };
+	private ordered: readonly string[] = [];
+	private cached: Omit<Division, 'longCapacity'> = { long: new Set(), short: new Set() };
 
-	/** @param engines those of one service that may be given work */
-	divide(engines: readonly Engine[], demand: Demand): Division {
-		const ids = engines.map((engine) => engine.id);
+	/**
+	 * @param engines those of one service that may be given work
+	 * @param capacityOf what an engine does, in engines of usual pace
+	 */
+	divide(
+		engines: readonly Engine[],
+		demand: Demand,
+		capacityOf: (engine: Engine) => number = () => 1,
+	): Division {
+		const capacities = new Map(engines.map((engine) => [engine.id, capacityOf(engine)]));
+		const ids = [...capacities.keys()];
 		if (ids.length < leastDivided) {
 			const all = new Set(ids);
-			return { long: all, short: all };
+			return { long: all, short: all, longCapacity: capacityOfAll(ids, capacities) };
 		}
-		const count = this.longCount(ids.length, demand);
-		const key = `${count} ${ids.join(' ')}`;
-		if (key !== this.key) {
-			this.key = key;
-			const ordered = rendezvous.pickTop('division', ids, ids.length);
+		this.order(ids);
+		const count = this.longCount(capacities, demand);
+		const { ordered } = this;
+		if (this.cached.long.size !== count) {
 			this.cached = {
 				long: new Set(ordered.slice(0, count)),
 				short: new Set(ordered.slice(count)),
 			};
 		}
-		return this.cached;
+		return { ...this.cached, longCapacity: capacityOfAll(ordered.slice(0, count), capacities) };
+	}
+
+	private order(ids: readonly string[]): void {
+		const key = ids.join(' ');
+		if (key !== this.key) {
+			this.key = key;
+			this.ordered = rendezvous.pickTop('division', ids, ids.length);
+			this.cached = { long: new Set(), short: new Set() };
+		}
 	}
 
-	private longCount(engines: number, demand: Demand): number {
-		const wanted = wantedLong(engines, demand);
-		const current = this.count ?? Math.round(wanted);
-		const moved = Math.abs(wanted - current) > border ? Math.round(wanted) : current;
-		this.count = Math.min(Math.max(moved, 1), engines - 1);
+	private longCount(capacities: ReadonlyMap<string, number>, demand: Demand): number {
+		const { ordered } = this;
+		const wanted = wantedLong(capacityOfAll(ordered, capacities), demand);
+		const current = capacityOfAll(ordered.slice(0, this.count), capacities);
+		if (this.count === undefined || Math.abs(wanted - current) > border) {
+			this.count = countFor(wanted, ordered, capacities);
+		}
+		this.count = Math.min(Math.max(this.count, 1), ordered.length - 1);
 		return this.count;
 	}
 }
 
-/** In plenty both sides grow alike; in scarcity short requests, which cost little each, come first. */
+/** How many engines, in their order, come nearest to a capacity. */
+function countFor(
+	wanted: number,
+	ordered: readonly string[],
+	capacities: ReadonlyMap<string, number>,
+): number {
+	let sum = 0;
+	for (const [at, id] of ordered.entries()) {
+		const capacity = capacities.get(id) ?? 1;
+		if (sum + capacity / 2 > wanted) {
+			return at;
+		}
+		sum += capacity;
+	}
+	return ordered.length;
+}
+
+function capacityOfAll(ids: readonly string[], capacities: ReadonlyMap<string, number>): number {
+	return ids.reduce((sum, id) => sum + (capacities.get(id) ?? 1), 0);
+}
+
+/**
+ * In plenty both sides grow alike; in scarcity short requests, which cost little each, come first.
+ * @param engines capacity of all, in engines of usual pace
+ */
 function wantedLong(engines: number, demand: Demand): number {
 	const short = demand.short / shortBusy;
 	const long = demand.long / longBusy;
--- /dev/null
+++ b/src/core/engines/engine-pace.ts
@@ -0,0 +1,142 @@
+/**
+ * The pace of one engine: how many times as long as its service's figures say work takes there. It is kept in two
+ * memories of the same observations. The steady one weighs half a minute and is hardly moved by noise of a second; the
+ * quick one weighs the last second, and decides where it differs from the steady one by more than such noise.
+ * @module
+ */
+import type { PaceKind, PaceSum, PaceSums } from './pace-sums.js';
+import { FadingSums, fadeMs, leastWeight, noPaceSums, paceKinds } from './pace-sums.js';
+
+/** Time after which an observation counts a third in the steady memory, in milliseconds. */
+const steadyMs = 30_000;
+/**
+ * What an engine is expected to be counts as so many observations of it. Waiting that no news told of is in the times to first events,
+ * so that more of them are needed.
+ */
+const priorWeights: Readonly<Record<PaceKind, number>> = { reading: 10, steps: 3 };
+/** What comes in at once moves the steady memory as if it were at most, and at least, so many times its figure. */
+const steadyBound = Math.log(1.5);
+/**
+ * The quick memory decides from twice the steady pace on, either way: a prompt that was to be read in half of its target is late
+ * then.
+ */
+const turnedFactor = Math.log(2);
+/**
+ * The steady pace counts as so many observations of the quick memory: more for the few and noisy first events. An engine that gets
+ * no work is tried again as what was seen of it fades.
+ */
+const quickPriors: Readonly<Record<PaceKind, number>> = { reading: 3, steps: 1 };
+/** A pace stays within this factor of the service's figures. */
+const bound = Math.log(20);
+
+/** Times of an engine over those that its service's figures say: 2 is half as fast. */
+export interface Pace {
+	reading: number;
+	steps: number;
+}
+
+/** That of an engine of which nothing is known. */
+export const usualPace: Pace = { reading: 1, steps: 1 };
+
+/** Logarithms of the mean paces of a service's engines, beside which the pace of each is told. */
+export type PaceMeans = Readonly<Record<PaceKind, number>>;
+
+export class EnginePace {
+	/** What all VMs told lately and this one saw. */
+	readonly recent: FadingSums;
+	private readonly steady = noPaceSums();
+	private at: number;
+	private settledPace = usualPace;
+	private settledSteady = usualPace;
+	private hasTurned = false;
+
+	/** @param now monotonic milliseconds */
+	constructor(now: number) {
+		this.recent = new FadingSums(now);
+		this.at = now;
+	}
+
+	/** Takes what fades from the quick memory over into the steady one. */
+	settle(now: number, means: PaceMeans): void {
+		const passedMs = Math.max(0, now - this.at);
+		const moved = 1 - Math.exp(-passedMs / fadeMs);
+		const kept = Math.exp(-passedMs / steadyMs);
+		const before = this.recent.read(this.at);
+		for (const kind of paceKinds) {
+			const bounded = this.bounded(kind, before[kind], means);
+			this.steady[kind].weight = this.steady[kind].weight * kept + before[kind].weight * moved;
+			this.steady[kind].sum = this.steady[kind].sum * kept + bounded * moved;
+		}
+		this.at = Math.max(this.at, now);
+		this.recent.read(now);
+	}
+
+	/** Observations of both memories. */
+	total(now: number, means: PaceMeans): PaceSums {
+		const recent = this.recent.read(now);
+		const sum = (kind: PaceKind) => ({
+			weight: this.steady[kind].weight + recent[kind].weight,
+			sum: this.steady[kind].sum + this.bounded(kind, recent[kind], means),
+		});
+		return { reading: sum('reading'), steps: sum('steps') };
+	}
+
+	/** Works out the paces anew, by new means. */
+	refresh(now: number, means: PaceMeans): void {
+		const total = this.total(now, means);
+		const recent = this.recent.read(now);
+		const steps = shrunk(total.steps, means.steps, priorWeights.steps) - means.steps;
+		// An engine reads at the pace of its steps as far as its prompts do not say otherwise, and turns slow in both.
+		const usual = means.reading + steps;
+		const reading = shrunk(total.reading, usual, priorWeights.reading) - means.reading;
+		const turnedSteps = turnOf('steps', recent, means.steps + steps);
+		const turnedReading = turnOf('reading', recent, means.reading + reading + turnedSteps);
+		this.hasTurned = turnedSteps !== 0 || turnedReading !== 0;
+		this.settledSteady = paceOf(reading, steps);
+		this.settledPace = paceOf(reading + turnedSteps + turnedReading, steps + turnedSteps);
+	}
+
+	/** Pace without what happened in the last second or two. */
+	get steadyPace(): Pace {
+		return this.settledSteady;
+	}
+
+	/** Pace by both memories. */
+	get pace(): Pace {
+		return this.settledPace;
+	}
+
+	/** Whether the quick memory decides. */
+	get isTurned(): boolean {
+		return this.hasTurned;
+	}
+
+	/** Whether both memories are empty. */
+	isForgotten(now: number): boolean {
+		const { reading, steps } = this.steady;
+		return reading.weight + steps.weight < leastWeight && this.recent.isFaded(now);
+	}
+
+	/** A sum as if its mean were within bounds of the steady figure. */
+	private bounded(kind: PaceKind, { weight, sum }: PaceSum, means: PaceMeans): number {
+		const level = shrunk(this.steady[kind], means[kind], priorWeights[kind]);
+		const least = (level - steadyBound) * weight;
+		return Math.min(Math.max(sum, least), (level + steadyBound) * weight);
+	}
+}
+
+/** Mean of a sum, drawn to what is expected while there is little evidence. */
+function shrunk({ weight, sum }: PaceSum, expected: number, count: number): number {
+	return (sum + expected * count) / (weight + count);
+}
+
+/** How far the quick memory moves a level; 0 where it differs by no more than noise. */
+function turnOf(kind: PaceKind, recent: Readonly<PaceSums>, level: number): number {
+	const moved = shrunk(recent[kind], level, quickPriors[kind]) - level;
+	return Math.abs(moved) > turnedFactor ? moved : 0;
+}
+
+function paceOf(reading: number, steps: number): Pace {
+	const factor = (level: number) => Math.exp(Math.min(Math.max(level, -bound), bound));
+	return { reading: factor(reading), steps: factor(steps) };
+}
--- a/src/core/engines/engine-sample.ts
+++ b/src/core/engines/engine-sample.ts
@@ -13,7 +13,7 @@
 const sampleSize = 8;
 
 /**
- * @param keeps engines that keep much of the prompt; they are weighed in any case
+ * @param keeps engines that keep much of the prompt; they are weighed in any case where they are few
  * @returns all of them where they are few
  */
 export function sampleEngines(
@@ -24,7 +24,13 @@
 	if (engines.length <= sampleSize) {
 		return engines;
 	}
+	const keepers = engines.filter(keeps);
+	const sample = new Set([...few(keepers, random), ...few(engines, random)]);
+	return sample.size > 0 ? [...sample] : engines;
+}
+
+/** A common greeting is kept by all engines: they are drawn from like any others. */
+function few(engines: readonly Engine[], random: Random): readonly Engine[] {
 	const share = sampleSize / engines.length;
-	const sample = engines.filter((engine) => keeps(engine) || random.next() < share);
-	return sample.length > 0 ? sample : engines;
+	return share >= 1 ? engines : engines.filter(() => random.next() < share);
 }
--- /dev/null
+++ b/src/core/engines/pause-risk.ts
@@ -0,0 +1,28 @@
+/**
+ * What it costs a stream to run where its pauses may be too long: engines whose undisturbed pause comes near the
+ * target are left to callers that can bear it.
+ * @module
+ */
+import type { CostFigures } from './work-estimate.js';
+
+/** An undisturbed pause of up to this share of the target leaves room for a prompt that is read beside. */
+const bearableShare = 0.5;
+
+/**
+ * Milliseconds of waiting that the pauses to expect are as bad as: none while they leave half of the target, and as much as
+ * a first event that comes late by its whole target when nothing is left.
+ * @param targetPauseMs undefined where the caller names none
+ * @param targetMs within which the first event should come
+ */
+export function pauseRiskMs(
+	costs: CostFigures,
+	targetPauseMs: number | undefined,
+	targetMs: number,
+): number {
+	if (targetPauseMs === undefined) {
+		return 0;
+	}
+	const share = costs.eventMs / targetPauseMs;
+	const over = Math.max(0, share - bearableShare) / (1 - bearableShare);
+	return over * targetMs;
+}
--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -15,8 +15,12 @@
 import type { Engine } from './engine.js';
 import type { Division } from './engine-division.js';
 import { EngineDivision } from './engine-division.js';
+import type { Pace } from './engine-pace.js';
+import { usualPace } from './engine-pace.js';
 import { sampleEngines } from './engine-sample.js';
 import { comeBackS, isOverloaded } from './overload.js';
+import { pauseRiskMs } from './pause-risk.js';
+import { slotWaitMs } from './slot-wait.js';
 import type { CostFigures } from './work-estimate.js';
 import { copyingMs, longWorkMs, readingMs, shortWorkMs } from './work-estimate.js';
 
@@ -62,6 +66,8 @@
 	targetMs: number;
 	/** Shortest of the target pauses of the service's streams, in milliseconds; undefined when none has one. */
 	tightestPauseMs?: number;
+	/** Between two events the request's own caller wants no longer pause, in milliseconds; undefined when it names none. */
+	targetPauseMs?: number;
 	model?: EngineModel;
 	/** No route of the service has a less urgent tier. */
 	leastUrgent: boolean;
@@ -81,6 +87,8 @@
 	/** What decided: estimated time until the first event, and cost of reading a token, in milliseconds. */
 	waitMs: number;
 	readMsPerToken: number;
+	/** How many times as long as its service's figures say work takes there; 1 is usual. */
+	pace: Pace;
 	/** Prompt tokens that it is believed to keep. */
 	cachedTokens: number;
 	/** Prompt tokens that it should copy from another engine, and that engine; none if there is no gain. */
@@ -102,6 +110,8 @@
 interface Candidate {
 	engine: Engine;
 	work: EngineWork;
+	/** What work costs there. */
+	costs: CostFigures;
 	/** Milliseconds until its prompt begins to be read, and for reading it. */
 	queueMs: number;
 	ownMs: number;
@@ -127,8 +137,9 @@
 /** What is the same for all engines that one request is weighed against. */
 interface Weighing {
 	req: PlacementRequest;
-	costs: CostFigures;
 	kept: Kept;
+	/** Monotonic milliseconds. */
+	now: number;
 }
 
 export class EnginePlacement {
@@ -150,7 +161,9 @@
 		if (open.length === 0) {
 			return { refusal: 'no engine of the service can be used', retryAfterS: comeBackS };
 		}
-		return req.parts.length === 0 ? this.leastRunning(open) : this.byPrompt(req, engines, open);
+		return req.parts.length === 0
+			? this.leastRunning(open)
+			: this.byPrompt(req, engines, open, now);
 	}
 
 	/** The one with the fewest of the fleet's requests; of several any. */
@@ -166,6 +179,7 @@
 			readingMs: 0,
 			waitMs: 0,
 			readMsPerToken: 0,
+			pace: usualPace,
 			cachedTokens: 0,
 			copiedTokens: 0,
 		};
@@ -176,15 +190,19 @@
 		req: PlacementRequest,
 		engines: readonly Engine[],
 		open: readonly Engine[],
+		now: number,
 	): Placement | Refusal {
 		const costs = this.costs.of(req.service);
 		const kept = this.keptOf(req, open);
 		const isLong = isLongPrompt(req.promptTokens, req.tightestPauseMs, costs);
-		const division = this.divisionOf(req.service, divided(engines, req));
+		const division = this.divisionOf(req.service, divided(engines, req), now);
 		const side = isLong ? division.long : division.short;
-		const best = this.bestOf({ req, costs, kept }, open, side, isLong);
+		const best = this.bestOf({ req, kept, now }, open, side, isLong);
 		const awaited = { queueMs: this.queueLeftMs(best), ownMs: best.ownMs };
-		if (req.leastUrgent && isOverloaded(awaited, req.targetMs, this.busyShare(isLong, side.size))) {
+		if (
+			req.leastUrgent &&
+			isOverloaded(awaited, req.targetMs, this.busyShare(isLong, division.longCapacity))
+		) {
 			const refusal = `the prompt would wait ${Math.round(awaited.queueMs)} ms for others`;
 			return { refusal, retryAfterS: comeBackS };
 		}
@@ -195,9 +213,10 @@
 		return {
 			engine,
 			promptTokens: uncached,
-			readingMs: readingMs(costs, uncached),
+			readingMs: readingMs(best.costs, uncached),
 			waitMs,
-			readMsPerToken: costs.readMsPerToken,
+			readMsPerToken: best.costs.readMsPerToken,
+			pace: this.costs.speeds.pace(req.service, engine.ref, now),
 			cachedTokens: best.cached,
 			copiedTokens: best.copied,
 			copyFrom: best.copied > 0 ? kept.copyFrom : undefined,
@@ -225,9 +244,10 @@
 		const others = open.filter((engine) => !side.has(engine.id));
 		const weighed = this.sample(weighing, others).map((engine) => this.weigh(weighing, engine));
 		// Engines of long prompts are overloaded in a burst of them, while those of short ones have time.
-		const mostMs =
-			isLong && ownBest ? bearableMs(weighing.req.tightestPauseMs, weighing.costs) : Infinity;
-		const otherBest = cheapest(weighed.filter(({ queueMs, ownMs }) => queueMs + ownMs <= mostMs));
+		const isBearable = ({ queueMs, ownMs, costs }: Candidate) => {
+			return queueMs + ownMs <= bearableMs(weighing.req.tightestPauseMs, costs);
+		};
+		const otherBest = cheapest(isLong && ownBest ? weighed.filter(isBearable) : weighed);
 		if (!ownBest || !otherBest) {
 			return (ownBest ?? otherBest) as Candidate;
 		}
@@ -247,8 +267,8 @@
 	}
 
 	/** How busy long prompts keep the engines that read them: 1 is all of the time; 0 for a short prompt. */
-	private busyShare(isLong: boolean, longEngines: number): number {
-		return isLong ? this.fleet.demand().long / longEngines : 0;
+	private busyShare(isLong: boolean, longCapacity: number): number {
+		return isLong ? this.fleet.demand().long / longCapacity : 0;
 	}
 
 	private keptOf(req: PlacementRequest, open: readonly Engine[]): Kept {
@@ -261,7 +281,8 @@
 		return { by, copyable, copyFrom };
 	}
 
-	private weigh({ req, costs, kept }: Weighing, engine: Engine): Candidate {
+	private weigh({ req, kept, now }: Weighing, engine: Engine): Candidate {
+		const costs = this.costs.at(req.service, engine.ref, now);
 		const shared = req.parts.slice(0, -1);
 		const key = shared.at(-1)?.id ?? req.parts[0]?.id ?? '';
 		const work = this.fleet.workAt(engine.key);
@@ -269,17 +290,20 @@
 		const missing = kept.copyable - cached;
 		const copied = missing >= leastCopiedTokens ? missing : 0;
 		const uncached = Math.max(0, req.promptTokens - cached - copied);
-		const queued = Math.max(0, work.running + 1 - engine.entry.slots);
-		const slotMs = (queued * costs.heldMs) / engine.entry.slots;
+		const { heldMs } = costs;
+		const { slots } = engine.entry;
+		const slotMs = slotWaitMs({ ...work, slots, heldMs, newsAgeMs: this.fleet.newsAgeMs });
 		const queueMs = work.promptTokens * costs.readMsPerToken + slotMs;
 		const ownMs = readingMs(costs, uncached) + copyingMs(costs, copied);
 		const waitMs = costs.firstMs + queueMs + ownMs;
 		const unread = tokensOf(shared) - cached - copied;
 		const reread = (unread * rereadWeight + copied * copyWeight) * costs.readMsPerToken;
-		const cost = waitMs + work.running * runningMs + reread;
+		const pauses = pauseRiskMs(costs, req.targetPauseMs, req.targetMs);
+		const cost = waitMs + work.running * runningMs + reread + pauses;
 		return {
 			engine,
 			work,
+			costs,
 			queueMs,
 			ownMs,
 			waitMs,
@@ -307,13 +331,15 @@
 		return Math.max(leastCostStepMs, this.fleet.newsAgeMs * costStepOfNewsAge);
 	}
 
-	private divisionOf(service: string, engines: readonly Engine[]): Division {
+	private divisionOf(service: string, engines: readonly Engine[], now: number): Division {
 		let division = this.divisions.get(service);
 		if (!division) {
 			division = new EngineDivision();
 			this.divisions.set(service, division);
 		}
-		return division.divide(engines, this.fleet.demand());
+		const { speeds } = this.costs;
+		const capacityOf = ({ ref }: Engine) => 1 / speeds.steadyPace(service, ref, now).reading;
+		return division.divide(engines, this.fleet.demand(), capacityOf);
 	}
 }
 
--- a/src/core/engines/work-estimate.ts
+++ b/src/core/engines/work-estimate.ts
@@ -3,6 +3,7 @@
  * service.
  * @module
  */
+import type { Pace } from './engine-pace.js';
 
 /** What work costs on the engines of one service; see `cost-model` for where the figures come from. */
 export interface CostFigures {
@@ -22,6 +23,18 @@
 	heldMs: number;
 }
 
+/** Figures of an engine that takes so many times as long as its service's figures say; copies are bound by networks. */
+export function paced(costs: CostFigures, { reading, steps }: Pace): CostFigures {
+	return {
+		...costs,
+		readMsPerToken: costs.readMsPerToken * reading,
+		firstMs: costs.firstMs * reading,
+		eventMs: costs.eventMs * steps,
+		answerMsPerToken: costs.answerMsPerToken * steps,
+		heldMs: costs.heldMs * steps,
+	};
+}
+
 /**
  * Each token of a prompt is weighed against all before it: a prompt of so many tokens takes twice as long as the
  * same tokens in short ones. A property of the usual architectures at 70 billion parameters, not of a machine.
--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -186,6 +186,7 @@
 		const ref = refOf(engineKey);
 		this.parts.forgetEngine(ref);
 		this.work.forget(ref);
+		this.opts.costs.speeds.forgetEngine(ref);
 		for (const source of this.sources.all()) {
 			source.work.delete(ref);
 		}
@@ -265,6 +266,9 @@
 		if (news.costs) {
 			this.opts.costs.take(news.from, news.costs);
 		}
+		if (news.speeds) {
+			this.opts.costs.speeds.take(news.from, news.speeds, this.now);
+		}
 		return hasVersions || isNew || hasWork || news.reads.length > 0;
 	}
 
@@ -381,6 +385,6 @@
 	private drop(source: NewsSource): void {
 		this.work.drop(source);
 		this.sources.remove(source);
-		this.opts.costs.forget(source.name);
+		this.opts.costs.forget(source.name, this.now);
 	}
 }
--- a/src/core/fleet/news-composer.ts
+++ b/src/core/fleet/news-composer.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from '../definitions.js';
 import type { CostModel } from '../engines/cost-model.js';
+import type { SpeedSums } from '../engines/engine-speeds.js';
 import type { IssuerWord, LimitWord } from '../limits/types.js';
 import type { CrashRow } from '../quarantine/types.js';
 import { cutNews } from './news-parts.js';
@@ -19,6 +20,12 @@
 
 /** Time between two news of a kind that tell costs, in milliseconds: they settle within seconds. */
 const costsMs = 1000;
+/**
+ * The same for speeds of single engines: one that turns slow is known to all within a second or so, over three hops.
+ */
+const speedsMs = 250;
+/** Speeds that go along at once; with 24 engines a message, 90 engines are told of within a second. */
+const mostSpeeds = 24;
 
 /** What differs between the kinds of news. */
 export interface NewsContent {
@@ -55,6 +62,7 @@
 
 export class NewsComposer {
 	private readonly costsToldAt = new Map<NewsKind, number>();
+	private readonly speedsToldAt = new Map<NewsKind, number>();
 	private lastSeq = 0;
 
 	constructor(private readonly opts: NewsComposerOptions) {}
@@ -67,9 +75,16 @@
 	compose(content: NewsContent, head: NewsHead): PeerNews[] {
 		const { work, reads, heard, costsOf, crashes, limits, ...rest } = content;
 		const { self, address, life } = this.opts;
-		const costs = this.tellsCosts(rest.kind) ? this.opts.costs.export(costsOf) : undefined;
+		const { kind } = rest;
+		const costs = this.isDue(this.costsToldAt, kind, costsMs)
+			? this.opts.costs.export(costsOf)
+			: undefined;
+		const speeds = this.isDue(this.speedsToldAt, kind, speedsMs)
+			? this.opts.costs.speeds.export(costsOf, this.now, mostSpeeds)
+			: undefined;
+		const rows = { crashes: crashes.length, limits: limits.length, speeds: speedRows(speeds) };
 		this.lastSeq++;
-		return cutNews(work, reads, heard, crashes.length, limits.length).map((part, at) => ({
+		return cutNews(work, reads, heard, rows).map((part, at) => ({
 			...rest,
 			...part,
 			...head,
@@ -80,17 +95,26 @@
 			leaving: false,
 			heard,
 			costs: at === 0 ? costs : undefined,
+			speeds: at === 0 ? speeds : undefined,
 			crashes: at === 0 ? crashes : [],
 			limits: at === 0 ? limits : [],
 		}));
 	}
 
-	private tellsCosts(kind: NewsKind): boolean {
-		const now = this.opts.clock.monotonic();
-		const isDue = now - (this.costsToldAt.get(kind) ?? -costsMs) >= costsMs;
+	private get now(): number {
+		return this.opts.clock.monotonic();
+	}
+
+	/** Whether what is told each `everyMs` is to go along with news of a kind. */
+	private isDue(toldAt: Map<NewsKind, number>, kind: NewsKind, everyMs: number): boolean {
+		const isDue = this.now - (toldAt.get(kind) ?? -everyMs) >= everyMs;
 		if (isDue) {
-			this.costsToldAt.set(kind, now);
+			toldAt.set(kind, this.now);
 		}
 		return isDue;
 	}
 }
+
+function speedRows(speeds: readonly SpeedSums[] = []): number {
+	return speeds.reduce((rows, { engines }) => rows + engines.length, 0);
+}
--- a/src/core/fleet/news-parts.ts
+++ b/src/core/fleet/news-parts.ts
@@ -14,9 +14,17 @@
 const heardBytes = 10;
 const crashBytes = 16;
 const limitBytes = 16;
+const speedBytes = 18;
 /** First number beyond those of engines. */
 export const endOfRefs = 2 ** 32;
 
+/** Rows beside the lists that are cut; they go with the first part. */
+export interface WholeRows {
+	crashes: number;
+	limits: number;
+	speeds: number;
+}
+
 export interface NewsPart {
 	engines: EngineRange;
 	work: EngineWork[];
@@ -26,23 +34,22 @@
 /**
  * @param reads as many go along as fit, those that do not stay
  * @param heard goes with each part
- * @param crashes rows that go with the first part
- * @param limits words that go with the first part
  */
 export function cutNews(
 	work: readonly EngineWork[],
 	reads: PartRead[],
 	heard: readonly HeardReport[],
-	crashes = 0,
-	limits = 0,
+	whole: WholeRows = { crashes: 0, limits: 0, speeds: 0 },
 ): NewsPart[] {
-	const rows = heard.length * heardBytes + crashes * crashBytes + limits * limitBytes;
-	const room = payloadBytes - headBytes - rows;
-	const most = Math.max(1, Math.floor(room / workBytes));
+	const { crashes, limits, speeds } = whole;
+	const allRoom = payloadBytes - headBytes - heard.length * heardBytes;
+	const wholeBytes = crashes * crashBytes + limits * limitBytes + speeds * speedBytes;
 	const sorted = [...work].sort((a, b) => a.engine - b.engine);
 	const parts: NewsPart[] = [];
 	let from = 0;
 	do {
+		const room = parts.length === 0 ? allRoom - wholeBytes : allRoom;
+		const most = Math.max(1, Math.floor(room / workBytes));
 		const rows = sorted.splice(0, most);
 		const to = sorted[0]?.engine ?? endOfRefs;
 		const left = Math.floor((room - rows.length * workBytes) / readBytes);
--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -124,7 +124,7 @@
 			this.ctx.fleet.read(this.shared, this.engine.key, true);
 			this.ctx.onWorkChanged();
 		} else if (!isPaused) {
-			this.ctx.costs.pauseSeen(this.service, now - this.lastEventAt);
+			this.pauseSeen(now);
 		}
 		this.lastEventAt = now;
 	}
@@ -149,8 +149,26 @@
 
 	private firstEventSeen(delayMs: number): void {
 		const { promptTokens, copiedTokens, work } = this.placement;
-		const aheadTokens = work.promptTokens;
-		this.ctx.costs.firstEvent(this.service, { promptTokens, aheadTokens, copiedTokens, delayMs });
+		const { engine } = this;
+		this.ctx.costs.firstEvent(this.service, {
+			promptTokens,
+			aheadTokens: work.promptTokens,
+			copiedTokens,
+			delayMs,
+			engine: engine.ref,
+			at: this.ctx.clock.monotonic(),
+			isQueued: work.running >= engine.entry.slots,
+		});
+	}
+
+	private pauseSeen(now: number): void {
+		const { engine, ctx } = this;
+		ctx.costs.pauseSeen(this.service, {
+			ms: now - this.lastEventAt,
+			engine: engine.ref,
+			at: now,
+			isBesidePrompts: ctx.fleet.workAt(engine.key).promptTokens > 0,
+		});
 	}
 
 	hold(chunk: Buffer): void {
--- a/src/core/relay/placement-log.ts
+++ b/src/core/relay/placement-log.ts
@@ -21,7 +21,7 @@
 	placement: Placement,
 	{ leftMs, lastEventId }: RequestProgress,
 ): void {
-	const { engine, work } = placement;
+	const { engine, work, pace } = placement;
 	outcome.log('request.placed', {
 		engine: engine.id,
 		reason: placement.reason,
@@ -30,6 +30,8 @@
 		unread_tokens: placement.promptTokens,
 		wait_ms: Math.round(placement.waitMs),
 		read_ms_per_token: Number(placement.readMsPerToken.toFixed(4)),
+		pace_reading: Number(pace.reading.toFixed(2)),
+		pace_steps: Number(pace.steps.toFixed(2)),
 		cached_tokens: placement.cachedTokens,
 		copied_tokens: placement.copiedTokens,
 		copied_from: placement.copyFrom?.id,
--- a/src/infra/relay/news-codec.ts
+++ b/src/infra/relay/news-codec.ts
@@ -4,7 +4,9 @@
  */
 import * as msgpack from '@msgpack/msgpack';
 import type { CostSums } from '../../core/engines/cost-model.js';
+import type { EngineSums, SpeedSums } from '../../core/engines/engine-speeds.js';
 import type { LineSums } from '../../core/engines/estimators.js';
+import type { PaceSum } from '../../core/engines/pace-sums.js';
 import type {
 	EngineWork,
 	HeardReport,
@@ -25,6 +27,11 @@
 const heardFields = 2;
 /** Numbers that tell of one content at one engine. */
 const crashFields = 3;
+/** Numbers that tell of the speed of one engine. */
+const speedFields = 5;
+/** Weights and means of speeds are told in tenths and hundredths: their own noise is larger. */
+const weightUnit = 0.1;
+const meanUnit = 0.01;
 /** In place of a content: the row tells only that the engine ended. */
 const noContent = -1;
 
@@ -57,6 +64,7 @@
 		news.crashes.flatMap(packCrash),
 		news.limits.map(packLimit),
 		news.issuer && [packIssuer(news.issuer)],
+		news.speeds?.map(({ service, engines }) => [service, engines.flatMap(packSpeed)]),
 	]);
 }
 
@@ -94,6 +102,7 @@
 		crashes: readCrashes(row.numbers(crashFields)),
 		limits: row.rows(readLimit),
 		issuer: row.optionalRows(readIssuer)?.[0],
+		speeds: row.optionalRows(readSpeeds),
 	};
 	row.end();
 	return news;
@@ -136,6 +145,34 @@
 	return rows;
 }
 
+function packSpeed({ engine, reading, steps }: EngineSums): number[] {
+	return [engine, ...packPace(reading), ...packPace(steps)];
+}
+
+function packPace({ weight, sum }: PaceSum): number[] {
+	return [
+		Math.round(weight / weightUnit),
+		Math.round(sum / Math.max(weight, weightUnit) / meanUnit),
+	];
+}
+
+function readSpeeds(row: RowReader): SpeedSums {
+	const service = row.number();
+	const fields = row.numbers(speedFields);
+	const engines: EngineSums[] = [];
+	for (let at = 0; at < fields.length; at += speedFields) {
+		const reading = readPace(fields[at + 1], fields[at + 2]);
+		const steps = readPace(fields[at + 3], fields[at + 4]);
+		engines.push({ engine: fields[at] ?? 0, reading, steps });
+	}
+	return { service, engines };
+}
+
+function readPace(weight = 0, mean = 0): PaceSum {
+	const known = weight * weightUnit;
+	return { weight: known, sum: known * mean * meanUnit };
+}
+
 function packReader(reader: StoreReader): unknown[] {
 	const { address, contactAgeMs, revision, digest, dutyToken } = reader;
 	return [address, Math.round(contactAgeMs), revision, digest, dutyToken];
--- a/test/stand-ins/batch-engine.ts
+++ b/test/stand-ins/batch-engine.ts
@@ -17,6 +17,8 @@
 	slots: number;
 	/** Time on the way there and back, in milliseconds. */
 	wayMs: number;
+	/** How many times as long all work takes at a time, in milliseconds. @default always 1 */
+	slower?: (at: number) => number;
 }
 
 /** One request at the engine. */
@@ -61,8 +63,9 @@
 		this.admit();
 		const readTokens = this.readChunk();
 		const streams = this.running.filter((run) => run.unread === 0);
-		const { stepMs, stepMsPerStream, readPerMs, wayMs } = this.opts;
-		this.now += stepMs + stepMsPerStream * streams.length + readTokens / readPerMs;
+		const { stepMs, stepMsPerStream, readPerMs, wayMs, slower = () => 1 } = this.opts;
+		const usualMs = stepMs + stepMsPerStream * streams.length + readTokens / readPerMs;
+		this.now += usualMs * slower(this.now);
 		for (const run of streams) {
 			this.makeToken(run, this.now + wayMs);
 		}
--- a/test/steps/burst-replay.ts
+++ b/test/steps/burst-replay.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Engine } from '../../src/core/engines/engine.js';
+import type { Pace } from '../../src/core/engines/engine-pace.js';
 import type { Placement, PlacementRequest } from '../../src/core/engines/placement.js';
 import { EnginePlacement } from '../../src/core/engines/placement.js';
 import type { PromptPart } from '../../src/core/relay/definitions.js';
@@ -64,6 +65,18 @@
 	short: { ownTokens: 630, answerTokens: 290, targetMs: 250, pauseMs: 150 },
 };
 
+/** Long prompts of which most is kept, beside streams whose callers want short pauses. */
+export const quests: Workload = {
+	slots: 16,
+	readPerMs: 110,
+	stepMs: 6.1,
+	subjects: 400,
+	baseTokens: 2000,
+	subjectTokens: 4300,
+	long: { ownTokens: 2890, answerTokens: 50, targetMs: 800, pauseMs: 600 },
+	short: { ownTokens: 700, answerTokens: 200, targetMs: 600, pauseMs: 150 },
+};
+
 export interface BurstOptions {
 	workload: Workload;
 	vms: number;
@@ -76,6 +89,10 @@
 	/** Share of the engines that are so many times as slow as the others. */
 	slowShare?: number;
 	slower?: number;
+	/** How many times as long the work of an engine takes, by its number and the time since the first request. */
+	paceOf?: (engine: number, ms: number) => number;
+	/** One VM places all requests, and knows the pace of each engine at each moment. */
+	knowsAll?: boolean;
 }
 
 export interface BurstTally {
@@ -85,6 +102,17 @@
 	/** Tokens of shared parts that engines read though another had read them. */
 	readAgain: number;
 	read: number;
+	/** Milliseconds to the first event, of each request. */
+	waits: number[];
+	/** Longest pause of each request, in milliseconds. */
+	pauses: number[];
+}
+
+/** A request that was sent to an engine. */
+export interface SentRequest {
+	/** Milliseconds since the first. */
+	at: number;
+	engine: number;
 }
 
 /** An engine and what it keeps of prompts. */
@@ -99,29 +127,35 @@
 export class BurstReplay {
 	readonly long = noTally();
 	readonly short = noTally();
+	readonly placed: SentRequest[] = [];
 	private readonly fleet: SimulatedFleet;
 	private readonly engines: KeepingEngine[] = [];
 	private readonly placements = new Map<SimulatedVm, EnginePlacement>();
 	private readonly everRead = new Set<string>();
 	private readonly next: () => number;
 	private number = 0;
+	private startAt = 0;
 
 	constructor(private readonly opts: BurstOptions) {
 		this.next = sequence(opts.seed);
-		this.fleet = new SimulatedFleet(opts.vms, opts.domains, opts.seed);
+		this.fleet = new SimulatedFleet(opts.knowsAll ? 1 : opts.vms, opts.domains, opts.seed);
 		for (let at = 0; at < opts.engines; at++) {
 			const isSlow = at < opts.engines * (opts.slowShare ?? 0);
-			this.engines.push(this.newEngine(`engine-${at}`, isSlow ? (opts.slower ?? 1) : 1));
+			this.engines.push(this.newEngine(at, isSlow ? (opts.slower ?? 1) : 1));
 		}
 		const random = { next: this.next, hex: () => '' };
 		for (const vm of this.fleet.vms) {
 			this.placements.set(vm, new EnginePlacement(random, vm.fleet, vm.costs, () => false));
+			if (opts.knowsAll) {
+				vm.costs.speeds.pace = (_, ref) => this.truePace(ref);
+			}
 		}
 	}
 
 	play(): void {
 		this.fleet.run(1500);
-		const startAt = this.fleet.clock.now;
+		this.startAt = this.fleet.clock.now;
+		const { startAt } = this;
 		const arrivals = [
 			...this.arrivalsOf(this.opts.longPerS).map((at) => ({ at, isLong: true })),
 			...this.arrivalsOf(this.opts.shortPerS).map((at) => ({ at, isLong: false })),
@@ -133,6 +167,19 @@
 		this.runUntil(this.fleet.clock.now + 5000);
 	}
 
+	/** VMs whose processes are killed no longer place anything. */
+	kill(count: number): void {
+		for (const vm of this.fleet.running.slice(0, count)) {
+			this.fleet.kill(vm);
+		}
+	}
+
+	private truePace(ref: number): Pace {
+		const at = this.engines.findIndex(({ engine }) => engine.ref === ref);
+		const pace = this.opts.paceOf?.(at, this.fleet.clock.now - this.startAt) ?? 1;
+		return { reading: pace, steps: pace };
+	}
+
 	private runUntil(until: number): void {
 		while (this.fleet.clock.now < until) {
 			this.fleet.run(stepMs);
@@ -155,7 +202,8 @@
 		const { workload } = this.opts;
 		const kind = isLong ? workload.long : workload.short;
 		const tally = isLong ? this.long : this.short;
-		const vm = this.fleet.vms[Math.floor(this.next() * this.opts.vms)] as SimulatedVm;
+		const vms = this.fleet.running;
+		const vm = vms[Math.floor(this.next() * vms.length)] as SimulatedVm;
 		const parts = this.partsOf(isLong, kind.ownTokens);
 		const promptTokens = parts.reduce((sum, part) => sum + part.tokens, 0);
 		const req: PlacementRequest = {
@@ -165,6 +213,7 @@
 			answerTokens: kind.answerTokens,
 			targetMs: kind.targetMs,
 			tightestPauseMs: workload.short.pauseMs,
+			targetPauseMs: kind.pauseMs,
 			leastUrgent: isLong,
 			tried: new Set(),
 			...unlimited,
@@ -205,7 +254,9 @@
 		tally: BurstTally,
 		pauseMs: number,
 	): void {
-		const target = this.engines.find(({ engine }) => engine === placed.engine) as KeepingEngine;
+		const engine = this.engines.findIndex((one) => one.engine === placed.engine);
+		const target = this.engines[engine] as KeepingEngine;
+		this.placed.push({ at: this.fleet.clock.now - this.startAt, engine });
 		const { promptTokens } = placed;
 		const { id } = placed.engine;
 		const shared = req.parts.slice(0, -1);
@@ -220,9 +271,13 @@
 			promptTokens,
 			answerTokens: req.answerTokens,
 			aheadTokens: placed.work.promptTokens,
+			engine: placed.engine.ref,
+			isQueued: placed.work.running >= placed.engine.entry.slots,
+			isBesidePrompts: () => vm.fleet.workAt(id).promptTokens > 0,
 			expectedTokens: req.answerTokens,
 			onFirst: (delayMs) => {
 				isInTime = delayMs <= req.targetMs;
+				tally.waits.push(delayMs);
 				for (const part of shared) {
 					target.kept.add(part.id);
 				}
@@ -232,13 +287,16 @@
 			},
 			onEnd: () => {
 				tally.inTime += isInTime ? 1 : 0;
+				tally.pauses.push(longestMs);
 				vm.fleet.changeWork(id, { running: -1 });
 				vm.exchange.changed();
 			},
 		});
 		let lastAt = Number.POSITIVE_INFINITY;
+		let longestMs = 0;
 		const onEvent = (at: number) => {
 			isInTime &&= at - lastAt <= pauseMs;
+			longestMs = Math.max(longestMs, at - lastAt);
 			lastAt = at;
 			request.onEvent(at);
 		};
@@ -281,8 +339,9 @@
 		return source.linkFreeAt - now + copySetupMs;
 	}
 
-	private newEngine(id: string, slower: number): KeepingEngine {
-		const { workload } = this.opts;
+	private newEngine(at: number, slower: number): KeepingEngine {
+		const { workload, paceOf } = this.opts;
+		const id = `engine-${at}`;
 		const batch = new BatchEngine({
 			readPerMs: workload.readPerMs / slower,
 			stepMs: workload.stepMs * slower,
@@ -291,6 +350,7 @@
 			chunkTokens: 2048,
 			slots: workload.slots,
 			wayMs: 2,
+			slower: paceOf && ((now) => paceOf(at, now - this.startAt)),
 		});
 		// The engine's own clock begins with that of the fleet.
 		batch.runUntil(this.fleet.clock.now);
@@ -299,5 +359,5 @@
 }
 
 function noTally(): BurstTally {
-	return { sent: 0, inTime: 0, refused: 0, readAgain: 0, read: 0 };
+	return { sent: 0, inTime: 0, refused: 0, readAgain: 0, read: 0, waits: [], pauses: [] };
 }
--- a/test/steps/engine-costs.steps.ts
+++ b/test/steps/engine-costs.steps.ts
@@ -104,7 +104,8 @@
 
 cucumber.When('one first event comes {int} s late', function (this: FleetWorld, seconds: number) {
 	const wild = { promptTokens: 3000, aheadTokens: 0, copiedTokens: 0, delayMs: seconds * 1000 };
-	seen<CostModel>(this, 'model').firstEvent(service, wild);
+	const at = 30_000;
+	seen<CostModel>(this, 'model').firstEvent(service, { ...wild, engine: 1, at, isQueued: false });
 });
 
 cucumber.When('another VM starts and hears the news of the first', function (this: FleetWorld) {
@@ -144,10 +145,11 @@
 		const model = seen<CostModel>(this, 'model');
 		for (let at = 0; at < firsts; at++) {
 			const promptTokens = 100 * (1 + (at % 50));
-			model.firstEvent(service, { promptTokens, aheadTokens: 0, copiedTokens: 0, delayMs: 0 });
+			const sizes = { promptTokens, aheadTokens: 0, copiedTokens: 0 };
+			model.firstEvent(service, { ...sizes, delayMs: 0, engine: 1, at, isQueued: false });
 		}
 		for (let at = 0; at < pauses; at++) {
-			model.pauseSeen(service, 0);
+			model.pauseSeen(service, { ms: 0, engine: 1, at, isBesidePrompts: false });
 		}
 	},
 );
--- a/test/steps/observed-answer.ts
+++ b/test/steps/observed-answer.ts
@@ -3,10 +3,17 @@
  * @module
  */
 import type { CostModel } from '../../src/core/engines/cost-model.js';
+import type { EngineRef } from '../../src/core/fleet/types.js';
 import type { BatchRequest } from '../stand-ins/batch-engine.js';
 
 export interface ObservedRequest {
 	service: string;
+	/** Stands for the engine in messages. */
+	engine?: EngineRef;
+	/** The engine had no free slot, as far as is known. @default false */
+	isQueued?: boolean;
+	/** Prompts wait at the engine, as far as is known, when an event comes. @default never */
+	isBesidePrompts?: () => boolean;
 	/** Milliseconds. */
 	sentAt: number;
 	promptTokens: number;
@@ -23,6 +30,7 @@
 /** The request as an engine takes it; its events go to the model. */
 export function observed(model: CostModel, req: ObservedRequest): BatchRequest {
 	const { service, sentAt, promptTokens, aheadTokens, expectedTokens } = req;
+	const { engine = 1, isQueued = false, isBesidePrompts = () => false } = req;
 	let firstAt: number | undefined;
 	let lastAt = 0;
 	let events = 0;
@@ -35,10 +43,16 @@
 			if (firstAt === undefined) {
 				firstAt = at;
 				const delayMs = at - sentAt;
-				model.firstEvent(service, { promptTokens, aheadTokens, copiedTokens: 0, delayMs });
+				const sizes = { promptTokens, aheadTokens, copiedTokens: 0 };
+				model.firstEvent(service, { ...sizes, delayMs, engine, at, isQueued });
 				req.onFirst?.(delayMs);
 			} else {
-				model.pauseSeen(service, at - lastAt);
+				model.pauseSeen(service, {
+					ms: at - lastAt,
+					engine,
+					at,
+					isBesidePrompts: isBesidePrompts(),
+				});
 			}
 			lastAt = at;
 		},
--- a/test/steps/relay-news.steps.ts
+++ b/test/steps/relay-news.steps.ts
@@ -293,7 +293,9 @@
 		for (let at = 0; at < 100; at++) {
 			const promptTokens = 200 + (at % 10) * 600;
 			const delayMs = 10 + promptTokens / speed;
-			costs.firstEvent('pool', { promptTokens, aheadTokens: 0, copiedTokens: 0, delayMs });
+			const sizes = { promptTokens, aheadTokens: 0, copiedTokens: 0 };
+			const now = fleet.clock.now;
+			costs.firstEvent('pool', { ...sizes, delayMs, engine: 1, at: now, isQueued: false });
 		}
 	},
 );
