Engines that turn slow are seen by one stream's calm pauses and tried again; reports, tests, design

Cause: two streams of one VM paused by the same prompt made an engine that reads long prompts look up to 5 times slower; the steady memory followed spells of slowness, so an engine that had recovered got no work; an overload read as a turn of all. Change: the shortest of three pauses of one stream; the steady memory takes nothing in while the quick one decides; a turn is told against the mean of the quick memories; what is not seen anew for half a second returns to the steady pace.

--- a/src/core/engines/cost-model.ts
+++ b/src/core/engines/cost-model.ts
@@ -82,8 +82,8 @@
 	engine: EngineRef;
 	/** When it ended, in monotonic milliseconds. */
 	at: number;
-	/** Prompts wait at the engine, as far as is known, and may be read between two events. */
-	isBesidePrompts: boolean;
+	/** A late pause of the stream beside which nothing was read; see `calm-pauses`. */
+	calmMs?: number;
 }
 
 /** One stream that came to its end. */
@@ -253,11 +253,11 @@
 	}
 
 	/** The same for a pause. */
-	pauseSeen(service: string, { ms, engine, at, isBesidePrompts }: Pause): void {
+	pauseSeen(service: string, { ms, engine, at, calmMs }: Pause): void {
 		const costs = this.costsOf(rendezvous.hashText(service));
 		const { steps } = this.speeds.pace(service, engine, at);
-		if (!isBesidePrompts) {
-			this.speeds.pauseSeen(service, engine, ms / costs.figures().eventMs, at);
+		if (calmMs !== undefined) {
+			this.speeds.pauseSeen(service, engine, calmMs / costs.figures().eventMs, at);
 		}
 		costs.pauseSeen(ms / steps);
 	}
--- a/src/core/engines/engine-pace.ts
+++ b/src/core/engines/engine-pace.ts
@@ -1,7 +1,8 @@
 /**
  * The pace of one engine: how many times as long as its service's figures say work takes there. It is kept in two
  * memories of the same observations. The steady one weighs half a minute and is hardly moved by noise of a second; the
- * quick one weighs the last second, and decides where it differs from the steady one by more than such noise.
+ * quick one weighs the last second, and decides where it differs from the steady one by more than such noise. For that time
+ * the steady one takes in nothing.
  * @module
  */
 import type { PaceKind, PaceSum, PaceSums } from './pace-sums.js';
@@ -13,7 +14,7 @@
  * What an engine is expected to be counts as so many observations of it. Waiting that no news told of is in the times to first events,
  * so that more of them are needed.
  */
-const priorWeights: Readonly<Record<PaceKind, number>> = { reading: 10, steps: 3 };
+const priorWeights: Readonly<Record<PaceKind, number>> = { reading: 30, steps: 3 };
 /** What comes in at once moves the steady memory as if it were at most, and at least, so many times its figure. */
 const steadyBound = Math.log(1.5);
 /**
@@ -26,6 +27,15 @@
  * no work is tried again as what was seen of it fades.
  */
 const quickPriors: Readonly<Record<PaceKind, number>> = { reading: 3, steps: 1 };
+/** For so long the steady memory takes nothing from an engine that turned; one that stays so has changed, in milliseconds. */
+const lastingMs = 10_000;
+/**
+ * An engine that turned and of which nothing new was seen for so long is thought to return to its steady pace, and by a third of the way
+ * again in each such time, in milliseconds: so it gets a few requests, which show whether it did.
+ */
+const staleMs = 500;
+/** Observations that add less than this share to the quick memory are nothing new. */
+const leastGain = 0.05;
 /** A pace stays within this factor of the service's figures. */
 const bound = Math.log(20);
 
@@ -48,12 +58,20 @@
 	private at: number;
 	private settledPace = usualPace;
 	private settledSteady = usualPace;
-	private hasTurned = false;
+	/** Weight of the quick memory when it was last looked at, and when that was. */
+	private seenWeight = 0;
+	private seenAt: number;
+	/** When the quick memory last gained anything. */
+	private gainedAt: number;
+	/** Since when the quick memory decides. */
+	private turnedAt?: number;
 
 	/** @param now monotonic milliseconds */
 	constructor(now: number) {
 		this.recent = new FadingSums(now);
 		this.at = now;
+		this.gainedAt = now;
+		this.seenAt = now;
 	}
 
 	/** Takes what fades from the quick memory over into the steady one. */
@@ -62,18 +80,25 @@
 		const moved = 1 - Math.exp(-passedMs / fadeMs);
 		const kept = Math.exp(-passedMs / steadyMs);
 		const before = this.recent.read(this.at);
+		const isPassing = this.isPassing(now);
 		for (const kind of paceKinds) {
+			if (isPassing) {
+				continue;
+			}
 			const bounded = this.bounded(kind, before[kind], means);
 			this.steady[kind].weight = this.steady[kind].weight * kept + before[kind].weight * moved;
 			this.steady[kind].sum = this.steady[kind].sum * kept + bounded * moved;
 		}
 		this.at = Math.max(this.at, now);
-		this.recent.read(now);
+		this.noteGain(now);
 	}
 
 	/** Observations of both memories. */
 	total(now: number, means: PaceMeans): PaceSums {
 		const recent = this.recent.read(now);
+		if (this.isPassing(now)) {
+			return this.steady;
+		}
 		const sum = (kind: PaceKind) => ({
 			weight: this.steady[kind].weight + recent[kind].weight,
 			sum: this.steady[kind].sum + this.bounded(kind, recent[kind], means),
@@ -81,19 +106,27 @@
 		return { reading: sum('reading'), steps: sum('steps') };
 	}
 
-	/** Works out the paces anew, by new means. */
-	refresh(now: number, means: PaceMeans): void {
+	/**
+	 * Works out the paces anew.
+	 * @param recentMeans of the quick memories alone: what all engines do at once, such as in an overload, is no turn of one
+	 */
+	refresh(now: number, means: PaceMeans, recentMeans: PaceMeans): void {
 		const total = this.total(now, means);
 		const recent = this.recent.read(now);
 		const steps = shrunk(total.steps, means.steps, priorWeights.steps) - means.steps;
 		// An engine reads at the pace of its steps as far as its prompts do not say otherwise, and turns slow in both.
 		const usual = means.reading + steps;
 		const reading = shrunk(total.reading, usual, priorWeights.reading) - means.reading;
-		const turnedSteps = turnOf('steps', recent, means.steps + steps);
-		const turnedReading = turnOf('reading', recent, means.reading + reading + turnedSteps);
-		this.hasTurned = turnedSteps !== 0 || turnedReading !== 0;
+		const turnedSteps = turnOf('steps', recent, recentMeans.steps + steps);
+		const turnedReading = turnOf('reading', recent, recentMeans.reading + reading + turnedSteps);
+		const staying = Math.exp(-Math.max(0, now - this.gainedAt - staleMs) / staleMs);
+		const hasTurned = turnedSteps !== 0 || turnedReading !== 0;
+		this.turnedAt = hasTurned ? (this.turnedAt ?? now) : undefined;
 		this.settledSteady = paceOf(reading, steps);
-		this.settledPace = paceOf(reading + turnedSteps + turnedReading, steps + turnedSteps);
+		this.settledPace = paceOf(
+			reading + (turnedSteps + turnedReading) * staying,
+			steps + turnedSteps * staying,
+		);
 	}
 
 	/** Pace without what happened in the last second or two. */
@@ -108,7 +141,7 @@
 
 	/** Whether the quick memory decides. */
 	get isTurned(): boolean {
-		return this.hasTurned;
+		return this.turnedAt !== undefined;
 	}
 
 	/** Whether both memories are empty. */
@@ -117,6 +150,22 @@
 		return reading.weight + steps.weight < leastWeight && this.recent.isFaded(now);
 	}
 
+	private noteGain(now: number): void {
+		const { reading, steps } = this.recent.read(now);
+		const weight = reading.weight + steps.weight;
+		const kept = this.seenWeight * Math.exp(-Math.max(0, now - this.seenAt) / fadeMs);
+		if (weight - kept > weight * leastGain) {
+			this.gainedAt = now;
+		}
+		this.seenWeight = weight;
+		this.seenAt = now;
+	}
+
+	/** It turned a moment ago: the steady memory keeps what it was before. */
+	private isPassing(now: number): boolean {
+		return this.turnedAt !== undefined && now - this.turnedAt < lastingMs;
+	}
+
 	/** A sum as if its mean were within bounds of the steady figure. */
 	private bounded(kind: PaceKind, { weight, sum }: PaceSum, means: PaceMeans): number {
 		const level = shrunk(this.steady[kind], means[kind], priorWeights[kind]);
--- a/src/core/engines/engine-speeds.ts
+++ b/src/core/engines/engine-speeds.ts
@@ -40,7 +40,6 @@
 	private readonly engines = new Map<EngineRef, EnginePace>();
 	private readonly own = new Map<EngineRef, FadingSums>();
 	private readonly told = new Map<string, Map<EngineRef, FadingSums>>();
-	private readonly lastPauses = new Map<EngineRef, number>();
 	private readonly turns = new SpeedTurns();
 	private readonly means = { reading: 0, steps: 0 };
 	private settledAt = Number.NEGATIVE_INFINITY;
@@ -54,15 +53,9 @@
 		this.paceOf(engine, now).recent.observe(now, kind, bounded, weight);
 	}
 
-	/** Of two pauses in a row the shorter counts: a prompt that is read beside lengthens one. */
+	/** Counted by time, as a slow engine shows fewer pauses. */
 	pauseSeen(engine: EngineRef, ratio: number, now: number): void {
-		const last = this.lastPauses.get(engine);
-		if (last === undefined) {
-			this.lastPauses.set(engine, ratio);
-			return;
-		}
-		this.lastPauses.delete(engine);
-		this.observe(engine, 'steps', Math.min(last, ratio), 1, now);
+		this.observe(engine, 'steps', ratio, Math.min(ratio, outlierFactor), now);
 	}
 
 	pace(engine: EngineRef, now: number): Pace {
@@ -124,7 +117,6 @@
 
 	forgetEngine(engine: EngineRef): void {
 		this.engines.delete(engine);
-		this.lastPauses.delete(engine);
 		for (const source of [this.own, ...this.told.values()]) {
 			source.delete(engine);
 		}
@@ -142,15 +134,20 @@
 		}
 		this.settledAt = now;
 		const all = noPaceSums();
+		const recent = noPaceSums();
 		for (const pace of this.engines.values()) {
 			pace.settle(now, this.means);
 			addPaceSums(all, pace.total(now, this.means));
+			addPaceSums(recent, pace.recent.read(now));
 		}
+		const recentMeans = { ...this.means };
 		for (const kind of paceKinds) {
 			this.means[kind] = all[kind].sum / (all[kind].weight + meanPrior);
+			const { sum, weight } = recent[kind];
+			recentMeans[kind] = (sum + this.means[kind] * meanPrior) / (weight + meanPrior);
 		}
 		for (const pace of this.engines.values()) {
-			pace.refresh(now, this.means);
+			pace.refresh(now, this.means, recentMeans);
 		}
 		this.dropFaded(now);
 	}
@@ -188,7 +185,7 @@
 		this.of(service).observe(engine, 'reading', ratio, weight, now);
 	}
 
-	/** A pause of a stream beside which no prompt was known to be read; `ratio` as for first events. */
+	/** A calm pause of a stream; `ratio` as for first events. */
 	pauseSeen(service: string, engine: EngineRef, ratio: number, now: number): void {
 		this.of(service).pauseSeen(engine, ratio, now);
 	}
--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -3,6 +3,7 @@
  * the fleet knows of at that engine.
  * @module
  */
+import { CalmPauses } from '../engines/calm-pauses.js';
 import type { Engine } from '../engines/engine.js';
 import type { Placement } from '../engines/placement.js';
 import type { WorkChange } from '../fleet/work-sums.js';
@@ -24,6 +25,7 @@
 	private firstEventAt?: number;
 	private lastEventAt = 0;
 	private events = 0;
+	private readonly calmPauses = new CalmPauses();
 	private hasStarted = false;
 	/** Parts of the prompt that other requests may share. */
 	private shared: readonly PromptPart[] = [];
@@ -163,11 +165,12 @@
 
 	private pauseSeen(now: number): void {
 		const { engine, ctx } = this;
+		const ms = now - this.lastEventAt;
 		ctx.costs.pauseSeen(this.service, {
-			ms: now - this.lastEventAt,
+			ms,
 			engine: engine.ref,
 			at: now,
-			isBesidePrompts: ctx.fleet.workAt(engine.key).promptTokens > 0,
+			calmMs: this.calmPauses.next(ms, ctx.fleet.workAt(engine.key).promptTokens > 0),
 		});
 	}
 
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -227,6 +227,9 @@
 			held_ms: 'time from first to last event, in the mean',
 			observations: 'first events that this VM has seen since its start',
 			peers: 'VMs that told what they have seen',
+			paced: 'engines whose own pace is known',
+			turned: 'those of them that lately changed by more than twice',
+			slowest: 'the slowest, with how many times as long as usual each reads and makes tokens',
 		},
 	},
 	{
--- a/src/daemon/relay/cost-report.ts
+++ b/src/daemon/relay/cost-report.ts
@@ -3,19 +3,25 @@
  * metrics address.
  * @module
  */
-import type { Log } from '../../core/definitions.js';
+import type { Clock, Log } from '../../core/definitions.js';
 import type { CostModel } from '../../core/engines/cost-model.js';
+import type { EngineDirectory } from '../../core/engines/engine-directory.js';
 import type { CostSample } from '../../infra/relay/prometheus-metrics.js';
 
 /** Time between two lines of one service, in milliseconds: estimates settle within a few seconds. */
 export const costReportMs = 5000;
 
+/** Engines named in the line of a service: enough to tell a slow machine from a slow service. */
+const mostNamed = 3;
+
 export class CostReport {
 	/** @param services those whose engines run language models */
 	constructor(
 		private readonly log: Log,
 		private readonly costs: CostModel,
 		private readonly services: () => readonly string[],
+		private readonly engines: Pick<EngineDirectory, 'ofRef'>,
+		private readonly clock: Clock,
 	) {}
 
 	/** Writes a line for each service. */
@@ -34,12 +40,29 @@
 				held_ms: Math.round(figures.heldMs),
 				observations,
 				peers,
+				...this.speedsOf(service),
 			});
 		}
 	}
 
+	/** How engines differ from their service's figures, the slowest by id. */
+	private speedsOf(service: string): Record<string, string | number> {
+		const speeds = this.costs.speeds.speeds(service, this.clock.monotonic());
+		const slowest = [...speeds].sort((a, b) => b.steps - a.steps).slice(0, mostNamed);
+		const named = slowest.map(({ engine, reading, steps }) => {
+			const id = this.engines.ofRef(engine)?.id ?? engine;
+			return `${id}:${rounded(reading)}/${rounded(steps)}`;
+		});
+		const turned = speeds.filter(({ isTurned }) => isTurned).length;
+		return { paced: speeds.length, turned, slowest: named.join(',') };
+	}
+
 	samples(): CostSample[] {
-		return this.services().map((service) => ({ service, figures: this.costs.of(service) }));
+		return this.services().map((service) => {
+			const speeds = this.costs.speeds.speeds(service, this.clock.monotonic());
+			const slowestPace = Math.max(1, ...speeds.map(({ steps }) => steps));
+			return { service, figures: this.costs.of(service), slowestPace };
+		});
 	}
 }
 
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -191,7 +191,13 @@
 			});
 		}
 		this.budget = new RetryBudget(settings.retries, () => this.links.knownVms);
-		this.costReport = new CostReport(log, this.costs, () => this.modelServices());
+		this.costReport = new CostReport(
+			log,
+			this.costs,
+			() => this.modelServices(),
+			this.engines,
+			this.clock,
+		);
 		this.metrics = new PrometheusMetrics({
 			open: () => this.relay.size,
 			peers: () => fleet.size,
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -44,6 +44,8 @@
 export interface CostSample {
 	service: string;
 	figures: CostFigures;
+	/** How many times as long as usual the slowest engine takes. */
+	slowestPace: number;
 }
 
 export class PrometheusMetrics implements RelayMetrics {
@@ -161,6 +163,12 @@
 			'Copying a read token',
 			'copyMsPerToken',
 		);
+		this.serviceGauge(
+			gauges,
+			'slategauge_slowest_engine_pace',
+			'Times as long as the figures of its service that its slowest engine takes, by service',
+			({ slowestPace }) => slowestPace,
+		);
 		this.gauge('slategauge_resident_bytes', 'Memory of the process', () =>
 			process.memoryUsage.rss(),
 		);
@@ -223,15 +231,25 @@
 		name: string,
 		what: string,
 		figure: keyof CostFigures,
+	): void {
+		const help = `${what}, as estimated, by service`;
+		this.serviceGauge(gauges, name, help, ({ figures }) => figures[figure] / 1000);
+	}
+
+	private serviceGauge(
+		gauges: RelayGauges,
+		name: string,
+		help: string,
+		read: (sample: CostSample) => number,
 	): void {
 		new prometheus.Gauge({
 			name,
-			help: `${what}, as estimated, by service`,
+			help,
 			labelNames: ['service'],
 			registers: [this.registry],
 			collect() {
-				for (const { service, figures } of gauges.costs()) {
-					this.set({ service }, figures[figure] / 1000);
+				for (const sample of gauges.costs()) {
+					this.set({ service: sample.service }, read(sample));
 				}
 			},
 		});
--- a/test/steps/burst-replay.ts
+++ b/test/steps/burst-replay.ts
@@ -136,7 +136,7 @@
 	private number = 0;
 	private startAt = 0;
 
-	constructor(private readonly opts: BurstOptions) {
+	constructor(readonly opts: BurstOptions) {
 		this.next = sequence(opts.seed);
 		this.fleet = new SimulatedFleet(opts.knowsAll ? 1 : opts.vms, opts.domains, opts.seed);
 		for (let at = 0; at < opts.engines; at++) {
@@ -167,13 +167,6 @@
 		this.runUntil(this.fleet.clock.now + 5000);
 	}
 
-	/** VMs whose processes are killed no longer place anything. */
-	kill(count: number): void {
-		for (const vm of this.fleet.running.slice(0, count)) {
-			this.fleet.kill(vm);
-		}
-	}
-
 	private truePace(ref: number): Pace {
 		const at = this.engines.findIndex(({ engine }) => engine.ref === ref);
 		const pace = this.opts.paceOf?.(at, this.fleet.clock.now - this.startAt) ?? 1;
@@ -202,7 +195,7 @@
 		const { workload } = this.opts;
 		const kind = isLong ? workload.long : workload.short;
 		const tally = isLong ? this.long : this.short;
-		const vms = this.fleet.running;
+		const { vms } = this.fleet;
 		const vm = vms[Math.floor(this.next() * vms.length)] as SimulatedVm;
 		const parts = this.partsOf(isLong, kind.ownTokens);
 		const promptTokens = parts.reduce((sum, part) => sum + part.tokens, 0);
--- a/test/steps/engine-costs.steps.ts
+++ b/test/steps/engine-costs.steps.ts
@@ -149,7 +149,7 @@
 			model.firstEvent(service, { ...sizes, delayMs: 0, engine: 1, at, isQueued: false });
 		}
 		for (let at = 0; at < pauses; at++) {
-			model.pauseSeen(service, { ms: 0, engine: 1, at, isBesidePrompts: false });
+			model.pauseSeen(service, { ms: 0, engine: 1, at, calmMs: 0 });
 		}
 	},
 );
--- a/test/steps/engine-notices.steps.ts
+++ b/test/steps/engine-notices.steps.ts
@@ -8,6 +8,7 @@
 import * as cucumber from '@cucumber/cucumber';
 import type { Engine } from '../../src/core/engines/engine.js';
 import { EngineDirectory } from '../../src/core/engines/engine-directory.js';
+import { usualPace } from '../../src/core/engines/engine-pace.js';
 import type { AnswerListener, EngineCall } from '../../src/core/relay/definitions.js';
 import { RelayedRequest } from '../../src/core/relay/relayed-request.js';
 import type { RelayContext } from '../../src/core/relay/types.js';
@@ -228,7 +229,8 @@
 		const [first] = directory.offered('pool');
 		const work = { running: 0, promptTokens: 0 };
 		const choose = (_req: unknown, engines: readonly Engine[]) => {
-			return { engine: engines[0] ?? first, work, reason: 'test', readMsPerToken: 0, waitMs: 0 };
+			const figures = { readMsPerToken: 0, waitMs: 0, pace: usualPace };
+			return { engine: engines[0] ?? first, work, reason: 'test', ...figures };
 		};
 		const ctx = {
 			clock: clockOf(this),
--- a/test/steps/observed-answer.ts
+++ b/test/steps/observed-answer.ts
@@ -2,6 +2,7 @@
  * What the relay would tell the cost model of one answer of a simulated engine.
  * @module
  */
+import { CalmPauses } from '../../src/core/engines/calm-pauses.js';
 import type { CostModel } from '../../src/core/engines/cost-model.js';
 import type { EngineRef } from '../../src/core/fleet/types.js';
 import type { BatchRequest } from '../stand-ins/batch-engine.js';
@@ -34,6 +35,7 @@
 	let firstAt: number | undefined;
 	let lastAt = 0;
 	let events = 0;
+	const calm = new CalmPauses();
 	return {
 		sentAt,
 		promptTokens,
@@ -47,12 +49,9 @@
 				model.firstEvent(service, { ...sizes, delayMs, engine, at, isQueued });
 				req.onFirst?.(delayMs);
 			} else {
-				model.pauseSeen(service, {
-					ms: at - lastAt,
-					engine,
-					at,
-					isBesidePrompts: isBesidePrompts(),
-				});
+				const ms = at - lastAt;
+				const calmMs = calm.next(ms, isBesidePrompts());
+				model.pauseSeen(service, { ms, engine, at, calmMs });
 			}
 			lastAt = at;
 		},
--- a/test/steps/overload.steps.ts
+++ b/test/steps/overload.steps.ts
@@ -171,19 +171,19 @@
 			tally.refused += counts ? 1 : 0;
 			return;
 		}
-		this.send(req, placed.engine.id, now, (delayMs) => {
+		this.send(req, placed.engine, now, (delayMs) => {
 			tally.inTime += counts && delayMs <= targetMs ? 1 : 0;
 		});
 	}
 
 	private send(
 		req: PlacementRequest,
-		engineId: string,
+		{ id: engineId, ref, entry: { slots } }: Engine,
 		now: number,
 		onFirst: (delayMs: number) => void,
 	): void {
 		const { promptTokens, answerTokens } = req;
-		const aheadTokens = this.fleet.workAt(engineId).promptTokens;
+		const { promptTokens: aheadTokens, running } = this.fleet.workAt(engineId);
 		this.fleet.changeWork(engineId, { running: 1, promptTokens });
 		const request = observed(this.costs, {
 			service,
@@ -191,6 +191,9 @@
 			promptTokens,
 			answerTokens,
 			aheadTokens,
+			engine: ref,
+			isQueued: running >= slots,
+			isBesidePrompts: () => this.fleet.workAt(engineId).promptTokens > 0,
 			expectedTokens: answerTokens,
 			onFirst: (delayMs) => {
 				this.fleet.changeWork(engineId, { promptTokens: -promptTokens });
