--- a/src/core/engines/pause-risk.ts
+++ b/src/core/engines/pause-risk.ts
@@ -5,11 +5,11 @@
  */
 import type { CostFigures } from './work-estimate.js';
 
-/** An undisturbed pause of up to this share of the target leaves room for a prompt that is read beside. */
-const bearableShare = 0.5;
+/** An undisturbed pause of up to this share of the target leaves room for prompts that are read beside: they make it several times as long. */
+const bearableShare = 0.25;
 
 /**
- * Milliseconds of waiting that the pauses to expect are as bad as: none while they leave half of the target, and as much as
+ * Milliseconds of waiting that the pauses to expect are as bad as: none while they leave three quarters of the target, and as much as
  * a first event that comes late by its whole target when nothing is left.
  * @param targetPauseMs undefined where the caller names none
  * @param targetMs within which the first event should come
