--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -15,9 +15,13 @@
 import type { Engine } from './engine.js';
 import type { Division } from './engine-division.js';
 import { EngineDivision } from './engine-division.js';
+import type { Pace } from './engine-pace.js';
+import { usualPace } from './engine-pace.js';
 import { sampleEngines, sampleSize } from './engine-sample.js';
 import { homesOf } from './home-engines.js';
 import { comeBackS, isOverloaded } from './overload.js';
+import { pauseRiskMs } from './pause-risk.js';
+import { slotWaitMs } from './slot-wait.js';
 import type { CostFigures } from './work-estimate.js';
 import { copyingMs, longWorkMs, readingMs, shortWorkMs } from './work-estimate.js';
 
@@ -68,6 +72,8 @@
 	targetMs: number;
 	/** Shortest of the target pauses of the service's streams, in milliseconds; undefined when none has one. */
 	tightestPauseMs?: number;
+	/** Between two events the request's own caller wants no longer pause, in milliseconds; undefined when it names none. */
+	targetPauseMs?: number;
 	model?: EngineModel;
 	/** No route of the service has a less urgent tier. */
 	leastUrgent: boolean;
@@ -87,6 +93,8 @@
 	/** What decided: estimated time until the first event, and cost of reading a token, in milliseconds. */
 	waitMs: number;
 	readMsPerToken: number;
+	/** How many times as long as its service's figures say work takes there; 1 is usual. */
+	pace: Pace;
 	/** Prompt tokens that it is believed to keep. */
 	cachedTokens: number;
 	/** Prompt tokens that it should copy from another engine, and that engine; none if there is no gain. */
@@ -108,6 +116,8 @@
 interface Candidate {
 	engine: Engine;
 	work: EngineWork;
+	/** What work costs there. */
+	costs: CostFigures;
 	/** Milliseconds until its prompt begins to be read, and for reading it. */
 	queueMs: number;
 	ownMs: number;
@@ -133,11 +143,14 @@
 /** What is the same for all engines that one request is weighed against. */
 interface Weighing {
 	req: PlacementRequest;
-	costs: CostFigures;
 	kept: Kept;
 	/** Tokens that it shares with others, and the last part of those. */
 	sharedTokens: number;
 	key: string;
+	/** What it saves the next ones to read that where they look for it, in milliseconds. */
+	meetingMs: number;
+	/** Monotonic milliseconds. */
+	now: number;
 }
 
 export class EnginePlacement {
@@ -159,7 +172,9 @@
 		if (open.length === 0) {
 			return { refusal: 'no engine of the service can be used', retryAfterS: comeBackS };
 		}
-		return req.parts.length === 0 ? this.leastRunning(open) : this.byPrompt(req, engines, open);
+		return req.parts.length === 0
+			? this.leastRunning(open)
+			: this.byPrompt(req, engines, open, now);
 	}
 
 	/** The one with the fewest of the fleet's requests; of several any. */
@@ -175,6 +190,7 @@
 			readingMs: 0,
 			waitMs: 0,
 			readMsPerToken: 0,
+			pace: usualPace,
 			cachedTokens: 0,
 			copiedTokens: 0,
 		};
@@ -185,18 +201,24 @@
 		req: PlacementRequest,
 		engines: readonly Engine[],
 		open: readonly Engine[],
+		now: number,
 	): Placement | Refusal {
 		const costs = this.costs.of(req.service);
 		const kept = this.keptOf(req, open);
 		const isLong = isLongPrompt(req.promptTokens, req.tightestPauseMs, costs);
-		const division = this.divisionOf(req.service, divided(engines, req));
+		const division = this.divisionOf(req.service, divided(engines, req), now);
 		const side = isLong ? division.long : division.short;
 		const shared = req.parts.slice(0, -1);
 		const sharedTokens = tokensOf(shared);
 		const key = shared.at(-1)?.id ?? req.parts[0]?.id ?? '';
-		const best = this.bestOf({ req, costs, kept, sharedTokens, key }, open, side, isLong);
+		const meetingMs = readingMs(costs, sharedTokens) * meetingShare;
+		const weighing = { req, kept, sharedTokens, key, meetingMs, now };
+		const best = this.bestOf(weighing, open, side, isLong);
 		const awaited = { queueMs: this.queueLeftMs(best), ownMs: best.ownMs };
-		if (req.leastUrgent && isOverloaded(awaited, req.targetMs, this.busyShare(isLong, side.size))) {
+		if (
+			req.leastUrgent &&
+			isOverloaded(awaited, req.targetMs, this.busyShare(isLong, division.longCapacity))
+		) {
 			const refusal = `the prompt would wait ${Math.round(awaited.queueMs)} ms for others`;
 			return { refusal, retryAfterS: comeBackS };
 		}
@@ -207,9 +229,10 @@
 		return {
 			engine,
 			promptTokens: uncached,
-			readingMs: readingMs(costs, uncached),
+			readingMs: readingMs(best.costs, uncached),
 			waitMs,
-			readMsPerToken: costs.readMsPerToken,
+			readMsPerToken: best.costs.readMsPerToken,
+			pace: this.costs.speeds.pace(req.service, engine.ref, now),
 			cachedTokens: best.cached,
 			copiedTokens: best.copied,
 			copyFrom: best.copied > 0 ? kept.copyFrom : undefined,
@@ -234,9 +257,10 @@
 		const others = open.filter((engine) => !side.has(engine.id));
 		const weighed = this.weighed(weighing, others, []);
 		// Engines of long prompts are overloaded in a burst of them, while those of short ones have time.
-		const mostMs =
-			isLong && ownBest ? bearableMs(weighing.req.tightestPauseMs, weighing.costs) : Infinity;
-		const otherBest = cheapest(weighed.filter(({ queueMs, ownMs }) => queueMs + ownMs <= mostMs));
+		const isBearable = ({ queueMs, ownMs, costs }: Candidate) => {
+			return queueMs + ownMs <= bearableMs(weighing.req.tightestPauseMs, costs);
+		};
+		const otherBest = cheapest(isLong && ownBest ? weighed.filter(isBearable) : weighed);
 		if (!ownBest || !otherBest) {
 			return (ownBest ?? otherBest) as Candidate;
 		}
@@ -265,8 +289,8 @@
 	}
 
 	/** How busy long prompts keep the engines that read them: 1 is all of the time; 0 for a short prompt. */
-	private busyShare(isLong: boolean, longEngines: number): number {
-		return isLong ? this.fleet.demand().long / longEngines : 0;
+	private busyShare(isLong: boolean, longCapacity: number): number {
+		return isLong ? this.fleet.demand().long / longCapacity : 0;
 	}
 
 	private keptOf(req: PlacementRequest, open: readonly Engine[]): Kept {
@@ -281,24 +305,28 @@
 
 	/** @param homeRank place among the engines where its shared parts meet; negative for others */
 	private weigh(weighing: Weighing, engine: Engine, homeRank: number): Candidate {
-		const { req, costs, kept, sharedTokens, key } = weighing;
+		const { req, kept, sharedTokens, key, now } = weighing;
+		const costs = this.costs.at(req.service, engine.ref, now);
 		const work = this.fleet.workAt(engine.key);
 		const { cached } = kept.by.get(engine.ref) ?? nothingKept;
 		const missing = kept.copyable - cached;
 		const copied = missing >= leastCopiedTokens ? missing : 0;
 		const uncached = Math.max(0, req.promptTokens - cached - copied);
-		const queued = Math.max(0, work.running + 1 - engine.entry.slots);
-		const slotMs = (queued * costs.heldMs) / engine.entry.slots;
+		const { heldMs } = costs;
+		const { slots } = engine.entry;
+		const slotMs = slotWaitMs({ ...work, slots, heldMs, newsAgeMs: this.fleet.newsAgeMs });
 		const queueMs = work.promptTokens * costs.readMsPerToken + slotMs;
 		const ownMs = readingMs(costs, uncached) + copyingMs(costs, copied);
 		const waitMs = costs.firstMs + queueMs + ownMs;
 		const unread = sharedTokens - cached - copied;
 		const reread = (unread * rereadWeight + copied * copyWeight) * costs.readMsPerToken;
-		const met = homeRank < 0 ? 0 : (readingMs(costs, sharedTokens) * meetingShare) / (homeRank + 1);
-		const cost = waitMs + work.running * runningMs + reread - met;
+		const met = homeRank < 0 ? 0 : weighing.meetingMs / (homeRank + 1);
+		const pauses = pauseRiskMs(costs, req.targetPauseMs, req.targetMs);
+		const cost = waitMs + work.running * runningMs + reread + pauses - met;
 		return {
 			engine,
 			work,
+			costs,
 			queueMs,
 			ownMs,
 			waitMs,
@@ -326,13 +354,15 @@
 		return Math.max(leastCostStepMs, this.fleet.newsAgeMs * costStepOfNewsAge);
 	}
 
-	private divisionOf(service: string, engines: readonly Engine[]): Division {
+	private divisionOf(service: string, engines: readonly Engine[], now: number): Division {
 		let division = this.divisions.get(service);
 		if (!division) {
 			division = new EngineDivision();
 			this.divisions.set(service, division);
 		}
-		return division.divide(engines, this.fleet.demand());
+		const { speeds } = this.costs;
+		const capacityOf = ({ ref }: Engine) => 1 / speeds.steadyPace(service, ref, now).reading;
+		return division.divide(engines, this.fleet.demand(), capacityOf);
 	}
 }
 
--- a/src/core/fleet/news-exchange.ts
+++ b/src/core/fleet/news-exchange.ts
@@ -32,12 +32,12 @@
 const quietMs = 250;
 /**
  * A report that tells nothing new goes with the look (`update`) that comes so long after the last, in milliseconds: the VM wakes up
- * once for both. That is three times before the VM seems dead; the latest time counts where no look comes.
+ * once for both. Two may be lost before the VM goes to another aggregator; the latest time counts where no look comes.
  */
-const quietReportMs = 290;
-const latestReportMs = 350;
-/** An aggregator's members hear it at least so often, in milliseconds: three times before it seems silent. */
-const aggregatorQuietMs = 160;
+const quietReportMs = 240;
+const latestReportMs = 250;
+/** An aggregator's members hear it at least so often, in milliseconds: four times before it seems silent. */
+const aggregatorQuietMs = 125;
 /** A VM goes to the next aggregator when its own was silent, or did not take in its reports, for so long, in milliseconds. */
 const silentMs = 500;
 /** Another aggregator is passed over when it was silent for so long, in milliseconds. */
--- a/src/core/fleet/news-parts.ts
+++ b/src/core/fleet/news-parts.ts
@@ -15,18 +15,18 @@
 const crashBytes = 16;
 const limitBytes = 16;
 const answerBytes = 12;
+const speedBytes = 18;
 /** First number beyond those of engines. */
 export const endOfRefs = 2 ** 32;
 
-/** Lists that the first part alone carries. */
-export interface FirstLists {
-	crashes: readonly unknown[];
-	limits: readonly unknown[];
-	answers: readonly unknown[];
+/** Rows beside the lists that are cut; they go with the first part. */
+export interface WholeRows {
+	crashes: number;
+	limits: number;
+	answers: number;
+	speeds: number;
 }
 
-const noLists: FirstLists = { crashes: [], limits: [], answers: [] };
-
 export interface NewsPart {
 	engines: EngineRange;
 	work: EngineWork[];
@@ -36,20 +36,21 @@
 /**
  * @param reads as many go along as fit, those that do not stay
  * @param heard goes with each part
- * @param first lists that go with the first part
  */
 export function cutNews(
 	work: readonly EngineWork[],
 	reads: PartRead[],
 	heard: readonly HeardReport[],
-	first: FirstLists = noLists,
+	whole: WholeRows,
 ): NewsPart[] {
-	const room = payloadBytes - headBytes - heard.length * heardBytes - bytesOf(first);
-	const most = Math.max(1, Math.floor(room / workBytes));
+	const allRoom = payloadBytes - headBytes - heard.length * heardBytes;
+	const wholeBytes = bytesOf(whole);
 	const sorted = [...work].sort((a, b) => a.engine - b.engine);
 	const parts: NewsPart[] = [];
 	let from = 0;
 	do {
+		const room = parts.length === 0 ? allRoom - wholeBytes : allRoom;
+		const most = Math.max(1, Math.floor(room / workBytes));
 		const rows = sorted.splice(0, most);
 		const to = sorted[0]?.engine ?? endOfRefs;
 		const left = Math.floor((room - rows.length * workBytes) / readBytes);
@@ -59,8 +60,9 @@
 	return parts;
 }
 
-function bytesOf({ crashes, limits, answers }: FirstLists): number {
-	return crashes.length * crashBytes + limits.length * limitBytes + answers.length * answerBytes;
+function bytesOf({ crashes, limits, answers, speeds }: WholeRows): number {
+	const bytes = crashes * crashBytes + limits * limitBytes;
+	return bytes + answers * answerBytes + speeds * speedBytes;
 }
 
 export function isWithin(engine: number, { from, to }: EngineRange): boolean {
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -4,6 +4,7 @@
  */
 
 import type { CostSums } from '../engines/cost-model.js';
+import type { SpeedSums } from '../engines/engine-speeds.js';
 import type { EngineAnswers } from '../engines/recent-answers.js';
 import type { IssuerWord, LimitWord } from '../limits/types.js';
 import type { CrashRow } from '../quarantine/types.js';
@@ -107,6 +108,8 @@
 	costs?: CostSums[];
 	/** Answers of engines that failed requests lately; whole, in one datagram of a moment. */
 	answers?: EngineAnswers[];
+	/** What was lately seen of single engines' speed; several times a second. */
+	speeds?: SpeedSums[];
 	/** VMs that the store answered lately. */
 	readers: StoreReader[];
 	/** Reports that the sums contain. */
--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -3,6 +3,7 @@
  * the fleet knows of at that engine.
  * @module
  */
+import { CalmPauses } from '../engines/calm-pauses.js';
 import type { Engine } from '../engines/engine.js';
 import type { Placement } from '../engines/placement.js';
 import type { WorkChange } from '../fleet/work-sums.js';
@@ -24,6 +25,7 @@
 	private firstEventAt?: number;
 	private lastEventAt = 0;
 	private events = 0;
+	private readonly calmPauses = new CalmPauses();
 	private hasStarted = false;
 	/** Parts of the prompt that other requests may share. */
 	private shared: readonly PromptPart[] = [];
@@ -124,7 +126,7 @@
 			this.ctx.fleet.read(this.shared, this.engine.key, true);
 			this.ctx.onWorkChanged();
 		} else if (!isPaused) {
-			this.ctx.costs.pauseSeen(this.service, now - this.lastEventAt);
+			this.pauseSeen(now);
 		}
 		this.lastEventAt = now;
 	}
@@ -149,8 +151,27 @@
 
 	private firstEventSeen(delayMs: number): void {
 		const { promptTokens, copiedTokens, work } = this.placement;
-		const aheadTokens = work.promptTokens;
-		this.ctx.costs.firstEvent(this.service, { promptTokens, aheadTokens, copiedTokens, delayMs });
+		const { engine } = this;
+		this.ctx.costs.firstEvent(this.service, {
+			promptTokens,
+			aheadTokens: work.promptTokens,
+			copiedTokens,
+			delayMs,
+			engine: engine.ref,
+			at: this.ctx.clock.monotonic(),
+			isQueued: work.running >= engine.entry.slots,
+		});
+	}
+
+	private pauseSeen(now: number): void {
+		const { engine, ctx } = this;
+		const ms = now - this.lastEventAt;
+		ctx.costs.pauseSeen(this.service, {
+			ms,
+			engine: engine.ref,
+			at: now,
+			calmMs: this.calmPauses.next(ms, ctx.fleet.workAt(engine.key).promptTokens > 0),
+		});
 	}
 
 	hold(chunk: Buffer): void {
--- a/test/steps/observed-answer.ts
+++ b/test/steps/observed-answer.ts
@@ -2,11 +2,19 @@
  * What the relay would tell the cost model of one answer of a simulated engine.
  * @module
  */
+import { CalmPauses } from '../../src/core/engines/calm-pauses.js';
 import type { CostModel } from '../../src/core/engines/cost-model.js';
+import type { EngineRef } from '../../src/core/fleet/types.js';
 import type { BatchRequest } from '../stand-ins/batch-engine.js';
 
 export interface ObservedRequest {
 	service: string;
+	/** Stands for the engine in messages. */
+	engine?: EngineRef;
+	/** The engine had no free slot, as far as is known. @default false */
+	isQueued?: boolean;
+	/** Prompts wait at the engine, as far as is known, when an event comes. @default never */
+	isBesidePrompts?: () => boolean;
 	/** Milliseconds. */
 	sentAt: number;
 	promptTokens: number;
@@ -23,9 +31,11 @@
 /** The request as an engine takes it; its events go to the model. */
 export function observed(model: CostModel, req: ObservedRequest): BatchRequest {
 	const { service, sentAt, promptTokens, aheadTokens, expectedTokens } = req;
+	const { engine = 1, isQueued = false, isBesidePrompts = () => false } = req;
 	let firstAt: number | undefined;
 	let lastAt = 0;
 	let events = 0;
+	const calm = new CalmPauses();
 	return {
 		sentAt,
 		promptTokens,
@@ -35,10 +45,13 @@
 			if (firstAt === undefined) {
 				firstAt = at;
 				const delayMs = at - sentAt;
-				model.firstEvent(service, { promptTokens, aheadTokens, copiedTokens: 0, delayMs });
+				const sizes = { promptTokens, aheadTokens, copiedTokens: 0 };
+				model.firstEvent(service, { ...sizes, delayMs, engine, at, isQueued });
 				req.onFirst?.(delayMs);
 			} else {
-				model.pauseSeen(service, at - lastAt);
+				const ms = at - lastAt;
+				const calmMs = calm.next(ms, isBesidePrompts());
+				model.pauseSeen(service, { ms, engine, at, calmMs });
 			}
 			lastAt = at;
 		},
--- a/test/steps/relay-burst.steps.ts
+++ b/test/steps/relay-burst.steps.ts
@@ -5,7 +5,7 @@
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
 import type { BurstOptions, BurstTally, Workload } from './burst-replay.js';
-import { BurstReplay, notices, recaps, saves } from './burst-replay.js';
+import { BurstReplay, notices, quests, recaps, saves } from './burst-replay.js';
 import { seen } from './relay-fakes.js';
 import type { FleetWorld } from './world.js';
 
@@ -13,6 +13,7 @@
 	'summarize notices': notices,
 	'recap episodes': recaps,
 	'digest saved games': saves,
+	'answer quests': quests,
 };
 const seed = 1;
 
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -395,6 +395,7 @@
 	const pauses = { eventMs: 17.5, eventWeight: 100, events: 900, expectedTokens: 4000 };
 	const costs = [{ service: 3_000_000_000, reading: line, copying: line, ...pauses }];
 	const demand = { long: 1.25, short: 0.5 };
+	const pace = { reading: { weight: 2, sum: 1 }, steps: { weight: 0.5, sum: -0.25 } };
 	const told = news({
 		kind: 'fleet',
 		work,
@@ -406,6 +407,7 @@
 		vms: 195,
 		costs,
 		answers: [{ engine: 4_000_000_000, failed: 4, served: 1, failingVms: 3 }],
+		speeds: [{ service: 3_000_000_000, engines: [{ engine: 4_000_000_000, ...pace }] }],
 		limits: [
 			{ engine: 4_000_000_000, perS: 2.9, version: 3 },
 			{ engine: 2, perS: undefined, version: 70 },
