--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -393,6 +393,12 @@
 	const heard = [{ vm: 4_000_000_001, seq: 70_000 }];
 	const line = { weight: 12.5, x: 4000, y: 130.25, xx: 9_000_000, xy: 800_000 };
 	const pauses = { eventMs: 17.5, eventWeight: 100, events: 900, expectedTokens: 4000 };
+	const pace = {
+		engine: 4_000_000_000,
+		reading: { weight: 2, sum: -1 },
+		steps: { weight: 4, sum: 3 },
+	};
+	const speeds = [{ service: 3_000_000_000, engines: [pace] }];
 	const costs = [{ service: 3_000_000_000, reading: line, copying: line, ...pauses }];
 	const demand = { long: 1.25, short: 0.5 };
 	const told = news({
@@ -405,6 +411,7 @@
 		engines,
 		vms: 195,
 		costs,
+		speeds,
 		limits: [
 			{ engine: 4_000_000_000, perS: 2.9, version: 3 },
 			{ engine: 2, perS: undefined, version: 70 },
