--- a/test/steps/due-timer.steps.ts
+++ b/test/steps/due-timer.steps.ts
@@ -102,5 +102,6 @@
 	pass(test, 10);
 	assert.equal(test.fired.length, 1);
 	test.timer.stop();
-	mock.timers.reset();
 });
+
+cucumber.After(() => mock.timers.reset());
