--- a/src/core/fleet/news-exchange.ts
+++ b/src/core/fleet/news-exchange.ts
@@ -36,8 +36,8 @@
  */
 const quietReportMs = 290;
 const latestReportMs = 350;
-/** An aggregator's members hear it at least so often, in milliseconds: three times before it seems silent. */
-const aggregatorQuietMs = 160;
+/** An aggregator's members hear it at least so often, in milliseconds: four times before it seems silent. */
+const aggregatorQuietMs = 125;
 /** A VM goes to the next aggregator when its own was silent, or did not take in its reports, for so long, in milliseconds. */
 const silentMs = 500;
 /** Another aggregator is passed over when it was silent for so long, in milliseconds. */
