Chunks of a stream go to the caller's socket in one piece each

Cause: the server writes the length of a chunk, its bytes and its end one by one, corks them, and joins them again in the next step of the loop with callbacks for each: the largest part of an event that is not the engine's side. Change: behind the first chunk, which goes with the head, the relay frames chunks itself and writes them to the socket of the answer. Answers without chunks (older protocol), to HEAD, and those that wait behind others on their connection go through the server as before.

--- a/src/infra/relay/callers-front.ts
+++ b/src/infra/relay/callers-front.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import type * as stream from 'node:stream';
 import type { Clock, Log } from '../../core/definitions.js';
 import type { CallerRequest, CallerResponse, RawHeaders } from '../../core/relay/definitions.js';
@@ -169,8 +170,14 @@
 	}
 }
 
-/** One answer on Node's server. */
+/**
+ * One answer on Node's server. Chunks behind the first go to the socket in one piece each: the server would write their length, bytes and
+ * end one by one, gather them, and join them again in the next step of the loop.
+ */
 class HttpCallerResponse implements CallerResponse {
+	/** The socket, once the head has left on it and chunks may follow. */
+	private socket?: net.Socket;
+
 	constructor(
 		private readonly res: http.ServerResponse,
 		private readonly isLast: () => boolean,
@@ -184,7 +191,16 @@
 	}
 
 	write(chunk: Buffer): boolean {
-		return this.res.write(chunk);
+		const { res, socket } = this;
+		if (socket && !socket.destroyed) {
+			return chunk.length === 0 || socket.write(framed(chunk));
+		}
+		const isTaken = res.write(chunk);
+		// A caller who asked for several answers at once gets this one's socket when those before it have ended.
+		if (res.socket && res.chunkedEncoding && res.req.method !== 'HEAD') {
+			this.socket = res.socket;
+		}
+		return isTaken;
 	}
 
 	end(chunk?: Buffer): void {
@@ -196,7 +212,7 @@
 	}
 
 	onDrain(callback: () => void): void {
-		this.res.once('drain', callback);
+		(this.socket ?? this.res).once('drain', callback);
 	}
 
 	onClosed(callback: () => void): void {
@@ -208,6 +224,18 @@
 	}
 }
 
+const lineEnd = '\r\n';
+
+/** A chunk as it goes over the wire (RFC 9112, section 7.1). */
+function framed(chunk: Buffer): Buffer {
+	const size = chunk.length.toString(16) + lineEnd;
+	const frame = Buffer.allocUnsafe(size.length + chunk.length + lineEnd.length);
+	frame.write(size, 'latin1');
+	chunk.copy(frame, size.length);
+	frame.write(lineEnd, size.length + chunk.length, 'latin1');
+	return frame;
+}
+
 function headBytes(rawHeaders: readonly string[]): number {
 	let bytes = 0;
 	for (const text of rawHeaders) {
