Speeds that a VM told fade by themselves when it is no longer heard directly

Change: what was told of speeds is forgotten only of VMs that fell silent; it fades within two seconds anyway.

--- a/src/core/engines/cost-model.ts
+++ b/src/core/engines/cost-model.ts
@@ -280,9 +280,8 @@
 		}
 	}
 
-	/** Another VM no longer tells anything: others speak for what it has seen. */
-	forget(from: string, now: number): void {
-		this.speeds.forget(from, now);
+	/** Another VM no longer tells anything: others speak for what it has seen. Speeds that it told fade by themselves. */
+	forget(from: string): void {
 		for (const costs of this.services.values()) {
 			costs.forget(from);
 		}
--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -280,6 +280,7 @@
 	sweep(): void {
 		for (const source of this.sources.silent()) {
 			this.drop(source);
+			this.opts.costs.speeds.forget(source.name, this.now);
 			this.opts.log.info('peer.lost', { peer: source.name, peers: this.size });
 		}
 	}
@@ -394,7 +395,7 @@
 	private drop(source: NewsSource): void {
 		this.work.drop(source);
 		this.sources.remove(source);
-		this.opts.costs.forget(source.name, this.now);
+		this.opts.costs.forget(source.name);
 		this.opts.answers.forget(source.name);
 	}
 }
