Scarce room is shared out among customers: max-min, by the work they ask for, over all VMs

Cause: customers were not told apart. One that sends many times its usual fills the queues of all engines, and the least urgent tier was refused by the best engine's wait alone, whoever asked.

Change: VMs tell twice a second what each of the heaviest customers asked for (core/fairness). Admission (core/admission, in place of engines/overload) shares room out by the mean queue of the service's engines; what lies within a share is drawn by a lot that is the same for a request that comes again at once. Other tiers are refused only when they would begin after their deadline and no lower one was let in lately. Each refusal has a line with what decided and a counter by cause. Without customers the limits are as before.

--- /dev/null
+++ b/src/core/admission/admission.ts
@@ -0,0 +1,88 @@
+/**
+ * Decides whether a request of one service is let in, for the load of a burst that brings more prompts than the engines can read. Without
+ * it each of them waits until it is late, and those that could have been in time with them. What customers ask for beyond their
+ * share gives way first; more urgent tiers, which engines let go first, only when they are of no use any more.
+ * @module
+ */
+import type { AdmissionAsk, AdmissionRefusal } from './types.js';
+import { refusalCauses } from './types.js';
+
+/**
+ * A request is refused when it would wait for longer than this share of its target. With the whole target as limit 33 % of those
+ * taken were in time on fast engines in a replayed overload, and 80 % or more with this.
+ */
+const longestWait = 0.8;
+/**
+ * Of the time that a prompt takes itself at most this share of its target counts: the largest ones take longer than
+ * their target by themselves, and would be refused by engines that have nothing else to do.
+ */
+const ownShare = 0.25;
+/** Long prompts keep their engines as busy as they can be; beyond this the queue grows as long as the burst lasts. */
+const mostBusy = 1;
+/** Where customers are not told apart, engines that are that busy refuse from a wait of this share of the target on. */
+const busyWait = 0.5;
+/**
+ * Where they are, room is shared out from a queue of this share of the target on, in the mean over engines: what is left up to the longest
+ * wait is as much again as a prompt's own reading counts for, since queues differ and news of them are late.
+ */
+const sharedFrom = longestWait - 2 * ownShare;
+/** At a queue of this share of the target nothing more can be in time; between the two the part that is let in falls evenly. */
+const sharedTo = 1;
+/** A tier was let in lately when it was so long ago, in milliseconds: callers of one kind see for how long another one is served. */
+const latelyMs = 5000;
+
+export class Admission {
+	/** When a request was last let in, by urgency, in monotonic milliseconds. */
+	private readonly letInAt: number[] = [];
+
+	/** @returns undefined when it is let in */
+	refusal(ask: AdmissionAsk, now: number): AdmissionRefusal | undefined {
+		const refusal = this.isOfNoUse(ask, now)
+			? { cause: refusalCauses.deadline }
+			: ask.leastUrgent
+				? this.limit(ask)
+				: undefined;
+		if (refusal === undefined) {
+			this.letInAt[ask.urgency] = now;
+		}
+		return refusal;
+	}
+
+	/**
+	 * It would begin after its deadline. A tier must not get nothing while a less urgent one is let in: engines let it go before those, so
+	 * the queue decides only where none is.
+	 */
+	private isOfNoUse({ awaited, leftMs, urgency }: AdmissionAsk, now: number): boolean {
+		const lower = this.letInAt.slice(urgency + 1);
+		const isLowerLetIn = lower.some((at) => now - at < latelyMs);
+		return awaited.queueMs > leftMs && !isLowerLetIn;
+	}
+
+	private limit(ask: AdmissionAsk): AdmissionRefusal | undefined {
+		const { awaited, targetMs, busyShare, standingAt } = ask;
+		const waitMs = awaited.queueMs + Math.min(awaited.ownMs, targetMs * ownShare);
+		const wait = waitMs / targetMs;
+		if (wait > longestWait) {
+			return { cause: refusalCauses.queue };
+		}
+		if (standingAt) {
+			return overShare(standingAt, awaited.meanQueueMs / targetMs, ask.lot);
+		}
+		const isTooBusy = busyShare > mostBusy && wait > busyWait;
+		return isTooBusy ? { cause: refusalCauses.queue } : undefined;
+	}
+}
+
+/** What lies within a customer's share is drawn by lot: alike on all VMs, whatever the others let in at the same moment. */
+function overShare(
+	standingAt: NonNullable<AdmissionAsk['standingAt']>,
+	queue: number,
+	lot: number,
+): AdmissionRefusal | undefined {
+	if (queue <= sharedFrom) {
+		return undefined;
+	}
+	const letIn = (sharedTo - queue) / (sharedTo - sharedFrom);
+	const standing = standingAt(Math.max(0, letIn));
+	return lot < standing.within ? undefined : { cause: refusalCauses.share, standing };
+}
--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -3,7 +3,11 @@
  * waits there.
  * @module
  */
+import { Admission } from '../admission/admission.js';
+import type { AdmissionAsk, Awaited, RefusalCause } from '../admission/types.js';
+import { refusalCauses } from '../admission/types.js';
 import type { Random } from '../definitions.js';
+import type { CustomerStanding } from '../fairness/types.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { KeptTokens } from '../fleet/prompt-cache-map.js';
 import type { EngineRef, EngineWork } from '../fleet/types.js';
@@ -16,7 +20,6 @@
 import type { Division } from './engine-division.js';
 import { EngineDivision } from './engine-division.js';
 import { sampleEngines } from './engine-sample.js';
-import { comeBackS, isOverloaded } from './overload.js';
 import type { CostFigures } from './work-estimate.js';
 import { copyingMs, longWorkMs, readingMs, shortWorkMs } from './work-estimate.js';
 
@@ -50,6 +53,8 @@
 const meanNewsAge = 0.5;
 /** An engine is weighed in any case if it keeps this share of what a request shares with others. */
 const muchKept = 0.5;
+/** Seconds after which a refused caller may come back: a queue at its limit drains in less, once the burst lets it. */
+const comeBackS = 1;
 /** More than any random score. */
 const connectedScore = 1;
 
@@ -63,6 +68,12 @@
 	/** Shortest of the target pauses of the service's streams, in milliseconds; undefined when none has one. */
 	tightestPauseMs?: number;
 	model?: EngineModel;
+	/** Told apart by its share where room is scarce; undefined where customers are not. */
+	customer?: string;
+	/** What is left of its caller's time, in milliseconds. */
+	leftMs: number;
+	/** 0 is the most urgent. */
+	urgency: number;
 	/** No route of the service has a less urgent tier. */
 	leastUrgent: boolean;
 	/** Engines that already had this request. */
@@ -94,7 +105,11 @@
 
 export interface Refusal {
 	refusal: string;
+	cause: RefusalCause;
 	retryAfterS: number;
+	/** What decided, where engines could have taken it. */
+	awaited?: Awaited;
+	standing?: CustomerStanding;
 }
 
 const nothingKept: KeptTokens = { cached: 0, copyable: 0 };
@@ -133,6 +148,7 @@
 
 export class EnginePlacement {
 	private readonly divisions = new Map<string, EngineDivision>();
+	private readonly admissions = new Map<string, Admission>();
 
 	/** @param hasFree whether a connection to an address is open and unused: new ones are slow and dear */
 	constructor(
@@ -148,9 +164,12 @@
 			return !req.tried.has(engine.id) && engine.health.admits(now) && req.admits(engine);
 		});
 		if (open.length === 0) {
-			return { refusal: 'no engine of the service can be used', retryAfterS: comeBackS };
+			const refusal = 'no engine of the service can be used';
+			return { refusal, cause: refusalCauses.engines, retryAfterS: comeBackS };
 		}
-		return req.parts.length === 0 ? this.leastRunning(open) : this.byPrompt(req, engines, open);
+		return req.parts.length === 0
+			? this.leastRunning(open)
+			: this.byPrompt(req, engines, open, now);
 	}
 
 	/** The one with the fewest of the fleet's requests; of several any. */
@@ -176,6 +195,7 @@
 		req: PlacementRequest,
 		engines: readonly Engine[],
 		open: readonly Engine[],
+		now: number,
 	): Placement | Refusal {
 		const costs = this.costs.of(req.service);
 		const kept = this.keptOf(req, open);
@@ -183,15 +203,20 @@
 		const division = this.divisionOf(req.service, divided(engines, req));
 		const side = isLong ? division.long : division.short;
 		const best = this.bestOf({ req, costs, kept }, open, side, isLong);
-		const awaited = { queueMs: this.queueLeftMs(best), ownMs: best.ownMs };
-		if (req.leastUrgent && isOverloaded(awaited, req.targetMs, this.busyShare(isLong, side.size))) {
-			const refusal = `the prompt would wait ${Math.round(awaited.queueMs)} ms for others`;
-			return { refusal, retryAfterS: comeBackS };
-		}
 		const { engine, uncached, waitMs } = best;
 		const size = { promptTokens: uncached, answerTokens: req.answerTokens };
-		const workMs = isLong ? longWorkMs : shortWorkMs;
-		this.fleet.arrived(workMs(costs, size, engine.entry.slots), isLong);
+		const workMs = (isLong ? longWorkMs : shortWorkMs)(costs, size, engine.entry.slots);
+		const meanQueueMs = this.meanQueueMs(req, open, side, costs);
+		const awaited = { queueMs: this.queueLeftMs(best), ownMs: best.ownMs, meanQueueMs };
+		const busyShare = this.busyShare(isLong, side.size);
+		const lot = this.fleet.shares.lotOf(req.parts.at(-1)?.id ?? '');
+		const ask = { ...req, awaited, busyShare, lot, standingAt: this.asked(req, workMs) };
+		const refused = this.admissionOf(req.service).refusal(ask, now);
+		if (refused) {
+			const refusal = `the prompt would wait ${Math.round(awaited.queueMs)} ms for others`;
+			return { refusal, ...refused, retryAfterS: comeBackS, awaited };
+		}
+		this.fleet.arrived(workMs, isLong);
 		return {
 			engine,
 			promptTokens: uncached,
@@ -206,6 +231,19 @@
 		};
 	}
 
+	/** Counts the work as asked for by its customer, and tells how that stands; undefined where customers are not told apart. */
+	private asked(
+		{ service, customer, leastUrgent }: PlacementRequest,
+		workMs: number,
+	): AdmissionAsk['standingAt'] {
+		if (customer === undefined) {
+			return undefined;
+		}
+		const { shares } = this.fleet;
+		shares.asked(service, customer, workMs, !leastUrgent);
+		return (letIn) => shares.standingOf(service, customer, letIn);
+	}
+
 	/** The cheapest engine of the request's side, or of all where that one is much cheaper. */
 	private bestOf(
 		weighing: Weighing,
@@ -246,6 +284,22 @@
 		return Math.max(0, queueMs - this.fleet.newsAgeMs * meanNewsAge);
 	}
 
+	/** What waits at the engines of the request's side, in milliseconds; not looked for where nothing depends on it. */
+	private meanQueueMs(
+		{ customer, leastUrgent }: PlacementRequest,
+		open: readonly Engine[],
+		side: ReadonlySet<string>,
+		{ readMsPerToken }: CostFigures,
+	): number {
+		if (customer === undefined || !leastUrgent) {
+			return 0;
+		}
+		const own = open.filter(({ id }) => side.has(id));
+		const engines = own.length > 0 ? own : open;
+		const tokens = engines.map(({ key }) => this.fleet.workAt(key).promptTokens);
+		return (tokens.reduce((sum, each) => sum + each, 0) * readMsPerToken) / engines.length;
+	}
+
 	/** How busy long prompts keep the engines that read them: 1 is all of the time; 0 for a short prompt. */
 	private busyShare(isLong: boolean, longEngines: number): number {
 		return isLong ? this.fleet.demand().long / longEngines : 0;
@@ -307,6 +361,12 @@
 		return Math.max(leastCostStepMs, this.fleet.newsAgeMs * costStepOfNewsAge);
 	}
 
+	private admissionOf(service: string): Admission {
+		const admission = this.admissions.get(service) ?? new Admission();
+		this.admissions.set(service, admission);
+		return admission;
+	}
+
 	private divisionOf(service: string, engines: readonly Engine[]): Division {
 		let division = this.divisions.get(service);
 		if (!division) {
--- a/src/core/explain/story.ts
+++ b/src/core/explain/story.ts
@@ -32,7 +32,12 @@
 
 /** Events that end a request, and those that tell where it was sent or that it was sent nowhere. */
 const endEvents: readonly string[] = ['request.ended', 'request.denied', 'request.quarantined'];
-const placeEvents: readonly string[] = ['request.placed', 'request.denied', 'request.quarantined'];
+const placeEvents: readonly string[] = [
+	'request.placed',
+	'request.refused',
+	'request.denied',
+	'request.quarantined',
+];
 
 export interface Story {
 	/** Lines about the request and what was believed, by time. */
--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -8,6 +8,7 @@
  */
 import type { Clock, Log } from '../definitions.js';
 import type { CostModel } from '../engines/cost-model.js';
+import { CustomerShares } from '../fairness/customer-shares.js';
 import type { LimitNews } from '../limits/fleet-limits.js';
 import type { CrashNews } from '../quarantine/types.js';
 import type { PromptPart } from '../relay/definitions.js';
@@ -60,6 +61,8 @@
 }
 
 export class FleetView {
+	/** What customers ask for, over all VMs. */
+	readonly shares: CustomerShares;
 	private readonly sources: NewsSources;
 	private readonly work = new FleetWork();
 	private readonly parts = new KnownParts();
@@ -76,7 +79,8 @@
 	newsAgeMs = 0;
 
 	constructor(private readonly opts: FleetViewOptions) {
-		this.composer = new NewsComposer(opts);
+		this.shares = new CustomerShares(opts.clock);
+		this.composer = new NewsComposer({ ...opts, shares: this.shares });
 		this.sources = new NewsSources(opts.clock);
 	}
 
@@ -203,7 +207,7 @@
 			demand: this.meter.read(this.now),
 			vms: 1,
 			readers: this.ownReader(),
-			costsOf: [],
+			sumsOf: [],
 		});
 		this.work.reported(this.composer.seq, work);
 		this.parts.clearDown();
@@ -225,7 +229,7 @@
 			demand: { long: own.long + told.long, short: own.short + told.short },
 			vms: 1 + members.length,
 			readers: [...this.ownReader(), ...this.readers.members(this.sinceBoot)],
-			costsOf: members.map(({ name }) => name),
+			sumsOf: members.map(({ name }) => name),
 		});
 	}
 
@@ -240,7 +244,7 @@
 			demand: this.demand(),
 			vms: this.size,
 			readers: [...this.ownReader(), ...this.readers.all(this.sinceBoot)],
-			costsOf: this.sources.names(),
+			sumsOf: this.sources.names(),
 		});
 	}
 
@@ -265,6 +269,9 @@
 		if (news.costs) {
 			this.opts.costs.take(news.from, news.costs);
 		}
+		if (news.customers) {
+			this.shares.take(news.from, news.customers, news.kind === newsKinds.fleet);
+		}
 		return hasVersions || isNew || hasWork || news.reads.length > 0;
 	}
 
@@ -382,5 +389,6 @@
 		this.work.drop(source);
 		this.sources.remove(source);
 		this.opts.costs.forget(source.name);
+		this.shares.forget(source.name);
 	}
 }
--- a/src/core/fleet/news-composer.ts
+++ b/src/core/fleet/news-composer.ts
@@ -4,6 +4,8 @@
  */
 import type { Clock } from '../definitions.js';
 import type { CostModel } from '../engines/cost-model.js';
+import type { CustomerShares } from '../fairness/customer-shares.js';
+import type { ServiceWork } from '../fairness/types.js';
 import type { IssuerWord, LimitWord } from '../limits/types.js';
 import type { CrashRow } from '../quarantine/types.js';
 import { cutNews } from './news-parts.js';
@@ -19,6 +21,8 @@
 
 /** Time between two news of a kind that tell costs, in milliseconds: they settle within seconds. */
 const costsMs = 1000;
+/** The same for what customers ask for: a rush is known to a large fleet after three times this at the most. */
+const customersMs = 500;
 
 /** What differs between the kinds of news. */
 export interface NewsContent {
@@ -30,8 +34,8 @@
 	demand: Demand;
 	vms: number;
 	readers: StoreReader[];
-	/** VMs whose costs are added to those that this VM has seen. */
-	costsOf: readonly string[];
+	/** VMs whose costs, and whose customers' work, are added to what this VM has seen. */
+	sumsOf: readonly string[];
 	crashes: CrashRow[];
 	limits: LimitWord[];
 	issuer?: IssuerWord;
@@ -51,10 +55,12 @@
 	life: number;
 	clock: Clock;
 	costs: CostModel;
+	shares: CustomerShares;
 }
 
 export class NewsComposer {
 	private readonly costsToldAt = new Map<NewsKind, number>();
+	private readonly customersToldAt = new Map<NewsKind, number>();
 	private lastSeq = 0;
 
 	constructor(private readonly opts: NewsComposerOptions) {}
@@ -65,11 +71,21 @@
 	}
 
 	compose(content: NewsContent, head: NewsHead): PeerNews[] {
-		const { work, reads, heard, costsOf, crashes, limits, ...rest } = content;
-		const { self, address, life } = this.opts;
-		const costs = this.tellsCosts(rest.kind) ? this.opts.costs.export(costsOf) : undefined;
+		const { work, reads, heard, sumsOf, crashes, limits, ...rest } = content;
+		const { self, address, life, costs, shares } = this.opts;
+		const tellsCosts = this.isDue(this.costsToldAt, rest.kind, costsMs);
+		const tellsCustomers = this.isDue(this.customersToldAt, rest.kind, customersMs);
+		const sums = {
+			costs: tellsCosts ? costs.export(sumsOf) : undefined,
+			customers: tellsCustomers ? shares.export(sumsOf) : undefined,
+		};
+		const rows = {
+			crashes: crashes.length,
+			limits: limits.length,
+			customers: rowsOf(sums.customers),
+		};
 		this.lastSeq++;
-		return cutNews(work, reads, heard, crashes.length, limits.length).map((part, at) => ({
+		return cutNews(work, reads, heard, rows).map((part, at) => ({
 			...rest,
 			...part,
 			...head,
@@ -79,18 +95,22 @@
 			address,
 			leaving: false,
 			heard,
-			costs: at === 0 ? costs : undefined,
+			...(at === 0 ? sums : {}),
 			crashes: at === 0 ? crashes : [],
 			limits: at === 0 ? limits : [],
 		}));
 	}
 
-	private tellsCosts(kind: NewsKind): boolean {
+	private isDue(toldAt: Map<NewsKind, number>, kind: NewsKind, everyMs: number): boolean {
 		const now = this.opts.clock.monotonic();
-		const isDue = now - (this.costsToldAt.get(kind) ?? -costsMs) >= costsMs;
+		const isDue = now - (toldAt.get(kind) ?? -everyMs) >= everyMs;
 		if (isDue) {
-			this.costsToldAt.set(kind, now);
+			toldAt.set(kind, now);
 		}
 		return isDue;
 	}
 }
+
+function rowsOf(customers: readonly ServiceWork[] = []): number {
+	return customers.reduce((sum, work) => sum + work.customers.length, 0);
+}
--- a/src/core/fleet/news-parts.ts
+++ b/src/core/fleet/news-parts.ts
@@ -14,9 +14,17 @@
 const heardBytes = 10;
 const crashBytes = 16;
 const limitBytes = 16;
+const customerBytes = 15;
 /** First number beyond those of engines. */
 export const endOfRefs = 2 ** 32;
 
+/** Rows that go with the first part. */
+export interface FirstRows {
+	crashes: number;
+	limits: number;
+	customers: number;
+}
+
 export interface NewsPart {
 	engines: EngineRange;
 	work: EngineWork[];
@@ -26,18 +34,16 @@
 /**
  * @param reads as many go along as fit, those that do not stay
  * @param heard goes with each part
- * @param crashes rows that go with the first part
- * @param limits words that go with the first part
+ * @param first how many rows go with the first part; the others have room for them too
  */
 export function cutNews(
 	work: readonly EngineWork[],
 	reads: PartRead[],
 	heard: readonly HeardReport[],
-	crashes = 0,
-	limits = 0,
+	{ crashes, limits, customers }: FirstRows,
 ): NewsPart[] {
-	const rows = heard.length * heardBytes + crashes * crashBytes + limits * limitBytes;
-	const room = payloadBytes - headBytes - rows;
+	const firstBytes = crashes * crashBytes + limits * limitBytes + customers * customerBytes;
+	const room = payloadBytes - headBytes - heard.length * heardBytes - firstBytes;
 	const most = Math.max(1, Math.floor(room / workBytes));
 	const sorted = [...work].sort((a, b) => a.engine - b.engine);
 	const parts: NewsPart[] = [];
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -4,6 +4,7 @@
  */
 
 import type { CostSums } from '../engines/cost-model.js';
+import type { ServiceWork } from '../fairness/types.js';
 import type { IssuerWord, LimitWord } from '../limits/types.js';
 import type { CrashRow } from '../quarantine/types.js';
 
@@ -104,6 +105,8 @@
 	demand: Demand;
 	/** What is known of the costs of work; now and then. */
 	costs?: CostSums[];
+	/** What customers asked for lately; now and then. */
+	customers?: ServiceWork[];
 	/** VMs that the store answered lately. */
 	readers: StoreReader[];
 	/** Reports that the sums contain. */
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -43,6 +43,24 @@
 			configuration: 'version that decided',
 		},
 	},
+	{
+		name: 'request.refused',
+		when: 'It is let in nowhere: there is too little room, or no engine takes it. It was not sent.',
+		fields: {
+			...request,
+			cause:
+				'queue: it would be late at the best engine; share: its customer asks for more than its share; deadline: it would begin after it; engines: none takes it',
+			queue_ms: 'how long it would have waited at the best engine',
+			mean_queue_ms: 'how long in the mean over its engines, where customers are told apart',
+			own_ms: 'how long its own reading would have taken',
+			target_ms: 'time within which its first event should come',
+			customer: 'name of the customer',
+			customer_asks:
+				'work that the customer asked for lately, in engines kept busy; with cause=share',
+			customer_share: 'what each customer may have, in engines; with cause=share',
+			retry_after_s: 'when the caller may come back',
+		},
+	},
 	{
 		name: 'request.retried',
 		when: 'It goes to a further engine.',
--- a/src/core/relay/metrics.ts
+++ b/src/core/relay/metrics.ts
@@ -2,6 +2,7 @@
  * Figures of the relay that operators watch.
  * @module
  */
+import type { RefusalCause } from '../admission/types.js';
 import type { RelayOutcome } from './types.js';
 
 /** Receives figures; what they mean is declared with the adapter that serves them. */
@@ -11,6 +12,8 @@
 	denied(status: number): void;
 	retried(service: string): void;
 	engineClosed(): void;
+	/** A request was let in nowhere, for want of room or engines. */
+	refused(service: string, cause: RefusalCause): void;
 	/** An engine that names a limit takes no request of the service now. */
 	permitDenied(service: string): void;
 }
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -58,6 +58,7 @@
 		this.placing = new RequestPlacement({
 			ctx,
 			terms,
+			leftMs: () => this.leftMs,
 			onPlaced: (placement) => this.send(placement),
 			onRefused: (reason, retryAfterS) => this.outcome.giveUp(reason, retryAfterS),
 			outcome: this.outcome,
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -5,6 +5,7 @@
 import type { Engine } from '../engines/engine.js';
 import type { Placement } from '../engines/placement.js';
 import type { PermitCall, PermitResult } from '../limits/engine-permits.js';
+import { logRefused } from './refusal-log.js';
 import type { RequestOutcome } from './request-outcome.js';
 import type { RelayContext, RequestTerms } from './types.js';
 
@@ -21,6 +22,8 @@
 export interface RequestPlacementOptions {
 	ctx: RelayContext;
 	terms: RequestTerms;
+	/** What is left of the caller's time, in milliseconds. */
+	leftMs: () => number;
 	onPlaced: (placement: Placement) => void;
 	/** @param retryAfterS when the caller may come back; undefined for the usual time */
 	onRefused: (reason: string, retryAfterS: number | undefined) => void;
@@ -55,6 +58,9 @@
 				targetMs: terms.route.targetMs,
 				tightestPauseMs: terms.tightestPauseMs,
 				model: terms.model,
+				customer: terms.customer?.name,
+				leftMs: this.opts.leftMs(),
+				urgency: terms.urgency,
 				leastUrgent: terms.leastUrgent,
 				tried: this.tried,
 				admits: (engine) => this.admits(engine, engines),
@@ -64,7 +70,9 @@
 			this.now,
 		);
 		if ('refusal' in placement) {
-			onRefused(placement.refusal, this.comeBackS(engines) ?? placement.retryAfterS);
+			const retryAfterS = this.comeBackS(engines) ?? placement.retryAfterS;
+			logRefused(ctx, terms, this.opts.outcome, { ...placement, retryAfterS });
+			onRefused(placement.refusal, retryAfterS);
 		} else if (this.isLimited(placement.engine)) {
 			this.ask(placement, engines);
 		} else {
--- a/src/infra/relay/news-codec.ts
+++ b/src/infra/relay/news-codec.ts
@@ -5,6 +5,7 @@
 import * as msgpack from '@msgpack/msgpack';
 import type { CostSums } from '../../core/engines/cost-model.js';
 import type { LineSums } from '../../core/engines/estimators.js';
+import type { CustomerWork, ServiceWork } from '../../core/fairness/types.js';
 import type {
 	EngineWork,
 	HeardReport,
@@ -25,6 +26,8 @@
 const heardFields = 2;
 /** Numbers that tell of one content at one engine. */
 const crashFields = 3;
+/** Numbers that tell of the work of one customer. */
+const customerFields = 3;
 /** In place of a content: the row tells only that the engine ended. */
 const noContent = -1;
 
@@ -57,6 +60,7 @@
 		news.crashes.flatMap(packCrash),
 		news.limits.map(packLimit),
 		news.issuer && [packIssuer(news.issuer)],
+		news.customers?.map(packServiceWork),
 	]);
 }
 
@@ -94,6 +98,7 @@
 		crashes: readCrashes(row.numbers(crashFields)),
 		limits: row.rows(readLimit),
 		issuer: row.optionalRows(readIssuer)?.[0],
+		customers: row.optionalRows(readServiceWork),
 	};
 	row.end();
 	return news;
@@ -159,6 +164,28 @@
 	return { address: row.text(), term: row.number(), beat: row.number(), isResigned: row.flag() };
 }
 
+function packServiceWork({ service, rest, customers }: ServiceWork): unknown[] {
+	const rows = customers.flatMap(({ customer, asked, urgent }) => {
+		return [customer, toThousandths(asked), toThousandths(urgent)];
+	});
+	return [service, toThousandths(rest), rows];
+}
+
+function readServiceWork(row: RowReader): ServiceWork {
+	const service = row.number();
+	const rest = row.thousandths();
+	return { service, rest, customers: readCustomers(row.numbers(customerFields)) };
+}
+
+function readCustomers(fields: readonly number[]): CustomerWork[] {
+	const customers: CustomerWork[] = [];
+	for (let at = 0; at < fields.length; at += customerFields) {
+		const [customer = 0, asked = 0, urgent = 0] = fields.slice(at, at + customerFields);
+		customers.push({ customer, asked: asked / 1000, urgent: urgent / 1000 });
+	}
+	return customers;
+}
+
 /** Sums as whole numbers: the weights are fractions, the rest is large. */
 function packLine({ weight, x, y, xx, xy }: LineSums): number[] {
 	return [toThousandths(weight), toThousandths(y), Math.round(x), Math.round(xx), Math.round(xy)];
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as prometheus from 'prom-client';
+import type { RefusalCause } from '../../core/admission/types.js';
 import type { CostFigures } from '../../core/engines/work-estimate.js';
 import type { RelayMetrics } from '../../core/relay/metrics.js';
 import type { RelayOutcome } from '../../core/relay/types.js';
@@ -70,6 +71,11 @@
 		'Times that this VM stopped using an engine after failures',
 		[],
 	);
+	private readonly refusedTotal = this.counter(
+		'slategauge_refusals_total',
+		'Requests that were let in nowhere, by service and cause: queue, share, deadline, engines',
+		['service', 'cause'],
+	);
 	private readonly permitDeniedTotal = this.counter(
 		'slategauge_permits_denied_total',
 		'Times that a request got no permit for an engine that names a limit, by service',
@@ -186,6 +192,10 @@
 		this.restoredTotal.inc();
 	}
 
+	refused(service: string, cause: RefusalCause): void {
+		this.refusedTotal.inc({ service, cause });
+	}
+
 	permitDenied(service: string): void {
 		this.permitDeniedTotal.inc({ service });
 	}
--- a/test/steps/burst-replay.ts
+++ b/test/steps/burst-replay.ts
@@ -76,6 +76,18 @@
 	/** Share of the engines that are so many times as slow as the others. */
 	slowShare?: number;
 	slower?: number;
+	/** Customers who send alike; told apart when there are any. */
+	customers?: number;
+	/** The first of them sends so many times as many long prompts as the others. */
+	rush?: number;
+	/** It repeats what is refused at once, so many times. */
+	repeats?: number;
+}
+
+interface Arrival {
+	at: number;
+	isLong: boolean;
+	customer?: number;
 }
 
 export interface BurstTally {
@@ -99,6 +111,8 @@
 export class BurstReplay {
 	readonly long = noTally();
 	readonly short = noTally();
+	/** Long prompts by customer. */
+	readonly byCustomer: BurstTally[] = [];
 	private readonly fleet: SimulatedFleet;
 	private readonly engines: KeepingEngine[] = [];
 	private readonly placements = new Map<SimulatedVm, EnginePlacement>();
@@ -122,13 +136,9 @@
 	play(): void {
 		this.fleet.run(1500);
 		const startAt = this.fleet.clock.now;
-		const arrivals = [
-			...this.arrivalsOf(this.opts.longPerS).map((at) => ({ at, isLong: true })),
-			...this.arrivalsOf(this.opts.shortPerS).map((at) => ({ at, isLong: false })),
-		].sort((a, b) => a.at - b.at);
-		for (const { at, isLong } of arrivals) {
-			this.runUntil(startAt + at);
-			this.arrive(isLong);
+		for (const arrival of this.arrivals()) {
+			this.runUntil(startAt + arrival.at);
+			this.arrive(arrival);
 		}
 		this.runUntil(this.fleet.clock.now + 5000);
 	}
@@ -142,6 +152,25 @@
 		}
 	}
 
+	private arrivals(): Arrival[] {
+		const { longPerS, shortPerS, customers = 1, rush = 1 } = this.opts;
+		const all = [
+			...this.arrivalsOf(longPerS).map((at) => ({ at, isLong: true, ...this.anyCustomer() })),
+			...this.arrivalsOf(shortPerS).map((at) => ({ at, isLong: false, ...this.anyCustomer() })),
+		];
+		const more = (rush - 1) / customers;
+		if (more > 0) {
+			const rushing = this.arrivalsOf(longPerS * more);
+			all.push(...rushing.map((at) => ({ at, isLong: true, customer: 0 })));
+		}
+		return all.sort((a, b) => a.at - b.at);
+	}
+
+	private anyCustomer(): Pick<Arrival, 'customer'> {
+		const { customers } = this.opts;
+		return customers === undefined ? {} : { customer: Math.floor(this.next() * customers) };
+	}
+
 	private arrivalsOf(perS: number): number[] {
 		const arrivals: number[] = [];
 		for (let at = 0; at < this.opts.seconds * 1000; ) {
@@ -151,12 +180,28 @@
 		return arrivals;
 	}
 
-	private arrive(isLong: boolean): void {
+	private arrive({ isLong, customer }: Arrival): void {
+		const { workload, repeats = 0 } = this.opts;
+		const kind = isLong ? workload.long : workload.short;
+		const tally = this.tallyOf(isLong, customer);
+		const parts = this.partsOf(isLong, kind.ownTokens);
+		tally.sent++;
+		const tries = 1 + (customer === 0 ? repeats : 0);
+		for (let at = 0; at < tries && !this.tryOnce(isLong, parts, customer, tally); at++) {
+			tally.refused++;
+		}
+	}
+
+	/** @returns whether it was let in */
+	private tryOnce(
+		isLong: boolean,
+		parts: readonly PromptPart[],
+		customer: number | undefined,
+		tally: BurstTally,
+	): boolean {
 		const { workload } = this.opts;
 		const kind = isLong ? workload.long : workload.short;
-		const tally = isLong ? this.long : this.short;
 		const vm = this.fleet.vms[Math.floor(this.next() * this.opts.vms)] as SimulatedVm;
-		const parts = this.partsOf(isLong, kind.ownTokens);
 		const promptTokens = parts.reduce((sum, part) => sum + part.tokens, 0);
 		const req: PlacementRequest = {
 			service,
@@ -168,15 +213,24 @@
 			leastUrgent: isLong,
 			tried: new Set(),
 			...unlimited,
+			urgency: isLong ? 1 : 0,
+			customer: customer === undefined ? undefined : `customer-${customer}`,
 		};
 		const engines = this.engines.map(({ engine }) => engine);
 		const placed = this.placements.get(vm)?.choose(req, engines, this.fleet.clock.now);
-		tally.sent++;
 		if (!placed || 'refusal' in placed) {
-			tally.refused++;
-			return;
+			return false;
 		}
 		this.send(vm, req, placed, tally, kind.pauseMs);
+		return true;
+	}
+
+	private tallyOf(isLong: boolean, customer: number | undefined): BurstTally {
+		if (!isLong || customer === undefined) {
+			return isLong ? this.long : this.short;
+		}
+		this.byCustomer[customer] ??= noTally();
+		return this.byCustomer[customer];
 	}
 
 	private partsOf(isLong: boolean, ownTokens: number): PromptPart[] {
--- a/test/steps/engine-limits.steps.ts
+++ b/test/steps/engine-limits.steps.ts
@@ -270,6 +270,7 @@
 			ctx,
 			terms: { req: {}, route: route({}), service: 'pool', urgency: 0 } as never,
 			outcome: { log() {} } as unknown as RequestOutcome,
+			leftMs: () => Number.POSITIVE_INFINITY,
 			onPlaced: ({ engine }) => sent.push(engine.id),
 			onRefused() {},
 		});
--- a/test/steps/relay-fakes.ts
+++ b/test/steps/relay-fakes.ts
@@ -57,8 +57,13 @@
 	take: () => false,
 };
 
-/** What a request is placed by where no engine names a limit. */
-export const unlimited = { admits: () => true, isLimited: () => false };
+/** What a request is placed by where no engine names a limit, and its caller waits for ever. */
+export const unlimited = {
+	admits: () => true,
+	isLimited: () => false,
+	leftMs: Number.POSITIVE_INFINITY,
+	urgency: 0,
+};
 
 /** What a relayed request goes by there. */
 export const noRequestLimits = {
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -395,6 +395,7 @@
 	const pauses = { eventMs: 17.5, eventWeight: 100, events: 900, expectedTokens: 4000 };
 	const costs = [{ service: 3_000_000_000, reading: line, copying: line, ...pauses }];
 	const demand = { long: 1.25, short: 0.5 };
+	const asks = { customer: 4_000_000_002, asked: 70.125, urgent: 0.25 };
 	const told = news({
 		kind: 'fleet',
 		work,
@@ -410,6 +411,7 @@
 			{ engine: 2, perS: undefined, version: 70 },
 		],
 		issuer: { address: '10.0.0.3:1', term: 4, beat: 1200, isResigned: false },
+		customers: [{ service: 3_000_000_000, rest: 0.5, customers: [asks] }],
 	});
 	this.seen.set('news', told);
 });
--- a/test/steps/suspension.steps.ts
+++ b/test/steps/suspension.steps.ts
@@ -258,7 +258,7 @@
 		fleet: newFleet(world),
 		limits: noRequestLimits,
 		costs: new CostModel(),
-		metrics: { ended() {}, denied() {}, retried() {}, engineClosed() {} },
+		metrics: { ended() {}, denied() {}, retried() {}, engineClosed() {}, refused() {} },
 		onWorkChanged() {},
 	} as unknown as RelayContext;
 }
