Refused callers come back one after the other, urgent ones first, those beyond their share last

Cause: one constant for everybody. Callers that were refused within a moment came back together, into the load that had refused them.

Ruled out: favouring those that come back (told by what is left of their time): they are late already, and take the place of new ones that can be in time.

Change: admission/return-times takes the place of limits/return-schedule, for both kinds of refusal: spaced by the work of the request over what the engines do, not before what waits now is done, for what lies beyond a share not before that is forgotten; never beyond a third of the time that the caller has left, which is as far as it heeds; those that come too late for a time of their own are spread over the end of that.

--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -54,3 +54,12 @@
 	/** How its customer stood, where that decided. */
 	standing?: CustomerStanding;
 }
+
+/** A request that is let in nowhere. */
+export interface Refusal extends AdmissionRefusal {
+	/** For the log. */
+	refusal: string;
+	retryAfterS: number;
+	/** What decided, where engines could have taken it. */
+	awaited?: Awaited;
+}
--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -3,11 +3,9 @@
  * waits there.
  * @module
  */
-import { Admission } from '../admission/admission.js';
-import type { AdmissionAsk, Awaited, RefusalCause } from '../admission/types.js';
-import { refusalCauses } from '../admission/types.js';
+import { noEngineRefusal, ServiceAdmissions } from '../admission/service-admissions.js';
+import type { Refusal } from '../admission/types.js';
 import type { Random } from '../definitions.js';
-import type { CustomerStanding } from '../fairness/types.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { KeptTokens } from '../fleet/prompt-cache-map.js';
 import type { EngineRef, EngineWork } from '../fleet/types.js';
@@ -53,8 +51,6 @@
 const meanNewsAge = 0.5;
 /** An engine is weighed in any case if it keeps this share of what a request shares with others. */
 const muchKept = 0.5;
-/** Seconds after which a refused caller may come back: a queue at its limit drains in less, once the burst lets it. */
-const comeBackS = 1;
 /** More than any random score. */
 const connectedScore = 1;
 
@@ -103,15 +99,6 @@
 	reason: string;
 }
 
-export interface Refusal {
-	refusal: string;
-	cause: RefusalCause;
-	retryAfterS: number;
-	/** What decided, where engines could have taken it. */
-	awaited?: Awaited;
-	standing?: CustomerStanding;
-}
-
 const nothingKept: KeptTokens = { cached: 0, copyable: 0 };
 
 interface Candidate {
@@ -148,7 +135,7 @@
 
 export class EnginePlacement {
 	private readonly divisions = new Map<string, EngineDivision>();
-	private readonly admissions = new Map<string, Admission>();
+	readonly admissions: ServiceAdmissions;
 
 	/** @param hasFree whether a connection to an address is open and unused: new ones are slow and dear */
 	constructor(
@@ -156,7 +143,9 @@
 		private readonly fleet: FleetView,
 		private readonly costs: CostModel,
 		private readonly hasFree: (address: string) => boolean,
-	) {}
+	) {
+		this.admissions = new ServiceAdmissions(fleet);
+	}
 
 	/** @param engines those of the service that may be given work, in an order all VMs share */
 	choose(req: PlacementRequest, engines: readonly Engine[], now: number): Placement | Refusal {
@@ -164,8 +153,7 @@
 			return !req.tried.has(engine.id) && engine.health.admits(now) && req.admits(engine);
 		});
 		if (open.length === 0) {
-			const refusal = 'no engine of the service can be used';
-			return { refusal, cause: refusalCauses.engines, retryAfterS: comeBackS };
+			return noEngineRefusal();
 		}
 		return req.parts.length === 0
 			? this.leastRunning(open)
@@ -209,12 +197,10 @@
 		const meanQueueMs = this.meanQueueMs(req, open, side, costs);
 		const awaited = { queueMs: this.queueLeftMs(best), ownMs: best.ownMs, meanQueueMs };
 		const busyShare = this.busyShare(isLong, side.size);
-		const lot = this.fleet.shares.lotOf(req.parts.at(-1)?.id ?? '');
-		const ask = { ...req, awaited, busyShare, lot, standingAt: this.asked(req, workMs) };
-		const refused = this.admissionOf(req.service).refusal(ask, now);
-		if (refused) {
-			const refusal = `the prompt would wait ${Math.round(awaited.queueMs)} ms for others`;
-			return { refusal, ...refused, retryAfterS: comeBackS, awaited };
+		const prospect = { awaited, busyShare, workMs, engines: open.length };
+		const refusal = this.admissions.judge(req, prospect, now);
+		if (refusal) {
+			return refusal;
 		}
 		this.fleet.arrived(workMs, isLong);
 		return {
@@ -231,19 +217,6 @@
 		};
 	}
 
-	/** Counts the work as asked for by its customer, and tells how that stands; undefined where customers are not told apart. */
-	private asked(
-		{ service, customer, leastUrgent }: PlacementRequest,
-		workMs: number,
-	): AdmissionAsk['standingAt'] {
-		if (customer === undefined) {
-			return undefined;
-		}
-		const { shares } = this.fleet;
-		shares.asked(service, customer, workMs, !leastUrgent);
-		return (letIn) => shares.standingOf(service, customer, letIn);
-	}
-
 	/** The cheapest engine of the request's side, or of all where that one is much cheaper. */
 	private bestOf(
 		weighing: Weighing,
@@ -361,12 +334,6 @@
 		return Math.max(leastCostStepMs, this.fleet.newsAgeMs * costStepOfNewsAge);
 	}
 
-	private admissionOf(service: string): Admission {
-		const admission = this.admissions.get(service) ?? new Admission();
-		this.admissions.set(service, admission);
-		return admission;
-	}
-
 	private divisionOf(service: string, engines: readonly Engine[]): Division {
 		let division = this.divisions.get(service);
 		if (!division) {
--- a/src/core/limits/fleet-limits.ts
+++ b/src/core/limits/fleet-limits.ts
@@ -8,7 +8,6 @@
 import { IssuerElection } from './issuer-election.js';
 import { LimitLedger } from './limit-ledger.js';
 import { PermitIssuer } from './permit-issuer.js';
-import { ReturnSchedule } from './return-schedule.js';
 import type { IssuerWord, LimitWord, PermitAnswer, PermitAsk } from './types.js';
 
 /** What news between VMs carry of limits. */
@@ -48,7 +47,6 @@
 	private readonly election: IssuerElection;
 	private readonly issuer: PermitIssuer;
 	private wasSelf = false;
-	private readonly returnsOf = new Map<string, ReturnSchedule>();
 
 	constructor(private readonly opts: FleetLimitsOptions) {
 		const { clock, log, random, self, engineId, rank, vms, sendAsk, onNews, onDue } = opts;
@@ -109,13 +107,6 @@
 		this.permits.run();
 	}
 
-	/** When callers of a service come back that were refused because all of its engines name limits. */
-	returns(service: string): ReturnSchedule {
-		const schedule = this.returnsOf.get(service) ?? new ReturnSchedule();
-		this.returnsOf.set(service, schedule);
-		return schedule;
-	}
-
 	/** Looks who issues permits; called several times a second. */
 	update(): void {
 		this.election.update();
--- a/src/core/relay/refusal-log.ts
+++ b/src/core/relay/refusal-log.ts
@@ -2,7 +2,7 @@
  * The line in the log that tells why a request was let in nowhere, and the counter of such requests.
  * @module
  */
-import type { Refusal } from '../engines/placement.js';
+import type { Refusal } from '../admission/types.js';
 import type { RequestOutcome } from './request-outcome.js';
 import type { RelayContext, RequestTerms } from './types.js';
 
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -4,6 +4,7 @@
  */
 import type { Engine } from '../engines/engine.js';
 import type { Placement } from '../engines/placement.js';
+import { refOf } from '../fleet/refs.js';
 import type { PermitCall, PermitResult } from '../limits/engine-permits.js';
 import { logRefused } from './refusal-log.js';
 import type { RequestOutcome } from './request-outcome.js';
@@ -159,7 +160,7 @@
 			if (result.isGranted) {
 				this.permitted = engine;
 				this.tried.add(engine.id);
-				ctx.limits.returns(terms.service).letThrough(this.now);
+				ctx.placement.admissions.returns(terms.service).letThrough(this.now);
 				onPlaced(placement);
 			} else {
 				this.denied(engine, result);
@@ -183,6 +184,15 @@
 		}
 		const { permits } = ctx.limits;
 		const openMs = engines.map(({ ref }) => permits.closedMs(ref, terms.urgency));
-		return ctx.limits.returns(terms.service).nextS(this.now, Math.min(...openMs));
+		const returns = ctx.placement.admissions.returns(terms.service);
+		const ask = {
+			openMs: Math.min(...openMs),
+			spacingMs: returns.passSpacingMs(this.now),
+			urgency: terms.urgency,
+			isOverShare: false,
+			leftMs: this.opts.leftMs(),
+			lot: refOf(terms.req.id) / 2 ** 32,
+		};
+		return returns.nextS(ask, this.now);
 	}
 }
--- a/test/features/fairness.feature
+++ b/test/features/fairness.feature
@@ -64,3 +64,21 @@
 		And a request of urgency 1 that waits 4000 of 3000 ms left is let in
 		When 6000 ms go by without another
 		Then a request of urgency 0 that waits 4000 of 3000 ms left is refused for its deadline
+
+	Scenario: Refused callers come back one after the other, urgent ones first, those beyond their share last
+		Given 4 callers of urgency 1 beyond their share, 4 of urgency 1 and 4 of urgency 0 are refused, each with 30000 ms left
+		Then their times to come back are apart by at least 100 ms in each group
+		And those of urgency 0 do not wait for those of urgency 1, nor these for those beyond their share
+
+	Scenario: No caller is told a time beyond what it heeds, and those that come too late for an own one are spread
+		Given 60 callers of urgency 1 beyond their share, 0 of urgency 1 and 0 of urgency 0 are refused, each with 3000 ms left
+		Then none comes back later than after 1000 ms
+		And no more than 20 come back within any 100 ms
+
+	Scenario: Callers that are refused in a rush come back spread, and most are let in
+		Given 36 VMs in 3 failure domains before 24 engines that summarize notices
+		And 12 customers, of whom the first sends 30 times as many long prompts
+		And it does so for 1.5 s, and callers come back when they are told to within 15000 ms
+		When 60 long and 30 short prompts a second come for 8 seconds
+		Then at least 90 % of the other customers' long prompts are in time
+		And at most 25 % of the first customer's callers that come back are refused again
--- a/test/steps/burst-replay.ts
+++ b/test/steps/burst-replay.ts
@@ -80,6 +80,10 @@
 	customers?: number;
 	/** The first of them sends so many times as many long prompts as the others. */
 	rush?: number;
+	/** For so many seconds. @default all */
+	rushS?: number;
+	/** Callers wait so long in all, in milliseconds, and come back once when they are told to; else they never do. */
+	deadlineMs?: number;
 	/** It repeats what is refused at once, so many times. */
 	repeats?: number;
 }
@@ -88,12 +92,25 @@
 	at: number;
 	isLong: boolean;
 	customer?: number;
+	/** It was refused before; what is left of its time, in milliseconds. */
+	again?: { leftMs: number; parts: readonly PromptPart[] };
+}
+
+/** A prompt on its way to a VM. */
+interface TriedPrompt {
+	isLong: boolean;
+	customer?: number;
+	parts: readonly PromptPart[];
+	leftMs: number;
 }
 
 export interface BurstTally {
 	sent: number;
 	inTime: number;
 	refused: number;
+	/** Of those that came back. */
+	returned: number;
+	refusedAgain: number;
 	/** Tokens of shared parts that engines read though another had read them. */
 	readAgain: number;
 	read: number;
@@ -119,6 +136,8 @@
 	private readonly everRead = new Set<string>();
 	private readonly next: () => number;
 	private number = 0;
+	/** What is still to come, in order. */
+	private waiting: Arrival[] = [];
 
 	constructor(private readonly opts: BurstOptions) {
 		this.next = sequence(opts.seed);
@@ -136,9 +155,10 @@
 	play(): void {
 		this.fleet.run(1500);
 		const startAt = this.fleet.clock.now;
-		for (const arrival of this.arrivals()) {
-			this.runUntil(startAt + arrival.at);
-			this.arrive(arrival);
+		this.waiting = this.arrivals().map((arrival) => ({ ...arrival, at: startAt + arrival.at }));
+		for (let next = this.waiting.shift(); next; next = this.waiting.shift()) {
+			this.runUntil(next.at);
+			this.arrive(next);
 		}
 		this.runUntil(this.fleet.clock.now + 5000);
 	}
@@ -153,14 +173,14 @@
 	}
 
 	private arrivals(): Arrival[] {
-		const { longPerS, shortPerS, customers = 1, rush = 1 } = this.opts;
+		const { longPerS, shortPerS, seconds, customers = 1, rush = 1, rushS = seconds } = this.opts;
 		const all = [
 			...this.arrivalsOf(longPerS).map((at) => ({ at, isLong: true, ...this.anyCustomer() })),
 			...this.arrivalsOf(shortPerS).map((at) => ({ at, isLong: false, ...this.anyCustomer() })),
 		];
 		const more = (rush - 1) / customers;
 		if (more > 0) {
-			const rushing = this.arrivalsOf(longPerS * more);
+			const rushing = this.arrivalsOf(longPerS * more).filter((at) => at <= rushS * 1000);
 			all.push(...rushing.map((at) => ({ at, isLong: true, customer: 0 })));
 		}
 		return all.sort((a, b) => a.at - b.at);
@@ -180,25 +200,41 @@
 		return arrivals;
 	}
 
-	private arrive({ isLong, customer }: Arrival): void {
-		const { workload, repeats = 0 } = this.opts;
+	private arrive(arrival: Arrival): void {
+		const { isLong, customer, again } = arrival;
+		const { workload, repeats = 0, deadlineMs = Number.POSITIVE_INFINITY } = this.opts;
 		const kind = isLong ? workload.long : workload.short;
 		const tally = this.tallyOf(isLong, customer);
-		const parts = this.partsOf(isLong, kind.ownTokens);
-		tally.sent++;
-		const tries = 1 + (customer === 0 ? repeats : 0);
-		for (let at = 0; at < tries && !this.tryOnce(isLong, parts, customer, tally); at++) {
+		const parts = again?.parts ?? this.partsOf(isLong, kind.ownTokens);
+		const leftMs = again?.leftMs ?? deadlineMs;
+		tally.sent += again ? 0 : 1;
+		tally.returned += again ? 1 : 0;
+		for (let tries = 1 + (customer === 0 ? repeats : 0); tries > 0; tries--) {
+			const comeBackS = this.tryOnce({ isLong, customer, parts, leftMs }, tally);
+			if (comeBackS === undefined) {
+				return;
+			}
 			tally.refused++;
+			if (again) {
+				tally.refusedAgain++;
+			} else if (this.opts.deadlineMs !== undefined) {
+				this.comeBack(
+					{ ...arrival, again: { leftMs: leftMs - comeBackS * 1000, parts } },
+					comeBackS,
+				);
+			}
 		}
 	}
 
-	/** @returns whether it was let in */
-	private tryOnce(
-		isLong: boolean,
-		parts: readonly PromptPart[],
-		customer: number | undefined,
-		tally: BurstTally,
-	): boolean {
+	private comeBack(arrival: Arrival, afterS: number): void {
+		const at = this.fleet.clock.now + afterS * 1000;
+		const before = this.waiting.findIndex((other) => other.at > at);
+		this.waiting.splice(before < 0 ? this.waiting.length : before, 0, { ...arrival, at });
+	}
+
+	/** @returns when it may come back, in seconds; undefined when it is let in */
+	private tryOnce(tried: TriedPrompt, tally: BurstTally): number | undefined {
+		const { isLong, customer, parts, leftMs } = tried;
 		const { workload } = this.opts;
 		const kind = isLong ? workload.long : workload.short;
 		const vm = this.fleet.vms[Math.floor(this.next() * this.opts.vms)] as SimulatedVm;
@@ -213,16 +249,18 @@
 			leastUrgent: isLong,
 			tried: new Set(),
 			...unlimited,
+			leftMs,
 			urgency: isLong ? 1 : 0,
 			customer: customer === undefined ? undefined : `customer-${customer}`,
 		};
 		const engines = this.engines.map(({ engine }) => engine);
-		const placed = this.placements.get(vm)?.choose(req, engines, this.fleet.clock.now);
-		if (!placed || 'refusal' in placed) {
-			return false;
+		const placement = this.placements.get(vm) as EnginePlacement;
+		const placed = placement.choose(req, engines, this.fleet.clock.now);
+		if ('refusal' in placed) {
+			return placed.retryAfterS;
 		}
 		this.send(vm, req, placed, tally, kind.pauseMs);
-		return true;
+		return undefined;
 	}
 
 	private tallyOf(isLong: boolean, customer: number | undefined): BurstTally {
@@ -353,5 +391,5 @@
 }
 
 function noTally(): BurstTally {
-	return { sent: 0, inTime: 0, refused: 0, readAgain: 0, read: 0 };
+	return { sent: 0, inTime: 0, refused: 0, returned: 0, refusedAgain: 0, readAgain: 0, read: 0 };
 }
--- a/test/steps/engine-limits.steps.ts
+++ b/test/steps/engine-limits.steps.ts
@@ -4,11 +4,11 @@
  */
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
+import { ReturnTimes } from '../../src/core/admission/return-times.js';
 import { Engine } from '../../src/core/engines/engine.js';
 import { EngineNotices } from '../../src/core/engines/engine-notices.js';
 import type { PermitResult } from '../../src/core/limits/engine-permits.js';
 import { LimitLedger } from '../../src/core/limits/limit-ledger.js';
-import { ReturnSchedule } from '../../src/core/limits/return-schedule.js';
 import { takeNotice } from '../../src/core/relay/answer-notice.js';
 import type { Attempt } from '../../src/core/relay/attempt.js';
 import type { RequestOutcome } from '../../src/core/relay/request-outcome.js';
@@ -146,10 +146,16 @@
 /** When the requests of the scenario about refused callers come, in monotonic milliseconds. */
 const refusedAt = 10_000;
 
+function comeBackS(schedule: ReturnTimes, openMs: number): number {
+	const spacingMs = schedule.passSpacingMs(refusedAt);
+	const caller = { urgency: 0, isOverShare: false, leftMs: Number.POSITIVE_INFINITY, lot: 0.5 };
+	return schedule.nextS({ ...caller, openMs, spacingMs }, refusedAt);
+}
+
 cucumber.Given(
 	'{int} requests were let through in the last {int} seconds',
 	function (this: FleetWorld, count: number, seconds: number) {
-		const schedule = new ReturnSchedule();
+		const schedule = new ReturnTimes();
 		for (let at = count; at > 0; at--) {
 			schedule.letThrough(refusedAt - ((at - 0.5) * seconds * 1000) / count);
 		}
@@ -160,8 +166,8 @@
 cucumber.When(
 	'{int} callers are refused, and the first engine may be asked again in {int} ms',
 	function (this: FleetWorld, count: number, openMs: number) {
-		const schedule = this.seen.get('schedule') as ReturnSchedule;
-		const times = Array.from({ length: count }, () => schedule.nextS(refusedAt, openMs));
+		const schedule = this.seen.get('schedule') as ReturnTimes;
+		const times = Array.from({ length: count }, () => comeBackS(schedule, openMs));
 		this.seen.set('times', times);
 	},
 );
@@ -181,8 +187,8 @@
 cucumber.Then(
 	'a caller that is refused after many others comes back within {int} seconds',
 	function (this: FleetWorld, seconds: number) {
-		const schedule = this.seen.get('schedule') as ReturnSchedule;
-		const times = Array.from({ length: 100 }, () => schedule.nextS(refusedAt, 300));
+		const schedule = this.seen.get('schedule') as ReturnTimes;
+		const times = Array.from({ length: 100 }, () => comeBackS(schedule, 300));
 		assert.ok(Math.max(...times) <= seconds);
 	},
 );
@@ -261,8 +267,8 @@
 		const ctx = {
 			clock: clockOf(this),
 			engines: { offered: () => engines },
-			placement: { choose },
-			limits: { ledger: { perS: () => 3 }, permits, returns: () => new ReturnSchedule() },
+			placement: { choose, admissions: { returns: () => new ReturnTimes() } },
+			limits: { ledger: { perS: () => 3 }, permits },
 			metrics: { permitDenied() {} },
 		} as unknown as RelayContext;
 		const sent: string[] = [];
--- a/test/steps/fairness.steps.ts
+++ b/test/steps/fairness.steps.ts
@@ -5,10 +5,11 @@
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
 import { Admission } from '../../src/core/admission/admission.js';
+import { ReturnTimes } from '../../src/core/admission/return-times.js';
 import { maxMinShare, partWithin } from '../../src/core/fairness/max-min.js';
 import type { CustomerWork } from '../../src/core/fairness/types.js';
 import type { BurstOptions, BurstReplay, BurstTally } from './burst-replay.js';
-import { seen } from './relay-fakes.js';
+import { seen, sequence } from './relay-fakes.js';
 import type { SimulatedFleet, SimulatedVm } from './simulated-fleet.js';
 import type { FleetWorld } from './world.js';
 
@@ -175,3 +176,76 @@
 cucumber.When('{int} ms go by without another', function (this: FleetWorld, ms: number) {
 	seen<Judged>(this, 'judged').now += ms;
 });
+
+cucumber.Given(
+	'it does so for {float} s, and callers come back when they are told to within {int} ms',
+	function (this: FleetWorld, rushS: number, deadlineMs: number) {
+		Object.assign(seen<BurstOptions>(this, 'burst'), { rushS, deadlineMs });
+	},
+);
+
+cucumber.Then(
+	"at most {int} % of the first customer's callers that come back are refused again",
+	function (this: FleetWorld, most: number) {
+		const [first] = seen<BurstReplay>(this, 'replay').byCustomer;
+		const { returned = 0, refusedAgain = 0 } = first ?? {};
+		const percent = (100 * refusedAgain) / returned;
+		assert.ok(returned > 0 && percent <= most, `${refusedAgain} of ${returned}`);
+	},
+);
+
+cucumber.Given(
+	/^(\d+) callers of urgency 1 beyond their share, (\d+) of urgency 1 and (\d+) of urgency 0 are refused, each with (\d+) ms left$/,
+	function (this: FleetWorld, beyond: string, usual: string, urgent: string, left: string) {
+		const returns = new ReturnTimes();
+		const next = sequence(1);
+		const timesOf = (count: string, urgency: number, isOverShare: boolean) => {
+			const caller = { openMs: 200, spacingMs: 150, leftMs: Number(left), urgency, isOverShare };
+			return Array.from({ length: Number(count) }, () =>
+				returns.nextS({ ...caller, lot: next() }, 1000),
+			);
+		};
+		// The worst order: those come last that go first.
+		const times = [timesOf(beyond, 1, true), timesOf(usual, 1, false), timesOf(urgent, 0, false)];
+		this.seen.set('times to come back', times);
+	},
+);
+
+function returnTimes(world: FleetWorld): number[][] {
+	return seen<number[][]>(world, 'times to come back');
+}
+
+cucumber.Then(
+	'their times to come back are apart by at least {int} ms in each group',
+	function (this: FleetWorld, ms: number) {
+		for (const times of returnTimes(this)) {
+			for (const [at, time] of times.slice(1).entries()) {
+				assert.ok(time - (times[at] as number) >= ms / 1000 - 0.001, times.join(', '));
+			}
+		}
+	},
+);
+
+cucumber.Then(
+	'those of urgency 0 do not wait for those of urgency 1, nor these for those beyond their share',
+	function (this: FleetWorld) {
+		const first = returnTimes(this).map(([time]) => time);
+		assert.deepEqual(first, [0.2, 0.2, 0.2]);
+	},
+);
+
+cucumber.Then('none comes back later than after {int} ms', function (this: FleetWorld, ms: number) {
+	const times = returnTimes(this).flat();
+	assert.ok(Math.max(...times) <= ms / 1000, times.join(', '));
+});
+
+cucumber.Then(
+	'no more than {int} come back within any {int} ms',
+	function (this: FleetWorld, most: number, ms: number) {
+		const times = returnTimes(this).flat();
+		for (const from of times) {
+			const within = times.filter((time) => time >= from && time < from + ms / 1000 - 0.001);
+			assert.ok(within.length <= most, `${within.length} from ${from}`);
+		}
+	},
+);
