Room is shared out by the median queue, and from half of the longest wait on

Engines that go dark keep their unread prompts in the fleet's sums, so the mean queue looked long while most engines had room; and from 0.3 of the target on requests were refused that could be in time.

Change: the median over the engines of the request's side; shared out from 0.4 to 0.8 of the target.

--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -22,12 +22,11 @@
 /** Where customers are not told apart, engines that are that busy refuse from a wait of this share of the target on. */
 const busyWait = 0.5;
 /**
- * Where they are, room is shared out from a queue of this share of the target on, in the mean over engines: what is left up to the longest
- * wait is as much again as a prompt's own reading counts for, since queues differ and news of them are late.
+ * Where they are, room is shared out while the median queue is between these shares of the target; the part that is let in falls
+ * evenly from all to none. Below half of the longest wait whoever comes can still be in time.
  */
-const sharedFrom = longestWait - 2 * ownShare;
-/** At a queue of this share of the target nothing more can be in time; between the two the part that is let in falls evenly. */
-const sharedTo = 1;
+const sharedFrom = longestWait / 2;
+const sharedTo = longestWait;
 /** A tier was let in lately when it was so long ago, in milliseconds: callers of one kind see for how long another one is served. */
 const latelyMs = 5000;
 
@@ -66,7 +65,7 @@
 			return { cause: refusalCauses.queue };
 		}
 		if (standingAt) {
-			return overShare(standingAt, awaited.meanQueueMs / targetMs, ask.lot);
+			return overShare(standingAt, awaited.medianQueueMs / targetMs, ask.lot);
 		}
 		const isTooBusy = busyShare > mostBusy && wait > busyWait;
 		return isTooBusy ? { cause: refusalCauses.queue } : undefined;
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -10,8 +10,8 @@
 	queueMs: number;
 	/** For reading it. */
 	ownMs: number;
-	/** In the mean over the engines that it would usually go to. */
-	meanQueueMs: number;
+	/** The median over the engines that it would usually go to: single ones that read nothing more do not count. */
+	medianQueueMs: number;
 }
 
 /** A request, as it is judged. */
--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -194,8 +194,8 @@
 		const { engine, uncached, waitMs } = best;
 		const size = { promptTokens: uncached, answerTokens: req.answerTokens };
 		const workMs = (isLong ? longWorkMs : shortWorkMs)(costs, size, engine.entry.slots);
-		const meanQueueMs = this.meanQueueMs(req, open, side, costs);
-		const awaited = { queueMs: this.queueLeftMs(best), ownMs: best.ownMs, meanQueueMs };
+		const medianQueueMs = this.medianQueueMs(req, open, side, costs);
+		const awaited = { queueMs: this.queueLeftMs(best), ownMs: best.ownMs, medianQueueMs };
 		const busyShare = this.busyShare(isLong, side.size);
 		const prospect = { awaited, busyShare, workMs, engines: open.length };
 		const refusal = this.admissions.judge(req, prospect, now);
@@ -258,7 +258,7 @@
 	}
 
 	/** What waits at the engines of the request's side, in milliseconds; not looked for where nothing depends on it. */
-	private meanQueueMs(
+	private medianQueueMs(
 		{ customer, leastUrgent }: PlacementRequest,
 		open: readonly Engine[],
 		side: ReadonlySet<string>,
@@ -270,7 +270,8 @@
 		const own = open.filter(({ id }) => side.has(id));
 		const engines = own.length > 0 ? own : open;
 		const tokens = engines.map(({ key }) => this.fleet.workAt(key).promptTokens);
-		return (tokens.reduce((sum, each) => sum + each, 0) * readMsPerToken) / engines.length;
+		tokens.sort((a, b) => a - b);
+		return (tokens[tokens.length >> 1] ?? 0) * readMsPerToken;
 	}
 
 	/** How busy long prompts keep the engines that read them: 1 is all of the time; 0 for a short prompt. */
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -51,7 +51,7 @@
 			cause:
 				'queue: it would be late at the best engine; share: its customer asks for more than its share; deadline: it would begin after it; engines: none takes it',
 			queue_ms: 'how long it would have waited at the best engine',
-			mean_queue_ms: 'how long in the mean over its engines, where customers are told apart',
+			median_queue_ms: 'the median over its engines, where customers are told apart',
 			own_ms: 'how long its own reading would have taken',
 			target_ms: 'time within which its first event should come',
 			customer: 'name of the customer',
--- a/src/core/relay/refusal-log.ts
+++ b/src/core/relay/refusal-log.ts
@@ -16,7 +16,7 @@
 	const fields = {
 		cause,
 		queue_ms: rounded(awaited?.queueMs),
-		mean_queue_ms: rounded(awaited?.meanQueueMs),
+		median_queue_ms: rounded(awaited?.medianQueueMs),
 		own_ms: rounded(awaited?.ownMs),
 		target_ms: route.targetMs,
 		customer: customer?.name,
--- a/test/steps/fairness.steps.ts
+++ b/test/steps/fairness.steps.ts
@@ -155,7 +155,7 @@
 function judge(world: FleetWorld, urgency: number, queueMs: number, leftMs: number) {
 	const judged = (world.seen.get('judged') as Judged) ?? { admission: new Admission(), now: 0 };
 	world.seen.set('judged', judged);
-	const awaited = { queueMs, ownMs: 50, meanQueueMs: queueMs };
+	const awaited = { queueMs, ownMs: 50, medianQueueMs: queueMs };
 	const terms = { targetMs: 600, leftMs, urgency, leastUrgent: urgency === 2 };
 	const ask = { ...terms, awaited, busyShare: 0, lot: 0 };
 	return judged.admission.refusal(ask, judged.now)?.cause;
