Shares are never less than an equal part of what is asked

Change: an equal part of what is asked never gives way; refusable work counts up to twice what the engines have left, so that repeating does not inflate the room; what lies beyond a share is told so, and returns last, also at a full queue.

--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -36,17 +36,20 @@
 
 	/** @returns undefined when it is let in */
 	refusal(ask: AdmissionAsk, now: number): AdmissionRefusal | undefined {
-		const refusal = this.isOfNoUse(ask, now)
-			? { cause: refusalCauses.deadline }
-			: ask.leastUrgent
-				? this.limit(ask)
-				: undefined;
+		const refusal = this.judge(ask, now);
 		if (refusal === undefined) {
 			this.letInAt[ask.urgency] = now;
 		}
 		return refusal;
 	}
 
+	private judge(ask: AdmissionAsk, now: number): AdmissionRefusal | undefined {
+		if (this.isOfNoUse(ask, now)) {
+			return { cause: refusalCauses.deadline };
+		}
+		return ask.leastUrgent ? (overShare(ask) ?? tooLong(ask)) : undefined;
+	}
+
 	/**
 	 * It would begin after its deadline. A tier must not get nothing while a less urgent one is let in: engines let it go before those, so
 	 * the queue decides only where none is.
@@ -56,32 +59,27 @@
 		const isLowerLetIn = lower.some((at) => now - at < latelyMs);
 		return awaited.queueMs > leftMs && !isLowerLetIn;
 	}
-
-	private limit(ask: AdmissionAsk): AdmissionRefusal | undefined {
-		const { awaited, targetMs, busyShare, standingAt } = ask;
-		const waitMs = awaited.queueMs + Math.min(awaited.ownMs, targetMs * ownShare);
-		const wait = waitMs / targetMs;
-		if (wait > longestWait) {
-			return { cause: refusalCauses.queue };
-		}
-		if (standingAt) {
-			return overShare(standingAt, awaited.medianQueueMs / targetMs, ask.lot);
-		}
-		const isTooBusy = busyShare > mostBusy && wait > busyWait;
-		return isTooBusy ? { cause: refusalCauses.queue } : undefined;
-	}
 }
 
 /** What lies within a customer's share is drawn by lot: alike on all VMs, whatever the others let in at the same moment. */
-function overShare(
-	standingAt: NonNullable<AdmissionAsk['standingAt']>,
-	queue: number,
-	lot: number,
-): AdmissionRefusal | undefined {
-	if (queue <= sharedFrom) {
+function overShare(ask: AdmissionAsk): AdmissionRefusal | undefined {
+	const queue = ask.awaited.medianQueueMs / ask.targetMs;
+	if (!ask.standingAt || queue <= sharedFrom) {
 		return undefined;
 	}
 	const letIn = (sharedTo - queue) / (sharedTo - sharedFrom);
-	const standing = standingAt(Math.max(0, letIn));
-	return lot < standing.within ? undefined : { cause: refusalCauses.share, standing };
+	const standing = ask.standingAt(Math.max(0, letIn));
+	return ask.lot() < standing.within ? undefined : { cause: refusalCauses.share, standing };
+}
+
+/** Its wait at the best engine. */
+function tooLong({
+	awaited,
+	targetMs,
+	busyShare,
+	standingAt,
+}: AdmissionAsk): AdmissionRefusal | undefined {
+	const wait = (awaited.queueMs + Math.min(awaited.ownMs, targetMs * ownShare)) / targetMs;
+	const isTooBusy = !standingAt && busyShare > mostBusy && wait > busyWait;
+	return wait > longestWait || isTooBusy ? { cause: refusalCauses.queue } : undefined;
 }
--- a/src/core/admission/service-admissions.ts
+++ b/src/core/admission/service-admissions.ts
@@ -46,7 +46,7 @@
 	/** @returns undefined when it is let in */
 	judge(req: AdmittedRequest, prospect: Prospect, now: number): Refusal | undefined {
 		const { awaited, busyShare } = prospect;
-		const lot = this.fleet.shares.lotOf(req.parts.at(-1)?.id ?? '');
+		const lot = () => this.fleet.shares.lotOf(req.parts.at(-1)?.id ?? '');
 		const ask = { ...req, awaited, busyShare, lot, standingAt: this.asked(req, prospect) };
 		const admission = getOrAdd(this.admissions, req.service, () => new Admission());
 		const refused = admission.refusal(ask, now);
@@ -54,21 +54,21 @@
 			return undefined;
 		}
 		const refusal = `the prompt would wait ${Math.round(awaited.queueMs)} ms for others`;
-		const retryAfterS = this.returnS(req, prospect, refused, lot, now);
+		const retryAfterS = this.returnS(req, prospect, refused, lot(), now);
 		return { refusal, ...refused, retryAfterS, awaited };
 	}
 
 	/** Counts the work as asked for by its customer, and tells how that stands. */
 	private asked(
 		{ service, customer, leastUrgent }: AdmittedRequest,
-		{ workMs }: Prospect,
+		{ workMs, engines }: Prospect,
 	): AdmissionAsk['standingAt'] {
 		if (customer === undefined) {
 			return undefined;
 		}
 		const { shares } = this.fleet;
 		shares.asked(service, customer, workMs, !leastUrgent);
-		return (letIn) => shares.standingOf(service, customer, letIn);
+		return (letIn) => shares.standingOf(service, customer, { letIn, engines });
 	}
 
 	private returnS(
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -28,7 +28,7 @@
 	/** How busy long prompts keep the engines that read them; 0 for a short prompt. */
 	busyShare: number;
 	/** A number from 0 up to 1, the same when it comes again at once. */
-	lot: number;
+	lot: () => number;
 	/**
 	 * How much its customer asks for beside its share, when there is room for a part of all refusable work; undefined where
 	 * customers are not told apart.
--- a/src/core/fairness/customer-shares.ts
+++ b/src/core/fairness/customer-shares.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock } from '../definitions.js';
 import { refOf } from '../fleet/refs.js';
+import type { ServiceRoom } from './service-shares.js';
 import { ServiceShares } from './service-shares.js';
 import type { CustomerStanding, ServiceRef, ServiceWork } from './types.js';
 
@@ -30,9 +31,8 @@
 		this.sharesOf(refOf(service)).asked(asked, this.now);
 	}
 
-	/** @param letIn part of all refusable work that there is room for */
-	standingOf(service: string, customer: string, letIn: number): CustomerStanding {
-		return this.sharesOf(refOf(service)).standingOf(refOf(customer), letIn, this.now);
+	standingOf(service: string, customer: string, room: ServiceRoom): CustomerStanding {
+		return this.sharesOf(refOf(service)).standingOf(refOf(customer), room, this.now);
 	}
 
 	/**
--- a/src/core/fairness/service-shares.ts
+++ b/src/core/fairness/service-shares.ts
@@ -15,6 +15,20 @@
 /** Customers that ask for less are forgotten, in engines kept busy: news tell thousandths. */
 const leastAsked = 0.001;
 
+/**
+ * Refusable work counts up to so many times what the engines have left for it: then what they do is let in at the middle of the range at the
+ * latest, and repeating, which adds to what is asked for, does not push the queues to its end.
+ */
+const mostRefusable = 2;
+
+/** How much room there is in a service. */
+export interface ServiceRoom {
+	/** Part of all refusable work that is let in. */
+	letIn: number;
+	/** Engines that take work. */
+	engines: number;
+}
+
 /** One request's work, and for whom it is. */
 export interface AskedWork {
 	customer: CustomerRef;
@@ -61,12 +75,20 @@
 		}
 	}
 
-	/** @param letIn part of all refusable work that there is room for */
-	standingOf(customer: CustomerRef, letIn: number, now: number): CustomerStanding {
+	standingOf(
+		customer: CustomerRef,
+		{ letIn, engines }: ServiceRoom,
+		now: number,
+	): CustomerStanding {
 		const { rest, byCustomer } = this.allWork(now);
 		const all = [...byCustomer.values()];
-		const room = all.reduce((sum, { asked, urgent }) => sum + urgent + (asked - urgent) * letIn, 0);
-		const share = maxMinShare(all, room - rest * (1 - letIn));
+		const urgent = all.reduce((sum, each) => sum + each.urgent, 0);
+		const asked = all.reduce((sum, each) => sum + each.asked, rest);
+		const refusable = asked - urgent;
+		const most = Math.max(0, engines - urgent) * mostRefusable;
+		const room = urgent + Math.min(refusable, most) * letIn;
+		// Who asks for no more than an equal part of all work never gives way to others.
+		const share = Math.max(maxMinShare(all, Math.max(0, room - rest)), asked / all.length);
 		const work = byCustomer.get(customer) ?? noWork(customer);
 		return { asked: work.asked, share, within: partWithin(work, share) };
 	}
--- a/test/steps/fairness.steps.ts
+++ b/test/steps/fairness.steps.ts
@@ -16,6 +16,7 @@
 const service = 'pool';
 /** What the second and each further customer ask of each VM. */
 const askedMs = 300;
+const plenty = { letIn: 1, engines: 1000 };
 
 cucumber.Given(
 	'{int} customers, of whom the first sends {int} times as many long prompts',
@@ -105,7 +106,7 @@
 );
 
 function askedOf(vm: SimulatedVm, customer: number): number {
-	return vm.fleet.shares.standingOf(service, `customer-${customer}`, 1).asked;
+	return vm.fleet.shares.standingOf(service, `customer-${customer}`, plenty).asked;
 }
 
 cucumber.Then(
@@ -157,7 +158,7 @@
 	world.seen.set('judged', judged);
 	const awaited = { queueMs, ownMs: 50, medianQueueMs: queueMs };
 	const terms = { targetMs: 600, leftMs, urgency, leastUrgent: urgency === 2 };
-	const ask = { ...terms, awaited, busyShare: 0, lot: 0 };
+	const ask = { ...terms, awaited, busyShare: 0, lot: () => 0 };
 	return judged.admission.refusal(ask, judged.now)?.cause;
 }
 
