Engines' memory is room: placed by slots and memory together

Cause: `memoryTokens` was decoded and read by no decision. Engines whose memory is full preempt running requests mid-stream and read them again, while others have room.

Change: the work told in news has the tokens that requests under way need at an engine (shared parts once, answers by what was learned of how far they go beyond callers' estimates). A request that does not fit waits as for a slot, which counts for choice and refusals; a more urgent one pays for what it would preempt, by memory or by slot. Larger prompts than an engine's memory are refused at once with 503.

--- a/src/core/engines/cost-model.ts
+++ b/src/core/engines/cost-model.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as rendezvous from '../membership/rendezvous.js';
+import { AnswerLengths } from './answer-lengths.js';
 import type { LineSums } from './estimators.js';
 import { addSums, LineEstimate, noSums, QuantileEstimate } from './estimators.js';
 import type { CostFigures } from './work-estimate.js';
@@ -79,6 +80,7 @@
 }
 
 class ServiceCosts {
+	readonly lengths = new AnswerLengths();
 	private readonly reading = new LineEstimate(
 		line(prior.firstMs, prior.readMsPerToken),
 		keepObservations,
@@ -139,6 +141,7 @@
 
 	answerSeen(answer: WholeAnswer): void {
 		const { events, expectedTokens, heldMs } = answer;
+		this.lengths.seen(events, expectedTokens);
 		this.heldMs += (heldMs - this.heldMs) * heldShare;
 		const kept = Math.max(0, 1 - events / keepEvents);
 		this.events = this.events * kept + events;
@@ -219,6 +222,11 @@
 		return { observations, peers };
 	}
 
+	/** How far this VM has seen answers go beyond what was expected of them. */
+	lengthsOf(service: string): AnswerLengths {
+		return this.costsOf(rendezvous.hashText(service)).lengths;
+	}
+
 	firstEvent(service: string, seen: FirstEvent): void {
 		this.costsOf(rendezvous.hashText(service)).firstEvent(seen);
 	}
--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -16,6 +16,8 @@
 import type { Division } from './engine-division.js';
 import { EngineDivision } from './engine-division.js';
 import { sampleEngines } from './engine-sample.js';
+import type { MemoryFit } from './memory-room.js';
+import { MemoryRoom, unboundedFit } from './memory-room.js';
 import { comeBackS, isOverloaded } from './overload.js';
 import type { CostFigures } from './work-estimate.js';
 import { copyingMs, longWorkMs, readingMs, shortWorkMs } from './work-estimate.js';
@@ -88,6 +90,8 @@
 	copyFrom?: Engine;
 	/** What the fleet had there when it was chosen. */
 	work: EngineWork;
+	/** How it fits into the engine's memory. */
+	memory: MemoryFit;
 	/** Why this one, for the log. */
 	reason: string;
 }
@@ -97,11 +101,12 @@
 	retryAfterS: number;
 }
 
-const nothingKept: KeptTokens = { cached: 0, copyable: 0 };
+const nothingKept: KeptTokens = { cached: 0, copyable: 0, inUse: 0 };
 
 interface Candidate {
 	engine: Engine;
 	work: EngineWork;
+	memory: MemoryFit;
 	/** Milliseconds until its prompt begins to be read, and for reading it. */
 	queueMs: number;
 	ownMs: number;
@@ -129,6 +134,7 @@
 	req: PlacementRequest;
 	costs: CostFigures;
 	kept: Kept;
+	memory: MemoryRoom;
 }
 
 export class EnginePlacement {
@@ -169,7 +175,7 @@
 			cachedTokens: 0,
 			copiedTokens: 0,
 		};
-		return { engine, ...tokens, work, reason };
+		return { engine, ...tokens, work, memory: unboundedFit, reason };
 	}
 
 	private byPrompt(
@@ -178,11 +184,12 @@
 		open: readonly Engine[],
 	): Placement | Refusal {
 		const costs = this.costs.of(req.service);
-		const kept = this.keptOf(req, open);
+		const kept = this.keptOf(req, open, costs);
+		const memory = this.memoryRoom(req, costs);
 		const isLong = isLongPrompt(req.promptTokens, req.tightestPauseMs, costs);
 		const division = this.divisionOf(req.service, divided(engines, req));
 		const side = isLong ? division.long : division.short;
-		const best = this.bestOf({ req, costs, kept }, open, side, isLong);
+		const best = this.bestOf({ req, costs, kept, memory }, open, side, isLong);
 		const awaited = { queueMs: this.queueLeftMs(best), ownMs: best.ownMs };
 		if (req.leastUrgent && isOverloaded(awaited, req.targetMs, this.busyShare(isLong, side.size))) {
 			const refusal = `the prompt would wait ${Math.round(awaited.queueMs)} ms for others`;
@@ -202,6 +209,7 @@
 			copiedTokens: best.copied,
 			copyFrom: best.copied > 0 ? kept.copyFrom : undefined,
 			work: best.work,
+			memory: best.memory,
 			reason: `${isLong ? 'long' : 'short'} prompt, wait ${Math.round(waitMs)} ms`,
 		};
 	}
@@ -243,7 +251,7 @@
 
 	/** What is left of a queue now: news are half as old as they can be in the mean, and engines read on meanwhile. */
 	private queueLeftMs({ queueMs }: Candidate): number {
-		return Math.max(0, queueMs - this.fleet.newsAgeMs * meanNewsAge);
+		return Math.max(0, queueMs - this.meanNewsAgeMs);
 	}
 
 	/** How busy long prompts keep the engines that read them: 1 is all of the time; 0 for a short prompt. */
@@ -251,8 +259,22 @@
 		return isLong ? this.fleet.demand().long / longEngines : 0;
 	}
 
-	private keptOf(req: PlacementRequest, open: readonly Engine[]): Kept {
-		const by = this.fleet.keptBy(req.parts.slice(0, -1));
+	private get meanNewsAgeMs(): number {
+		return this.fleet.newsAgeMs * meanNewsAge;
+	}
+
+	private memoryRoom(req: PlacementRequest, { heldMs }: CostFigures): MemoryRoom {
+		return new MemoryRoom({
+			model: req.model,
+			req,
+			lengths: this.costs.lengthsOf(req.service),
+			heldMs,
+			newsAgeMs: this.meanNewsAgeMs,
+		});
+	}
+
+	private keptOf(req: PlacementRequest, open: readonly Engine[], { heldMs }: CostFigures): Kept {
+		const by = this.fleet.keptBy(req.parts.slice(0, -1), heldMs);
 		const copyableOf = (engine: Engine) => (by.get(engine.ref) ?? nothingKept).copyable;
 		const copyable = Math.max(...open.map(copyableOf));
 		// Any of them, since copies from one engine wait for each other.
@@ -261,25 +283,33 @@
 		return { by, copyable, copyFrom };
 	}
 
-	private weigh({ req, costs, kept }: Weighing, engine: Engine): Candidate {
+	private weigh({ req, costs, kept, memory: room }: Weighing, engine: Engine): Candidate {
 		const shared = req.parts.slice(0, -1);
 		const key = shared.at(-1)?.id ?? req.parts[0]?.id ?? '';
 		const work = this.fleet.workAt(engine.key);
-		const { cached } = kept.by.get(engine.ref) ?? nothingKept;
+		const keptThere = kept.by.get(engine.ref) ?? nothingKept;
+		const { cached } = keptThere;
+		const memory = room.fit(work, engine.entry.slots, keptThere);
 		const missing = kept.copyable - cached;
 		const copied = missing >= leastCopiedTokens ? missing : 0;
 		const uncached = Math.max(0, req.promptTokens - cached - copied);
 		const queued = Math.max(0, work.running + 1 - engine.entry.slots);
 		const slotMs = (queued * costs.heldMs) / engine.entry.slots;
-		const queueMs = work.promptTokens * costs.readMsPerToken + slotMs;
+		// Slots and memory come free together.
+		const freeMs = Math.max(slotMs, memory.waitMs);
+		const queueMs = work.promptTokens * costs.readMsPerToken + freeMs;
 		const ownMs = readingMs(costs, uncached) + copyingMs(costs, copied);
 		const waitMs = costs.firstMs + queueMs + ownMs;
 		const unread = tokensOf(shared) - cached - copied;
-		const reread = (unread * rereadWeight + copied * copyWeight) * costs.readMsPerToken;
+		// Requests that do not wait preempt others, which are read again.
+		const preempted = req.leastUrgent ? 0 : memory.preemptedTokens;
+		const readAgain = (unread + preempted) * rereadWeight + copied * copyWeight;
+		const reread = readAgain * costs.readMsPerToken;
 		const cost = waitMs + work.running * runningMs + reread;
 		return {
 			engine,
 			work,
+			memory,
 			queueMs,
 			ownMs,
 			waitMs,
--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -177,9 +177,12 @@
 		this.parts.read(parts, engineKey, isDone, this.now);
 	}
 
-	/** How much of the start of a prompt each engine is believed to keep; those that keep nothing are left out. */
-	keptBy(parts: readonly PromptPart[]): ReadonlyMap<EngineRef, KeptTokens> {
-		return this.parts.keptBy(parts, this.now);
+	/**
+	 * How much of the start of a prompt each engine is believed to keep; those that keep nothing are left out.
+	 * @param heldMs how long a request uses its parts in the mean, in milliseconds
+	 */
+	keptBy(parts: readonly PromptPart[], heldMs: number): ReadonlyMap<EngineRef, KeptTokens> {
+		return this.parts.keptBy(parts, heldMs, this.now);
 	}
 
 	engineGone(engineKey: string): void {
--- a/src/core/fleet/fleet-work.ts
+++ b/src/core/fleet/fleet-work.ts
@@ -6,7 +6,7 @@
 import type { EngineRef, EngineWork, HeardReport, PeerNews } from './types.js';
 import { newsKinds } from './types.js';
 import type { WorkChange } from './work-sums.js';
-import { WorkSums } from './work-sums.js';
+import { isSameWork, WorkSums } from './work-sums.js';
 
 /** Reports whose acknowledgement may still come. */
 const maxSentReports = 100;
@@ -76,7 +76,7 @@
 	/** @returns whether the work at the engine differs from what was told before */
 	private replace(source: NewsSource, item: EngineWork): boolean {
 		const before = source.work.get(item.engine);
-		if (before?.running === item.running && before.promptTokens === item.promptTokens) {
+		if (before && isSameWork(before, item)) {
 			return false;
 		}
 		if (before) {
@@ -156,5 +156,6 @@
 		engine: item.engine,
 		running: item.running - (other?.running ?? 0),
 		promptTokens: item.promptTokens - (other?.promptTokens ?? 0),
+		memoryTokens: item.memoryTokens - (other?.memoryTokens ?? 0),
 	};
 }
--- a/src/core/fleet/known-parts.ts
+++ b/src/core/fleet/known-parts.ts
@@ -49,10 +49,14 @@
 		}
 	}
 
-	/** How much of the start of a prompt each engine is believed to keep; those that keep nothing are left out. */
-	keptBy(parts: readonly PromptPart[], now: number): ReadonlyMap<EngineRef, KeptTokens> {
+	/** How much of the start of a prompt each engine is believed to keep; those that keep nothing are left out. See `PromptCacheMap`. */
+	keptBy(
+		parts: readonly PromptPart[],
+		heldMs: number,
+		now: number,
+	): ReadonlyMap<EngineRef, KeptTokens> {
 		const known = parts.map(({ id, tokens }) => ({ ref: refOf(id), tokens }));
-		return this.cache.keptBy(known, now);
+		return this.cache.keptBy(known, heldMs, now);
 	}
 
 	/** No VM reports here. */
--- a/src/core/fleet/prompt-cache-map.ts
+++ b/src/core/fleet/prompt-cache-map.ts
@@ -30,6 +30,8 @@
 	cached: number;
 	/** That other engines can copy from it. */
 	copyable: number;
+	/** That other requests use there now, as far as can be told from when they were used last. */
+	inUse: number;
 }
 
 /** What is known of one part at one engine, in monotonic milliseconds. */
@@ -77,13 +79,14 @@
 	 * How much of the start of a prompt each engine keeps; engines that keep nothing of it are left out. Looks only at
 	 * those that read its first part, so a prompt costs little in a large fleet.
 	 * @param parts in the order of the prompt
+	 * @param heldMs how long a request uses its parts in the mean, in milliseconds
 	 */
-	keptBy(parts: readonly KnownPart[], now: number): Map<EngineRef, KeptTokens> {
+	keptBy(parts: readonly KnownPart[], heldMs: number, now: number): Map<EngineRef, KeptTokens> {
 		const kept = new Map<EngineRef, KeptTokens>();
 		const [first] = parts;
 		const readers = first && this.parts.get(first.ref);
 		for (const engine of readers?.keys() ?? []) {
-			const tokens = this.keptAt(engine, parts, now);
+			const tokens = this.keptAt(engine, parts, heldMs, now);
 			if (tokens.cached > 0) {
 				kept.set(engine, tokens);
 			}
@@ -91,8 +94,13 @@
 		return kept;
 	}
 
-	private keptAt(engine: EngineRef, parts: readonly KnownPart[], now: number): KeptTokens {
-		const tokens = { cached: 0, copyable: 0 };
+	private keptAt(
+		engine: EngineRef,
+		parts: readonly KnownPart[],
+		heldMs: number,
+		now: number,
+	): KeptTokens {
+		const tokens = { cached: 0, copyable: 0, inUse: 0 };
 		let isCopyable = true;
 		for (const part of parts) {
 			const use = this.parts.get(part.ref)?.get(engine);
@@ -102,6 +110,8 @@
 			tokens.cached += part.tokens;
 			isCopyable &&= use.isDone || now - use.firstAt > copyableAfterMs;
 			tokens.copyable += isCopyable ? part.tokens : 0;
+			// Counted by all users, these shares add up to the part once, for the share of time in which there are any.
+			tokens.inUse += part.tokens * Math.max(0, 1 - (now - use.lastAt) / heldMs);
 		}
 		return tokens;
 	}
--- a/src/core/fleet/types.ts
+++ b/src/core/fleet/types.ts
@@ -21,6 +21,8 @@
 	running: number;
 	/** Prompt tokens that are not read yet. */
 	promptTokens: number;
+	/** Tokens that the requests under way need of its memory, in whole blocks; 0 where that is not known. */
+	memoryTokens: number;
 }
 
 /** An engine will read a part of a prompt, or has read it. */
--- a/src/core/fleet/work-sums.ts
+++ b/src/core/fleet/work-sums.ts
@@ -7,6 +7,9 @@
 /** Work that is added to an engine's, or taken off. */
 export type WorkChange = Partial<Omit<EngineWork, 'engine'>>;
 
+/** Tokens by which memory is counted, so that sums over VMs stay whole and take few bytes. */
+export const memoryBlockTokens = 64;
+
 export class WorkSums {
 	private readonly byEngine = new Map<EngineRef, EngineWork>();
 
@@ -20,6 +23,7 @@
 		const sum = this.byEngine.get(engine) ?? noWork(engine);
 		sum.running += sign * (change.running ?? 0);
 		sum.promptTokens += sign * (change.promptTokens ?? 0);
+		sum.memoryTokens += sign * (change.memoryTokens ?? 0);
 		this.byEngine.set(engine, sum);
 	}
 
@@ -35,9 +39,15 @@
 }
 
 export function noWork(engine: EngineRef): EngineWork {
-	return { engine, running: 0, promptTokens: 0 };
+	return { engine, running: 0, promptTokens: 0, memoryTokens: 0 };
+}
+
+/** Whether two say the same of one engine. */
+export function isSameWork(one: EngineWork, other: EngineWork): boolean {
+	const isRunningAlike = one.running === other.running && one.memoryTokens === other.memoryTokens;
+	return isRunningAlike && one.promptTokens === other.promptTokens;
 }
 
 function hasWork(work: EngineWork): boolean {
-	return work.running !== 0 || work.promptTokens !== 0;
+	return !isSameWork(work, noWork(work.engine));
 }
--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -68,11 +68,11 @@
 
 	/** @param shared parts of the prompt that other requests may share */
 	sent(shared: readonly PromptPart[]): void {
-		const { promptTokens, readingMs } = this.placement;
+		const { promptTokens, readingMs, memory } = this.placement;
 		this.wasSent = true;
 		this.leftAt = this.ctx.clock.monotonic();
 		this.engine.health.sent(this.leftAt, readingMs);
-		this.changeWork({ running: 1, promptTokens });
+		this.changeWork({ running: 1, promptTokens, memoryTokens: memory.needTokens });
 		this.shared = shared;
 		this.ctx.fleet.read(shared, this.engine.key, false);
 		this.ctx.onWorkChanged();
@@ -165,8 +165,8 @@
 		}
 		this.hasEnded = true;
 		this.started();
-		const { readingMs } = this.placement;
-		this.changeWork({ running: -1 });
+		const { readingMs, memory } = this.placement;
+		this.changeWork({ running: -1, memoryTokens: -memory.needTokens });
 		this.engine.health.ended(readingMs);
 	}
 }
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -27,6 +27,12 @@
 			engine: 'id of the engine',
 			reason: 'what decided, with the wait expected there',
 			fleet_running: 'requests of the whole fleet at that engine, as known here',
+			fleet_memory_tokens:
+				'tokens of its memory that these requests need, as estimated; 0 where memory is not known',
+			memory_need_tokens: 'tokens that this request needs there',
+			memory_room_tokens:
+				'tokens left for it, less what is kept for growth and unheard requests; negative when full',
+			memory_wait_ms: 'time until as much memory comes free',
 			unread_tokens: 'tokens of the prompt that it will have to read',
 			wait_ms: 'time until its first event, as estimated',
 			read_ms_per_token: 'what reading a token was estimated to cost; see costs.learned',
--- a/src/core/relay/metrics.ts
+++ b/src/core/relay/metrics.ts
@@ -11,6 +11,8 @@
 	denied(status: number): void;
 	retried(service: string): void;
 	engineClosed(): void;
+	/** A request was placed at an engine that has no room for it in its memory. */
+	placedWithoutRoom(service: string): void;
 	/** An engine that names a limit takes no request of the service now. */
 	permitDenied(service: string): void;
 }
--- a/src/core/relay/placement-log.ts
+++ b/src/core/relay/placement-log.ts
@@ -21,12 +21,16 @@
 	placement: Placement,
 	{ leftMs, lastEventId }: RequestProgress,
 ): void {
-	const { engine, work } = placement;
+	const { engine, work, memory } = placement;
 	outcome.log('request.placed', {
 		engine: engine.id,
 		reason: placement.reason,
 		fleet_running: work.running,
 		fleet_prompt_tokens: work.promptTokens,
+		fleet_memory_tokens: work.memoryTokens,
+		memory_need_tokens: memory.needTokens,
+		memory_room_tokens: memory.roomTokens && Math.round(memory.roomTokens),
+		memory_wait_ms: Math.round(memory.waitMs),
 		unread_tokens: placement.promptTokens,
 		wait_ms: Math.round(placement.waitMs),
 		read_ms_per_token: Number(placement.readMsPerToken.toFixed(4)),
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { Engine } from '../engines/engine.js';
+import { exceedsMemory } from '../engines/memory-room.js';
 import type { Placement } from '../engines/placement.js';
 import type { PermitCall, PermitResult } from '../limits/engine-permits.js';
 import type { RequestOutcome } from './request-outcome.js';
@@ -43,8 +44,12 @@
 
 	/** Chooses an engine among those that it was not sent to; one of the callbacks tells the outcome, at once or soon. */
 	next(): void {
-		const { ctx, terms, onPlaced, onRefused } = this.opts;
+		const { ctx, terms, onRefused } = this.opts;
 		const { req, service } = terms;
+		if (exceedsMemory(req, terms.model)) {
+			onRefused('the prompt is larger than the memory of an engine', this.leftS);
+			return;
+		}
 		const engines = ctx.engines.offered(service);
 		const placement = ctx.placement.choose(
 			{
@@ -68,8 +73,7 @@
 		} else if (this.isLimited(placement.engine)) {
 			this.ask(placement, engines);
 		} else {
-			this.tried.add(placement.engine.id);
-			onPlaced(placement);
+			this.placed(placement);
 		}
 	}
 
@@ -137,8 +141,24 @@
 		return Math.max(0, mostMs - waitedMs);
 	}
 
-	private ask(placement: Placement, engines: readonly Engine[]): void {
+	private placed(placement: Placement): void {
 		const { ctx, terms, onPlaced } = this.opts;
+		this.tried.add(placement.engine.id);
+		if (placement.memory.shortTokens > 0) {
+			ctx.metrics.placedWithoutRoom(terms.service);
+		}
+		onPlaced(placement);
+	}
+
+	/** What is left of the caller's time, in seconds: coming back within it is of no use to a request that fits nowhere. */
+	private get leftS(): number {
+		const { req, route } = this.opts.terms;
+		const endsAt = req.arrivedAt + (req.deadlineMs ?? route.timeoutMs);
+		return Math.max(0, Math.ceil((endsAt - this.opts.ctx.clock.sinceBoot()) / 1000));
+	}
+
+	private ask(placement: Placement, engines: readonly Engine[]): void {
+		const { ctx, terms } = this.opts;
 		const { engine } = placement;
 		const waitMs = this.waitMs(engines);
 		this.asks++;
@@ -150,9 +170,8 @@
 			}
 			if (result.isGranted) {
 				this.permitted = engine;
-				this.tried.add(engine.id);
 				ctx.limits.returns(terms.service).letThrough(this.now);
-				onPlaced(placement);
+				this.placed(placement);
 			} else {
 				this.denied(engine, result);
 				this.next();
--- a/src/infra/relay/message-types.ts
+++ b/src/infra/relay/message-types.ts
@@ -4,7 +4,7 @@
  */
 
 /** Messages of another format are not understood; VMs of two formats side by side hear only their own. */
-export const messageFormat = 9;
+export const messageFormat = 10;
 
 /** Type of a message, its second field. */
 export const messageTypes = {
--- a/src/infra/relay/news-codec.ts
+++ b/src/infra/relay/news-codec.ts
@@ -13,6 +13,7 @@
 	StoreReader,
 } from '../../core/fleet/types.js';
 import { newsKinds } from '../../core/fleet/types.js';
+import { memoryBlockTokens } from '../../core/fleet/work-sums.js';
 import type { IssuerWord } from '../../core/limits/types.js';
 import type { CrashRow } from '../../core/quarantine/types.js';
 import { packLimit, readLimit } from './limit-codec.js';
@@ -20,7 +21,7 @@
 import { RowError, type RowReader, toThousandths } from './row-reader.js';
 
 /** Numbers that tell of the work at one engine. */
-const workFields = 3;
+const workFields = 4;
 /** Numbers that tell of the last report of one VM. */
 const heardFields = 2;
 /** Numbers that tell of one content at one engine. */
@@ -48,7 +49,7 @@
 		Math.round(news.spacingMs),
 		news.vms,
 		[news.engines.from, news.engines.to],
-		news.work.flatMap((item) => [item.engine, item.running, Math.round(item.promptTokens)]),
+		news.work.flatMap(packWork),
 		news.reads.map((item) => [item.part, item.engine, item.isDone]),
 		[toThousandths(news.demand.long), toThousandths(news.demand.short)],
 		news.readers.map(packReader),
@@ -99,6 +100,11 @@
 	return news;
 }
 
+function packWork({ engine, running, promptTokens, memoryTokens }: EngineWork): number[] {
+	const blocks = Math.round(memoryTokens / memoryBlockTokens);
+	return [engine, running, Math.round(promptTokens), blocks];
+}
+
 function readWork(fields: readonly number[]): EngineWork[] {
 	const work: EngineWork[] = [];
 	for (let at = 0; at < fields.length; at += workFields) {
@@ -106,6 +112,7 @@
 			engine: fields[at] ?? 0,
 			running: fields[at + 1] ?? 0,
 			promptTokens: fields[at + 2] ?? 0,
+			memoryTokens: (fields[at + 3] ?? 0) * memoryBlockTokens,
 		});
 	}
 	return work;
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -75,6 +75,11 @@
 		'Times that a request got no permit for an engine that names a limit, by service',
 		['service'],
 	);
+	private readonly withoutRoomTotal = this.counter(
+		'slategauge_placed_without_room_total',
+		'Requests placed at engines whose memory had no room for them, by service',
+		['service'],
+	);
 	private readonly restoredTotal = this.counter(
 		'slategauge_store_restored_total',
 		'Times that the store came back from an older copy',
@@ -190,6 +195,10 @@
 		this.permitDeniedTotal.inc({ service });
 	}
 
+	placedWithoutRoom(service: string): void {
+		this.withoutRoomTotal.inc({ service });
+	}
+
 	engineClosed(): void {
 		this.closedTotal.inc();
 	}
--- a/test/stand-ins/batch-engine.ts
+++ b/test/stand-ins/batch-engine.ts
@@ -1,6 +1,7 @@
 /**
  * A model engine in simulated time that is honest about cost: it works in steps, each makes a token for every
- * stream, and reads a chunk of the prompts that wait, in the order of their arrival.
+ * stream, and reads a chunk of the prompts that wait, in the order of their arrival. Where it has a memory, that is
+ * shared by running requests; when it runs out, the newest of the least urgent is preempted and read again.
  * @module
  */
 
@@ -15,6 +16,8 @@
 	/** Prompt tokens that one step reads at the most. */
 	chunkTokens: number;
 	slots: number;
+	/** Tokens that its memory holds. @default without end */
+	memoryTokens?: number;
 	/** Time on the way there and back, in milliseconds. */
 	wayMs: number;
 }
@@ -27,6 +30,10 @@
 	/** Tokens to read when it is let in, if the engine keeps parts of prompts. @default promptTokens */
 	unreadTokens?: () => number;
 	answerTokens: number;
+	/** Parts of the prompt that it shares with others: held once for all that run. */
+	shared?: readonly { id: string; tokens: number }[];
+	/** 0 is the most urgent. @default 0 */
+	urgency?: number;
 	/** Called for each event with the time at which it arrives. */
 	onEvent: (at: number) => void;
 	onEnd: () => void;
@@ -36,9 +43,12 @@
 	req: BatchRequest;
 	unread: number;
 	made: number;
+	wasPreempted: boolean;
 }
 
 export class BatchEngine {
+	/** Times that a running request was preempted. */
+	preempted = 0;
 	private readonly waiting: Run[] = [];
 	private readonly running: Run[] = [];
 	private now = 0;
@@ -47,7 +57,12 @@
 
 	/** Requests come in the order of their sending. */
 	send(req: BatchRequest): void {
-		this.waiting.push({ req, unread: req.promptTokens, made: 0 });
+		this.enqueue({ req, unread: req.promptTokens, made: 0, wasPreempted: false });
+	}
+
+	/** Tokens that all requests here need now, those that wait with them. */
+	get demandTokens(): number {
+		return tokensOf([...this.running, ...this.waiting]);
 	}
 
 	/** Works until this time, in milliseconds. */
@@ -66,18 +81,66 @@
 		for (const run of streams) {
 			this.makeToken(run, this.now + wayMs);
 		}
+		this.preemptWhatDoesNotFit();
 	}
 
 	private admit(): void {
-		const { slots, wayMs } = this.opts;
-		while (this.running.length < slots) {
+		for (;;) {
 			const next = this.waiting[0];
-			if (!next || next.req.sentAt + wayMs > this.now) {
+			if (!next || next.req.sentAt + this.opts.wayMs > this.now || !this.makesRoomFor(next)) {
 				return;
 			}
-			next.unread = next.req.unreadTokens?.() ?? next.unread;
+			next.unread = next.wasPreempted
+				? ownTokens(next)
+				: (next.req.unreadTokens?.() ?? next.unread);
 			this.running.push(next);
-			this.waiting.shift();
+			this.waiting.splice(this.waiting.indexOf(next), 1);
+		}
+	}
+
+	/** @returns false when it has to wait: nothing less urgent runs that could be preempted */
+	private makesRoomFor(next: Run): boolean {
+		const { slots, memoryTokens = Number.POSITIVE_INFINITY } = this.opts;
+		const fits = () => {
+			return this.running.length < slots && tokensOf([...this.running, next]) <= memoryTokens;
+		};
+		while (!fits()) {
+			const least = this.leastUrgent();
+			if (!least || urgencyOf(least) <= urgencyOf(next)) {
+				return false;
+			}
+			this.preempt(least);
+		}
+		return true;
+	}
+
+	/** The newest of the least urgent that run. */
+	private leastUrgent(): Run | undefined {
+		const most = Math.max(...this.running.map(urgencyOf));
+		return this.running.findLast((run) => urgencyOf(run) === most);
+	}
+
+	private preempt(run: Run): void {
+		this.preempted++;
+		run.wasPreempted = true;
+		this.running.splice(this.running.indexOf(run), 1);
+		this.enqueue(run);
+	}
+
+	/** Before what is less urgent; what was preempted goes before its like. */
+	private enqueue(run: Run): void {
+		const goesBefore = (other: Run) => {
+			const isLike = urgencyOf(other) === urgencyOf(run);
+			return urgencyOf(other) > urgencyOf(run) || (run.wasPreempted && isLike);
+		};
+		const at = this.waiting.findIndex(goesBefore);
+		this.waiting.splice(at === -1 ? this.waiting.length : at, 0, run);
+	}
+
+	private preemptWhatDoesNotFit(): void {
+		const { memoryTokens = Number.POSITIVE_INFINITY } = this.opts;
+		while (this.running.length > 1 && tokensOf(this.running) > memoryTokens) {
+			this.preempt(this.leastUrgent() as Run);
 		}
 	}
 
@@ -103,3 +166,26 @@
 		}
 	}
 }
+
+function urgencyOf({ req }: Run): number {
+	return req.urgency ?? 0;
+}
+
+/** Tokens of a request that it shares with none. */
+function ownTokens({ req, made }: Run): number {
+	const shared = (req.shared ?? []).reduce((sum, part) => sum + part.tokens, 0);
+	return req.promptTokens - shared + made;
+}
+
+/** Tokens that requests take of the memory. */
+function tokensOf(runs: readonly Run[]): number {
+	const shared = new Map<string, number>();
+	let sum = 0;
+	for (const run of runs) {
+		sum += ownTokens(run);
+		for (const { id, tokens } of run.req.shared ?? []) {
+			shared.set(id, tokens);
+		}
+	}
+	return [...shared.values()].reduce((total, tokens) => total + tokens, sum);
+}
--- a/test/steps/burst-replay.ts
+++ b/test/steps/burst-replay.ts
@@ -7,6 +7,7 @@
 import type { Placement, PlacementRequest } from '../../src/core/engines/placement.js';
 import { EnginePlacement } from '../../src/core/engines/placement.js';
 import type { PromptPart } from '../../src/core/relay/definitions.js';
+import type { EngineModel } from '../../src/core/routing/types.js';
 import { BatchEngine } from '../stand-ins/batch-engine.js';
 import { observed } from './observed-answer.js';
 import { entry, sequence, unlimited } from './relay-fakes.js';
@@ -23,6 +24,7 @@
 
 interface Kind {
 	ownTokens: number;
+	/** As callers expect. */
 	answerTokens: number;
 	targetMs: number;
 	pauseMs: number;
@@ -38,6 +40,10 @@
 	subjectTokens: number;
 	long: Kind;
 	short: Kind;
+	/** Tokens that the memory of an engine holds. @default without end */
+	memoryTokens?: number;
+	/** Answers are up to so many times as long as expected, or as short. @default 1 */
+	answerSpread?: number;
 }
 
 /** Summaries of notices with a tight target, on engines with few slots. */
@@ -64,6 +70,20 @@
 	short: { ownTokens: 630, answerTokens: 290, targetMs: 250, pauseMs: 150 },
 };
 
+/** Digests with long answers: ten of them fill an engine's memory. */
+export const digests: Workload = {
+	slots: 64,
+	readPerMs: 60,
+	stepMs: 4.6,
+	subjects: 400,
+	baseTokens: 2500,
+	subjectTokens: 3800,
+	memoryTokens: 80_000,
+	answerSpread: 4,
+	long: { ownTokens: 2900, answerTokens: 250, targetMs: 1500, pauseMs: 600 },
+	short: { ownTokens: 630, answerTokens: 290, targetMs: 300, pauseMs: 250 },
+};
+
 export interface BurstOptions {
 	workload: Workload;
 	vms: number;
@@ -76,6 +96,10 @@
 	/** Share of the engines that are so many times as slow as the others. */
 	slowShare?: number;
 	slower?: number;
+	/** Whether VMs know how much memory engines have. @default true */
+	knowsMemory?: boolean;
+	/** Age of news beyond what their way takes, in milliseconds. @default 0 */
+	newsDelayMs?: number;
 }
 
 export interface BurstTally {
@@ -99,6 +123,8 @@
 export class BurstReplay {
 	readonly long = noTally();
 	readonly short = noTally();
+	/** Largest share of an engine's memory that its requests needed at once, those that waited with them. */
+	peakDemand = 0;
 	private readonly fleet: SimulatedFleet;
 	private readonly engines: KeepingEngine[] = [];
 	private readonly placements = new Map<SimulatedVm, EnginePlacement>();
@@ -109,6 +135,7 @@
 	constructor(private readonly opts: BurstOptions) {
 		this.next = sequence(opts.seed);
 		this.fleet = new SimulatedFleet(opts.vms, opts.domains, opts.seed);
+		this.fleet.newsDelayMs = opts.newsDelayMs ?? 0;
 		for (let at = 0; at < opts.engines; at++) {
 			const isSlow = at < opts.engines * (opts.slowShare ?? 0);
 			this.engines.push(this.newEngine(`engine-${at}`, isSlow ? (opts.slower ?? 1) : 1));
@@ -133,11 +160,18 @@
 		this.runUntil(this.fleet.clock.now + 5000);
 	}
 
+	/** Times that engines preempted a running request. */
+	get preempted(): number {
+		return this.engines.reduce((sum, { batch }) => sum + batch.preempted, 0);
+	}
+
 	private runUntil(until: number): void {
 		while (this.fleet.clock.now < until) {
 			this.fleet.run(stepMs);
 			for (const { batch } of this.engines) {
 				batch.runUntil(this.fleet.clock.now);
+				const { memoryTokens = Number.POSITIVE_INFINITY } = this.opts.workload;
+				this.peakDemand = Math.max(this.peakDemand, batch.demandTokens / memoryTokens);
 			}
 		}
 	}
@@ -165,6 +199,7 @@
 			answerTokens: kind.answerTokens,
 			targetMs: kind.targetMs,
 			tightestPauseMs: workload.short.pauseMs,
+			model: this.model,
 			leastUrgent: isLong,
 			tried: new Set(),
 			...unlimited,
@@ -179,6 +214,21 @@
 		this.send(vm, req, placed, tally, kind.pauseMs);
 	}
 
+	/** What the configuration says of engines. */
+	private get model(): EngineModel | undefined {
+		const { slots, memoryTokens } = this.opts.workload;
+		const isKnown = memoryTokens !== undefined && this.opts.knowsMemory !== false;
+		return isKnown ? { slots, memoryTokens } : undefined;
+	}
+
+	/** Tokens of an answer of which so many are expected: right in the median. */
+	private answerTokensOf(expected: number): number {
+		const { answerSpread } = this.opts.workload;
+		return answerSpread === undefined
+			? expected
+			: Math.ceil(expected * answerSpread ** (this.next() + this.next() - 1));
+	}
+
 	private partsOf(isLong: boolean, ownTokens: number): PromptPart[] {
 		const own = { id: `own-${this.number++}`, tokens: Math.round(this.sizeOf(ownTokens)) };
 		if (!isLong) {
@@ -206,10 +256,10 @@
 		pauseMs: number,
 	): void {
 		const target = this.engines.find(({ engine }) => engine === placed.engine) as KeepingEngine;
-		const { promptTokens } = placed;
+		const { promptTokens, memory } = placed;
 		const { id } = placed.engine;
 		const shared = req.parts.slice(0, -1);
-		vm.fleet.changeWork(id, { running: 1, promptTokens });
+		vm.fleet.changeWork(id, { running: 1, promptTokens, memoryTokens: memory.needTokens });
 		vm.fleet.read(shared, id, false);
 		vm.exchange.changed();
 		const sentAt = this.fleet.clock.now;
@@ -218,7 +268,7 @@
 			service,
 			sentAt,
 			promptTokens,
-			answerTokens: req.answerTokens,
+			answerTokens: this.answerTokensOf(req.answerTokens),
 			aheadTokens: placed.work.promptTokens,
 			expectedTokens: req.answerTokens,
 			onFirst: (delayMs) => {
@@ -232,7 +282,7 @@
 			},
 			onEnd: () => {
 				tally.inTime += isInTime ? 1 : 0;
-				vm.fleet.changeWork(id, { running: -1 });
+				vm.fleet.changeWork(id, { running: -1, memoryTokens: -memory.needTokens });
 				vm.exchange.changed();
 			},
 		});
@@ -243,7 +293,9 @@
 			request.onEvent(at);
 		};
 		const unreadTokens = () => this.unreadOf(req, placed, target, tally);
-		target.batch.send({ ...request, onEvent, unreadTokens });
+		const urgency = req.leastUrgent ? 1 : 0;
+		const sizes = { promptTokens: req.promptTokens, shared, urgency };
+		target.batch.send({ ...request, ...sizes, onEvent, unreadTokens });
 	}
 
 	/** Tokens to read when the engine lets the request in; a copy takes as long as reading some of them. */
@@ -290,6 +342,7 @@
 			tokensPerEvent: 5,
 			chunkTokens: 2048,
 			slots: workload.slots,
+			memoryTokens: workload.memoryTokens,
 			wayMs: 2,
 		});
 		// The engine's own clock begins with that of the fleet.
--- a/test/steps/engine-limits.steps.ts
+++ b/test/steps/engine-limits.steps.ts
@@ -6,6 +6,7 @@
 import * as cucumber from '@cucumber/cucumber';
 import { Engine } from '../../src/core/engines/engine.js';
 import { EngineNotices } from '../../src/core/engines/engine-notices.js';
+import { unboundedFit } from '../../src/core/engines/memory-room.js';
 import type { PermitResult } from '../../src/core/limits/engine-permits.js';
 import { LimitLedger } from '../../src/core/limits/limit-ledger.js';
 import { ReturnSchedule } from '../../src/core/limits/return-schedule.js';
@@ -257,7 +258,7 @@
 				};
 			},
 		};
-		const choose = () => ({ engine: engines[asked.length] });
+		const choose = () => ({ engine: engines[asked.length], memory: unboundedFit });
 		const ctx = {
 			clock: clockOf(this),
 			engines: { offered: () => engines },
--- a/test/steps/engine-notices.steps.ts
+++ b/test/steps/engine-notices.steps.ts
@@ -8,6 +8,7 @@
 import * as cucumber from '@cucumber/cucumber';
 import type { Engine } from '../../src/core/engines/engine.js';
 import { EngineDirectory } from '../../src/core/engines/engine-directory.js';
+import { unboundedFit } from '../../src/core/engines/memory-room.js';
 import type { AnswerListener, EngineCall } from '../../src/core/relay/definitions.js';
 import { RelayedRequest } from '../../src/core/relay/relayed-request.js';
 import type { RelayContext } from '../../src/core/relay/types.js';
@@ -226,9 +227,10 @@
 			},
 		};
 		const [first] = directory.offered('pool');
-		const work = { running: 0, promptTokens: 0 };
+		const work = { running: 0, promptTokens: 0, memoryTokens: 0 };
 		const choose = (_req: unknown, engines: readonly Engine[]) => {
-			return { engine: engines[0] ?? first, work, reason: 'test', readMsPerToken: 0, waitMs: 0 };
+			const engine = engines[0] ?? first;
+			return { engine, work, memory: unboundedFit, reason: 'test', readMsPerToken: 0, waitMs: 0 };
 		};
 		const ctx = {
 			clock: clockOf(this),
--- a/test/steps/relay-burst.steps.ts
+++ b/test/steps/relay-burst.steps.ts
@@ -5,13 +5,14 @@
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
 import type { BurstOptions, BurstTally, Workload } from './burst-replay.js';
-import { BurstReplay, notices, recaps } from './burst-replay.js';
+import { BurstReplay, digests, notices, recaps } from './burst-replay.js';
 import { seen } from './relay-fakes.js';
 import type { FleetWorld } from './world.js';
 
 const workloads: Record<string, Workload> = {
 	'summarize notices': notices,
 	'recap episodes': recaps,
+	'digest transcripts': digests,
 };
 const seed = 1;
 
--- a/test/steps/relay-fakes.ts
+++ b/test/steps/relay-fakes.ts
@@ -163,6 +163,9 @@
 	};
 }
 
+/** Memory that each request of such news needs, in tokens. */
+export const memoryTokensEach = 6400;
+
 /** What a peer tells about an engine, as that peer's own view encodes it. */
 export function newsOfWork(
 	world: FleetWorld,
@@ -171,6 +174,6 @@
 	part: Partial<PeerNews>,
 ) {
 	const peer = newFleet(world);
-	peer.changeWork(engine, { running });
+	peer.changeWork(engine, { running, memoryTokens: running * memoryTokensEach });
 	return news({ work: peer.takeGroup()[0]?.work ?? [], ...part });
 }
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -25,6 +25,7 @@
 import * as platform from '../../src/platform/index.js';
 import {
 	clockOf,
+	memoryTokensEach,
 	newFleet,
 	news,
 	newsOfWork,
@@ -109,7 +110,9 @@
 		const engines = seen<EngineDirectory>(this, 'directory');
 		const [engine] = engines.offered('pool').filter((one) => one.id === id);
 		assert.ok(engine);
-		assert.equal(seen<FleetView>(this, 'fleet').workAt(engine.key).running, count);
+		const work = seen<FleetView>(this, 'fleet').workAt(engine.key);
+		assert.equal(work.running, count);
+		assert.equal(work.memoryTokens, count * memoryTokensEach);
 		assert.ok(engine.health.admits(clockOf(this).now));
 		assert.ok(seen<Engine>(this, 'engine before').isGone);
 	},
@@ -385,7 +388,7 @@
 );
 
 cucumber.Given('news of work, reads, demand and costs', function (this: FleetWorld) {
-	const work = [{ engine: 4_000_000_000, running: 3, promptTokens: 7000 }];
+	const work = [{ engine: 4_000_000_000, running: 3, promptTokens: 7000, memoryTokens: 9600 }];
 	const reads = [{ part: 1, engine: 2, isDone: true }];
 	const store = { contactAgeMs: 250, revision: 12_345, digest: 77, dutyToken: 12_001 };
 	const readers = [{ address: '10.0.0.3:1', ...store }];
--- a/test/steps/relay-news.steps.ts
+++ b/test/steps/relay-news.steps.ts
@@ -11,6 +11,8 @@
 import { SimulatedFleet } from './simulated-fleet.js';
 import type { FleetWorld } from './world.js';
 
+/** How long a request uses a part, in milliseconds. */
+const heldMs = 1000;
 /** Parts are 100 tokens each. */
 const partTokens = 100;
 const partEngine = 'engine-of-parts';
@@ -74,6 +76,11 @@
 	fleet.kill(busiest(fleet));
 });
 
+cucumber.When('a VM that reports to another is killed', function (this: FleetWorld) {
+	const fleet = fleetOf(this);
+	fleet.kill(memberOf(fleet));
+});
+
 cucumber.When('the aggregator with the most members stops as planned', function (this: FleetWorld) {
 	busiest(fleetOf(this)).exchange.retire();
 });
@@ -234,7 +241,7 @@
 cucumber.Then('all VMs know which engine keeps each part', function (this: FleetWorld) {
 	for (const vm of fleetOf(this).running) {
 		for (let at = 0; at < seen<number>(this, 'parts'); at++) {
-			const kept = vm.fleet.keptBy([{ id: `part-${at}`, tokens: partTokens }]);
+			const kept = vm.fleet.keptBy([{ id: `part-${at}`, tokens: partTokens }], heldMs);
 			const { cached } = kept.get(rendezvous.hashText(partEngine)) ?? { cached: 0 };
 			assert.equal(cached, partTokens, `${vm.listed.name} part ${at}`);
 		}
--- a/test/steps/simulated-fleet.ts
+++ b/test/steps/simulated-fleet.ts
@@ -16,7 +16,7 @@
 import { encodePermitAnswer, encodePermitAsk } from '../../src/infra/relay/limit-codec.js';
 import { encodeNews } from '../../src/infra/relay/news-codec.js';
 import { hand } from '../../src/infra/relay/peer-datagrams.js';
-import { StepClock, sequence, silentLog } from './relay-fakes.js';
+import { memoryTokensEach, StepClock, sequence, silentLog } from './relay-fakes.js';
 
 const stepMs = 5;
 const updateMs = 100;
@@ -56,6 +56,8 @@
 	/** Shares of datagrams that are lost, and that come twice. */
 	lost = 0;
 	doubled = 0;
+	/** Milliseconds that datagrams take beyond a few. */
+	newsDelayMs = 0;
 	private readonly byAddress = new Map<string, SimulatedVm>();
 	private flying: Datagram[] = [];
 	private readonly next: () => number;
@@ -148,7 +150,8 @@
 	/** Requests begin at an engine, or end when negative. */
 	add(vm: SimulatedVm, engine: string, running: number): void {
 		vm.work.set(engine, (vm.work.get(engine) ?? 0) + running);
-		vm.fleet.changeWork(engine, { running, promptTokens: running * 100 });
+		const memoryTokens = running * memoryTokensEach;
+		vm.fleet.changeWork(engine, { running, promptTokens: running * 100, memoryTokens });
 		vm.exchange.changed();
 	}
 
@@ -182,7 +185,9 @@
 	/** VMs that think of another number of requests at an engine than there are on their side. */
 	wrongAt(engine: string): string[] {
 		const wrong = this.running.filter((vm) => {
-			return vm.fleet.workAt(engine).running !== this.runningAt(engine, vm.side);
+			const { running, memoryTokens } = vm.fleet.workAt(engine);
+			const actual = this.runningAt(engine, vm.side);
+			return running !== actual || memoryTokens !== actual * memoryTokensEach;
 		});
 		return wrong.map((vm) => `${vm.listed.name}: ${vm.fleet.workAt(engine).running}`);
 	}
@@ -208,7 +213,7 @@
 		from.sentBytes += bytes.length;
 		const copies = this.next() < this.lost ? 0 : this.next() < this.doubled ? 2 : 1;
 		for (let copy = 0; copy < copies; copy++) {
-			const at = this.clock.now + 0.5 + this.next() * 8;
+			const at = this.clock.now + 0.5 + this.next() * 8 + this.newsDelayMs;
 			this.flying.push({ at, from: addressOf(from.listed.address), to, bytes });
 		}
 	}
--- a/test/steps/suspension.steps.ts
+++ b/test/steps/suspension.steps.ts
@@ -6,6 +6,7 @@
 import * as cucumber from '@cucumber/cucumber';
 import { CostModel } from '../../src/core/engines/cost-model.js';
 import { Engine } from '../../src/core/engines/engine.js';
+import { unboundedFit } from '../../src/core/engines/memory-room.js';
 import type { FleetView } from '../../src/core/fleet/fleet-view.js';
 import { VmRegistry } from '../../src/core/fleet/vm-registry.js';
 import { Quarantine } from '../../src/core/quarantine/quarantine.js';
@@ -232,9 +233,16 @@
 	const clock = clockOf(world);
 	const engines = ['a', 'b'].map((id) => new Engine(entry(id)));
 	const isDeserted = async () => false;
-	const work = { engine: 0, running: 0, promptTokens: 0 };
+	const work = { engine: 0, running: 0, promptTokens: 0, memoryTokens: 0 };
 	const figures = { promptTokens: 0, readingMs: 0, waitMs: 0, readMsPerToken: 0 };
-	const tokens = { ...figures, cachedTokens: 0, copiedTokens: 0, work, reason: '' };
+	const tokens = {
+		...figures,
+		cachedTokens: 0,
+		copiedTokens: 0,
+		work,
+		memory: unboundedFit,
+		reason: '',
+	};
 	const retries = { ratio: 1, windowMs: 10_000, extra: 10 };
 	return {
 		clock,
