--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -31,7 +31,7 @@
 				'tokens of its memory that these requests need, as estimated; 0 where memory is not known',
 			memory_need_tokens: 'tokens that this request needs there',
 			memory_room_tokens:
-				'tokens left for it, less what is kept for growth and unheard requests; negative when full',
+				'tokens left for it beside what is kept for answers that grow; negative when full',
 			memory_wait_ms: 'time until as much memory comes free',
 			unread_tokens: 'tokens of the prompt that it will have to read',
 			wait_ms: 'time until its first event, as estimated',
