Memory is held from before a request's first event

Cause: the time from first event to last alone is next to nothing where answers have one event; room would seem to come free at once.

--- a/src/core/engines/memory-room.ts
+++ b/src/core/engines/memory-room.ts
@@ -8,6 +8,7 @@
 import { memoryBlockTokens } from '../fleet/work-sums.js';
 import type { EngineModel } from '../routing/types.js';
 import type { AnswerLengths } from './answer-lengths.js';
+import type { CostFigures } from './work-estimate.js';
 
 /**
  * Standard deviations that are allowed for: nine engines of ten that are filled to the last token hold the answers that
@@ -28,7 +29,7 @@
 	model: EngineModel | undefined;
 	req: RequestTokens;
 	lengths: AnswerLengths;
-	/** How long a request runs in the mean, in milliseconds. */
+	/** How long a request holds memory in the mean, in milliseconds; more than 0. */
 	heldMs: number;
 	/** Age of the news in the mean, in milliseconds. */
 	newsAgeMs: number;
@@ -112,6 +113,14 @@
 	}
 }
 
+/**
+ * For how long a request holds memory in the mean, in milliseconds: from before its first event to its last. Answers of one
+ * event would be held for no time by the latter alone.
+ */
+export function memoryHeldMs({ firstMs, heldMs }: CostFigures): number {
+	return firstMs + heldMs;
+}
+
 /** Whether no engine of the service can ever run the request. */
 export function exceedsMemory({ promptTokens }: RequestTokens, model?: EngineModel): boolean {
 	const memoryTokens = memoryOf(model);
--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -17,7 +17,7 @@
 import { EngineDivision } from './engine-division.js';
 import { sampleEngines } from './engine-sample.js';
 import type { MemoryFit } from './memory-room.js';
-import { MemoryRoom, unboundedFit } from './memory-room.js';
+import { MemoryRoom, memoryHeldMs, unboundedFit } from './memory-room.js';
 import { comeBackS, isOverloaded } from './overload.js';
 import type { CostFigures } from './work-estimate.js';
 import { copyingMs, longWorkMs, readingMs, shortWorkMs } from './work-estimate.js';
@@ -263,18 +263,18 @@
 		return this.fleet.newsAgeMs * meanNewsAge;
 	}
 
-	private memoryRoom(req: PlacementRequest, { heldMs }: CostFigures): MemoryRoom {
+	private memoryRoom(req: PlacementRequest, costs: CostFigures): MemoryRoom {
 		return new MemoryRoom({
 			model: req.model,
 			req,
 			lengths: this.costs.lengthsOf(req.service),
-			heldMs,
+			heldMs: memoryHeldMs(costs),
 			newsAgeMs: this.meanNewsAgeMs,
 		});
 	}
 
-	private keptOf(req: PlacementRequest, open: readonly Engine[], { heldMs }: CostFigures): Kept {
-		const by = this.fleet.keptBy(req.parts.slice(0, -1), heldMs);
+	private keptOf(req: PlacementRequest, open: readonly Engine[], costs: CostFigures): Kept {
+		const by = this.fleet.keptBy(req.parts.slice(0, -1), memoryHeldMs(costs));
 		const copyableOf = (engine: Engine) => (by.get(engine.ref) ?? nothingKept).copyable;
 		const copyable = Math.max(...open.map(copyableOf));
 		// Any of them, since copies from one engine wait for each other.
