--- a/deploy/compile.cjs
+++ b/deploy/compile.cjs
@@ -3,6 +3,8 @@
  * here and serves a few requests, on loopback, before a store and an engine that answer just enough.
  * Run with the same flags as the daemon: compiled code fits no others.
  */
+require('./runtime.cjs');
+
 const fs = require('node:fs');
 const http = require('node:http');
 const net = require('node:net');
--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -30,7 +30,7 @@
 	/** No engine listens at this address any more. */
 	onAddressGone: (address: string) => void;
 	onGone: (engine: Engine) => void;
-	/** Registrations changed. */
+	/** What registrations say changed. */
 	onChanged: () => void;
 	/** All registrations were read, from the store or a peer. */
 	onRead: () => void;
@@ -47,6 +47,8 @@
 	private shownRevision = 0;
 	private readonly starts: PastStarts;
 	private contentDigest = 0;
+	/** Hashes of what the registrations say, by id. */
+	private readonly contents = new Map<string, number>();
 	private wasRead = false;
 	private storeLost = false;
 	private storeBackAt = Number.NEGATIVE_INFINITY;
@@ -97,7 +99,10 @@
 		return this.shownRevision;
 	}
 
-	/** Stands for all registrations and their versions; equal directories have equal digests. */
+	/**
+	 * Stands for what all registrations say; directories that say the same have equal digests. Engines write theirs again with each
+	 * heartbeat: that alone makes no VM fetch them.
+	 */
 	get digest(): number {
 		return this.contentDigest;
 	}
@@ -165,6 +170,7 @@
 	}
 
 	changes(changes: StoreChanges): void {
+		const before = this.contentDigest;
 		this.shownRevision = changes.revision;
 		for (const event of changes.events) {
 			if (event.kind === 'put') {
@@ -174,7 +180,9 @@
 				this.gone(this.opts.idOf(event.key));
 			}
 		}
-		this.opts.onChanged();
+		if (this.contentDigest !== before) {
+			this.opts.onChanged();
+		}
 	}
 
 	lost(): void {
@@ -210,6 +218,9 @@
 	}
 
 	private put(item: StoreItem): void {
+		if (this.isShown(item)) {
+			return;
+		}
 		const entry = this.decode(item);
 		if (!entry) {
 			return;
@@ -220,7 +231,7 @@
 			this.remove(known, 'it began again');
 		}
 		const before = this.items.get(entry.id)?.revision ?? 0;
-		this.setItem(entry.id, item);
+		this.setItem(entry, item);
 		if (!known || !isSame) {
 			this.add(this.starts.engineOf(entry, item.revision), item.revision);
 			return;
@@ -233,6 +244,17 @@
 		known.missingUntil = undefined;
 	}
 
+	/** The registration was taken in before, as it stands. */
+	private isShown({ key, revision }: StoreItem): boolean {
+		const id = this.opts.idOf(key);
+		const known = this.engines.get(id);
+		if (!known || this.items.get(id)?.revision !== revision) {
+			return false;
+		}
+		known.missingUntil = undefined;
+		return true;
+	}
+
 	/** What is no engine's registration names no engine, whoever wrote it; it is logged once. */
 	private decode(item: StoreItem): EngineEntry | undefined {
 		const id = this.opts.idOf(item.key);
@@ -292,7 +314,7 @@
 		engine.isGone = true;
 		this.starts.ended(engine, eraOf(this.shownRevision));
 		this.engines.delete(id);
-		this.setItem(id, undefined);
+		this.removeItem(id);
 		const left = (this.ofService.get(service) ?? []).filter((other) => other !== engine);
 		this.ofService.set(service, left);
 		this.opts.onGone(engine);
@@ -302,13 +324,23 @@
 		}
 	}
 
-	private setItem(id: string, item: StoreItem | undefined): void {
-		const before = this.items.get(id);
-		this.contentDigest ^= digestOf(before) ^ digestOf(item);
-		if (item) {
-			this.items.set(id, item);
+	private setItem(entry: EngineEntry, item: StoreItem): void {
+		this.items.set(entry.id, item);
+		this.setContent(entry.id, rendezvous.hashText(JSON.stringify(entry)));
+	}
+
+	private removeItem(id: string): void {
+		this.items.delete(id);
+		this.setContent(id, 0);
+	}
+
+	/** @param hash of what the registration says; 0 when there is none */
+	private setContent(id: string, hash: number): void {
+		this.contentDigest ^= (this.contents.get(id) ?? 0) ^ hash;
+		if (hash === 0) {
+			this.contents.delete(id);
 		} else {
-			this.items.delete(id);
+			this.contents.set(id, hash);
 		}
 	}
 
@@ -323,7 +355,3 @@
 		});
 	}
 }
-
-function digestOf(item: StoreItem | undefined): number {
-	return item ? rendezvous.scoreOf(item.key, String(item.revision)) : 0;
-}
--- a/src/core/fleet/store-readers.ts
+++ b/src/core/fleet/store-readers.ts
@@ -2,6 +2,7 @@
  * Which VMs the store answered lately, as news tell.
  * @module
  */
+import { eraOf } from '../store/revisions.js';
 import type { StoreReader } from './types.js';
 
 /** Readers that are told on at the most; more read the store only for a moment, after a start. */
@@ -22,7 +23,7 @@
 
 	/**
 	 * @param isMember it told so itself, in its report
-	 * @returns whether it is new, or tells of other engines than before
+	 * @returns whether it is new, or tells of other engines than before; a revision rises with each heartbeat of an engine
 	 */
 	heard(reader: StoreReader, isMember: boolean, now: number): boolean {
 		const contactAt = now - reader.contactAgeMs;
@@ -81,5 +82,6 @@
 }
 
 function differ(a: StoreReader, b: StoreReader): boolean {
-	return a.revision !== b.revision || a.digest !== b.digest || a.dutyToken !== b.dutyToken;
+	const isOtherEra = eraOf(a.revision) !== eraOf(b.revision);
+	return isOtherEra || a.digest !== b.digest || a.dutyToken !== b.dutyToken;
 }
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -2,7 +2,8 @@
  * Decodes the operators' configuration as the platform's store holds it.
  * @module
  */
-import * as zod from 'zod';
+import './zod-setup.js';
+import * as zod from 'zod/mini';
 import type { EngineSupply, Route, RoutingConfiguration, Service } from '../core/routing/types.js';
 import { repeatabilities } from '../core/routing/types.js';
 
@@ -16,63 +17,65 @@
 	hostname: zod.string(),
 	'path-prefix': zod.string(),
 	/** `streaming`, `idempotent` or `non_idempotent`; what is not known runs at most once. */
-	type: zod.string().default('non_idempotent'),
-	'timeout-ms': zod.number().default(defaultTimeoutMs),
-	'target-latency-ms': zod.number().default(1000),
+	type: zod._default(zod.string(), 'non_idempotent'),
+	'timeout-ms': zod._default(zod.number(), defaultTimeoutMs),
+	'target-latency-ms': zod._default(zod.number(), 1000),
 	/** "ITL": the longest pause between events. */
-	'target-itl-ms': zod.number().optional(),
-	priority: zod.number().default(defaultTier),
-	service: zod.string().optional(),
-	'traffic-split': zod
-		.array(zod.object({ service: zod.string(), weight: zod.number() }))
-		.optional(),
-	'max-attempts': zod.number().default(1),
-	anonymous: zod.boolean().default(false),
+	'target-itl-ms': zod.optional(zod.number()),
+	priority: zod._default(zod.number(), defaultTier),
+	service: zod.optional(zod.string()),
+	'traffic-split': zod.optional(
+		zod.array(zod.object({ service: zod.string(), weight: zod.number() })),
+	),
+	'max-attempts': zod._default(zod.number(), 1),
+	anonymous: zod._default(zod.boolean(), false),
 	/** Set on routes whose requests carry the parts of their prompt. */
-	'session-affinity': zod.boolean().default(false),
-	'stream-resume': zod.boolean().default(false),
+	'session-affinity': zod._default(zod.boolean(), false),
+	'stream-resume': zod._default(zod.boolean(), false),
 });
 
 const serviceSchema = zod.object({
 	name: zod.string(),
-	'health-path': zod.string().default('/healthz'),
-	'max-connections': zod.number().default(100),
+	'health-path': zod._default(zod.string(), '/healthz'),
+	'max-connections': zod._default(zod.number(), 100),
 	/** Present for model engines. */
-	backend: zod.object({ slots: zod.number(), 'kv-capacity': zod.number() }).optional(),
+	backend: zod.optional(zod.object({ slots: zod.number(), 'kv-capacity': zod.number() })),
 	/** Present where engines may be ordered; the limits count for each zone. */
-	autoscale: zod
-		.object({
-			'min-replicas': zod.number().default(0),
+	autoscale: zod.optional(
+		zod.object({
+			'min-replicas': zod._default(zod.number(), 0),
 			'max-replicas': zod.number(),
-			'boot-time-s': zod.number().default(0),
-			'spot-price': zod.number().default(1),
+			'boot-time-s': zod._default(zod.number(), 0),
+			'spot-price': zod._default(zod.number(), 1),
 			/** Price of an engine's second. */
 			'zone-prices': zod.record(zod.string(), zod.number()),
-		})
-		.optional(),
+		}),
+	),
 });
 
 const schema = zod.object({
 	version: zod.number(),
 	routes: zod.array(routeSchema),
 	services: zod.array(serviceSchema),
-	limits: zod
-		.object({
-			'max-header-bytes': zod.number().default(16_384),
-			'max-body-bytes': zod.number().default(4_194_304),
-			'header-timeout-ms': zod.number().default(3000),
-			'idle-timeout-ms': zod.number().default(15_000),
-		})
-		.prefault({}),
-	tenants: zod
-		.array(
+	limits: zod.prefault(
+		zod.object({
+			'max-header-bytes': zod._default(zod.number(), 16_384),
+			'max-body-bytes': zod._default(zod.number(), 4_194_304),
+			'header-timeout-ms': zod._default(zod.number(), 3000),
+			'idle-timeout-ms': zod._default(zod.number(), 15_000),
+		}),
+		{},
+	),
+	tenants: zod._default(
+		zod.array(
 			zod.object({
 				name: zod.string(),
-				'api-keys': zod.array(zod.string()).default([]),
-				priority: zod.number().optional(),
+				'api-keys': zod._default(zod.array(zod.string()), []),
+				priority: zod.optional(zod.number()),
 			}),
-		)
-		.default([]),
+		),
+		[],
+	),
 });
 
 /**
--- a/src/platform/engines.ts
+++ b/src/platform/engines.ts
@@ -2,25 +2,26 @@
  * Decodes the registrations of engines in the platform's store.
  * @module
  */
-import * as zod from 'zod';
+import './zod-setup.js';
+import * as zod from 'zod/mini';
 import type { EngineEntry } from '../core/engines/types.js';
 import { keys } from './wire.js';
 
 /** Everything that an engine writes; an entry that lacks any of it, or has it in another form, is not an engine's. */
 const schema = zod.object({
-	service: zod.string().min(1),
-	address: zod.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected IP:PORT'),
-	zone: zod.string().min(1),
+	service: zod.string().check(zod.minLength(1)),
+	address: zod.string().check(zod.regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected IP:PORT')),
+	zone: zod.string().check(zod.minLength(1)),
 	version: zod.string(),
-	slots: zod.int().positive(),
+	slots: zod.int().check(zod.positive()),
 	state: zod.enum(['ready', 'draining']),
-	'warmup-left-ms': zod.number().min(0),
+	'warmup-left-ms': zod.number().check(zod.gte(0)),
 	/** Rises with each heartbeat. */
 	sequence: zod.int(),
 	/** Unix milliseconds of this start; the id may be that of an earlier one. */
-	born: zod.int().optional(),
+	born: zod.optional(zod.int()),
 	/** It costs less and may be taken away at short notice. */
-	spot: zod.boolean().default(false),
+	spot: zod._default(zod.boolean(), false),
 });
 
 /** Id of the engine that a key of the store belongs to. */
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -2,73 +2,80 @@
  * Reads the settings file that the platform lays on each VM.
  * @module
  */
-import * as zod from 'zod';
+import './zod-setup.js';
+import * as zod from 'zod/mini';
 import type { Finding } from '../core/errors/index.js';
 import type { DutySettings, HostPort, RelaySettings } from '../core/relay/settings.js';
 
-const hostPort = zod
-	.string()
-	.regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected IP:PORT')
-	.transform(parseHostPort);
-const milliseconds = zod.number().min(0);
-const seconds = zod.number().min(0);
+const hostPort = zod.pipe(
+	zod.string().check(zod.regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected IP:PORT')),
+	zod.transform(parseHostPort),
+);
+const text = zod.string().check(zod.minLength(1));
+const atLeastZero = zod.number().check(zod.gte(0));
+const positive = zod.number().check(zod.positive());
+
+/** Time in milliseconds, or in seconds by the field's name. */
+function time(otherwise: number) {
+	return zod._default(atLeastZero, otherwise);
+}
 
 /** Fields that are not named here are passed over. */
 const schema = zod.object({
-	'node-name': zod.string().min(1),
+	'node-name': text,
 	ip: zod.ipv4(),
 	/** "Zone": the failure domain. */
-	zone: zod.string().min(1),
+	zone: text,
 	listen: zod.object({
 		/** For callers. */
 		frontend: hostPort,
 		readiness: hostPort,
 		/** For the other VMs, where the role serves it. */
-		'control-plane': hostPort.optional(),
+		'control-plane': zod.optional(hostPort),
 	}),
 	/** Free for traffic between VMs, both ends included; alike on all VMs. */
 	'port-range': zod.tuple([zod.int(), zod.int()]),
-	'seed-nodes': zod.array(hostPort).default([]),
+	'seed-nodes': zod._default(zod.array(hostPort), []),
 	limits: zod.object({
 		'memory-mb': zod.number(),
 		'max-fds': zod.int(),
 		/** Share of one core. */
-		'cpu-quota': zod.number().positive().default(1),
+		'cpu-quota': zod._default(positive, 1),
 		/** How many times as fast as a usual one that core runs. */
-		'cpu-cores': zod.number().positive().default(1),
+		'cpu-cores': zod._default(positive, 1),
 	}),
 	/** Time between two signs of life of an engine. */
-	'heartbeat-ms': milliseconds.default(1200),
+	'heartbeat-ms': time(1200),
 	bounds: zod.object({
-		'contact-ms': milliseconds.default(3000),
-		'drain-ms': milliseconds.default(2000),
+		'contact-ms': time(3000),
+		'drain-ms': time(2000),
 		/** From SIGTERM to SIGKILL. */
-		'grace-s': seconds.default(8),
-		'config-apply-ms': milliseconds.default(2000),
-		'retry-ratio': zod.number().default(0.2),
-		'retry-window-s': seconds.default(10),
+		'grace-s': time(8),
+		'config-apply-ms': time(2000),
+		'retry-ratio': zod._default(zod.number(), 0.2),
+		'retry-window-s': time(10),
 		/** Retries of the whole fleet in a window beyond the ratio. */
-		'retry-extra': zod.number().default(20),
+		'retry-extra': zod._default(zod.number(), 20),
 		/** Whether the platform refuses tokens lower than one that it has seen. */
-		'fencing-required': zod.boolean().default(true),
-		'lease-ms': milliseconds.default(3000),
-		'report-window-s': seconds.positive().default(5),
+		'fencing-required': zod._default(zod.boolean(), true),
+		'lease-ms': time(3000),
+		'report-window-s': zod._default(atLeastZero.check(zod.positive()), 5),
 		/** A window's counts are due so long after its end. */
-		'usage-delay-s': seconds.default(10),
+		'usage-delay-s': time(10),
 	}),
 	/** Absent where nothing is done for the whole fleet. */
-	'cloud-api': zod
-		.object({
+	'cloud-api': zod.optional(
+		zod.object({
 			address: hostPort,
 			/** What one VM at a time does: `metering`, `autoscaling`. Others are passed over. */
-			duties: zod.array(zod.string()).default([]),
+			duties: zod._default(zod.array(zod.string()), []),
 			/** Calls of all VMs together. */
-			'duty-per-s': zod.number().positive().default(10),
-		})
-		.optional(),
+			'duty-per-s': zod._default(positive, 10),
+		}),
+	),
 	platform: zod.object({
 		address: hostPort,
-		'ttl-min-ms': milliseconds.default(1000),
+		'ttl-min-ms': time(1000),
 	}),
 });
 
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -62,6 +62,15 @@
 		Then the peer takes what changed and has engines "a, c, d"
 		And a peer that knows no engines asks for all of them
 
+	Scenario: Heartbeats that say nothing new are no news to peers
+		Given a directory of engines "a, b, c"
+		And a peer with the same directory
+		When each engine writes its registration again
+		Then the peer has nothing to fetch, and none was told
+		When the registration of "b" says that it leaves
+		Then the peer has something to fetch, and it was told
+		And a reader of the store whose revision alone rose is no news, but one of another era is
+
 	Scenario: In a large fleet a few VMs read the store for all
 		Given a fleet of 60 VMs
 		Then 60 of them read the store
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -15,10 +15,12 @@
 	ReaderSelection,
 	tellReadersMs,
 } from '../../src/core/fleet/reader-selection.js';
+import { StoreReaders } from '../../src/core/fleet/store-readers.js';
 import type { PeerNews } from '../../src/core/fleet/types.js';
 import type { Store } from '../../src/core/store/definitions.js';
 import { StoreError, storeFailures } from '../../src/core/store/definitions.js';
 import { PrefixFollower } from '../../src/core/store/prefix-follower.js';
+import { revisionIn } from '../../src/core/store/revisions.js';
 import { encodePermitAsk } from '../../src/infra/relay/limit-codec.js';
 import { encodeNews } from '../../src/infra/relay/news-codec.js';
 import * as datagrams from '../../src/infra/relay/peer-datagrams.js';
@@ -53,6 +55,7 @@
 	world: FleetWorld,
 	ids: string,
 	onGone: (engine: Engine) => void = () => {},
+	onChanged: () => void = () => {},
 ): EngineDirectory {
 	const made = new EngineDirectory({
 		clock: clockOf(world),
@@ -62,7 +65,7 @@
 		onAddressGone() {},
 		onGone,
 		onRead() {},
-		onChanged() {},
+		onChanged,
 	});
 	const items = ids.split(', ').map((id) => registration(id, 1));
 	made.snapshot(items, 0, 1);
@@ -70,7 +73,9 @@
 }
 
 cucumber.Given('a directory of engines {string}', function (this: FleetWorld, ids: string) {
-	this.seen.set('directory', directory(this, ids));
+	this.seen.set('told', 0);
+	const onChanged = () => this.seen.set('told', seen<number>(this, 'told') + 1);
+	this.seen.set('directory', directory(this, ids, undefined, onChanged));
 });
 
 cucumber.Given('the fleet has {int} requests at {string}', fleetHas);
@@ -191,6 +196,56 @@
 	},
 );
 
+cucumber.When('each engine writes its registration again', function (this: FleetWorld) {
+	const own = seen<EngineDirectory>(this, 'directory');
+	const events = own.offered('pool').map(({ id }, at) => {
+		return { kind: 'put' as const, item: registration(id, 2 + at, { sequence: 7 + at }) };
+	});
+	own.changes({ events, revision: 1 + events.length });
+});
+
+cucumber.When(
+	'the registration of {string} says that it leaves',
+	function (this: FleetWorld, id: string) {
+		const item = registration(id, 10, { state: 'draining' });
+		const changes = { events: [{ kind: 'put' as const, item }], revision: 10 };
+		seen<EngineDirectory>(this, 'directory').changes(changes);
+	},
+);
+
+cucumber.Then('the peer has nothing to fetch, and none was told', function (this: FleetWorld) {
+	const own = seen<EngineDirectory>(this, 'directory');
+	assert.ok(own.revision > 1);
+	assert.equal(seen<EngineDirectory>(this, 'peer').digest, own.digest);
+	assert.equal(seen<number>(this, 'told'), 0);
+});
+
+cucumber.Then('the peer has something to fetch, and it was told', function (this: FleetWorld) {
+	const own = seen<EngineDirectory>(this, 'directory');
+	const peer = seen<EngineDirectory>(this, 'peer');
+	assert.notEqual(peer.digest, own.digest);
+	assert.equal(seen<number>(this, 'told'), 1);
+	assert.ok(peer.takeCopy(own.export(peer.revision)));
+	assert.equal(peer.digest, own.digest);
+});
+
+cucumber.Then(
+	'a reader of the store whose revision alone rose is no news, but one of another era is',
+	function (this: FleetWorld) {
+		const readers = new StoreReaders();
+		const hear = (revision: number, digest = 5) => {
+			const reader = { address: '10.0.0.2:1', contactAgeMs: 0, revision, digest, dutyToken: 0 };
+			return readers.heard(reader, true, clockOf(this).now);
+		};
+		assert.ok(hear(revisionIn(1, 10)));
+		assert.equal(hear(revisionIn(1, 20)), false);
+		assert.ok(hear(revisionIn(1, 20), 6));
+		assert.ok(hear(revisionIn(2, 3), 6));
+		// What is passed on names the newest revision all the same.
+		assert.equal(readers.all(clockOf(this).now)[0]?.revision, revisionIn(2, 3));
+	},
+);
+
 cucumber.Then('a peer that knows no engines asks for all of them', function (this: FleetWorld) {
 	const own = seen<EngineDirectory>(this, 'directory');
 	const peer = directory(this, 'z');
