--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -6,23 +6,27 @@
 import type { Random } from '../definitions.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { KeptTokens } from '../fleet/prompt-cache-map.js';
-import type { EngineRef, EngineWork } from '../fleet/types.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type { PromptPart } from '../relay/definitions.js';
-import type { EngineModel } from '../routing/types.js';
 import { bearableMs, isLongPrompt } from './bearable-pause.js';
 import type { CostModel } from './cost-model.js';
 import type { Engine } from './engine.js';
 import type { Division } from './engine-division.js';
 import { EngineDivision } from './engine-division.js';
-import type { Pace } from './engine-pace.js';
 import { usualPace } from './engine-pace.js';
 import { sampleEngines, sampleSize } from './engine-sample.js';
 import { homesOf } from './home-engines.js';
 import { comeBackS, isOverloaded } from './overload.js';
 import { pauseRiskMs } from './pause-risk.js';
+import type {
+	Candidate,
+	Kept,
+	Placement,
+	PlacementRequest,
+	Refusal,
+	Weighing,
+} from './placement-types.js';
 import { slotWaitMs } from './slot-wait.js';
-import type { CostFigures } from './work-estimate.js';
 import { copyingMs, longWorkMs, readingMs, shortWorkMs } from './work-estimate.js';
 
 /**
@@ -63,96 +67,8 @@
 /** More than any random score. */
 const connectedScore = 1;
 
-export interface PlacementRequest {
-	service: string;
-	parts: readonly PromptPart[];
-	promptTokens: number;
-	answerTokens: number;
-	/** The first event should come within this time, in milliseconds. */
-	targetMs: number;
-	/** Shortest of the target pauses of the service's streams, in milliseconds; undefined when none has one. */
-	tightestPauseMs?: number;
-	/** Between two events the request's own caller wants no longer pause, in milliseconds; undefined when it names none. */
-	targetPauseMs?: number;
-	model?: EngineModel;
-	/** No route of the service has a less urgent tier. */
-	leastUrgent: boolean;
-	/** Engines that already had this request. */
-	tried: ReadonlySet<string>;
-	/** Whether an engine can take it now, as far as the requests a second that the engine names are known. */
-	admits: (engine: Engine) => boolean;
-	/** Whether an engine names how many requests a second it takes. */
-	isLimited: (engine: Engine) => boolean;
-}
-
-export interface Placement {
-	engine: Engine;
-	/** Prompt tokens that it will have to read, and how long that should take, in milliseconds. */
-	promptTokens: number;
-	readingMs: number;
-	/** What decided: estimated time until the first event, and cost of reading a token, in milliseconds. */
-	waitMs: number;
-	readMsPerToken: number;
-	/** How many times as long as its service's figures say work takes there; 1 is usual. */
-	pace: Pace;
-	/** Prompt tokens that it is believed to keep. */
-	cachedTokens: number;
-	/** Prompt tokens that it should copy from another engine, and that engine; none if there is no gain. */
-	copiedTokens: number;
-	copyFrom?: Engine;
-	/** What the fleet had there when it was chosen. */
-	work: EngineWork;
-	/** Why this one, for the log. */
-	reason: string;
-}
-
-export interface Refusal {
-	refusal: string;
-	retryAfterS: number;
-}
-
 const nothingKept: KeptTokens = { cached: 0, copyable: 0 };
 
-interface Candidate {
-	engine: Engine;
-	work: EngineWork;
-	/** What work costs there. */
-	costs: CostFigures;
-	/** Milliseconds until its prompt begins to be read, and for reading it. */
-	queueMs: number;
-	ownMs: number;
-	/** Milliseconds until its first event. */
-	waitMs: number;
-	/** Wait and what it costs the others, in steps. */
-	cost: number;
-	uncached: number;
-	cached: number;
-	copied: number;
-	/** Of equal costs the higher is taken. */
-	score: number;
-}
-
-/** Which engines keep how much of the start of a prompt. */
-interface Kept {
-	by: ReadonlyMap<EngineRef, KeptTokens>;
-	/** The engine from which most of it can be copied, and how much. */
-	copyFrom?: Engine;
-	copyable: number;
-}
-
-/** What is the same for all engines that one request is weighed against. */
-interface Weighing {
-	req: PlacementRequest;
-	kept: Kept;
-	/** Tokens that it shares with others, and the last part of those. */
-	sharedTokens: number;
-	key: string;
-	/** What it saves the next ones to read that where they look for it, in milliseconds. */
-	meetingMs: number;
-	/** Monotonic milliseconds. */
-	now: number;
-}
-
 export class EnginePlacement {
 	private readonly divisions = new Map<string, EngineDivision>();
 
--- a/src/core/fleet/fleet-view.ts
+++ b/src/core/fleet/fleet-view.ts
@@ -258,21 +258,14 @@
 			return hasVersions;
 		}
 		if (news.leaving && news.kind !== newsKinds.fleet) {
-			this.dropNamed(news.from);
-			this.sources.leaves(news);
+			this.left(news);
 			return true;
 		}
 		const isNew = this.sources.get(news.from)?.isOther(news) ?? true;
 		const source = this.sourceOf(news);
 		const hasWork = this.work.take(source, news, this.heardIn(news));
 		this.parts.take(news, this.now);
-		if (news.costs) {
-			this.opts.costs.take(news.from, news.costs);
-		}
-		if (news.speeds) {
-			this.opts.costs.speeds.take(news.from, news.speeds, this.now);
-		}
-		const hasAnswers = this.takeAnswers(news);
+		const hasAnswers = this.takeSums(news);
 		return hasVersions || isNew || hasWork || hasAnswers || news.reads.length > 0;
 	}
 
@@ -315,7 +308,17 @@
 		return isNew;
 	}
 
-	private takeAnswers({ from, kind, answers }: PeerNews): boolean {
+	/**
+	 * Takes in what the news tell beside work: costs, speeds and answers of failing engines.
+	 * @returns whether the answers differ from what was told before
+	 */
+	private takeSums({ from, kind, costs, speeds, answers }: PeerNews): boolean {
+		if (costs) {
+			this.opts.costs.take(from, costs);
+		}
+		if (speeds) {
+			this.opts.costs.speeds.take(from, speeds, this.now);
+		}
 		const isTotal = kind === newsKinds.fleet;
 		return answers !== undefined && this.opts.answers.take(from, answers, isTotal);
 	}
@@ -385,11 +388,12 @@
 		}
 	}
 
-	private dropNamed(name: string): void {
-		const source = this.sources.get(name);
+	private left(news: PeerNews): void {
+		const source = this.sources.get(news.from);
 		if (source) {
 			this.drop(source);
 		}
+		this.sources.leaves(news);
 	}
 
 	private drop(source: NewsSource): void {
--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -5,7 +5,7 @@
  */
 import { CalmPauses } from '../engines/calm-pauses.js';
 import type { Engine } from '../engines/engine.js';
-import type { Placement } from '../engines/placement.js';
+import type { Placement } from '../engines/placement-types.js';
 import type { WorkChange } from '../fleet/work-sums.js';
 import type { AnswerHead, PromptPart, RunningCall } from './definitions.js';
 import { EventSplitter } from './event-splitter.js';
--- a/src/core/relay/placement-log.ts
+++ b/src/core/relay/placement-log.ts
@@ -2,7 +2,7 @@
  * The line in the log that tells where a request was sent and what decided.
  * @module
  */
-import type { Placement } from '../engines/placement.js';
+import type { Placement } from '../engines/placement-types.js';
 import type { RequestOutcome } from './request-outcome.js';
 import type { RelayContext, RequestTerms } from './types.js';
 
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -3,7 +3,7 @@
  * @module
  */
 
-import type { Placement } from '../engines/placement.js';
+import type { Placement } from '../engines/placement-types.js';
 import { RequestSuspicion } from '../quarantine/request-suspicion.js';
 import type { Route } from '../routing/types.js';
 import { repeatabilities } from '../routing/types.js';
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { Engine } from '../engines/engine.js';
-import type { Placement } from '../engines/placement.js';
+import type { Placement } from '../engines/placement-types.js';
 import type { PermitCall, PermitResult } from '../limits/engine-permits.js';
 import type { RequestOutcome } from './request-outcome.js';
 import type { RelayContext, RequestTerms } from './types.js';
--- a/test/steps/burst-replay.ts
+++ b/test/steps/burst-replay.ts
@@ -5,8 +5,8 @@
  */
 import { Engine } from '../../src/core/engines/engine.js';
 import type { Pace } from '../../src/core/engines/engine-pace.js';
-import type { Placement, PlacementRequest } from '../../src/core/engines/placement.js';
 import { EnginePlacement } from '../../src/core/engines/placement.js';
+import type { Placement, PlacementRequest } from '../../src/core/engines/placement-types.js';
 import type { PromptPart } from '../../src/core/relay/definitions.js';
 import { BatchEngine } from '../stand-ins/batch-engine.js';
 import { observed } from './observed-answer.js';
