--- a/test/steps/suspension.steps.ts
+++ b/test/steps/suspension.steps.ts
@@ -24,6 +24,7 @@
 import { PrefixFollower } from '../../src/core/store/prefix-follower.js';
 import { SuspensionMeter } from '../../src/core/time/suspension-meter.js';
 import {
+	allWell,
 	clockOf,
 	entry,
 	newFleet,
@@ -258,6 +259,7 @@
 		quarantine: new Quarantine({ clock, log: silentLog, onNews() {}, isDeserted }),
 		fleet: newFleet(world),
 		limits: noRequestLimits,
+		fleetHealth: allWell,
 		costs: new CostModel(),
 		metrics: { ended() {}, denied() {}, retried() {}, engineClosed() {} },
 		onWorkChanged() {},
