--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -62,6 +62,8 @@
 	targetMs: number;
 	/** Shortest of the target pauses of the service's streams, in milliseconds; undefined when none has one. */
 	tightestPauseMs?: number;
+	/** Target pause of its own stream, in milliseconds. */
+	pauseMs?: number;
 	model?: EngineModel;
 	/** No route of the service has a less urgent tier. */
 	leastUrgent: boolean;
@@ -179,7 +181,7 @@
 	): Placement | Refusal {
 		const costs = this.costs.of(req.service);
 		const kept = this.keptOf(req, open);
-		const isLong = isLongPrompt(req.promptTokens, req.tightestPauseMs, costs);
+		const isLong = isHeavy(req, costs);
 		const division = this.divisionOf(req.service, divided(engines, req));
 		const side = isLong ? division.long : division.short;
 		const best = this.bestOf({ req, costs, kept }, open, side, isLong);
@@ -337,6 +339,12 @@
 	return best;
 }
 
+function isHeavy(req: PlacementRequest, costs: CostFigures): boolean {
+	const { promptTokens, pauseMs, tightestPauseMs } = req;
+	const isDelicate = pauseMs === undefined || pauseMs <= (tightestPauseMs ?? pauseMs);
+	return !isDelicate || isLongPrompt(promptTokens, tightestPauseMs, costs);
+}
+
 function tokensOf(parts: readonly PromptPart[]): number {
 	return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -54,6 +54,7 @@
 				answerTokens: req.answerTokens,
 				targetMs: terms.route.targetMs,
 				tightestPauseMs: terms.tightestPauseMs,
+				pauseMs: terms.route.targetPauseMs,
 				model: terms.model,
 				leastUrgent: terms.leastUrgent,
 				tried: this.tried,
