Runs of the tests no longer take each other's ports

Seen: "its one VM was not ready within 10 s of its start" and "EADDRINUSE 127.0.0.11:45253 at the fixture", once each, with two runs of the tests on one machine. Reproduced with four runs of relay.feature side by side, twelve in all (load 6 to 13): two scenarios of one run ended with "condition not met within 10000 ms; exit code 1 … listen EADDRINUSE: address already in use 127.0.0.11:45179".

Cause: all runs put their VMs at 127.0.0.11 and on, and choose ports that are free at that moment; another run takes one before the VM listens, some 0.5 s later, and the VM ends. The stand-in of the store took a port that is free at 127.0.0.1 and then listened on the same one at the address of each VM, where another run's VM may have it. Load only makes the gap longer.

Change: each run has loopback addresses of its own, by its process id. The stand-in of the store listens at all addresses at once; the address at which it is called still tells the VM. No check of a scenario changes; one is added that failed before (undefined !== 'EADDRINUSE').

--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -283,6 +283,11 @@
 		Then VM 2 answers 503 within 2000 ms
 		And VM 2 answers 200 to key "another-key" within 2000 ms
 
+	# Guards against tests that fail since another run takes the port of the store at the address of a VM.
+	Scenario: The store of a test keeps its port at the addresses of all VMs
+		Given a relay of 1 VM that has no configuration
+		Then no other process can listen where a VM reaches the store
+
 	Scenario: Invalid settings are refused with all findings
 		When the relay starts with settings that lack a zone and a store
 		Then it ends with code 78
--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -253,7 +253,7 @@
 	}
 
 	private async addVm(name: string, address: string, ports: Ports): Promise<void> {
-		const [host = '', port = ''] = (await this.fixture.store.addressFor(address)).split(':');
+		const [host = '', port = ''] = this.fixture.store.addressFor(address).split(':');
 		const storeProxy = new LoopbackProxy({ host, port: Number(port) });
 		this.storeAddresses.set(name, await storeProxy.start());
 		const vm = await this.startProcess(name, address, ports);
--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -54,26 +54,21 @@
 	losesReplies = false;
 	/** Addresses of the VMs whose calls are refused. */
 	private readonly refusedVms = new Set<string>();
-	/** One server per address, which identifies the calling VM. */
-	private readonly servers: http.Server[] = [];
+	private readonly server = http.createServer((req, res) => void this.handle(req, res));
 	private port = 0;
 	private readonly rangeReads = new Map<string, number>();
 	private readonly staleAllowedByPrefix = new Map<string, boolean>();
 	/** Number of calls by path, without the query. */
 	readonly calls = new Map<string, number>();
 
+	/** Listens at all addresses at once: a port that is free at one address may be taken at another. */
 	async start(): Promise<void> {
-		await this.listen('127.0.0.1');
+		await new Promise<void>((done) => this.server.listen(0, '0.0.0.0', done));
+		this.port = (this.server.address() as AddressInfo).port;
 	}
 
-	/** Listens at an address of the VM's own, which identifies its calls. */
-	async addressFor(vm: string): Promise<string> {
-		const isListening = this.servers.some(
-			(server) => (server.address() as AddressInfo).address === vm,
-		);
-		if (!isListening) {
-			await this.listen(vm);
-		}
+	/** Address of the store for a VM; the VM's own host, which identifies its calls. */
+	addressFor(vm: string): string {
 		return `${vm}:${this.port}`;
 	}
 
@@ -97,21 +92,12 @@
 		this.refusedVms.delete(vm);
 	}
 
-	private async listen(host: string): Promise<void> {
-		const server = http.createServer((req, res) => void this.handle(req, res));
-		await new Promise<void>((done) => server.listen(this.port, host, done));
-		this.port = (server.address() as AddressInfo).port;
-		this.servers.push(server);
-	}
-
 	stop(): void {
 		for (const { timer } of this.leases.values()) {
 			clearTimeout(timer);
 		}
-		for (const server of this.servers) {
-			server.close();
-			server.closeAllConnections();
-		}
+		this.server.close();
+		this.server.closeAllConnections();
 	}
 
 	put(key: string, value: unknown, lease = 0): void {
@@ -157,9 +143,7 @@
 		this.revision = revision;
 		this.era++;
 		this.compact();
-		for (const server of this.servers) {
-			server.closeAllConnections();
-		}
+		this.server.closeAllConnections();
 	}
 
 	/** Drops the change history; watches from older revisions fail with 410. */
--- a/test/steps/relay-vms.steps.ts
+++ b/test/steps/relay-vms.steps.ts
@@ -5,11 +5,12 @@
 import * as assert from 'node:assert/strict';
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs/promises';
+import * as net from 'node:net';
 import * as util from 'node:util';
 import * as cucumber from '@cucumber/cucumber';
 import { engineOf, firstVm, fixtureOf } from './relay-fixture.js';
 import type { Vm } from './relay-world.js';
-import { freePorts, key as permanentKey, until } from './relay-world.js';
+import { freePorts, key as permanentKey, until, vmAddress } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
 /** Entry point with which the platform starts the daemon. */
@@ -159,11 +160,24 @@
 	},
 );
 
+cucumber.Then(
+	'no other process can listen where a VM reaches the store',
+	async function (this: FleetWorld) {
+		const [host, port] = fixtureOf(this).store.addressFor(vmAddress(9)).split(':');
+		const other = net.createServer();
+		const failure = await new Promise<NodeJS.ErrnoException | undefined>((done) => {
+			other.once('error', done);
+			other.listen(Number(port), host, () => other.close(() => done(undefined)));
+		});
+		assert.equal(failure?.code, 'EADDRINUSE');
+	},
+);
+
 cucumber.When(
 	'a second VM starts, turned away, with the first as its seed',
 	async function (this: FleetWorld) {
 		const fixture = fixtureOf(this);
-		const address = '127.0.0.12';
+		const address = vmAddress(2);
 		fixture.store.refuseVm(address);
 		const first = firstVm(this);
 		const seeds = [`${first.address}:9`];
@@ -242,6 +256,29 @@
 	},
 );
 
+cucumber.When(
+	'the relay starts while another process listens at its readiness port',
+	async function (this: FleetWorld) {
+		const fixture = fixtureOf(this);
+		await fixture.store.start();
+		const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
+		const other = net.createServer();
+		await new Promise<void>((done) => other.listen(readiness, vmAddress(1), done));
+		const ports = { callers, readiness, peers, metrics };
+		const vm = await fixture.startVm(vmAddress(1), 'vm-1', ports);
+		fixture.vms.push(vm);
+		void vm.ended.then(() => other.close());
+	},
+);
+
+cucumber.Then(
+	'its log says {string} with that address',
+	function (this: FleetWorld, event: string) {
+		const { output, address, ports } = firstVm(this);
+		assert.match(output, new RegExp(`event=${event} .*${address}:${ports.readiness}`));
+	},
+);
+
 cucumber.Then('it ends with code {int}', async function (this: FleetWorld, code: number) {
 	assert.equal(await firstVm(this).ended, code);
 });
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -64,7 +64,7 @@
 		const [callers, readiness, peers, metrics] = await freePorts(4);
 		for (let index = 1; index <= vms; index++) {
 			const ports = { callers, readiness, peers, metrics } as Ports;
-			this.vms.push(await this.startVm(`127.0.0.${10 + index}`, `vm-${index}`, ports));
+			this.vms.push(await this.startVm(vmAddress(index), `vm-${index}`, ports));
 		}
 		for (const vm of this.vms) {
 			await this.untilStarted(vm, configured);
@@ -247,7 +247,7 @@
 			'seed-nodes': opts.seeds ?? [],
 			limits: { 'memory-mb': 350, 'max-fds': 4100 },
 			bounds: {},
-			platform: { address: opts.store ?? (await this.store.addressFor(address)) },
+			platform: { address: opts.store ?? this.store.addressFor(address) },
 			'not-known-yet': 1,
 		};
 		for (const name of opts.omit ?? []) {
@@ -309,6 +309,15 @@
 	metrics: number;
 }
 
+/**
+ * Address of a VM by its number, from 1. Each run of the tests has loopback addresses of its own, since another run may take
+ * a port at a shared address between the choice of the port and its use.
+ */
+export function vmAddress(index: number): string {
+	const { pid } = process;
+	return `127.${10 + ((pid >> 8) % 200)}.${pid % 256}.${10 + index}`;
+}
+
 /** Ports that are free now, according to the operating system. */
 export async function freePorts(count: number): Promise<number[]> {
 	const servers = Array.from({ length: count }, () => net.createServer());
--- a/test/steps/store-restored.steps.ts
+++ b/test/steps/store-restored.steps.ts
@@ -88,7 +88,7 @@
 cucumber.Given('a separate store', async function (this: FleetWorld) {
 	const { store } = fixtureOf(this);
 	await store.start();
-	const [host = '', port = ''] = (await store.addressFor('127.0.0.1')).split(':');
+	const [host = '', port = ''] = store.addressFor('127.0.0.1').split(':');
 	this.state.set('client', new PlatformStore({ host, port: Number(port) }, new ManualClock()));
 });
 
