A relay that cannot start says why in its log

Seen by operators: a VM whose port is taken by another process never becomes ready, and its structured log holds no line at all; the reason stands only in a stack trace on standard error. It is how the VMs that were "not ready within 10 s" had ended, unseen.

Cause: the rejection of `start` was handled by nobody, so Node.js ended the process.

Change: the relay logs `daemon.start-failed` with the reason, drains its log and exits with code 1 as before. Looked for elsewhere: reload and stop handle their errors.

Result: the new scenario failed before (its log was empty) and passes.

--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -464,6 +464,13 @@
 			seeds: 'seed nodes',
 		},
 	},
+	{
+		name: 'daemon.start-failed',
+		when: 'The daemon cannot start, for example because another process uses one of its ports; the process exits.',
+		fields: {
+			error: 'what failed, with the address',
+		},
+	},
 	{
 		name: 'daemon.failed',
 		when: 'An unexpected error ended a loop; the process exits and is restarted.',
--- a/src/daemon/relay/main.ts
+++ b/src/daemon/relay/main.ts
@@ -53,7 +53,13 @@
 	const log = new RateLimitedLog(lines, new SystemClock());
 	const linesDropped = () => writer.droppedTotal + log.suppressedTotal;
 	const daemon = new RelayDaemon(settings, log, linesDropped, sizing);
-	await daemon.start();
+	try {
+		await daemon.start();
+	} catch (err) {
+		log.error('daemon.start-failed', { error: (err as Error).message });
+		await writer.drain();
+		process.exit(exitCodes.failed);
+	}
 	const onStop = () => void stop(daemon, writer);
 	process.on('SIGTERM', onStop);
 	process.on('SIGINT', onStop);
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -288,6 +288,12 @@
 		Given a relay of 1 VM that has no configuration
 		Then no other process can listen where a VM reaches the store
 
+	# Guards against a VM that never becomes ready and whose log does not say why.
+	Scenario: A VM whose port is taken logs the address and ends
+		When the relay starts while another process listens at its readiness port
+		Then it ends with code 1
+		And its log says "daemon.start-failed" with that address
+
 	Scenario: Invalid settings are refused with all findings
 		When the relay starts with settings that lack a zone and a store
 		Then it ends with code 78
