VMs of tests get ports that the operating system gives to nobody else

Cause: any port from the range that the operating system gives out may go to somebody else in that time. Change: ports of VMs come from a range below it (10,000 to 30,000; the system gives out 32,768 and on), at addresses of the run's own. No check changes.

--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -7,7 +7,7 @@
 import * as path from 'node:path';
 import { engineBehaviours, PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
 import type { Ports, Vm } from '../steps/relay-world.js';
-import { freePorts, key, RelayFixture, until } from '../steps/relay-world.js';
+import { key, RelayFixture, reservePorts, until } from '../steps/relay-world.js';
 import { LoopbackProxy } from './loopback-proxy.js';
 import type {
 	AnnouncedLimit,
@@ -91,7 +91,7 @@
 			await this.addEngine();
 		}
 		this.rotateKey();
-		const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
+		const [callers = 0, readiness = 0, peers = 0, metrics = 0] = reservePorts(4);
 		const ports: Ports = { callers, readiness, peers, metrics };
 		for (let index = 0; index < vms; index++) {
 			await this.addVm(`vm-${index + 1}`, `127.0.${subnet}.${10 + index}`, ports);
--- a/test/steps/relay-vms.steps.ts
+++ b/test/steps/relay-vms.steps.ts
@@ -10,7 +10,7 @@
 import * as cucumber from '@cucumber/cucumber';
 import { engineOf, firstVm, fixtureOf } from './relay-fixture.js';
 import type { Vm } from './relay-world.js';
-import { freePorts, key as permanentKey, until, vmAddress } from './relay-world.js';
+import { key as permanentKey, reservePorts, until, vmAddress } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
 /** Entry point with which the platform starts the daemon. */
@@ -137,7 +137,7 @@
 cucumber.When(
 	'the relay starts with settings that lack a zone and a store',
 	async function (this: FleetWorld) {
-		const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
+		const [callers = 0, readiness = 0, peers = 0, metrics = 0] = reservePorts(4);
 		const ports = { callers, readiness, peers, metrics };
 		const fixture = fixtureOf(this);
 		fixture.vms.push(
@@ -261,7 +261,7 @@
 	async function (this: FleetWorld) {
 		const fixture = fixtureOf(this);
 		await fixture.store.start();
-		const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts(4);
+		const [callers = 0, readiness = 0, peers = 0, metrics = 0] = reservePorts(4);
 		const other = net.createServer();
 		await new Promise<void>((done) => other.listen(readiness, vmAddress(1), done));
 		const ports = { callers, readiness, peers, metrics };
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -5,7 +5,7 @@
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs/promises';
 import * as http from 'node:http';
-import * as net from 'node:net';
+import type * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import { PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
@@ -61,7 +61,7 @@
 			this.configure([key]);
 		}
 		// As on the platform, each VM has its own address and all use the same ports.
-		const [callers, readiness, peers, metrics] = await freePorts(4);
+		const [callers, readiness, peers, metrics] = reservePorts(4);
 		for (let index = 1; index <= vms; index++) {
 			const ports = { callers, readiness, peers, metrics } as Ports;
 			this.vms.push(await this.startVm(vmAddress(index), `vm-${index}`, ports));
@@ -318,15 +318,18 @@
 	return `127.${10 + ((pid >> 8) % 200)}.${pid % 256}.${10 + index}`;
 }
 
-/** Ports that are free now, according to the operating system. */
-export async function freePorts(count: number): Promise<number[]> {
-	const servers = Array.from({ length: count }, () => net.createServer());
-	for (const server of servers) {
-		await new Promise<void>((done) => server.listen(0, '0.0.0.0', done));
-	}
-	const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
-	await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
-	return ports;
+/** Ports for VMs, below those that the operating system gives to others, so that none is taken before a VM listens. */
+const vmPorts = { first: 10_000, end: 30_000 };
+/** Runs of the soak may share addresses, so each run starts elsewhere. */
+let nextPort = vmPorts.first + ((process.pid * 20) % (vmPorts.end - vmPorts.first));
+
+/** Reserves ports for VMs of this run. */
+export function reservePorts(count: number): number[] {
+	return Array.from({ length: count }, () => {
+		const port = nextPort;
+		nextPort = port + 1 < vmPorts.end ? port + 1 : vmPorts.first;
+		return port;
+	});
 }
 
 /** Waits until the condition holds; fails after `withinMs`. */
