A VM that need not read the store ends the read that it has begun

Cause: a range of thousands of keys takes many calls, and pausing a follower did not end them: 296 VMs that had become non-readers by 1.7 s (`store.reading reads=false`) read on to the last page, filled the store's link with some 300 MB, and threw the result away.

Change: a range takes a signal, and a paused follower ends its read. Looked for elsewhere: the registry's and the quarantine's reads are few pages and needed.

The new scenario failed before: 200 of 200 calls after a pause.

--- a/src/core/store/definitions.ts
+++ b/src/core/store/definitions.ts
@@ -68,8 +68,9 @@
 	/**
 	 * Returns all items whose key starts with the prefix.
 	 * @param mayBeStale allows a cheaper read that may be seconds old
+	 * @param signal ends the read; a long range takes many calls
 	 */
-	range(prefix: string, mayBeStale?: boolean): Promise<StoreRange>;
+	range(prefix: string, mayBeStale?: boolean, signal?: AbortSignal): Promise<StoreRange>;
 	/** Resolves when something under the prefix changes after `revision`, or without events when `waitMs` has passed. */
 	watch(
 		prefix: string,
--- a/src/core/store/prefix-follower.ts
+++ b/src/core/store/prefix-follower.ts
@@ -141,7 +141,8 @@
 	private async readAll(): Promise<number> {
 		const readAt = this.opts.clock.monotonic();
 		const mayBeStale = !this.hasRead && this.opts.firstMayBeStale;
-		const range = await this.opts.store.range(this.opts.prefix, mayBeStale);
+		const { signal } = this.cancel;
+		const range = await this.opts.store.range(this.opts.prefix, mayBeStale, signal);
 		if (!this.isActive) {
 			throw new StoreError(storeFailures.unknown, 'paused during the call');
 		}
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -82,12 +82,12 @@
 		return this.lastEra ?? 0;
 	}
 
-	async range(prefix: string, mayBeStale = false): Promise<StoreRange> {
+	async range(prefix: string, mayBeStale = false, signal?: AbortSignal): Promise<StoreRange> {
 		const items: StoreItem[] = [];
 		let revision: number | undefined;
 		let after = '';
 		for (;;) {
-			const { body: page, era } = await this.readPage(prefix, after, mayBeStale);
+			const { body: page, era } = await this.readPage(prefix, after, mayBeStale, signal);
 			// Pages are not read as one snapshot: a watch from the first page's revision covers changes in between.
 			revision ??= revisionIn(era, page.timestamp);
 			if (era !== eraOf(revision)) {
@@ -201,6 +201,7 @@
 		prefix: string,
 		after: string,
 		mayBeStale: boolean,
+		signal: AbortSignal | undefined,
 	): Promise<OkReply<WireRange>> {
 		const query = new URLSearchParams({ 'path-prefix': prefix });
 		if (mayBeStale) {
@@ -210,7 +211,7 @@
 			// In range reads this parameter takes the last key of the previous page.
 			query.set('since-revision', after);
 		}
-		return expectOk<WireRange>(await this.call('GET', `/kv-range?${query}`));
+		return expectOk<WireRange>(await this.call('GET', `/kv-range?${query}`, { signal }));
 	}
 
 	/** @throws StoreError when the revision is not from the given era */
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -105,6 +105,13 @@
 		When 4 of their peers read the store for 3000 ms, and all hear each other
 		Then 4 of them read the store
 
+	# Guards against a store whose link is filled by VMs that read on although others read for them.
+	Scenario: A store follower that is paused does not read the rest of a long range
+		Given a store with 1000 keys, of which each call returns a few
+		When a follower of them is paused after its first calls
+		Then it makes at most a quarter of the calls that the whole range takes
+		And it reads the whole range once it is resumed
+
 	Scenario: A store follower that is already retrying is not sped up
 		Given a follower of a store that refuses every call
 		When it is told each 50 ms for 4000 ms to drop what may hang
--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -28,6 +28,9 @@
 
 type JsonObject = Record<string, unknown>;
 
+/** Keys in the answer to one range read; few, so that tests read several pages. */
+export const keysPerPage = 5;
+
 /** State of the store at one moment. */
 export interface StoreSnapshot {
 	items: Map<string, Item>;
@@ -207,7 +210,7 @@
 		this.rangeReads.set(prefix, this.countRangeReads(prefix) + 1);
 		this.staleAllowedByPrefix.set(prefix, query.get('stale-ok') === '1');
 		const keys = [...this.items.keys()].filter((key) => key.startsWith(prefix) && key > after);
-		const pageKeys = keys.sort().slice(0, 5);
+		const pageKeys = keys.sort().slice(0, keysPerPage);
 		const entries = pageKeys.map((key) => this.items.get(key));
 		return { entries, 'has-more': keys.length > pageKeys.length, timestamp: this.revision };
 	}
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -26,9 +26,11 @@
 import { encodePermitRequest } from '../../src/infra/relay/limit-codec.js';
 import * as datagrams from '../../src/infra/relay/peer-datagram-socket.js';
 import * as platform from '../../src/platform/index.js';
+import { keysPerPage } from '../stand-ins/platform-store.js';
 import {
 	clockOf,
 	gossipMessage,
+	ManualClock,
 	newFleetView,
 	registered,
 	registration,
@@ -36,6 +38,8 @@
 	silentLog,
 	workMessage,
 } from './relay-fakes.js';
+import { fixtureOf } from './relay-fixture.js';
+import { until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
 cucumber.Given('a fleet size that never was read', function (this: FleetWorld) {
@@ -437,6 +441,78 @@
 	this.state.set('follower', { follower, sleeping, calls: () => calls });
 });
 
+cucumber.Given(
+	'a store with {int} keys, of which each call returns a few',
+	async function (this: FleetWorld, keys: number) {
+		const { store } = fixtureOf(this);
+		await store.start();
+		for (let key = 0; key < keys; key++) {
+			store.put(`p/${String(key).padStart(5, '0')}`, 'value');
+		}
+		this.state.set('keys', keys);
+	},
+);
+
+cucumber.When(
+	'a follower of them is paused after its first calls',
+	async function (this: FleetWorld) {
+		const { store } = fixtureOf(this);
+		const [host = '', port = ''] = store.addressFor('127.0.0.1').split(':');
+		const client = new platform.PlatformStore({ host, port: Number(port) }, new ManualClock());
+		const sleep = (ms: number) => new Promise<void>((done) => setTimeout(done, ms));
+		let readKeys = 0;
+		const follower = new PrefixFollower({
+			store: client,
+			prefix: 'p/',
+			clock: new ManualClock(),
+			random: { next: () => 0.5, hex: () => '' },
+			log: silentLog,
+			listener: {
+				applySnapshot: (items) => {
+					readKeys = items.length;
+				},
+				applyChanges() {},
+				handleStoreLost() {},
+			},
+			beforeFirstWatch: async () => {},
+			firstMayBeStale: true,
+			pauseMs: 0,
+			maxBackoffMs: () => 400,
+			sleep,
+			backOff: sleep,
+		});
+		void follower.follow();
+		await until(() => store.countRangeReads('p/') >= 2);
+		follower.setActive(false);
+		await sleep(1000);
+		this.state.set('paused', { follower, client, readKeys: () => readKeys });
+	},
+);
+
+cucumber.Then(
+	'it makes at most a quarter of the calls that the whole range takes',
+	function (this: FleetWorld) {
+		const calls = fixtureOf(this).store.countRangeReads('p/');
+		const pages = seen<number>(this, 'keys') / keysPerPage;
+		assert.ok(calls <= pages / 4, `${calls} of ${pages} calls`);
+	},
+);
+
+cucumber.Then('it reads the whole range once it is resumed', async function (this: FleetWorld) {
+	const { follower, client, readKeys } = seen<PausedFollower>(this, 'paused');
+	assert.equal(readKeys(), 0);
+	follower.setActive(true);
+	await until(() => readKeys() === seen<number>(this, 'keys'));
+	follower.stop();
+	await client.close();
+});
+
+interface PausedFollower {
+	follower: PrefixFollower;
+	client: platform.PlatformStore;
+	readKeys: () => number;
+}
+
 interface FollowerFixture {
 	follower: PrefixFollower;
 	sleeping: { until: number; wake: () => void }[];
