Only overdue gossip holds a pace, so that recovered engines are tried again in time

Cause: the usual age of gossip, up to half a second over three hops, was taken off the time without observations as well, and paces were sent twice as often.

Change: only what is beyond 500 ms counts as overdue; paces are sent each 250 ms as before.

--- a/src/core/engines/engine-pace.ts
+++ b/src/core/engines/engine-pace.ts
@@ -35,6 +35,8 @@
  * milliseconds: lost messages must not look like an idle engine.
  */
 const maxGossipGapMs = 2000;
+/** Age of gossip while no message is lost, which counts like any other time. */
+const usualGossipAgeMs = 500;
 /** Smallest relative gain in weight of the fast average that counts as new observations. */
 const minGain = 0.05;
 /** Bound of all paces, as a logarithm of the factor. */
@@ -168,10 +170,12 @@
 		return reading.weight + steps.weight < minWeight && this.recent.isNegligible(now);
 	}
 
-	/** Time for which peers' observations have not been heard; 0 once that lasts too long to be due to lost messages. */
+	/**
+	 * Time for which peers' observations have been overdue; 0 once that lasts too long to be due to lost messages.
+	 */
 	private gossipGapMs(now: number): number {
 		const gapMs = now - (this.toldUntil ?? now);
-		return gapMs < maxGossipGapMs ? gapMs : 0;
+		return gapMs < maxGossipGapMs ? Math.max(0, gapMs - usualGossipAgeMs) : 0;
 	}
 
 	/** Time without new observations, as far as the gossip that arrived tells. */
--- a/src/core/fleet/gossip-composer.ts
+++ b/src/core/fleet/gossip-composer.ts
@@ -21,11 +21,8 @@
 
 /** Minimum interval between messages of a kind that carry cost estimates, which change slowly. */
 const costsIntervalMs = 1000;
-/**
- * The same for paces of engines; short, since a slow engine has to be known fleet-wide after three hops, each of which may
- * lose a few messages in a row.
- */
-const pacesIntervalMs = 125;
+/** The same for paces of engines; short, since a slow engine has to be known fleet-wide after three hops. */
+const pacesIntervalMs = 250;
 /** Maximum number of engine paces in one message. */
 const maxPaces = 24;
 
