The test of a paused follower pauses it within a read of the store

Cause: the step looked each 20 ms for the second read and paused only then, so the calls made before the pause depended on the speed of the process. Change: the stand-in of the store pauses the follower within its second read, the moment that the step's words name. The bound stays.

--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -60,6 +60,8 @@
 	private readonly server = http.createServer((req, res) => void this.handle(req, res));
 	private port = 0;
 	private readonly rangeReads = new Map<string, number>();
+	/** Called with the prefix of each range read before it is answered. */
+	onRangeRead: (prefix: string) => void = () => {};
 	private readonly staleAllowedByPrefix = new Map<string, boolean>();
 	/** Number of calls by path, without the query. */
 	readonly calls = new Map<string, number>();
@@ -209,6 +211,7 @@
 		const after = query.get('since-revision') ?? '';
 		this.rangeReads.set(prefix, this.countRangeReads(prefix) + 1);
 		this.staleAllowedByPrefix.set(prefix, query.get('stale-ok') === '1');
+		this.onRangeRead(prefix);
 		const keys = [...this.items.keys()].filter((key) => key.startsWith(prefix) && key > after);
 		const pageKeys = keys.sort().slice(0, keysPerPage);
 		const entries = pageKeys.map((key) => this.items.get(key));
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -481,9 +481,17 @@
 			sleep,
 			backOff: sleep,
 		});
+		// Paused by the store within a read, since a poll would let a fast process read much of the range first.
+		const paused = new Promise<void>((done) => {
+			store.onRangeRead = () => {
+				if (store.countRangeReads('p/') === 2) {
+					follower.setActive(false);
+					done();
+				}
+			};
+		});
 		void follower.follow();
-		await until(() => store.countRangeReads('p/') >= 2);
-		follower.setActive(false);
+		await paused;
 		await sleep(1000);
 		this.state.set('paused', { follower, client, readKeys: () => readKeys });
 	},
