Logs tell how old the list of engines was by which a request was placed

The hypotheses about requests to engines that had left could not be told apart: no line said by which state of the store a request was placed, when a watch was given up, that a peer's copy was applied, or that the process had stalled. request.placed has engines_age_ms (absent after a start until the store or a peer has confirmed the list) and engines_revision; new lines store.watch-dropped, engines.copied and vm.stalled; the gauge slategauge_engines_age_seconds. Empty answers of a watch now reach the listener, since they confirm the list. No decision reads any of it.

--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -67,6 +67,8 @@
 	/** Revisions of the registrations that could not be decoded, by id. */
 	private readonly undecodable = new Map<string, number>();
 	private appliedRevision = 0;
+	/** When the directory was last known to be current, in milliseconds since boot. */
+	private currentAt?: number;
 	private readonly incarnations: PastIncarnations;
 	private contentDigest = 0;
 	/** Hashes of the decoded registrations, by id. */
@@ -189,7 +191,20 @@
 		return copy.digest === this.contentDigest;
 	}
 
-	applySnapshot(items: readonly StoreItem[], _readAt: number, revision: number): void {
+	/** Milliseconds since the directory was last known to be current; undefined while it never was. */
+	get ageMs(): number | undefined {
+		return this.currentAt === undefined ? undefined : this.opts.clock.sinceBoot() - this.currentAt;
+	}
+
+	/** Records that the directory was current at a time, in milliseconds since boot. */
+	markCurrent(at: number): void {
+		this.currentAt = Math.max(at, this.currentAt ?? at);
+	}
+
+	applySnapshot(items: readonly StoreItem[], readAt: number | undefined, revision: number): void {
+		if (readAt !== undefined) {
+			this.markCurrent(readAt);
+		}
 		const now = this.opts.clock.monotonic();
 		if (this.isStoreLost) {
 			this.isStoreLost = false;
@@ -216,6 +231,7 @@
 
 	applyChanges(changes: StoreChanges): void {
 		const before = this.contentDigest;
+		this.markCurrent(this.opts.clock.sinceBoot());
 		this.appliedRevision = changes.revision;
 		for (const event of changes.events) {
 			if (event.kind === 'put') {
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -49,6 +49,9 @@
 			customer: 'name of the customer',
 			urgency: 'urgency at the engine; 0 is the most urgent',
 			configuration: 'version of the configuration used',
+			engines_age_ms:
+				'time since the list of engines was last known to be current; absent after a start until the store or a peer has confirmed it',
+			engines_revision: 'revision of the store that the list of engines reflects',
 		},
 	},
 	{
@@ -113,6 +116,13 @@
 			error: 'error of the store',
 		},
 	},
+	{
+		name: 'vm.stalled',
+		when: 'The process did not run for a second or longer, though the VM was not suspended.',
+		fields: {
+			ms: 'duration',
+		},
+	},
 	{
 		name: 'vm.suspended',
 		when: 'The VM was suspended, or its clock was set forward; data from the store is read again.',
@@ -321,6 +331,15 @@
 			era: 'number of times the store was restored from an older copy',
 		},
 	},
+	{
+		name: 'store.watch-dropped',
+		when: 'A watch that may hang is given up, and the range is read again.',
+		fields: {
+			prefix: 'key prefix that is watched',
+			waited_ms: 'time since the last answer to this watch or read',
+			reason: 'why',
+		},
+	},
 	{
 		name: 'store.restored',
 		when: 'The store was restored from an older copy. The VM writes its own entries again and keeps newer data that it knows.',
@@ -388,6 +407,16 @@
 			peers: 'known live VMs',
 		},
 	},
+	{
+		name: 'engines.copied',
+		when: 'A list of engines was received from a peer that reads the store.',
+		fields: {
+			peer: 'its address',
+			revision: 'revision of the store that the list now reflects',
+			complete:
+				'false when it lacked engines that this VM does not know, so that the whole list is fetched',
+		},
+	},
 	{
 		name: 'engines.unreadable',
 		when: "A peer's list of engines is invalid; the previous list stays in use.",
--- a/src/core/relay/placement-log.ts
+++ b/src/core/relay/placement-log.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { Placement } from '../engines/placement-types.js';
+import { storedRevision } from '../store/revisions.js';
 import type { RequestOutcome } from './request-outcome.js';
 import type { RelayContext, RoutedRequest } from './types.js';
 
@@ -41,5 +42,7 @@
 		customer: routed.customer?.name,
 		urgency: routed.urgency,
 		configuration: routed.configurationVersion,
+		engines_age_ms: ctx.engines.ageMs === undefined ? undefined : Math.round(ctx.engines.ageMs),
+		engines_revision: storedRevision(ctx.engines.revision),
 	});
 }
--- a/src/core/store/prefix-follower.ts
+++ b/src/core/store/prefix-follower.ts
@@ -14,8 +14,12 @@
 
 /** Receives the content of the store. */
 export interface PrefixListener {
-	/** Applies all items under the prefix, read at `readAt` (monotonic milliseconds) or later. */
-	applySnapshot(items: readonly StoreItem[], readAt: number, revision: number): void;
+	/**
+	 * Applies all items under the prefix.
+	 * @param readAt when they were current, in milliseconds since boot; undefined when they may be older
+	 */
+	applySnapshot(items: readonly StoreItem[], readAt: number | undefined, revision: number): void;
+	/** Applies what a watch answered; without events nothing changed. */
 	applyChanges(changes: StoreChanges): void;
 	/** Called once when the store becomes unreachable, until the next snapshot. */
 	handleStoreLost(reason: string): void;
@@ -52,6 +56,8 @@
 	private isLossReported = false;
 	private hasWatched = false;
 	private hasRead = false;
+	/** Last answer to this follower, in milliseconds since boot. */
+	private answeredAt = 0;
 	private cancel = new AbortController();
 
 	constructor(private readonly opts: PrefixFollowerOptions) {}
@@ -81,9 +87,11 @@
 	/**
 	 * Cancels the current watch, which may hang on a dead connection, and reads the range again. Has no effect while the
 	 * follower is already retrying.
+	 * @param reason for the log
 	 */
-	restart(): void {
+	restart(reason: string): void {
 		if (this.reachable) {
+			this.logDrop(reason);
 			this.cancel.abort();
 		}
 	}
@@ -91,6 +99,7 @@
 	/** Marks the content as possibly stale until the range is read again. */
 	invalidate(): void {
 		if (this.reachable) {
+			this.logDrop('the VM was suspended');
 			this.reachable = false;
 			this.cancel.abort();
 		}
@@ -139,7 +148,7 @@
 	}
 
 	private async readAll(): Promise<number> {
-		const readAt = this.opts.clock.monotonic();
+		const readAt = this.opts.clock.sinceBoot();
 		const mayBeStale = !this.hasRead && this.opts.firstMayBeStale;
 		const { signal } = this.cancel;
 		const range = await this.opts.store.range(this.opts.prefix, mayBeStale, signal);
@@ -156,7 +165,8 @@
 				era: eraOf(range.revision),
 			});
 		}
-		this.opts.listener.applySnapshot(range.items, readAt, range.revision);
+		this.answeredAt = readAt;
+		this.opts.listener.applySnapshot(range.items, mayBeStale ? undefined : readAt, range.revision);
 		return range.revision;
 	}
 
@@ -167,13 +177,20 @@
 		for (;;) {
 			const changes = await store.watch(prefix, revision, watchTimeoutMs, this.cancel.signal);
 			revision = changes.revision;
+			this.answeredAt = this.opts.clock.sinceBoot();
+			listener.applyChanges(changes);
 			if (changes.events.length > 0) {
-				listener.applyChanges(changes);
 				await this.opts.sleep(this.opts.pauseMs);
 			}
 		}
 	}
 
+	private logDrop(reason: string): void {
+		const { log, prefix, clock } = this.opts;
+		const waitedMs = Math.round(clock.sinceBoot() - this.answeredAt);
+		log.info('store.watch-dropped', { prefix, waited_ms: waitedMs, reason });
+	}
+
 	private handleError(err: StoreError): void {
 		this.reachable = false;
 		if (!this.isLossReported) {
--- a/src/daemon/relay/event-loop-monitor.ts
+++ b/src/daemon/relay/event-loop-monitor.ts
@@ -6,6 +6,8 @@
 
 /** Interval between calls of `tick`. */
 export const tickIntervalMs = 100;
+/** Delays from this on are logged. */
+const stallMs = 1000;
 
 export interface EventLoopMonitorOptions {
 	clock: Clock & { readonly suspendedMs: number };
@@ -41,10 +43,15 @@
 		this.lastDelayMs = Math.max(0, now - this.lastTickAt - tickIntervalMs);
 		this.lastTickAt = now;
 		this.opts.onDelay(this.lastDelayMs);
-		this.detectSuspension();
+		const newlySuspendedMs = this.detectSuspension();
+		const stalledMs = this.lastDelayMs - newlySuspendedMs;
+		if (stalledMs >= stallMs) {
+			this.opts.log.warn('vm.stalled', { ms: Math.round(stalledMs) });
+		}
 	}
 
-	private detectSuspension(): void {
+	/** @returns the time for which the VM was suspended since the last tick */
+	private detectSuspension(): number {
 		const { clock, log, onSuspended } = this.opts;
 		const newlySuspendedMs = clock.suspendedMs - this.suspendedMs;
 		if (newlySuspendedMs > 0) {
@@ -52,5 +59,6 @@
 			log.warn('vm.suspended', { ms: Math.round(newlySuspendedMs) });
 			onSuspended();
 		}
+		return Math.max(0, newlySuspendedMs);
 	}
 }
--- a/src/daemon/relay/fleet-coordinator.ts
+++ b/src/daemon/relay/fleet-coordinator.ts
@@ -102,7 +102,7 @@
 			sleep: opts.sleep,
 			renewalIntervalMs: () => storeSync().renewalIntervalMs,
 			isStoreUnavailable: () => storeSync().isStoreUnavailable,
-			onStoreUnreachable: () => storeSync().restart(),
+			onStoreUnreachable: () => storeSync().restart('a renewal failed'),
 		});
 		this.peers = new PeerExchange({
 			clock,
--- a/src/daemon/relay/peer-exchange.ts
+++ b/src/daemon/relay/peer-exchange.ts
@@ -13,6 +13,7 @@
 import type { GossipMessage } from '../../core/fleet/types.js';
 import type { PermitRequest, PermitResponse } from '../../core/limits/types.js';
 import type { HostPort } from '../../core/relay/settings.js';
+import { storedRevision } from '../../core/store/revisions.js';
 import { PeerDatagramSocket } from '../../infra/relay/peer-datagram-socket.js';
 import { PeerTransfers } from '../../infra/relay/peer-transfers.js';
 import { DueTimer } from './due-timer.js';
@@ -160,7 +161,10 @@
 	/** @returns false when a full copy is needed; not for an invalid copy, which another fetch would not mend */
 	private applyEngines(address: string, text: string): boolean {
 		try {
-			return this.opts.applyEngines(text);
+			const isApplied = this.opts.applyEngines(text);
+			const revision = storedRevision(this.opts.enginesRevision());
+			this.opts.log.info('engines.copied', { peer: address, revision, complete: isApplied });
+			return isApplied;
 		} catch (err) {
 			this.opts.log.error('engines.unreadable', { peer: address, error: (err as Error).message });
 			return true;
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -204,6 +204,7 @@
 			configurationVersion: () => this.configuration.version,
 			storeCalls: () => this.store.calls,
 			storeReachable: () => (this.storeSync.isUpToDate ? 1 : 0),
+			enginesAgeMs: () => this.engines.ageMs ?? 0,
 			logLinesDropped: linesDropped,
 			duties: () => ({
 				...noDutyTotals,
--- a/src/daemon/relay/store-sync.ts
+++ b/src/daemon/relay/store-sync.ts
@@ -191,8 +191,11 @@
 
 	/** Handles the status gossiped by a peer that reads the store: fetches changed engines unless this VM reads it too. */
 	handlePeerStatus(address: string, status: StoreStatus): void {
-		const { engines } = this.opts;
+		const { engines, clock } = this.opts;
 		this.opts.onPeerEra(eraOf(status.revision));
+		if (status.digest === engines.digest) {
+			engines.markCurrent(clock.sinceBoot() - status.contactAgeMs);
+		}
 		const isChanged = status.revision >= engines.revision && status.digest !== engines.digest;
 		const isFresh = status.contactAgeMs < maxContactAgeMs;
 		if (!this.enginesFollower.isReachable && isFresh && isChanged) {
@@ -205,17 +208,20 @@
 		return this.enginesFollower.isReachable ? this.opts.engines.export(revision) : undefined;
 	}
 
-	/** Cancels watches, which may hang on a dead connection, and reads everything again. */
-	restart(): void {
+	/**
+	 * Cancels watches, which may hang on a dead connection, and reads everything again.
+	 * @param reason for the log
+	 */
+	restart(reason: string): void {
 		for (const follower of this.followers) {
-			follower.restart();
+			follower.restart(reason);
 		}
 	}
 
 	/** Handles a restore from an older copy, in which registrations of live engines may be missing for a moment. */
 	handleStoreRestored(): void {
 		this.opts.engines.handleStoreLost();
-		this.restart();
+		this.restart('the store was restored');
 	}
 
 	/** Marks the content as possibly stale after a suspension of the VM, until it is read again. */
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -20,6 +20,8 @@
 	storeCalls: () => number;
 	/** 1 while the store answers, otherwise 0. */
 	storeReachable: () => number;
+	/** Age of the list of engines; 0 before it was first current. */
+	enginesAgeMs: () => number;
 	logLinesDropped: () => number;
 	duties: () => DutyStats;
 	costEstimates: () => readonly CostSample[];
@@ -110,6 +112,11 @@
 			'1 while the last calls to the store succeeded',
 			gauges.storeReachable,
 		);
+		this.gauge(
+			'slategauge_engines_age_seconds',
+			'Time since the list of engines was last known to be current',
+			() => gauges.enginesAgeMs() / 1000,
+		);
 		this.gauge(
 			'slategauge_log_lines_dropped',
 			'Log lines dropped since the start',
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -534,7 +534,7 @@
 		const clock = clockOf(this);
 		for (const until = clock.now + ms; clock.now < until; ) {
 			clock.now += eachMs;
-			follower.restart();
+			follower.restart('a test');
 			for (const sleeper of sleeping.filter((item) => item.until <= clock.now)) {
 				sleeping.splice(sleeping.indexOf(sleeper), 1);
 				sleeper.wake();
