--- a/test/stand-ins/platform-store.ts
+++ b/test/stand-ins/platform-store.ts
@@ -26,6 +26,12 @@
 	timer: NodeJS.Timeout;
 }
 
+/** A watch whose answer may be lost: its connection then says nothing more. */
+interface Watch {
+	caller: string;
+	isLost: boolean;
+}
+
 type JsonObject = Record<string, unknown>;
 
 /** Keys in the answer to one range read; few, so that tests read several pages. */
@@ -46,6 +52,11 @@
 	private compactedRevision = 0;
 	private revision = 1;
 	private nextLeaseId = 1000;
+	private readonly watches = new Set<Watch>();
+	/** Watches that begin before this time get no answer, in Unix milliseconds. */
+	private loseWatchesUntil = 0;
+	/** Content for reads that allow stale answers. @default the current content */
+	private staleSnapshot?: StoreSnapshot;
 	/** Incremented each time that the store is restored from a snapshot. */
 	private era = 1;
 	private readonly watchWakers = new Set<() => void>();
@@ -158,6 +169,23 @@
 		this.wakeWatches();
 	}
 
+	/** Loses the answers to the watches that wait now. */
+	loseWaitingWatches(isAffected: (vm: string) => boolean = () => true): void {
+		for (const watch of this.watches) {
+			watch.isLost ||= isAffected(watch.caller);
+		}
+	}
+
+	/** Loses the answers to all watches that begin within this time. */
+	loseNewWatches(ms: number): void {
+		this.loseWatchesUntil = Date.now() + ms;
+	}
+
+	/** Answers reads that allow stale answers with the present content from now on. */
+	holdStaleReads(): void {
+		this.staleSnapshot = this.createSnapshot();
+	}
+
 	private recordChange(change: Change): void {
 		this.history.push(change);
 		this.wakeWatches();
@@ -188,7 +216,10 @@
 			const item = this.items.get(url.searchParams.get('private-key') ?? '');
 			reply(res, item ? 200 : 404, { ...item });
 		} else if (call === 'kv-watch') {
-			await this.watch(url.searchParams, res, caller);
+			const watch = { caller, isLost: Date.now() < this.loseWatchesUntil };
+			this.watches.add(watch);
+			await this.watch(url.searchParams, res, watch);
+			this.watches.delete(watch);
 		} else if (call === 'kv-txn') {
 			this.commitTransaction(body, res);
 			if (this.losesReplies) {
@@ -212,10 +243,12 @@
 		this.rangeReads.set(prefix, this.countRangeReads(prefix) + 1);
 		this.staleAllowedByPrefix.set(prefix, query.get('stale-ok') === '1');
 		this.onRangeRead(prefix);
-		const keys = [...this.items.keys()].filter((key) => key.startsWith(prefix) && key > after);
+		const stale = query.get('stale-ok') === '1' ? this.staleSnapshot : undefined;
+		const { items, revision } = stale ?? { items: this.items, revision: this.revision };
+		const keys = [...items.keys()].filter((key) => key.startsWith(prefix) && key > after);
 		const pageKeys = keys.sort().slice(0, keysPerPage);
-		const entries = pageKeys.map((key) => this.items.get(key));
-		return { entries, 'has-more': keys.length > pageKeys.length, timestamp: this.revision };
+		const entries = pageKeys.map((key) => items.get(key));
+		return { entries, 'has-more': keys.length > pageKeys.length, timestamp: revision };
 	}
 
 	private isRefused(caller: string): boolean {
@@ -225,13 +258,16 @@
 	private async watch(
 		query: URLSearchParams,
 		res: http.ServerResponse,
-		caller: string,
+		watch: Watch,
 	): Promise<void> {
 		const prefix = query.get('path-prefix') ?? '';
 		const since = Number(query.get('since-revision'));
 		const deadline = Date.now() + Number(query.get('wait-ms'));
 		for (;;) {
-			if (this.isRefused(caller)) {
+			if (watch.isLost) {
+				return;
+			}
+			if (this.isRefused(watch.caller)) {
 				reply(res, this.failureStatus ?? 503, {});
 				return;
 			}
