A watch that hangs is noticed by the watch itself and by the other readers

What callers saw: requests went to engines that had left longer ago than the drain time; here also a key that stayed in force. Cause: the follower waited 21 s for the answer to a watch. What could cut that short, a failed renewal of the registration, goes over another connection and says nothing of this one; and a VM whose follower counts as reachable ignores newer lists of its peers. Class: the health of one connection is taken for that of another. Change: a watch lasts 0.35 of the time within which a change has to take effect, on four VMs of a fleet; the rest learn from these and wait 5 s. One without an answer is asked once more on another connection from the same revision, so a false alarm costs one call and no range. Readers compare their digests: a change that a peer has for longer than the own pause plus 0.3 s, or contents that differ for twice that, are read again. Replayed without I/O: a release with a change each 100 ms for 20 s raises no false alarm; a hanging watch is noticed 0.8 s after the first word of a change, contents that differ within 1.6 s.

--- a/src/core/fleet/reader-selection.ts
+++ b/src/core/fleet/reader-selection.ts
@@ -94,7 +94,12 @@
 	}
 
 	private get isSelected(): boolean {
-		return this.fleetSize <= smallFleetSize || this.rank < readerCount;
+		return this.fleetSize <= smallFleetSize || this.isPreferred;
+	}
+
+	/** Whether this VM is among the few that read the store for the others in a fleet of any size. */
+	get isPreferred(): boolean {
+		return this.rank < readerCount;
 	}
 
 	/** Number of VMs that should try to read the store now. */
--- a/src/core/store/prefix-follower.ts
+++ b/src/core/store/prefix-follower.ts
@@ -8,8 +8,8 @@
 import { StoreError, storeFailures } from './definitions.js';
 import { eraOf, storedRevision } from './revisions.js';
 
-/** Duration of one watch; each counts as a call, so longer watches cost less. */
-const watchTimeoutMs = 20_000;
+/** Wait of a watch that replaces one without an answer: it only shows whether the store answers. */
+const retryWaitMs = 1;
 const minBackoffMs = 80;
 
 /** Receives the content of the store. */
@@ -36,6 +36,11 @@
 	beforeFirstWatch: () => Promise<void>;
 	/** Whether the first range may be seconds old. */
 	firstMayBeStale: boolean;
+	/**
+	 * Current duration of one watch, in milliseconds. Each counts as a call, but a lost answer is noticed only when this time is
+	 * over.
+	 */
+	watchMs: () => number;
 	/** Pause between watches, in milliseconds; batches the changes of that time into one call. */
 	pauseMs: number;
 	/** Current maximum back-off, in milliseconds; bounds the time to notice that the store is reachable again. */
@@ -172,10 +177,10 @@
 
 	/** Returns only by throwing. */
 	private async watchFrom(first: number): Promise<never> {
-		const { store, prefix, listener } = this.opts;
+		const { listener } = this.opts;
 		let revision = first;
 		for (;;) {
-			const changes = await store.watch(prefix, revision, watchTimeoutMs, this.cancel.signal);
+			const changes = await this.watch(revision);
 			revision = changes.revision;
 			this.answeredAt = this.opts.clock.sinceBoot();
 			listener.applyChanges(changes);
@@ -185,6 +190,22 @@
 		}
 	}
 
+	/** A watch without an answer may have hung on a dead connection, so the store is asked once more on another one. */
+	private async watch(revision: number): Promise<StoreChanges> {
+		const { store, prefix, watchMs } = this.opts;
+		const { signal } = this.cancel;
+		try {
+			return await store.watch(prefix, revision, watchMs(), signal);
+		} catch (err) {
+			const isUnanswered = err instanceof StoreError && err.failure === storeFailures.unknown;
+			if (!isUnanswered || signal.aborted) {
+				throw err;
+			}
+			this.logDrop(err.message);
+			return await store.watch(prefix, revision, retryWaitMs, signal);
+		}
+	}
+
 	private logDrop(reason: string): void {
 		const { log, prefix, clock } = this.opts;
 		const waitedMs = Math.round(clock.sinceBoot() - this.answeredAt);
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -153,6 +153,7 @@
 			log,
 			keys: platform.storeKeys,
 			drainMs: settings.drainMs,
+			configurationMs: settings.configurationMs,
 			configuration: this.configuration,
 			engines: this.engines,
 			fleet,
--- a/src/daemon/relay/store-sync.ts
+++ b/src/daemon/relay/store-sync.ts
@@ -15,6 +15,7 @@
 import type { StoreStatus } from '../../core/fleet/types.js';
 import type { ConfigurationState } from '../../core/routing/configuration-state.js';
 import type { Store } from '../../core/store/definitions.js';
+import { MissedChanges } from '../../core/store/missed-changes.js';
 import type { PrefixFollowerOptions, PrefixListener } from '../../core/store/prefix-follower.js';
 import { PrefixFollower } from '../../core/store/prefix-follower.js';
 import { eraOf } from '../../core/store/revisions.js';
@@ -25,6 +26,15 @@
  * reader.
  */
 const enginesPauseRatio = 0.25;
+/**
+ * Duration of a watch, as a share of the time within which a change has to take effect. Leaves room for a lost answer: it is
+ * noticed when the watch times out, and the change is read then.
+ */
+const watchRatio = 0.35;
+/** Duration of a watch on a VM that learns from its peers what the watch misses. */
+const coveredWatchMs = 5000;
+/** Time beyond the pause between watches within which a change that a peer has received reaches this VM too. */
+const missedChangesSlackMs = 300;
 /**
  * Maximum back-off before the first configuration. Short, since nothing can be served until then, but not negligible, since
  * all VMs may start together while the store is unreachable.
@@ -45,7 +55,10 @@
 const firstWatchPollMs = 20;
 
 /** Options that differ between the followers. */
-type FollowerBehavior = Pick<PrefixFollowerOptions, 'firstMayBeStale' | 'pauseMs' | 'backOff'>;
+type FollowerBehavior = Pick<
+	PrefixFollowerOptions,
+	'firstMayBeStale' | 'watchMs' | 'pauseMs' | 'backOff'
+>;
 
 export interface StoreSyncOptions {
 	vm: string;
@@ -57,6 +70,8 @@
 	keys: { configuration: string; engines: string };
 	/** Time after which a draining engine gets no new requests. */
 	drainMs: number;
+	/** Time within which a new configuration has to be in force. */
+	configurationMs: number;
 	configuration: ConfigurationState;
 	engines: EngineDirectory;
 	fleet: FleetView;
@@ -78,14 +93,18 @@
 	private readonly startedAt: number;
 	private readonly configurationFollower: PrefixFollower;
 	private readonly enginesFollower: PrefixFollower;
+	private readonly missedChanges: MissedChanges;
 
 	constructor(private readonly opts: StoreSyncOptions) {
-		const { keys, configuration, engines, drainMs } = opts;
+		const { keys, configuration, engines, drainMs, configurationMs } = opts;
+		const enginesPauseMs = drainMs * enginesPauseRatio;
+		this.missedChanges = new MissedChanges(enginesPauseMs + missedChangesSlackMs);
 		this.selection = new ReaderSelection(opts.vm);
 		this.startedAt = opts.clock.sinceBoot();
 		// A stale configuration would deny new routes and keys; a stale engine list only leads to failed connections.
 		this.configurationFollower = this.createFollower(keys.configuration, configuration, {
 			firstMayBeStale: false,
+			watchMs: () => this.watchMs(configurationMs),
 			pauseMs: 0,
 			backOff: opts.sleep,
 		});
@@ -96,7 +115,8 @@
 		};
 		this.enginesFollower = this.createFollower(keys.engines, listener, {
 			firstMayBeStale: true,
-			pauseMs: drainMs * enginesPauseRatio,
+			watchMs: () => this.watchMs(drainMs),
+			pauseMs: enginesPauseMs,
 			backOff: (ms) => this.backOffEngines(ms),
 		});
 	}
@@ -160,6 +180,10 @@
 				follower.setActive(selection.isReader);
 			}
 		}
+		const isMissing = this.missedChanges.isOverdue(this.opts.engines, clock.sinceBoot());
+		if (isMissing && this.enginesFollower.isReachable) {
+			this.enginesFollower.restart('a peer has other engines');
+		}
 		const peers = this.opts.peers();
 		if (selection.isReadingForOthers && peers.sinceLastSendMs >= maxReaderSilenceMs) {
 			peers.sendNow();
@@ -189,7 +213,10 @@
 		return { contactAgeMs: this.storeUnreachableMs, revision, digest, dutyToken };
 	}
 
-	/** Handles the status gossiped by a peer that reads the store: fetches changed engines unless this VM reads it too. */
+	/**
+	 * Handles the status gossiped by a peer that reads the store: fetches changed engines unless this VM reads it too, and
+	 * otherwise remembers what its own watch has to deliver.
+	 */
 	handlePeerStatus(address: string, status: StoreStatus): void {
 		const { engines, clock } = this.opts;
 		this.opts.onPeerEra(eraOf(status.revision));
@@ -197,8 +224,12 @@
 			engines.markCurrent(clock.sinceBoot() - status.contactAgeMs);
 		}
 		const isChanged = status.revision >= engines.revision && status.digest !== engines.digest;
-		const isFresh = status.contactAgeMs < maxContactAgeMs;
-		if (!this.enginesFollower.isReachable && isFresh && isChanged) {
+		if (status.contactAgeMs >= maxContactAgeMs) {
+			return;
+		}
+		if (this.enginesFollower.isReachable) {
+			this.missedChanges.observe(address, engines, status, clock.sinceBoot());
+		} else if (isChanged) {
 			void this.opts.peers().fetchEngines(address);
 		}
 	}
@@ -270,6 +301,17 @@
 		}
 	}
 
+	/**
+	 * Duration of a watch. Few VMs notice a lost answer by themselves, so that the calls of a small fleet do not grow with it; the
+	 * others hear of the change from these.
+	 * @param effectMs time within which a change has to take effect
+	 */
+	private watchMs(effectMs: number): number {
+		const isCovered =
+			!this.selection.isPreferred && this.opts.fleet.countStoreReaders(maxContactAgeMs) > 0;
+		return isCovered ? coveredWatchMs : effectMs * watchRatio;
+	}
+
 	private get followers(): PrefixFollower[] {
 		return [this.configurationFollower, this.enginesFollower];
 	}
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -21,8 +21,8 @@
 
 /** Timeout of calls other than watches. */
 const callTimeoutMs = 1000;
-/** Time that a watch may take beyond the requested wait. */
-const watchSlackMs = 1000;
+/** Time that a watch may take beyond the requested wait, if that makes it longer than other calls. */
+const watchSlackMs = 400;
 /** Shorter than the first TCP retransmission, so a lost packet fails the call early. */
 const connectTimeoutMs = 300;
 /** Each watch holds one connection; other calls share the rest. */
@@ -118,7 +118,7 @@
 			'wait-ms': String(waitMs),
 		});
 		const reply = await this.call('GET', `/kv-watch?${query}`, {
-			timeoutMs: waitMs + watchSlackMs,
+			timeoutMs: Math.max(callTimeoutMs, waitMs + watchSlackMs),
 			signal,
 		});
 		if (reply.status === 410) {
--- a/test/features/lost-answers.feature
+++ b/test/features/lost-answers.feature
@@ -27,6 +27,16 @@
 		When engine "a" starts to leave
 		Then no VM sends work to engine "a" after 1500 ms
 
+	# Guards against a watch that hangs right after the pause that follows a change.
+	Scenario: A VM whose next watch gets no answer stops using an engine that leaves
+		Given a relay of 1 VM with engines "a, b"
+		And 2500 ms pass in quiet
+		When the registration of engine "b" is written 1 times more
+		And 50 ms pass in quiet
+		And the next watch of each VM gets no answer
+		And engine "a" starts to leave
+		Then no VM sends work to engine "a" after 1500 ms
+
 	# Guards against a key that stays in force on VMs whose watch of the configuration hangs.
 	Scenario: VMs whose watches of some seconds get no answer refuse a key that is taken away afterwards
 		Given a relay of 2 VMs with engines "a"
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -117,6 +117,26 @@
 		When it is told each 50 ms for 4000 ms to drop what may hang
 		Then it has called the store at most 16 times
 
+	# Replays a release, in which engines change all the time, to readers whose watch pauses 500 ms after each change.
+	Scenario: A reader whose watch works does not read the engines again for the changes of its peers
+		Given a reader with 3 peers, each of which receives changes at its own moment
+		When the engines change each 100 ms for 20000 ms
+		And 3000 ms pass without a change
+		Then the reader never missed a change
+
+	Scenario: A reader whose watch hangs notices the changes of its peers
+		Given a reader with 3 peers, each of which receives changes at its own moment
+		And the watch of the reader hangs
+		When the engines change each 100 ms for 2000 ms
+		Then the reader missed a change within 800 ms of hearing of it
+
+	Scenario: A reader whose watch left out a change notices that its engines differ
+		Given a reader with 3 peers, each of which receives changes at its own moment
+		And the watch of the reader leaves out the next change
+		When the engines change each 100 ms for 100 ms
+		And 3000 ms pass without a change
+		Then the reader missed a change within 1600 ms of hearing of it
+
 	Scenario: In a small fleet all VMs read the store
 		Given a fleet of 9 VMs
 		When 8 of their peers read the store for 3000 ms
--- a/test/steps/lost-answers.steps.ts
+++ b/test/steps/lost-answers.steps.ts
@@ -27,6 +27,11 @@
 	},
 );
 
+cucumber.When('the next watch of each VM gets no answer', function (this: FleetWorld) {
+	// Longer than the pause between two watches.
+	fixtureOf(this).store.loseNewWatches(700);
+});
+
 cucumber.When(
 	'stale reads of the store are answered with its present content from now on',
 	function (this: FleetWorld) {
--- a/test/steps/suspension.steps.ts
+++ b/test/steps/suspension.steps.ts
@@ -152,6 +152,7 @@
 		listener: { applySnapshot() {}, applyChanges() {}, handleStoreLost() {} },
 		beforeFirstWatch: async () => {},
 		firstMayBeStale: false,
+		watchMs: () => 1000,
 		pauseMs: 0,
 		maxBackoffMs: () => 100,
 		sleep: async () => {},
