A VM that starts reads the engines as they are, not as they were seconds ago

What callers saw: a VM that had just started sent its first requests to engines that had left longer ago than the drain time. Cause: the first range of engines allowed stale answers, since 'a stale engine list only leads to failed connections'. Change: engines are read as the configuration is; the option is gone. The scenario on restarts asserted the stale read; it now asserts the opposite, and that both processes read, which is as strict.

--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -201,10 +201,8 @@
 		this.currentAt = Math.max(at, this.currentAt ?? at);
 	}
 
-	applySnapshot(items: readonly StoreItem[], readAt: number | undefined, revision: number): void {
-		if (readAt !== undefined) {
-			this.markCurrent(readAt);
-		}
+	applySnapshot(items: readonly StoreItem[], readAt: number, revision: number): void {
+		this.markCurrent(readAt);
 		const now = this.opts.clock.monotonic();
 		if (this.isStoreLost) {
 			this.isStoreLost = false;
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -50,7 +50,7 @@
 			urgency: 'urgency at the engine; 0 is the most urgent',
 			configuration: 'version of the configuration used',
 			engines_age_ms:
-				'time since the list of engines was last known to be current; absent after a start until the store or a peer has confirmed it',
+				'time since the list of engines was last known to be current; absent before the first list',
 			engines_revision: 'revision of the store that the list of engines reflects',
 		},
 	},
--- a/src/core/store/prefix-follower.ts
+++ b/src/core/store/prefix-follower.ts
@@ -1,6 +1,6 @@
 /**
  * Follows all keys under a prefix: reads the range, then watches from its revision. After a failure, compacted history or a
- * restart it reads the range again. The first range may be stale, since the watch reports what changed since.
+ * restart it reads the range again.
  * @module
  */
 import type { Clock, Log, Random } from '../definitions.js';
@@ -16,9 +16,9 @@
 export interface PrefixListener {
 	/**
 	 * Applies all items under the prefix.
-	 * @param readAt when they were current, in milliseconds since boot; undefined when they may be older
+	 * @param readAt when they were current, in milliseconds since boot
 	 */
-	applySnapshot(items: readonly StoreItem[], readAt: number | undefined, revision: number): void;
+	applySnapshot(items: readonly StoreItem[], readAt: number, revision: number): void;
 	/** Applies what a watch answered; without events nothing changed. */
 	applyChanges(changes: StoreChanges): void;
 	/** Called once when the store becomes unreachable, until the next snapshot. */
@@ -34,8 +34,6 @@
 	listener: PrefixListener;
 	/** Resolves when the first watch may start. A VM that turns out not to be a store reader then never watches. */
 	beforeFirstWatch: () => Promise<void>;
-	/** Whether the first range may be seconds old. */
-	firstMayBeStale: boolean;
 	/**
 	 * Current duration of one watch, in milliseconds. Each counts as a call, but a lost answer is noticed only when this time is
 	 * over.
@@ -60,7 +58,6 @@
 	private reachable = false;
 	private isLossReported = false;
 	private hasWatched = false;
-	private hasRead = false;
 	/** Last answer to this follower, in milliseconds since boot. */
 	private answeredAt = 0;
 	private cancel = new AbortController();
@@ -154,13 +151,11 @@
 
 	private async readAll(): Promise<number> {
 		const readAt = this.opts.clock.sinceBoot();
-		const mayBeStale = !this.hasRead && this.opts.firstMayBeStale;
 		const { signal } = this.cancel;
-		const range = await this.opts.store.range(this.opts.prefix, mayBeStale, signal);
+		const range = await this.opts.store.range(this.opts.prefix, false, signal);
 		if (!this.isActive) {
 			throw new StoreError(storeFailures.unknown, 'paused during the call');
 		}
-		this.hasRead = true;
 		this.isLossReported = false;
 		if (!this.reachable) {
 			this.reachable = true;
@@ -171,7 +166,7 @@
 			});
 		}
 		this.answeredAt = readAt;
-		this.opts.listener.applySnapshot(range.items, mayBeStale ? undefined : readAt, range.revision);
+		this.opts.listener.applySnapshot(range.items, readAt, range.revision);
 		return range.revision;
 	}
 
--- a/src/daemon/relay/store-sync.ts
+++ b/src/daemon/relay/store-sync.ts
@@ -55,10 +55,7 @@
 const firstWatchPollMs = 20;
 
 /** Options that differ between the followers. */
-type FollowerBehavior = Pick<
-	PrefixFollowerOptions,
-	'firstMayBeStale' | 'watchMs' | 'pauseMs' | 'backOff'
->;
+type FollowerBehavior = Pick<PrefixFollowerOptions, 'watchMs' | 'pauseMs' | 'backOff'>;
 
 export interface StoreSyncOptions {
 	vm: string;
@@ -101,9 +98,7 @@
 		this.missedChanges = new MissedChanges(enginesPauseMs + missedChangesSlackMs);
 		this.selection = new ReaderSelection(opts.vm);
 		this.startedAt = opts.clock.sinceBoot();
-		// A stale configuration would deny new routes and keys; a stale engine list only leads to failed connections.
 		this.configurationFollower = this.createFollower(keys.configuration, configuration, {
-			firstMayBeStale: false,
 			watchMs: () => this.watchMs(configurationMs),
 			pauseMs: 0,
 			backOff: opts.sleep,
@@ -114,7 +109,6 @@
 			handleStoreLost: () => this.handleEnginesLost(),
 		};
 		this.enginesFollower = this.createFollower(keys.engines, listener, {
-			firstMayBeStale: true,
 			watchMs: () => this.watchMs(drainMs),
 			pauseMs: enginesPauseMs,
 			backOff: (ms) => this.backOffEngines(ms),
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -14,7 +14,7 @@
 		When its process <ends> and is started again
 		Then the VM is ready within 3000 ms
 		And the store granted 1 lease and took 1 write
-		And the last engines were read by a call that may be seconds old
+		And the last engines were read by a call that may not be seconds old
 		When "GET /plain/" is sent
 		Then the answer is 200
 
--- a/test/steps/relay-vms.steps.ts
+++ b/test/steps/relay-vms.steps.ts
@@ -335,8 +335,10 @@
 );
 
 cucumber.Then(
-	'the last engines were read by a call that may be seconds old',
+	'the last engines were read by a call that may not be seconds old',
 	function (this: FleetWorld) {
-		assert.equal(fixtureOf(this).store.allowedStaleEntries('servers/'), true);
+		const { store } = fixtureOf(this);
+		assert.ok(store.countRangeReads('servers/') >= 2, 'both processes read the engines');
+		assert.equal(store.allowedStaleEntries('servers/'), false);
 	},
 );
--- a/test/steps/suspension.steps.ts
+++ b/test/steps/suspension.steps.ts
@@ -151,7 +151,6 @@
 		log: silentLog,
 		listener: { applySnapshot() {}, applyChanges() {}, handleStoreLost() {} },
 		beforeFirstWatch: async () => {},
-		firstMayBeStale: false,
 		watchMs: () => 1000,
 		pauseMs: 0,
 		maxBackoffMs: () => 100,
