A request is not sent to an engine that left while its connection was established

A connection takes 400 ms at most, so this alone does not exceed the drain time; together with a list that is old or a process that stalls it can. Change: the check before the first byte also looks whether the engine drains or was removed; request.withdrawn tells it. Evidence: both rows of the new scenario failed before (the request went to engine a only) and pass; engine-notices.feature 22 passed. A third scenario failed once in the red run with a TypeError: the deadline timer of the failing scenario's request, which a passing one ends; seen again with its stack when the red run was repeated, not with the change.

--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -223,10 +223,11 @@
 	},
 	{
 		name: 'request.withdrawn',
-		when: 'The engine asked for a back-off or set a limit while the connection was being established. Nothing was sent; an engine is chosen again.',
+		when: 'The engine left, asked for a back-off or set a limit while the connection was being established. Nothing was sent; an engine is chosen again.',
 		fields: {
 			...request,
 			engine: 'id of the engine',
+			draining: 'whether it drains or has left',
 			limit_per_s: 'requests per second that the engine accepts, if it has a limit',
 			rest_ms: 'remaining back-off',
 		},
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -85,9 +85,11 @@
 		this.permitCall?.cancel();
 	}
 
-	/** Whether the request should still be sent: the engine may have asked for a back-off or set a limit during connection setup. */
+	/** Whether the request should still be sent: during connection setup the engine may have left, asked for a back-off or set a limit. */
 	shouldSend(engine: Engine): boolean {
 		return (
+			!engine.isRemoved &&
+			!engine.isDraining &&
 			this.backOffLeftMs(engine) === 0 &&
 			(engine === this.permittedEngine || !this.isLimited(engine))
 		);
@@ -97,6 +99,7 @@
 	withdraw(engine: Engine): void {
 		this.opts.outcome.log('request.withdrawn', {
 			engine: engine.id,
+			draining: engine.isRemoved || engine.isDraining,
 			rest_ms: Math.round(this.backOffLeftMs(engine)),
 			limit_per_s: this.opts.ctx.limits.ledger.getLimitPerS(engine.ref),
 		});
--- a/test/features/engine-notices.feature
+++ b/test/features/engine-notices.feature
@@ -112,6 +112,17 @@
 		And the connection is established
 		Then nothing is sent to engine "a", and the request goes to engine "b"
 
+	Scenario Outline: A request that waits for its connection is not sent to an engine that starts to leave meanwhile
+		Given a relayed request that waits for its connection to engine "a"
+		When the store tells that engine "a" <leaves>
+		And the connection is established
+		Then nothing is sent to engine "a", and the request goes to engine "b"
+
+		Examples:
+			| leaves           |
+			| drains           |
+			| is not there now |
+
 	Scenario: A call that is withdrawn when its connection is established sends nothing
 		Given an engine that records its requests
 		When a call is withdrawn when its connection is established
--- a/test/steps/engine-notices.steps.ts
+++ b/test/steps/engine-notices.steps.ts
@@ -213,6 +213,19 @@
 	},
 );
 
+cucumber.When(
+	/^the store tells that engine "(.*)" (drains|is not there now)$/,
+	function (this: FleetWorld, id: string, how: string) {
+		const directory = seen<EngineDirectory>(this, 'directory');
+		const revision = directory.revision + 1;
+		const address = directory.get(id)?.registration.address;
+		const item = registration(id, revision, { address, state: 'draining' });
+		const event =
+			how === 'drains' ? { kind: 'put' as const, item } : { kind: 'gone' as const, key: item.key };
+		directory.applyChanges({ events: [event], revision });
+	},
+);
+
 cucumber.When('the VM is suspended for {int} ms', function (this: FleetWorld, ms: number) {
 	clockOf(this).suspendedMs += ms;
 });
