Comments: reasons and numbers that the rewording had deleted

Left out: what is told elsewhere in the file, stories of tuning, and facts that no longer hold (a holder's isolation time is not twice the time of silence).

--- a/src/core/duties/duty-holder.ts
+++ b/src/core/duties/duty-holder.ts
@@ -1,6 +1,7 @@
 /**
  * Elects the VM that acts for the fleet: the one that holds a store key under a lease. The revision of the key is the fencing
- * token, so it increases with each holder and the platform can refuse a superseded one.
+ * token, so it increases with each holder and the platform can refuse a superseded one. The holder changes rarely, since each
+ * change leaves a gap. Only VMs that read the store are candidates, one after the other, so that they do not all call it at once.
  * @module
  */
 import type { Clock, Log, Random } from '../definitions.js';
--- a/src/core/duties/engine-sizing.ts
+++ b/src/core/duties/engine-sizing.ts
@@ -14,7 +14,7 @@
 const requiredWindowMs = 6000;
 /** Time under load during which the initial number of engines is a lower bound. */
 const warmUpMs = 10_000;
-/** Headroom factor on the initial number during the warm-up. */
+/** Headroom factor on the initial number during the warm-up: a burst in the first seconds comes before further engines have booted. */
 const initialHeadroom = 1.4;
 /** Demand below this, in busy engines, counts as none. */
 const minDemand = 0.05;
--- a/src/core/duties/fleet-clock.ts
+++ b/src/core/duties/fleet-clock.ts
@@ -9,7 +9,10 @@
 const maxDriftMs = 100;
 /** Share of the drift that each update corrects. */
 const driftCorrectionRatio = 0.05;
-/** Smaller differences from other VMs are ignored, since message delays cause them. */
+/**
+ * Smaller differences from other VMs are ignored, since message delays cause them: a busy VM may read a message 300 ms late. A
+ * smaller one misplaces at most a seventh of a usage window of five seconds.
+ */
 const minCorrectionMs = 700;
 
 export class FleetClock {
--- a/src/core/duties/usage-reporter.ts
+++ b/src/core/duties/usage-reporter.ts
@@ -13,9 +13,15 @@
 import type { UsageCollector } from './usage-collector.js';
 import { UsageRecords } from './usage-records.js';
 
-/** Time after a takeover in which the counts of all VMs arrive; until then a window may be incomplete. */
+/**
+ * Time after a takeover in which the counts of all VMs arrive; until then a window may be incomplete. Gossip tells them of the
+ * new holder within a third of a second, and lost counts are sent again half a second later.
+ */
 const collectionMs = 2000;
-/** VMs that have not reported for this many windows are considered dead or isolated and not waited for. */
+/**
+ * VMs that have not reported for this many windows are considered dead or isolated and not waited for. Their registrations may
+ * outlive them by some 20 s.
+ */
 const maxSilentWindows = 2;
 /** Time after the end of a window in which its last counts arrive. */
 const settleMs = 150;
--- a/src/core/engines/cost-model.ts
+++ b/src/core/engines/cost-model.ts
@@ -11,7 +11,11 @@
 import type { CostEstimates } from './work-estimate.js';
 import { effectiveTokens, readingMs, scaleByPace } from './work-estimate.js';
 
-/** Estimates used until observations arrive. */
+/**
+ * Estimates used until observations arrive: the middle of published figures of large models on current accelerators (40 to 70
+ * prompt tokens a millisecond, a token each 3 to 6 ms, 3 to 6 tokens an event, copies over 200 to 700 Gbit/s at 160 to 320 KiB a
+ * token).
+ */
 const prior = {
 	readMsPerToken: 0.02,
 	firstEventOverheadMs: 10,
@@ -27,11 +31,11 @@
 const priorTokens = 3000;
 /** Below this number of tokens all delays are equally noisy, as overhead dominates the reading. */
 const noiseFloorTokens = 500;
-/** Decay of the observations of one VM, in observations. */
+/** Decay of the observations of one VM, in observations: a few seconds of traffic, so that a release of faster engines shows. */
 const decayObservations = 150;
 /** Quantile of the pauses that represents an undisturbed one: longer pauses overlap the reading of prompts. */
 const undisturbedQuantile = 0.3;
-/** Relative step of the pause estimate once it is settled. */
+/** Relative step of the pause estimate once it is settled: follows a lasting change within some 50 events. */
 const pauseStep = 0.03;
 const pauseSettledAfter = 100;
 /** Weight of the prior of tokens per event, in events. */
--- a/src/core/engines/overload.ts
+++ b/src/core/engines/overload.ts
@@ -4,7 +4,10 @@
  * @module
  */
 
-/** Maximum expected wait as a share of the target; below 1, so that accepted requests still meet their targets. */
+/**
+ * Maximum expected wait as a share of the target; below 1, so that accepted requests still meet their targets. With the whole
+ * target, a third of those accepted met it in a replayed overload; with this share, 80 % or more.
+ */
 const maxWaitShare = 0.8;
 /**
  * Upper bound, as a share of the target, for how much the reading of the prompt itself counts. Otherwise even idle engines would
--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -53,7 +53,10 @@
 const shortSpilloverShare = 0.6;
 /** The same for a long prompt that the streams of the short-prompt pool tolerate. */
 const longSpilloverShare = 0.2;
-/** Mean age of gossip as a share of its maximum age; engines have worked off part of a reported queue since. */
+/**
+ * Mean age of gossip as a share of its maximum age; engines have worked off part of a reported queue since. In a fleet of 87 VMs
+ * gossip is up to half a second old; taken as new, it makes a queue look a quarter of a second longer.
+ */
 const meanGossipAgeShare = 0.5;
 /** An engine is always scored if it has cached at least this share of the shared prefix. */
 const minCachedShare = 0.5;
--- a/src/core/fleet/aggregator-selection.ts
+++ b/src/core/fleet/aggregator-selection.ts
@@ -1,17 +1,18 @@
 /**
  * Selects the aggregators of each failure domain, which keeps the number of gossip messages from growing with the square of
- * the fleet. All VMs compute the same ranking, so they agree without an election; silent aggregators are excluded for a while.
+ * the fleet: 195 VMs that all told each other sent 31,000 datagrams a second and heard of each other's work only each 1.2 s. All
+ * VMs compute the same ranking, so they agree without an election; silent aggregators are excluded for a while.
  * @module
  */
 import * as rendezvous from '../membership/rendezvous.js';
 import type { HostPort } from '../relay/settings.js';
 import { smallFleetSize } from './reader-selection.js';
 
-/** Maximum VMs per aggregator, on average over a domain. */
+/** Maximum VMs per aggregator, on average over a domain; it then sends some forty datagrams a round. */
 const maxVmsPerAggregator = 32;
 /**
  * A silent aggregator is excluded for as long as a VM takes to start. The time doubles with each repetition, since a
- * registration may outlive its VM.
+ * registration may outlive its VM by 20 s.
  */
 const minExclusionMs = 4000;
 const maxExclusionMs = 16_000;
--- a/src/core/fleet/reader-selection.ts
+++ b/src/core/fleet/reader-selection.ts
@@ -1,16 +1,17 @@
 /**
  * Selects the VMs that read the store in a large fleet; the others receive changes from them. All VMs compute the same ranking
  * by hashing, and the first few read; while the store answers none of these, further VMs try in turn. A VM that is isolated
- * from its peers reads the store itself.
+ * from its peers reads the store itself. In an outage more VMs that try win nothing: 290 VMs that each tried made 10,100 calls in
+ * five seconds.
  * @module
  */
 import * as rendezvous from '../membership/rendezvous.js';
 
-/** Fleet size up to which all VMs read the store. */
+/** Fleet size up to which all VMs read the store: their calls cost little there. */
 export const smallFleetSize = 12;
 /** VMs that read the store for the others; several, so that some may be cut off. */
 const readerCount = 4;
-/** A peer counts as a reader if the store answered it within this time. */
+/** A peer counts as a reader if the store answered it within this time; a reader calls the store at least each half second. */
 export const maxContactAgeMs = 1500;
 /** Maximum interval between gossip of a reader; several messages may be lost before its contact looks too old. */
 export const maxReaderSilenceMs = 400;
--- a/src/core/fleet/vm-registry.ts
+++ b/src/core/fleet/vm-registry.ts
@@ -26,7 +26,10 @@
 const retryMs = 1500;
 /** Maximum delay between attempts while the store answers no VM. */
 const outageRetryMs = 6000;
-/** Time over which the VMs spread rewrites of their registrations after the store was restored from a backup. */
+/**
+ * Time over which the VMs spread rewrites of their registrations after the store was restored from a backup: 340 VMs then make
+ * some 450 calls a second.
+ */
 const rewriteSpreadMs = 1500;
 /** A VM stays listed for this time after its registration ended. */
 const lingerMs = 10_000;
--- a/src/core/quarantine/crash-causes.ts
+++ b/src/core/quarantine/crash-causes.ts
@@ -9,7 +9,10 @@
 const certainCrashes = 3;
 /** Unexplained crashes that are enough when few other contents share them. */
 const likelyCrashes = 2;
-/** Upper bound of other contents that share the crashes of a likely cause; limits false positives. */
+/**
+ * Upper bound of other contents that share the crashes of a likely cause; limits false positives: 3 of 44,000 harmless requests
+ * in simulated crash series, and 8 without it.
+ */
 const maxSharing = 1;
 
 type Evidence = ReadonlyMap<ContentHash, ReadonlySet<EngineRef>>;
--- a/src/core/quarantine/crash-ledger.ts
+++ b/src/core/quarantine/crash-ledger.ts
@@ -11,13 +11,13 @@
 /** How long crashes are remembered, in milliseconds; equals the longest lease of the store. */
 export const crashRetentionMs = 600_000;
 /**
- * How long a failure waits for the crash of its engine to be confirmed, in milliseconds; covers the expiry of the registration and a
- * short outage of the store.
+ * How long a failure waits for the crash of its engine to be confirmed, in milliseconds; covers the expiry of the registration (three
+ * heartbeats of 1,200 ms) and a short outage of the store.
  */
 const confirmationMs = 15_000;
 /** How long a new report is included in gossip, in milliseconds; covers lost datagrams. */
 const gossipMs = 2000;
-/** Upper bound of reports per datagram; the others go into the next ones. */
+/** Upper bound of reports per datagram (256 bytes, a fifth of it); the others go into the next ones. */
 const maxReportsPerMessage = 16;
 /** Interval at which reports of quarantined contents are repeated, in milliseconds, for VMs that start. */
 const repeatIntervalMs = 250;
--- a/src/core/quarantine/request-quarantine.ts
+++ b/src/core/quarantine/request-quarantine.ts
@@ -8,7 +8,7 @@
 import { hashContent } from './content-hash.js';
 import type { Quarantine } from './quarantine.js';
 
-/** A request that ran this long did not crash its engine, in milliseconds; crashes follow soon after the start. */
+/** A request that ran this long did not crash its engine, in milliseconds; crashes follow 30 to 110 ms after the start. */
 const harmlessMs = 500;
 
 export class RequestQuarantine {
--- a/src/core/relay/startup-queue.ts
+++ b/src/core/relay/startup-queue.ts
@@ -1,11 +1,12 @@
 /**
- * Holds requests that arrive while a starting daemon reads configuration and engines, instead of refusing them.
+ * Holds requests that arrive while a starting daemon reads configuration and engines, instead of refusing them. After a loss of
+ * power callers are back before the daemon has read them, and a retry would come too late for their targets.
  * @module
  */
 import type { Clock, Log } from '../definitions.js';
 import type { CallerRequest, CallerResponse } from './definitions.js';
 
-/** Maximum time that a request is held. */
+/** Maximum time that a request is held; the smallest VMs read for 300 ms after their ports open. */
 const maxHoldMs = 500;
 /** Time after the start in which requests are held; later the store counts as unreachable. */
 const startupMs = 1000;
--- a/src/core/store/revisions.ts
+++ b/src/core/store/revisions.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-/** Leaves 17 bits of a safe integer for the era. */
+/** Leaves 17 bits of a safe integer for the era. At 3,200 writes a second the revisions of one era last for 248 days. */
 const revisionsPerEra = 2 ** 36;
 
 /** Combines an era and a revision of the store. */
--- a/src/core/time/suspension-meter.ts
+++ b/src/core/time/suspension-meter.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-/** Smallest gain of the wall clock that counts as suspension; clock corrections stay below it. */
+/** Smallest gain of the wall clock that counts as suspension; corrections by a time service are a few milliseconds. */
 const minSuspensionMs = 250;
 
 export class SuspensionMeter {
