The soak's oracle lets a restarted engine end its back-off

Trace: e3 asked for 2,856 ms at 29,358 and was restarted under its id at 30,907, which ends what the earlier incarnation asked for ('A restarted engine with the same id is used again'); all 42 arrivals in question are from 30,986 on. So the case is allowed, and the check ends the span at a restart of the engine, nowhere else.

--- a/test/soak/oracle.ts
+++ b/test/soak/oracle.ts
@@ -235,9 +235,12 @@
 				`${late.id} from ${informed.vm} reached ${engine} after its notice to ${id}`,
 			);
 		}
-		const duringBackOff = later.filter(
-			({ at }) => at > notice.at + inFlightMs && at < notice.at + notice.backOffMs,
+		// A restarted engine no longer backs off.
+		const restart = records.injectedFaults.find(
+			(item) => item.target === engine && item.fault === 'restarted' && item.from > notice.at,
 		);
+		const backOffEnd = Math.min(notice.at + notice.backOffMs, restart?.from ?? Infinity);
+		const duringBackOff = later.filter(({ at }) => at > notice.at + inFlightMs && at < backOffEnd);
 		if (duringBackOff.length > maxDuringBackOff) {
 			report(
 				guarantees.backOff,
