Watches of the preferred readers last longer: 0.4 and 0.6 of the time in which a change has to take effect

A lost answer is noticed after the wait and 0.4 s: with a drain time of 2 s 1.7 s after the change at the latest, the pause before the watch included; a configuration, which has no pause, after 1.6 s of 2.

--- a/src/daemon/relay/store-sync.ts
+++ b/src/daemon/relay/store-sync.ts
@@ -27,10 +27,11 @@
  */
 const enginesPauseRatio = 0.25;
 /**
- * Duration of a watch, as a share of the time within which a change has to take effect. Leaves room for a lost answer: it is
- * noticed when the watch times out, and the change is read then.
+ * Duration of a watch, as a share of the time within which a change has to take effect. Leaves room for a lost answer, which is
+ * noticed when the watch times out, and for engines also for the pause before the watch.
  */
-const watchRatio = 0.35;
+const configurationWatchRatio = 0.6;
+const enginesWatchRatio = 0.4;
 /** Duration of a watch on a VM that learns from its peers what the watch misses. */
 const coveredWatchMs = 5000;
 /** Time beyond the pause between watches within which a change that a peer has received reaches this VM too. */
@@ -99,7 +100,7 @@
 		this.selection = new ReaderSelection(opts.vm);
 		this.startedAt = opts.clock.sinceBoot();
 		this.configurationFollower = this.createFollower(keys.configuration, configuration, {
-			watchMs: () => this.watchMs(configurationMs),
+			watchMs: () => this.watchMs(configurationMs * configurationWatchRatio),
 			pauseMs: 0,
 			backOff: opts.sleep,
 		});
@@ -109,7 +110,7 @@
 			handleStoreLost: () => this.handleEnginesLost(),
 		};
 		this.enginesFollower = this.createFollower(keys.engines, listener, {
-			watchMs: () => this.watchMs(drainMs),
+			watchMs: () => this.watchMs(drainMs * enginesWatchRatio),
 			pauseMs: enginesPauseMs,
 			backOff: (ms) => this.backOffEngines(ms),
 		});
@@ -298,12 +299,12 @@
 	/**
 	 * Duration of a watch. Few VMs notice a lost answer by themselves, so that the calls of a small fleet do not grow with it; the
 	 * others hear of the change from these.
-	 * @param effectMs time within which a change has to take effect
+	 * @param ownMs duration with which this VM notices in time by itself
 	 */
-	private watchMs(effectMs: number): number {
+	private watchMs(ownMs: number): number {
 		const isCovered =
 			!this.selection.isPreferred && this.opts.fleet.countStoreReaders(maxContactAgeMs) > 0;
-		return isCovered ? coveredWatchMs : effectMs * watchRatio;
+		return isCovered ? coveredWatchMs : ownMs;
 	}
 
 	private get followers(): PrefixFollower[] {
