--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -219,6 +219,20 @@
 	}
 };
 
+/**
+ * An engine departs, and the watches that wait for it, of one VM or of all, get no answer. Not recorded as a fault of a VM, which
+ * has to notice it within the usual bounds.
+ */
+const engineLeavesUnheard: Fault = async (injector) => {
+	const { deployment } = injector;
+	const { address } = injector.pickRandom(deployment.vms).vm;
+	const isForAll = injector.rng() < 0.5;
+	const end = deployment.recordFault(isForAll ? 'watches' : `watches of ${address}`, 'lost');
+	deployment.fixture.store.loseWaitingWatches((vm) => isForAll || vm === address);
+	await engineLeaves(injector);
+	end();
+};
+
 /** An engine announces only in its answers that it leaves, and is unregistered later. */
 const engineAnnouncesLeaving: Fault = async (injector) => {
 	const { deployment } = injector;
@@ -328,6 +342,8 @@
 	engineAnnouncesLimit,
 	engineDropsConnections,
 	engineRestarts,
+	engineLeavesUnheard,
+	engineLeavesUnheard,
 ];
 
 /** Waits until a started VM is ready, or gives up after a while, as the store may be unavailable. */
--- a/test/soak/regressions.ts
+++ b/test/soak/regressions.ts
@@ -52,4 +52,11 @@
 	{ seed: 7045, seconds: 6, concurrentFaults: 6, cause: gossipAfterStop },
 	{ seed: 8001, seconds: 10, concurrentFaults: 16, big: true, cause: resetAsEnd },
 	{ seed: 7048, seconds: 6, concurrentFaults: 6, cause: gossipAfterStop },
+	...[5507, 5509, 5510, 5511, 5512, 5513].map((seed) => ({
+		seed,
+		seconds: 10,
+		concurrentFaults: 4,
+		faultTypeCount: 28,
+		cause: 'a watch of the store that got no answer hung for 21 s',
+	})),
 ];
