--- a/src/core/fleet/reader-selection.ts
+++ b/src/core/fleet/reader-selection.ts
@@ -1,8 +1,7 @@
 /**
  * Selects the VMs that read the store in a large fleet; the others receive changes from them. All VMs compute the same ranking
  * by hashing, and the first few read; while the store answers none of these, further VMs try in turn. A VM that is isolated
- * from its peers reads the store itself. In an outage more VMs that try win nothing: 290 VMs that each tried made 10,100 calls in
- * five seconds.
+ * from its peers reads the store itself.
  * @module
  */
 import * as rendezvous from '../membership/rendezvous.js';
@@ -17,7 +16,10 @@
 export const maxContactAgeMs = 1500;
 /** Maximum interval between gossip of a reader; several messages may be lost before its contact looks too old. */
 export const maxReaderSilenceMs = 400;
-/** While no reader is known, `readerCount` more VMs try each time this interval passes. */
+/**
+ * While no reader is known, `readerCount` more VMs try each time this interval passes. All at once would win nothing: 290 VMs made
+ * 10,100 calls in the first five seconds of an outage.
+ */
 const takeOverMs = 2000;
 /** A VM that receives gossip of a smaller share of the fleet is isolated. */
 const minLiveShare = 0.5;
