VMs tell when they cannot open connections to the engines of a service

Cause: engine.closed reads the same on a VM that lost its links and on one whose engine died, so logs of the incident did not tell a VM's own link from its engines.

Change: LinkMonitor probes one engine when a connection fails or at least half of the engines with requests in flight have been silent for 0.6 s, and a sample of eight if that one does not connect within 150 ms. It logs engines.cut-off and engines.reached; slategauge_cut_off_services counts the services. Decisions do not use it yet.

--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -90,6 +90,11 @@
 		return this.byRef.get(ref);
 	}
 
+	/** Names of the services that have or had engines. */
+	getServices(): Iterable<string> {
+		return this.byService.keys();
+	}
+
 	getAll(): Iterable<Engine> {
 		return this.engines.values();
 	}
--- a/src/core/engines/engine-health.ts
+++ b/src/core/engines/engine-health.ts
@@ -41,6 +41,16 @@
 		return this.awaitingSince !== undefined && now - this.awaitingSince > allowedMs;
 	}
 
+	/** Whether requests are in flight. */
+	get isAwaiting(): boolean {
+		return this.awaitingSince !== undefined;
+	}
+
+	/** Milliseconds without any bytes while requests are in flight; 0 while none are. */
+	silentMs(now: number): number {
+		return this.awaitingSince === undefined ? 0 : now - this.awaitingSince;
+	}
+
 	/** @param readingMs estimated time to read the prompt of the request */
 	recordSent(now: number, readingMs: number): void {
 		this.running++;
--- a/src/core/engines/engine.ts
+++ b/src/core/engines/engine.ts
@@ -16,7 +16,8 @@
 	readonly incarnationKey: string;
 	/** 32-bit hash of the incarnation key, used in messages and maps. */
 	readonly ref: EngineRef;
-	readonly health = new EngineHealth();
+	/** Health over this VM's own link to the engine. */
+	readonly directHealth = new EngineHealth();
 	/** Set once the engine left or restarted; its work no longer counts. */
 	isRemoved = false;
 	/** Its registration has been missing since the store was restored; usable until this time, in monotonic milliseconds. */
@@ -36,6 +37,11 @@
 		this.ref = rendezvous.hashText(this.incarnationKey);
 	}
 
+	/** Health over the link in use. */
+	get health(): EngineHealth {
+		return this.directHealth;
+	}
+
 	get id(): string {
 		return this.registration.id;
 	}
--- a/src/core/explain/explain-request.ts
+++ b/src/core/explain/explain-request.ts
@@ -10,6 +10,8 @@
 /** Events that give context: changes in a VM's view of engines, store, peers and configuration, restarts, and dropped log lines. */
 const contextEvents: ReadonlySet<string> = new Set([
 	'engine.closed',
+	'engines.cut-off',
+	'engines.reached',
 	'engine.notice',
 	'engine.limit',
 	'permits.issuer',
--- /dev/null
+++ b/src/core/forwarding/link-monitor.ts
@@ -0,0 +1,224 @@
+/**
+ * Detects that this VM has lost its own links to the engines of a service. Whether the engines live, only VMs with other links
+ * can tell. New connections decide: a cut link refuses or swallows them, while a silent engine still accepts them.
+ * @module
+ */
+import type { Clock, Log, Random } from '../definitions.js';
+import type { Engine } from '../engines/engine.js';
+import type { EngineRef } from '../fleet/types.js';
+
+/** Engines with requests in flight are suspected after this time without any bytes, in milliseconds. */
+const silenceMs = 600;
+/** A connection that takes longer is suspicious, in milliseconds; on a sound link it takes a few. */
+const quickConnectMs = 150;
+/** Minimum interval between suspicions that were not confirmed, in milliseconds. */
+const suspicionIntervalMs = 2000;
+/** Mean interval between checks whether a cut has healed, in milliseconds. */
+const recheckIntervalMs = 500;
+/** Engines that are probed at once, so that the probes of many VMs do not add up at an engine. */
+const maxProbes = 8;
+/** With a larger share of failed probes the VM counts as cut off. */
+const cutOffShare = 0.5;
+/** With a smaller share of failed probes it no longer does; lower, as a few engines may be down at any time. */
+const reachedShare = 1 / 3;
+/** A longer check proves nothing, as the event loop stalled and timed out connections that were established, in milliseconds. */
+const maxCheckMs = 700;
+
+/** State of the links to the engines of one service. */
+interface ServiceLinks {
+	isCutOff: boolean;
+	isChecking: boolean;
+	/** Time of the next check or suspicion, in monotonic milliseconds. */
+	nextCheckAt: number;
+	/** While cut off, the engines whose links were found sound. */
+	sound: Set<EngineRef>;
+}
+
+export interface LinkMonitorOptions {
+	clock: Clock;
+	log: Log;
+	random: Random;
+	/** Names of the services that have engines. */
+	getServices: () => Iterable<string>;
+	/** Engines of a service that accept work, regardless of health. */
+	getEngines: (service: string) => readonly Engine[];
+	/** Whether a connection to an address can be opened; gives up after some hundred milliseconds. */
+	canConnect: (address: string) => Promise<boolean>;
+	/** Called when the links of a service were checked while it was cut off, or changed. */
+	onChecked: (service: string) => void;
+	sleep: (ms: number) => Promise<void>;
+}
+
+export class LinkMonitor {
+	private readonly byService = new Map<string, ServiceLinks>();
+
+	constructor(private readonly opts: LinkMonitorOptions) {}
+
+	/** Whether most links to the engines of a service are down. */
+	isCutOff(service: string): boolean {
+		return this.byService.get(service)?.isCutOff ?? false;
+	}
+
+	/** Names of the services whose engines this VM cannot reach. */
+	get cutOffServices(): string[] {
+		return [...this.byService].filter(([, { isCutOff }]) => isCutOff).map(([service]) => service);
+	}
+
+	/** Whether the link to an engine can be used. Links that were not checked are as those of the service. */
+	isUsable({ ref, registration }: Engine): boolean {
+		const links = this.byService.get(registration.service);
+		return !links?.isCutOff || links.sound.has(ref);
+	}
+
+	/** Records that a connection to an engine could not be opened. */
+	recordUnreachable(engine: Engine): void {
+		const { service } = engine.registration;
+		const links = this.linksOf(service);
+		links.sound.delete(engine.ref);
+		if (this.mayCheck(links) && !links.isCutOff) {
+			const others = this.opts.getEngines(service).filter((other) => other !== engine);
+			void this.suspect(service, links, this.pickRandom(others));
+		}
+	}
+
+	/** Runs the checks that are due; called several times a second. */
+	update(): void {
+		for (const service of this.opts.getServices()) {
+			const links = this.linksOf(service);
+			if (!this.mayCheck(links)) {
+				continue;
+			}
+			if (links.isCutOff) {
+				void this.check(service, links);
+				continue;
+			}
+			const silent = this.findSilent(service);
+			if (silent) {
+				void this.suspect(service, links, silent);
+			}
+		}
+	}
+
+	private get now(): number {
+		return this.opts.clock.monotonic();
+	}
+
+	private linksOf(service: string): ServiceLinks {
+		let links = this.byService.get(service);
+		if (!links) {
+			links = { isCutOff: false, isChecking: false, nextCheckAt: 0, sound: new Set() };
+			this.byService.set(service, links);
+		}
+		return links;
+	}
+
+	private mayCheck(links: ServiceLinks): boolean {
+		return !links.isChecking && this.now >= links.nextCheckAt;
+	}
+
+	/** The engine silent for longest, if at least half of the engines with requests in flight are silent. */
+	private findSilent(service: string): Engine | undefined {
+		const { now } = this;
+		const inFlight = this.opts
+			.getEngines(service)
+			.filter(({ directHealth }) => directHealth.isAwaiting);
+		const silent = inFlight.filter(({ directHealth }) => directHealth.silentMs(now) >= silenceMs);
+		if (silent.length === 0 || silent.length * 2 < inFlight.length) {
+			return undefined;
+		}
+		return silent.reduce((longest, engine) =>
+			engine.directHealth.silentMs(now) > longest.directHealth.silentMs(now) ? engine : longest,
+		);
+	}
+
+	/**
+	 * Probes one engine, and further ones only if it does not accept the connection quickly.
+	 * @param engine undefined when the service has no other
+	 */
+	private async suspect(
+		service: string,
+		links: ServiceLinks,
+		engine: Engine | undefined,
+	): Promise<void> {
+		links.isChecking = true;
+		if (engine && (await this.connectsQuickly(engine))) {
+			links.isChecking = false;
+			links.nextCheckAt = this.now + suspicionIntervalMs;
+			return;
+		}
+		await this.check(service, links);
+	}
+
+	private connectsQuickly({ registration }: Engine): Promise<boolean> {
+		const { canConnect, sleep } = this.opts;
+		const isLate = sleep(quickConnectMs).then(() => false);
+		return Promise.race([canConnect(registration.address), isLate]);
+	}
+
+	/** Probes a random sample of a service's engines. */
+	private async check(service: string, links: ServiceLinks): Promise<void> {
+		links.isChecking = true;
+		const startedAt = this.now;
+		const sample = this.sampleEngines(service);
+		const probes = sample.map(({ registration }) => this.opts.canConnect(registration.address));
+		const isReached = await Promise.all(probes);
+		links.isChecking = false;
+		links.nextCheckAt = this.now + recheckIntervalMs * (0.75 + 0.5 * this.opts.random.next());
+		if (this.now - startedAt <= maxCheckMs) {
+			this.apply(service, links, sample, isReached);
+		}
+	}
+
+	private apply(
+		service: string,
+		links: ServiceLinks,
+		sample: readonly Engine[],
+		isReached: readonly boolean[],
+	): void {
+		const failed = isReached.filter((reached) => !reached).length;
+		const failedShare = sample.length === 0 ? 0 : failed / sample.length;
+		const wasCutOff = links.isCutOff;
+		links.isCutOff = failedShare > (wasCutOff ? reachedShare : cutOffShare);
+		sample.forEach(({ ref }, index) => {
+			links.sound[isReached[index] ? 'add' : 'delete'](ref);
+		});
+		if (!links.isCutOff) {
+			links.sound.clear();
+			links.nextCheckAt = this.now + suspicionIntervalMs;
+		}
+		if (links.isCutOff !== wasCutOff) {
+			const event = links.isCutOff ? 'engines.cut-off' : 'engines.reached';
+			this.opts.log.warn(event, { service, probed: sample.length, failed });
+		}
+		if (links.isCutOff || wasCutOff) {
+			this.opts.onChecked(service);
+		}
+		if (links.isCutOff && !wasCutOff) {
+			this.checkOtherServices(service);
+		}
+	}
+
+	/** A cut rarely affects the engines of a single service. */
+	private checkOtherServices(cutOff: string): void {
+		for (const service of this.opts.getServices()) {
+			const links = this.linksOf(service);
+			if (service !== cutOff && !links.isCutOff && !links.isChecking) {
+				void this.check(service, links);
+			}
+		}
+	}
+
+	private sampleEngines(service: string): Engine[] {
+		const engines = [...this.opts.getEngines(service)];
+		const sample: Engine[] = [];
+		while (engines.length > 0 && sample.length < maxProbes) {
+			const index = Math.floor(this.opts.random.next() * engines.length);
+			sample.push(...engines.splice(index, 1));
+		}
+		return sample;
+	}
+
+	private pickRandom(engines: readonly Engine[]): Engine | undefined {
+		return engines[Math.floor(this.opts.random.next() * engines.length)];
+	}
+}
--- a/src/core/relay/attempt-results.ts
+++ b/src/core/relay/attempt-results.ts
@@ -25,6 +25,7 @@
 
 	/** Nothing of the request reached the engine. */
 	recordUnreachable({ engine }: Attempt, reason: string): void {
+		this.ctx.links.recordUnreachable(engine);
 		this.ctx.fleetHealth.recordFailure(engine);
 		if (engine.health.recordUnreachable(this.ctx.clock.monotonic())) {
 			this.recordCircuitOpened(engine.id, reason);
--- a/src/core/relay/definitions.ts
+++ b/src/core/relay/definitions.ts
@@ -127,6 +127,8 @@
 	 * counts as false.
 	 */
 	isPortClosed(address: string): Promise<boolean>;
+	/** Whether a connection to the address can be opened; it is closed at once. */
+	canConnect(address: string): Promise<boolean>;
 	/** Called when the engine is gone. */
 	closeIdleConnections(address: string): void;
 	close(): Promise<void>;
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -164,6 +164,24 @@
 			reason: 'the last failure',
 		},
 	},
+	{
+		name: 'engines.cut-off',
+		when: 'This VM cannot open connections to most engines of a service. Either its own links are down or the engines are.',
+		fields: {
+			service: 'name of the service',
+			probed: 'engines to which a connection was tried',
+			failed: 'engines to which none could be opened',
+		},
+	},
+	{
+		name: 'engines.reached',
+		when: 'This VM can open connections to the engines of the service again.',
+		fields: {
+			service: 'name of the service',
+			probed: 'engines to which a connection was tried',
+			failed: 'engines to which none could be opened',
+		},
+	},
 	{
 		name: 'engine.suspected',
 		when: 'The engine failed requests of several VMs: this VM sends it none for a while, then a trial request.',
--- a/src/core/relay/types.ts
+++ b/src/core/relay/types.ts
@@ -8,6 +8,7 @@
 import type { FleetHealth } from '../engines/fleet-health.js';
 import type { EnginePlacement } from '../engines/placement.js';
 import type { FleetView } from '../fleet/fleet-view.js';
+import type { LinkMonitor } from '../forwarding/link-monitor.js';
 import type { FleetLimits } from '../limits/fleet-limits.js';
 import type { Quarantine } from '../quarantine/quarantine.js';
 import type { Customer, ModelCapacity, Route } from '../routing/types.js';
@@ -35,6 +36,8 @@
 	quarantine: Quarantine;
 	/** Detects engines that fail the requests of several VMs. */
 	fleetHealth: Pick<FleetHealth, 'filterAvailable' | 'recordFailure' | 'recordSuccess'>;
+	/** State of this VM's own links to engines. */
+	links: Pick<LinkMonitor, 'recordUnreachable'>;
 	fleet: FleetView;
 	limits: RequestLimits;
 	costs: CostModel;
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -10,6 +10,7 @@
 import { EngineDirectory } from '../../core/engines/engine-directory.js';
 import { EnginePlacement } from '../../core/engines/placement.js';
 import { addressOf } from '../../core/fleet/aggregator-selection.js';
+import { LinkMonitor } from '../../core/forwarding/link-monitor.js';
 import { Quarantine } from '../../core/quarantine/quarantine.js';
 import { QuarantineRecords } from '../../core/quarantine/quarantine-records.js';
 import { Relay } from '../../core/relay/relay.js';
@@ -62,6 +63,7 @@
 	/** Absent where the VM performs no duties. */
 	private readonly duties?: FleetDuties;
 	private readonly dutyApi?: platform.PlatformDutyApi;
+	private readonly links: LinkMonitor;
 	private readonly quarantine: Quarantine;
 	private readonly quarantineRecords: QuarantineRecords;
 	private readonly httpServer: RelayHttpServer;
@@ -107,6 +109,16 @@
 			onChanged: () => this.storeSync.announceChange(),
 			onLoaded: () => this.startupQueue.release(),
 		});
+		this.links = new LinkMonitor({
+			clock,
+			log,
+			random,
+			getServices: () => this.engines.getServices(),
+			getEngines: (service) => this.engines.getEligible(service),
+			canConnect: (address) => transport.canConnect(address),
+			onChecked: () => {},
+			sleep,
+		});
 		this.coordinator = new FleetCoordinator({
 			settings: () => this.settings,
 			clock,
@@ -214,6 +226,7 @@
 			}),
 			costEstimates: () => this.costReport.samples(),
 			limitedEngines: () => limits.ledger.size,
+			cutOffServices: () => this.links.cutOffServices.length,
 			quarantinedContents: () => this.quarantine.contents.size,
 		});
 		this.restoration = new StoreRestoration({
@@ -241,6 +254,7 @@
 				transport.hasIdleConnection(address),
 			),
 			fleetHealth,
+			links: this.links,
 			fleet,
 			limits,
 			usage: this.duties,
@@ -342,6 +356,7 @@
 		this.coordinator.update();
 		this.storeSync.update();
 		this.engines.sweep();
+		this.links.update();
 		this.relay.checkSilentEngines();
 		if (this.quarantineRecords.hasWork) {
 			this.supervise(this.quarantineRecords.update());
--- a/src/infra/relay/engine-transport.ts
+++ b/src/infra/relay/engine-transport.ts
@@ -45,18 +45,12 @@
 		return this.pools.get(address)?.hasIdle === true;
 	}
 
-	isPortClosed(address: string): Promise<boolean> {
-		const [host, port] = address.split(':');
-		return new Promise((resolve) => {
-			const socket = net.connect({ host, port: Number(port), timeout: connectTimeoutMs });
-			const end = (isRefused: boolean) => {
-				socket.destroy();
-				resolve(isRefused);
-			};
-			socket.on('connect', () => end(false));
-			socket.on('timeout', () => end(false));
-			socket.on('error', (err: NodeJS.ErrnoException) => end(err.code === connectionRefusedCode));
-		});
+	async isPortClosed(address: string): Promise<boolean> {
+		return (await probePort(address)) === portStates.closed;
+	}
+
+	async canConnect(address: string): Promise<boolean> {
+		return (await probePort(address)) === portStates.open;
 	}
 
 	closeIdleConnections(address: string): void {
@@ -78,6 +72,32 @@
 	}
 }
 
+const portStates = {
+	open: 'open',
+	/** The host refuses connections. */
+	closed: 'closed',
+	/** Another error, or no answer in time. */
+	unreachable: 'unreachable',
+} as const;
+type PortState = (typeof portStates)[keyof typeof portStates];
+
+/** Opens and closes a connection. */
+function probePort(address: string): Promise<PortState> {
+	const [host, port] = address.split(':');
+	return new Promise((resolve) => {
+		const socket = net.connect({ host, port: Number(port), timeout: connectTimeoutMs });
+		const end = (state: PortState) => {
+			socket.destroy();
+			resolve(state);
+		};
+		socket.on('connect', () => end(portStates.open));
+		socket.on('timeout', () => end(portStates.unreachable));
+		socket.on('error', ({ code }: NodeJS.ErrnoException) =>
+			end(code === connectionRefusedCode ? portStates.closed : portStates.unreachable),
+		);
+	});
+}
+
 /**
  * One call to an engine. Uses undici's legacy handler methods: the newer ones wrap them and parse all
  * headers a second time.
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -27,6 +27,8 @@
 	costEstimates: () => readonly CostSample[];
 	/** Number of engines with a rate limit. */
 	limitedEngines: () => number;
+	/** Number of services whose engines this VM cannot reach over its own links. */
+	cutOffServices: () => number;
 	/** Number of request contents quarantined after engine crashes. */
 	quarantinedContents: () => number;
 }
@@ -106,6 +108,11 @@
 			'Engines with a limit of requests per second',
 			gauges.limitedEngines,
 		);
+		this.gauge(
+			'slategauge_cut_off_services',
+			'Services whose engines this VM cannot reach over its own links',
+			gauges.cutOffServices,
+		);
 		this.gauge('slategauge_store_calls', 'Calls to the store since the start', gauges.storeCalls);
 		this.gauge(
 			'slategauge_store_reachable',
--- a/test/steps/engine-limits.steps.ts
+++ b/test/steps/engine-limits.steps.ts
@@ -15,7 +15,7 @@
 import { RequestPlacement } from '../../src/core/relay/request-placement.js';
 import type { RelayContext } from '../../src/core/relay/types.js';
 import * as platform from '../../src/platform/index.js';
-import { alwaysHealthy, clockOf, entry, route } from './relay-fakes.js';
+import { alwaysHealthy, clockOf, entry, route, soundLinks } from './relay-fakes.js';
 import { engineOf, fixtureOf } from './relay-fixture.js';
 import type { Answer, Vm } from './relay-world.js';
 import type { FleetWorld } from './world.js';
@@ -278,6 +278,7 @@
 			engines: { getEligible: () => engines },
 			placement: { choose },
 			fleetHealth: alwaysHealthy,
+			links: soundLinks,
 			limits: {
 				ledger: { getLimitPerS: () => 3 },
 				permits,
--- a/test/steps/engine-notices.steps.ts
+++ b/test/steps/engine-notices.steps.ts
@@ -23,6 +23,7 @@
 	route,
 	seen,
 	silentLog,
+	soundLinks,
 } from './relay-fakes.js';
 import { engineOf, fixtureOf } from './relay-fixture.js';
 import { until } from './relay-world.js';
@@ -272,6 +273,7 @@
 			metrics: { recordRetry() {}, recordCircuitOpened() {} },
 			quarantine: { hasMatchingHead: () => false },
 			fleetHealth: alwaysHealthy,
+			links: soundLinks,
 			limits: noRequestLimits,
 			onWorkChanged() {},
 		} as unknown as RelayContext;
--- a/test/steps/relay-fakes.ts
+++ b/test/steps/relay-fakes.ts
@@ -72,6 +72,9 @@
 	recordSuccess() {},
 };
 
+/** Links of a VM that reaches all engines. */
+export const soundLinks: RelayContext['links'] = { recordUnreachable() {} };
+
 /** Permits of a placement without engine limits. */
 export const unlimited = { admits: () => true, isLimited: () => false };
 
--- a/test/steps/suspension.steps.ts
+++ b/test/steps/suspension.steps.ts
@@ -33,6 +33,7 @@
 	route,
 	seen,
 	silentLog,
+	soundLinks,
 } from './relay-fakes.js';
 import type { FleetWorld } from './world.js';
 
@@ -266,6 +267,7 @@
 		fleet: newFleetView(world),
 		limits: noRequestLimits,
 		fleetHealth: alwaysHealthy,
+		links: soundLinks,
 		costs: new CostModel(),
 		metrics: { recordEnded() {}, recordDenied() {}, recordRetry() {}, recordCircuitOpened() {} },
 		onWorkChanged() {},
