--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -34,6 +34,8 @@
 	output: string;
 }
 
+/** Preloaded into VMs whose links can fail. */
+const cuttableLinks = './test/stand-ins/cut-links.cjs';
 /** Characters of a VM's log that are kept; enough for all lines of a start. */
 const maxOutputLength = 20_000;
 
@@ -44,6 +46,8 @@
 	answers: Answer[] = [];
 	/** Program started for each VM. */
 	program = 'dist/src/daemon/relay/main.js';
+	/** Whether `setLinks` can make links of VMs to engines fail. */
+	hasCuttableLinks = false;
 	private nextId = 1;
 	private version = 1;
 	private configuration: Record<string, unknown> = {};
@@ -256,10 +260,23 @@
 		const file = path.join(os.tmpdir(), `relay-${process.pid}-${id}-${ports.callers}.json`);
 		this.files.push(file);
 		await fs.writeFile(file, JSON.stringify(settings));
-		const child = childProcess.spawn(process.execPath, [this.program], {
-			env: { ...process.env, SLATEGAUGE_SETTINGS: file },
-			stdio: ['ignore', opts.log ?? 'pipe', 'pipe'],
-		});
+		const child = childProcess.spawn(
+			process.execPath,
+			[...(this.hasCuttableLinks ? ['--require', cuttableLinks] : []), this.program],
+			{
+				env: { ...process.env, SLATEGAUGE_SETTINGS: file },
+				stdio: [
+					'ignore',
+					opts.log ?? 'pipe',
+					'pipe',
+					...(this.hasCuttableLinks ? ['ipc' as const] : []),
+				],
+			},
+		);
+		if (this.hasCuttableLinks) {
+			// Sockets that are open when the links fail have to be known, so the engines are named at the start.
+			child.send({ state: 'sound', engines: this.engineAddresses });
+		}
 		const vm: Vm = {
 			address,
 			ports,
@@ -278,6 +295,21 @@
 		return vm;
 	}
 
+	/**
+	 * Sets the state of a VM's links to all engines; it is in force when the promise resolves.
+	 * @param state `sound`, `hang`, `reset`, or `refuse`, where open connections live on
+	 */
+	setLinks(vm: Vm, state: string): Promise<void> {
+		return new Promise((done) => {
+			vm.process.once('message', () => done());
+			vm.process.send({ state, engines: this.engineAddresses });
+		});
+	}
+
+	private get engineAddresses(): string[] {
+		return [...this.engines.values()].map((engine) => this.addressOf(engine));
+	}
+
 	/** Status of the readiness port; 0 when it is unreachable. */
 	private readiness(vm: Vm): Promise<number> {
 		return new Promise((done) => {
