--- a/src/core/engines/engine-health.ts
+++ b/src/core/engines/engine-health.ts
@@ -23,6 +23,7 @@
 	private isTrialRunning = false;
 	/** Since when requests are in flight without any bytes received. */
 	private awaitingSince?: number;
+	private lastBytesAt = Number.NEGATIVE_INFINITY;
 	private running = 0;
 	/** Estimated reading time of the prompts in flight, in milliseconds. */
 	private pendingReadingMs = 0;
@@ -46,6 +47,11 @@
 		return this.awaitingSince !== undefined;
 	}
 
+	/** When bytes last arrived from the engine, in monotonic milliseconds. */
+	get activeAt(): number {
+		return this.lastBytesAt;
+	}
+
 	/** Milliseconds without any bytes while requests are in flight; 0 while none are. */
 	silentMs(now: number): number {
 		return this.awaitingSince === undefined ? 0 : now - this.awaitingSince;
@@ -61,6 +67,7 @@
 
 	/** Records that bytes arrived from the engine. */
 	recordActivity(now: number): void {
+		this.lastBytesAt = now;
 		this.awaitingSince = this.running > 0 ? now : undefined;
 	}
 
@@ -92,6 +99,12 @@
 		return this.consecutiveFailures >= failuresToOpen && this.open(now);
 	}
 
+	/** The link works again: what was observed while it was down says nothing about the engine. */
+	handleLinkRestored(now: number): void {
+		this.recordSuccess();
+		this.recordActivity(now);
+	}
+
 	/** Records that the engine was too busy and did not run the request. */
 	recordRejection(now: number): void {
 		this.consecutiveFailures++;
--- a/src/core/engines/engine.ts
+++ b/src/core/engines/engine.ts
@@ -18,6 +18,10 @@
 	readonly ref: EngineRef;
 	/** Health over this VM's own link to the engine. */
 	readonly directHealth = new EngineHealth();
+	/** Health as seen through other VMs. */
+	readonly forwardedHealth = new EngineHealth();
+	/** Whether requests reach it only through other VMs. */
+	isForwarded = false;
 	/** Set once the engine left or restarted; its work no longer counts. */
 	isRemoved = false;
 	/** Its registration has been missing since the store was restored; usable until this time, in monotonic milliseconds. */
@@ -39,7 +43,7 @@
 
 	/** Health over the link in use. */
 	get health(): EngineHealth {
-		return this.directHealth;
+		return this.isForwarded ? this.forwardedHealth : this.directHealth;
 	}
 
 	get id(): string {
--- a/src/core/forwarding/link-monitor.ts
+++ b/src/core/forwarding/link-monitor.ts
@@ -21,8 +21,12 @@
 const cutOffShare = 0.5;
 /** With a smaller share of failed probes it no longer does; lower, as a few engines may be down at any time. */
 const reachedShare = 1 / 3;
+/** Further probes of a check count as failed after this time, in milliseconds. */
+const probeTimeoutMs = 250;
 /** A longer check proves nothing, as the event loop stalled and timed out connections that were established, in milliseconds. */
-const maxCheckMs = 700;
+const maxCheckMs = 400;
+/** Without bytes from any engine for this time a VM tries a connection, as a cut would go unnoticed, in milliseconds. */
+const idleCheckMs = 1000;
 
 /** State of the links to the engines of one service. */
 interface ServiceLinks {
@@ -51,8 +55,11 @@
 
 export class LinkMonitor {
 	private readonly byService = new Map<string, ServiceLinks>();
+	private idleCheckedAt: number;
 
-	constructor(private readonly opts: LinkMonitorOptions) {}
+	constructor(private readonly opts: LinkMonitorOptions) {
+		this.idleCheckedAt = opts.clock.monotonic();
+	}
 
 	/** Whether most links to the engines of a service are down. */
 	isCutOff(service: string): boolean {
@@ -83,6 +90,7 @@
 
 	/** Runs the checks that are due; called several times a second. */
 	update(): void {
+		this.checkIdle();
 		for (const service of this.opts.getServices()) {
 			const links = this.linksOf(service);
 			if (!this.mayCheck(links)) {
@@ -99,6 +107,25 @@
 		}
 	}
 
+	/** Tries a connection to a random engine if none has sent anything lately. */
+	private checkIdle(): void {
+		if (this.now - this.idleCheckedAt < idleCheckMs) {
+			return;
+		}
+		const services = [...this.opts.getServices()].filter((service) => !this.isCutOff(service));
+		const engines = services.flatMap((service) => this.opts.getEngines(service));
+		const activeAt = Math.max(...engines.map(({ directHealth }) => directHealth.activeAt));
+		this.idleCheckedAt = Math.max(this.idleCheckedAt, activeAt);
+		const engine = this.pickRandom(engines);
+		if (engine && this.now - this.idleCheckedAt >= idleCheckMs) {
+			this.idleCheckedAt = this.now;
+			const links = this.linksOf(engine.registration.service);
+			if (!links.isChecking) {
+				void this.suspect(engine.registration.service, links, engine);
+			}
+		}
+	}
+
 	private get now(): number {
 		return this.opts.clock.monotonic();
 	}
@@ -141,7 +168,7 @@
 		engine: Engine | undefined,
 	): Promise<void> {
 		links.isChecking = true;
-		if (engine && (await this.connectsQuickly(engine))) {
+		if (engine && (await this.connects(engine, quickConnectMs))) {
 			links.isChecking = false;
 			links.nextCheckAt = this.now + suspicionIntervalMs;
 			return;
@@ -149,9 +176,9 @@
 		await this.check(service, links);
 	}
 
-	private connectsQuickly({ registration }: Engine): Promise<boolean> {
+	private connects({ registration }: Engine, withinMs: number): Promise<boolean> {
 		const { canConnect, sleep } = this.opts;
-		const isLate = sleep(quickConnectMs).then(() => false);
+		const isLate = sleep(withinMs).then(() => false);
 		return Promise.race([canConnect(registration.address), isLate]);
 	}
 
@@ -160,7 +187,7 @@
 		links.isChecking = true;
 		const startedAt = this.now;
 		const sample = this.sampleEngines(service);
-		const probes = sample.map(({ registration }) => this.opts.canConnect(registration.address));
+		const probes = sample.map((engine) => this.connects(engine, probeTimeoutMs));
 		const isReached = await Promise.all(probes);
 		links.isChecking = false;
 		links.nextCheckAt = this.now + recheckIntervalMs * (0.75 + 0.5 * this.opts.random.next());
--- a/src/core/relay/attempt-results.ts
+++ b/src/core/relay/attempt-results.ts
@@ -2,6 +2,7 @@
  * Records the results of one request's attempts: engine health, circuit breakers, and whether the request may have crashed engines.
  * @module
  */
+import type { Engine } from '../engines/engine.js';
 import { formatContentHash } from '../quarantine/content-hash.js';
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js';
 import type { Attempt } from './attempt.js';
@@ -16,39 +17,47 @@
 	) {}
 
 	/** The engine received the request and did not answer it properly. */
-	recordFailure({ engine }: Attempt, reason: string): void {
-		this.ctx.fleetHealth.recordFailure(engine);
-		if (engine.health.recordFailure(this.ctx.clock.monotonic())) {
+	recordFailure({ engine, health }: Attempt, reason: string): void {
+		this.recordFleetFailure(engine);
+		if (health.recordFailure(this.now)) {
 			this.recordCircuitOpened(engine.id, reason);
 		}
 	}
 
 	/** Nothing of the request reached the engine. */
-	recordUnreachable({ engine }: Attempt, reason: string): void {
-		this.ctx.links.recordUnreachable(engine);
-		this.ctx.fleetHealth.recordFailure(engine);
-		if (engine.health.recordUnreachable(this.ctx.clock.monotonic())) {
+	recordUnreachable({ engine, health, helper }: Attempt, reason: string): void {
+		if (!helper) {
+			this.ctx.links.recordUnreachable(engine);
+		}
+		this.recordFleetFailure(engine);
+		if (health.recordUnreachable(this.now)) {
 			this.recordCircuitOpened(engine.id, reason);
 		}
 	}
 
 	/** The engine answered completely. */
-	recordSuccess({ engine }: Attempt): void {
-		engine.health.recordSuccess();
+	recordSuccess({ engine, health, helper }: Attempt): void {
+		health.recordSuccess();
+		helper?.recordAnswer();
 		this.ctx.fleetHealth.recordSuccess(engine);
 	}
 
 	/** Nothing listens at the engine's address, or another engine does. */
 	recordEngineExit({ engine }: Attempt): void {
-		this.ctx.quarantine.recordEngineCrash(engine.ref);
+		if (!engine.isForwarded) {
+			this.ctx.quarantine.recordEngineCrash(engine.ref);
+		}
 	}
 
-	/** The engine may have crashed while it ran this request. */
+	/** The engine may have crashed while it ran this request, unless this VM lost its link to the engine. */
 	recordBrokenAttempt(attempt: Attempt, reason: string): void {
-		this.requestQuarantine.recordFailure(attempt);
+		if (!attempt.engine.isForwarded) {
+			this.requestQuarantine.recordFailure(attempt);
+		}
 		const { sinceSentMs, sinceFirstEventMs } = attempt;
 		this.outcome.log('request.broken', {
 			engine: attempt.engine.id,
+			via: attempt.helper?.name,
 			reason,
 			content: formatContentHash(this.requestQuarantine.content),
 			sent_ms: Math.round(sinceSentMs),
@@ -56,6 +65,17 @@
 		});
 	}
 
+	private get now(): number {
+		return this.ctx.clock.monotonic();
+	}
+
+	/** Failures at an engine to which this VM has no link say nothing about the engine to other VMs. */
+	private recordFleetFailure(engine: Engine): void {
+		if (!engine.isForwarded) {
+			this.ctx.fleetHealth.recordFailure(engine);
+		}
+	}
+
 	private recordCircuitOpened(engine: string, reason: string): void {
 		this.ctx.metrics.recordCircuitOpened();
 		this.outcome.log('engine.closed', { engine, reason }, 'warn');
--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -4,13 +4,18 @@
  */
 
 import type { Engine } from '../engines/engine.js';
+import type { EngineHealth } from '../engines/engine-health.js';
 import type { Placement } from '../engines/placement-types.js';
 import { UndisturbedPauseFilter } from '../engines/undisturbed-pause-filter.js';
 import type { WorkChange } from '../fleet/work-sums.js';
+import type { HelperCall } from '../forwarding/helper-selection.js';
 import type { AnswerHead, PromptSegment, RunningCall } from './definitions.js';
 import { EventSplitter } from './event-splitter.js';
 import type { RelayContext } from './types.js';
 
+/** A request on a link that is down is stranded after this time without any bytes from the engine, in milliseconds. */
+const strandedSilenceMs = 600;
+
 export class Attempt {
 	readonly engine: Engine;
 	readonly splitter = new EventSplitter();
@@ -31,15 +36,20 @@
 	private sharedSegments: readonly PromptSegment[] = [];
 	private hasEnded = false;
 	private isStartCounted = false;
+	/** Health of the engine over the link that this attempt uses. */
+	readonly health: EngineHealth;
 
 	constructor(
 		private readonly ctx: RelayContext,
-		private readonly placement: Placement,
+		readonly placement: Placement,
 		private readonly service: string,
 		/** Customer whose started requests are counted. */
 		private readonly customer?: string,
+		/** The VM that forwards the request; undefined when it is sent over this VM's own link. */
+		readonly helper?: HelperCall,
 	) {
 		this.engine = placement.engine;
+		this.health = this.engine.health;
 	}
 
 	/** Whether bytes of the request were sent, so that the engine may run it. */
@@ -62,9 +72,14 @@
 		return firstEventAt === undefined ? undefined : this.ctx.clock.monotonic() - firstEventAt;
 	}
 
-	/** Whether the request was sent and its engine is silent. */
+	/** Whether the request was sent and its engine is silent, or the link that it was sent over is down. */
 	isSilent(now: number): boolean {
-		return this.wasSent && this.engine.health.isSilent(now);
+		return this.wasSent && (this.health.isSilent(now) || this.isStranded(now));
+	}
+
+	private isStranded(now: number): boolean {
+		const isLinkDown = this.helper === undefined && this.engine.isForwarded;
+		return isLinkDown && this.health.silentMs(now) >= strandedSilenceMs;
 	}
 
 	/** @param sharedSegments prompt segments that other requests may share */
@@ -72,7 +87,7 @@
 		const { uncachedTokens, readingMs } = this.placement;
 		this.wasSent = true;
 		this.sentTime = this.ctx.clock.monotonic();
-		this.engine.health.recordSent(this.sentTime, readingMs);
+		this.health.recordSent(this.sentTime, readingMs);
 		this.changeWork({ running: 1, promptTokens: uncachedTokens });
 		this.sharedSegments = sharedSegments;
 		this.ctx.fleet.recordPrefill(sharedSegments, this.engine.incarnationKey, false);
@@ -97,7 +112,7 @@
 	}
 
 	recordActivity(): void {
-		this.engine.health.recordActivity(this.ctx.clock.monotonic());
+		this.health.recordActivity(this.ctx.clock.monotonic());
 	}
 
 	/** The prompt was read: the first event arrived, or no further one will. */
@@ -184,6 +199,7 @@
 
 	/** The engine no longer works on the request. */
 	markEnded(): void {
+		this.helper?.release();
 		if (!this.wasSent || this.hasEnded) {
 			return;
 		}
@@ -191,6 +207,6 @@
 		this.markPromptRead();
 		const { readingMs } = this.placement;
 		this.changeWork({ running: -1 });
-		this.engine.health.recordEnd(readingMs);
+		this.health.recordEnd(readingMs);
 	}
 }
--- a/src/core/relay/definitions.ts
+++ b/src/core/relay/definitions.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { EngineNotice } from '../engines/engine-notices.js';
+import type { ForwardRefusal } from '../forwarding/types.js';
 
 /** Header names and values alternating, as received or sent. */
 export type RawHeaders = string[];
@@ -68,6 +69,16 @@
 	lastEventId?: string;
 	/** Address of an engine that has more of the prompt in its prefix cache and from which it is copied. */
 	copyFrom?: string;
+	/** Another VM that sends the request to the engine; undefined while this VM's own link to it is used. */
+	via?: ForwardHop;
+}
+
+/** The way of a request through another VM. */
+export interface ForwardHop {
+	/** Where the other VM accepts requests to forward, as IP:PORT. */
+	address: string;
+	/** Store revision of this VM's list of engines. */
+	enginesRevision: number;
 }
 
 /** Head of an engine's answer. */
@@ -109,6 +120,14 @@
 	onError(reason: string, isRefused: boolean): void;
 }
 
+/** Receives the answer to a call that may go through another VM. `onNotForwarded` and `onHelperLost` are last calls, too. */
+export interface CallListener extends AnswerListener {
+	/** The other VM did not send the request to the engine. */
+	onNotForwarded(refusal: ForwardRefusal): void;
+	/** The connection to the other VM failed; it may have sent the request if `onSent` was called. */
+	onHelperLost(reason: string): void;
+}
+
 /** Handle of a call in progress. */
 export interface RunningCall {
 	pause(): void;
@@ -119,7 +138,7 @@
 
 /** Connections to engines. */
 export interface EngineTransport {
-	send(call: EngineCall, listener: AnswerListener): RunningCall;
+	send(call: EngineCall, listener: CallListener): RunningCall;
 	/** Whether an open idle connection to the address exists. */
 	hasIdleConnection(address: string): boolean;
 	/**
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -28,6 +28,7 @@
 		fields: {
 			...request,
 			engine: 'id of the engine',
+			via: 'the VM that forwards the request, if this VM has lost its own link to the engine',
 			reason: 'the deciding factor, with the expected wait',
 			fleet_running: 'requests of all VMs at that engine, as known to this VM',
 			unread_tokens: 'prompt tokens that the engine has to process',
@@ -70,6 +71,7 @@
 		fields: {
 			...request,
 			engine: 'id of the engine',
+			via: 'the VM that forwarded the request, if any',
 			reason: 'the failure',
 			content:
 				'hash of method, host, path, customer and body; identifies the same request under another id',
@@ -164,6 +166,47 @@
 			reason: 'the last failure',
 		},
 	},
+	{
+		name: 'request.not-forwarded',
+		when: 'Another VM did not send the request to the engine. The engine has not received it; it is sent another way.',
+		fields: {
+			...request,
+			engine: 'id of the engine',
+			via: 'the other VM',
+			reason: 'why',
+		},
+	},
+	{
+		name: 'request.forwarded',
+		when: 'Another VM, which has lost its link to the engine, asked this one to forward a request, and it is sent.',
+		fields: {
+			request: request.request,
+			engine: 'id of the engine',
+			sender: 'IP of the other VM',
+			urgency: 'urgency at the engine; 0 is the most urgent',
+		},
+	},
+	{
+		name: 'request.forward-refused',
+		when: 'A request was not forwarded. It has not been sent to the engine.',
+		fields: {
+			request: request.request,
+			engine: 'id of the engine',
+			sender: 'IP of whoever asked',
+			reason: 'unknown-sender, cut-off, overloaded, stopping or engine-unavailable',
+		},
+	},
+	{
+		name: 'request.forward-ended',
+		when: 'A forwarded request ended other than with a complete answer.',
+		fields: {
+			request: request.request,
+			engine: 'id of the engine',
+			outcome:
+				'engine-unavailable or engine-unreachable (not sent), broken (the answer), or sender-left',
+			reason: 'the failure',
+		},
+	},
 	{
 		name: 'engines.cut-off',
 		when: 'This VM cannot open connections to most engines of a service. Either its own links are down or the engines are.',
--- a/src/core/relay/metrics.ts
+++ b/src/core/relay/metrics.ts
@@ -10,6 +10,8 @@
 	recordEnded(route: string, outcome: RelayOutcome, tookMs: number, firstMs?: number): void;
 	recordDenied(status: number): void;
 	recordRetry(service: string): void;
+	/** A request was sent through another VM. */
+	recordForwarded(service: string): void;
 	recordCircuitOpened(): void;
 	/** A permit for an engine with a request limit was denied. */
 	recordPermitDenied(service: string): void;
--- a/src/core/relay/placement-log.ts
+++ b/src/core/relay/placement-log.ts
@@ -12,6 +12,8 @@
 	leftMs: number;
 	/** The event after which the engine resumes the stream. */
 	lastEventId: string | undefined;
+	/** Name of the VM that forwards the request. */
+	via: string | undefined;
 }
 
 export function logPlacement(
@@ -19,11 +21,12 @@
 	routed: RoutedRequest,
 	outcome: RequestOutcome,
 	placement: Placement,
-	{ leftMs, lastEventId }: RequestProgress,
+	{ leftMs, lastEventId, via }: RequestProgress,
 ): void {
 	const { engine, work, pace } = placement;
 	outcome.log('request.placed', {
 		engine: engine.id,
+		via,
 		reason: placement.reason,
 		fleet_running: work.running,
 		fleet_prompt_tokens: work.promptTokens,
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -4,6 +4,8 @@
  */
 
 import type { Placement } from '../engines/placement-types.js';
+import type { ForwardRefusal } from '../forwarding/types.js';
+import { forwardRefusals } from '../forwarding/types.js';
 import { RequestQuarantine } from '../quarantine/request-quarantine.js';
 import type { Route } from '../routing/types.js';
 import { repeatabilities } from '../routing/types.js';
@@ -12,7 +14,7 @@
 import { Attempt } from './attempt.js';
 import { AttemptResults } from './attempt-results.js';
 import { CallerAnswer } from './caller-answer.js';
-import type { AnswerHead, AnswerListener, CallerResponse } from './definitions.js';
+import type { AnswerHead, CallerResponse, CallListener } from './definitions.js';
 import { logPlacement } from './placement-log.js';
 import { RequestOutcome } from './request-outcome.js';
 import { RequestPlacement } from './request-placement.js';
@@ -23,12 +25,15 @@
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Failed connections before a request is refused. */
 const maxUnreachable = 4;
+/** VMs that may refuse to forward a request before it is refused; most of the fleet may have lost its links. */
+const maxHelperFailures = 40;
 
 export class RelayedRequest {
 	private readonly deadlineAt: number;
 	private readonly requestPlacement: RequestPlacement;
 	private attempt?: Attempt;
 	private unreachableCount = 0;
+	private helperFailures = 0;
 	private readonly answer: CallerAnswer;
 	private readonly outcome: RequestOutcome;
 	private readonly requestQuarantine: RequestQuarantine;
@@ -106,6 +111,7 @@
 		const { attempt } = this;
 		const mayRetry = this.answer.hasStarted ? this.routed.route.isResumable : this.isRepeatable;
 		if (!this.outcome.isFinished && attempt?.isSilent(now) && mayRetry && this.mayRetryNow(now)) {
+			attempt.helper?.recordFailure();
 			this.handleBrokenAnswer(attempt, 'the engine is silent');
 		}
 	}
@@ -129,24 +135,35 @@
 
 	private send(placement: Placement): void {
 		const { engine } = placement;
-		const { req, customer } = this.routed;
+		const { ctx } = this;
+		const { req, customer, service, urgency } = this.routed;
 		const { lastEventId } = this.answerRelay;
-		logPlacement(this.ctx, this.routed, this.outcome, placement, {
+		const helper = engine.isForwarded ? ctx.forwarding.chooseHelper(urgency) : undefined;
+		if (engine.isForwarded && !helper) {
+			this.outcome.giveUp('no VM forwards the request', ctx.forwarding.retryAfterS);
+			return;
+		}
+		logPlacement(ctx, this.routed, this.outcome, placement, {
 			leftMs: this.leftMs,
 			lastEventId,
+			via: helper?.name,
 		});
-		const attempt = new Attempt(this.ctx, placement, this.routed.service, customer?.name);
+		if (helper) {
+			ctx.metrics.recordForwarded(service);
+		}
+		const attempt = new Attempt(ctx, placement, service, customer?.name, helper);
 		this.attempt = attempt;
-		attempt.call = this.ctx.transport.send(
+		attempt.call = ctx.transport.send(
 			{
 				address: engine.registration.address,
 				engineId: engine.id,
 				req,
 				customer: customer?.name,
 				deadlineMs: this.leftMs,
-				urgency: this.routed.urgency,
+				urgency,
 				lastEventId,
 				copyFrom: placement.copyFrom?.registration.address,
+				via: helper && { address: helper.address, enginesRevision: ctx.engines.revision },
 			},
 			this.listen(attempt),
 		);
@@ -158,7 +175,7 @@
 	/**
 	 * Ignores events of an abandoned attempt. One that continues without its caller only updates the engine's health and load.
 	 */
-	private listen(attempt: Attempt): AnswerListener {
+	private listen(attempt: Attempt): CallListener {
 		const ifCurrent = (action: () => void, ifFinished: () => void) => {
 			if (this.attempt === attempt) {
 				(this.outcome.isFinished ? ifFinished : action)();
@@ -178,6 +195,9 @@
 			onEnd: () => ifCurrent(() => this.handleEnd(attempt), endAttempt),
 			onError: (reason, isRefused) =>
 				ifCurrent(() => this.handleFailure(attempt, reason, isRefused), endAttempt),
+			onNotForwarded: (refusal) =>
+				ifCurrent(() => this.handleNotForwarded(attempt, refusal), endAttempt),
+			onHelperLost: (reason) => ifCurrent(() => this.handleHelperLost(attempt, reason), endAttempt),
 		};
 	}
 
@@ -188,7 +208,7 @@
 
 	/** The engine asked for a back-off or set a limit while the connection was being established. */
 	private handleWithdrawn(attempt: Attempt): void {
-		this.attempt = undefined;
+		this.endAttempt(attempt);
 		this.requestPlacement.withdraw(attempt.engine);
 		this.place();
 	}
@@ -266,7 +286,7 @@
 			this.results.recordEngineExit(attempt);
 			this.results.recordUnreachable(attempt, 'another engine listens at its address');
 		} else {
-			attempt.engine.health.recordRejection(this.ctx.clock.monotonic());
+			attempt.health.recordRejection(this.ctx.clock.monotonic());
 		}
 		if (this.retry(attempt, `rejected with ${head.status}`)) {
 			return;
@@ -286,7 +306,11 @@
 			this.results.recordEngineExit(attempt);
 		}
 		this.results.recordUnreachable(attempt, reason);
-		this.attempt = undefined;
+		this.endAttempt(attempt);
+		this.placeAfterUnreachable(reason);
+	}
+
+	private placeAfterUnreachable(reason: string): void {
 		this.unreachableCount++;
 		if (this.unreachableCount < maxUnreachable) {
 			this.place();
@@ -295,6 +319,47 @@
 		}
 	}
 
+	/** Nothing of the request reached the engine, so it counts as not sent. */
+	private handleNotForwarded(attempt: Attempt, refusal: ForwardRefusal): void {
+		const { engine, helper } = attempt;
+		this.outcome.sentTo.delete(engine.id);
+		this.outcome.log('request.not-forwarded', {
+			engine: engine.id,
+			via: helper?.name,
+			reason: refusal,
+		});
+		helper?.recordRefusal(refusal);
+		this.endAttempt(attempt);
+		if (refusal === forwardRefusals.engineUnavailable) {
+			this.placeAfterUnreachable(refusal);
+		} else if (refusal === forwardRefusals.engineUnreachable) {
+			this.results.recordUnreachable(attempt, refusal);
+			this.placeAfterUnreachable(refusal);
+		} else {
+			this.sendViaOther(attempt, refusal);
+		}
+	}
+
+	private handleHelperLost(attempt: Attempt, reason: string): void {
+		attempt.helper?.recordFailure();
+		if (attempt.isSent) {
+			this.handleBrokenAnswer(attempt, reason);
+			return;
+		}
+		this.endAttempt(attempt);
+		this.sendViaOther(attempt, reason);
+	}
+
+	/** Asks another VM to forward the request to the same engine. */
+	private sendViaOther({ placement }: Attempt, reason: string): void {
+		this.helperFailures++;
+		if (this.helperFailures > maxHelperFailures) {
+			this.outcome.giveUp(`no VM forwards the request: ${reason}`, this.ctx.forwarding.retryAfterS);
+		} else {
+			this.send(placement);
+		}
+	}
+
 	/** Handles an unusable answer to a request that may have run. */
 	private handleBrokenAnswer(attempt: Attempt, reason: string): void {
 		attempt.call?.abort();
--- a/src/core/relay/types.ts
+++ b/src/core/relay/types.ts
@@ -9,6 +9,7 @@
 import type { EnginePlacement } from '../engines/placement.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { LinkMonitor } from '../forwarding/link-monitor.js';
+import type { RequestForwarding } from '../forwarding/request-forwarding.js';
 import type { FleetLimits } from '../limits/fleet-limits.js';
 import type { Quarantine } from '../quarantine/quarantine.js';
 import type { Customer, ModelCapacity, Route } from '../routing/types.js';
@@ -38,6 +39,8 @@
 	fleetHealth: Pick<FleetHealth, 'filterAvailable' | 'recordFailure' | 'recordSuccess'>;
 	/** State of this VM's own links to engines. */
 	links: Pick<LinkMonitor, 'recordUnreachable'>;
+	/** Ways to engines through other VMs. */
+	forwarding: Pick<RequestForwarding, 'chooseHelper' | 'retryAfterS'>;
 	fleet: FleetView;
 	limits: RequestLimits;
 	costs: CostModel;
--- a/src/daemon/relay/fleet-coordinator.ts
+++ b/src/daemon/relay/fleet-coordinator.ts
@@ -2,6 +2,7 @@
  * Connects the components that share state with the other VMs: registry, gossip, fleet view, engine limits and health.
  * @module
  */
+import type * as http from 'node:http';
 import type { Clock, Log, Random } from '../../core/definitions.js';
 import type { CostModel } from '../../core/engines/cost-model.js';
 import type { EngineDirectory } from '../../core/engines/engine-directory.js';
@@ -38,6 +39,8 @@
 	storeSync: () => StoreSync;
 	/** Undefined where the VM performs no duties. */
 	duties: () => FleetDuties | undefined;
+	/** Handles a request that a peer asks this VM to forward; returns false for any other request. */
+	handleForward: (req: http.IncomingMessage, res: http.ServerResponse) => boolean;
 	sleep: (ms: number) => Promise<void>;
 }
 
@@ -116,6 +119,7 @@
 			exportEngines: (since) => storeSync().exportEngines(since),
 			applyEngines: (text) => engines.applyCopy(text),
 			enginesRevision: () => engines.revision,
+			handleForward: opts.handleForward,
 			onUsage: (usage) => duties()?.handleUsage(usage),
 			onUsageAck: (ack) => duties()?.handleUsageAck(ack),
 			onPermitRequest: (request) => limits.handlePermitRequest(request),
--- a/src/daemon/relay/peer-exchange.ts
+++ b/src/daemon/relay/peer-exchange.ts
@@ -44,6 +44,8 @@
 	applyEngines: (text: string) => boolean;
 	/** Store revision of this VM's engines. */
 	enginesRevision: () => number;
+	/** Handles a request that a peer asks this VM to forward; returns false for any other request. */
+	handleForward: (req: http.IncomingMessage, res: http.ServerResponse) => boolean;
 	/** Called with the usage counts of another VM, and with an acknowledgement of this VM's counts. */
 	onUsage: (usage: UsageCounts) => void;
 	onUsageAck: (ack: UsageAck) => void;
@@ -83,7 +85,11 @@
 			() => gossip.dueAt,
 			() => gossip.sendDue(),
 		);
-		this.transfers = new PeerTransfers({ log, getDocument: (target) => this.contentOf(target) });
+		this.transfers = new PeerTransfers({
+			log,
+			getDocument: (target) => this.contentOf(target),
+			handleForward: (req, res) => opts.handleForward(req, res),
+		});
 	}
 
 	/** HTTP server from which peers fetch the configuration and engines. */
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -10,7 +10,6 @@
 import { EngineDirectory } from '../../core/engines/engine-directory.js';
 import { EnginePlacement } from '../../core/engines/placement.js';
 import { addressOf } from '../../core/fleet/aggregator-selection.js';
-import { LinkMonitor } from '../../core/forwarding/link-monitor.js';
 import { Quarantine } from '../../core/quarantine/quarantine.js';
 import { QuarantineRecords } from '../../core/quarantine/quarantine-records.js';
 import { Relay } from '../../core/relay/relay.js';
@@ -30,6 +29,7 @@
 import { EventLoopMonitor, tickIntervalMs } from './event-loop-monitor.js';
 import { FleetCoordinator } from './fleet-coordinator.js';
 import { FleetDuties } from './fleet-duties.js';
+import { ForwardingHub } from './forwarding-hub.js';
 import { GracefulShutdown, streamAcceptanceMs } from './graceful-shutdown.js';
 import { StoreRestoration } from './store-restoration.js';
 import { StoreSync } from './store-sync.js';
@@ -49,7 +49,7 @@
 	private readonly clock = new SystemClock();
 	private readonly random = new SystemRandom();
 	private readonly store: platform.PlatformStore;
-	private readonly transport = new UndiciEngineTransport(platform);
+	private readonly transport: UndiciEngineTransport;
 	private readonly engines: EngineDirectory;
 	private readonly configuration: ConfigurationState;
 	private readonly startupQueue: StartupQueue;
@@ -63,7 +63,7 @@
 	/** Absent where the VM performs no duties. */
 	private readonly duties?: FleetDuties;
 	private readonly dutyApi?: platform.PlatformDutyApi;
-	private readonly links: LinkMonitor;
+	private readonly hub: ForwardingHub;
 	private readonly quarantine: Quarantine;
 	private readonly quarantineRecords: QuarantineRecords;
 	private readonly httpServer: RelayHttpServer;
@@ -82,7 +82,9 @@
 		linesDropped: () => number,
 		sizing: SizingStrategy = sizingStrategies.peak,
 	) {
-		const { clock, random, transport } = this;
+		const { clock, random } = this;
+		const transport = new UndiciEngineTransport(platform, settings.vm.address);
+		this.transport = transport;
 		const incarnation = Math.floor(random.next() * 2 ** 32);
 		this.store = new platform.PlatformStore(settings.store.address, clock, ({ era }) => {
 			this.restoration.handleRestored(era);
@@ -109,14 +111,17 @@
 			onChanged: () => this.storeSync.announceChange(),
 			onLoaded: () => this.startupQueue.release(),
 		});
-		this.links = new LinkMonitor({
+		this.hub = new ForwardingHub({
 			clock,
 			log,
 			random,
-			getServices: () => this.engines.getServices(),
-			getEngines: (service) => this.engines.getEligible(service),
-			canConnect: (address) => transport.canConnect(address),
-			onChecked: () => {},
+			domain: settings.vm.domain,
+			engines: this.engines,
+			transport,
+			getOtherVms: () => this.coordinator.registry.getOthers(),
+			isStopping: () => this.shutdown.isStopping,
+			loopDelayMs: () => this.loopMonitor.delayMs,
+			onOrder: (refusal) => this.metrics.recordForwardOrder(refusal),
 			sleep,
 		});
 		this.coordinator = new FleetCoordinator({
@@ -133,6 +138,7 @@
 			configuration: () => this.configuration,
 			storeSync: () => this.storeSync,
 			duties: () => this.duties,
+			handleForward: (req, res) => this.hub.handle(req, res),
 			sleep,
 		});
 		const { fleet, registry, peers, limits, fleetHealth } = this.coordinator;
@@ -226,7 +232,7 @@
 			}),
 			costEstimates: () => this.costReport.samples(),
 			limitedEngines: () => limits.ledger.size,
-			cutOffServices: () => this.links.cutOffServices.length,
+			cutOffServices: () => this.hub.links.cutOffServices.length,
 			quarantinedContents: () => this.quarantine.contents.size,
 		});
 		this.restoration = new StoreRestoration({
@@ -254,7 +260,8 @@
 				transport.hasIdleConnection(address),
 			),
 			fleetHealth,
-			links: this.links,
+			links: this.hub.links,
+			forwarding: this.hub.forwarding,
 			fleet,
 			limits,
 			usage: this.duties,
@@ -320,7 +327,7 @@
 		this.coordinator.retire();
 		await this.duties?.release();
 		await sleep(streamAcceptanceMs);
-		while (this.httpServer.openRequests > 0 && !this.shutdown.isDeadlineReached) {
+		while (this.hasOpenRequests && !this.shutdown.isDeadlineReached) {
 			this.httpServer.closeIdleConnections();
 			await sleep(shutdownPollMs);
 		}
@@ -330,6 +337,11 @@
 		this.log.info('daemon.stopped', { took_ms: Math.round(this.shutdown.elapsedMs) });
 	}
 
+	/** Whether callers or other VMs wait for answers. */
+	private get hasOpenRequests(): boolean {
+		return this.httpServer.openRequests > 0 || this.hub.openRequests > 0;
+	}
+
 	private async close(): Promise<void> {
 		this.storeSync.stop();
 		for (const timer of this.timers) {
@@ -356,7 +368,7 @@
 		this.coordinator.update();
 		this.storeSync.update();
 		this.engines.sweep();
-		this.links.update();
+		this.hub.update();
 		this.relay.checkSilentEngines();
 		if (this.quarantineRecords.hasWork) {
 			this.supervise(this.quarantineRecords.update());
@@ -368,6 +380,7 @@
 
 	private sweep(): void {
 		this.coordinator.sweep();
+		this.hub.sweep();
 		this.quarantine.sweep();
 	}
 
--- a/src/infra/relay/engine-connection-pool.ts
+++ b/src/infra/relay/engine-connection-pool.ts
@@ -28,9 +28,13 @@
 	resetChecked?: Promise<void>;
 	private readonly client: undici.Client;
 
-	/** @param onClose called when either side has closed the connection */
+	/**
+	 * @param localAddress IP to connect from; undefined for any
+	 * @param onClose called when either side has closed the connection
+	 */
 	constructor(
 		private readonly origin: URL,
+		private readonly localAddress: string | undefined,
 		private readonly onClose: (connection: EngineConnection) => void,
 	) {
 		this.client = new undici.Client(origin, {
@@ -67,6 +71,7 @@
 		const socket = net.connect({
 			host,
 			port: Number(port),
+			localAddress: this.localAddress,
 			noDelay: true,
 			highWaterMark: receiveBufferBytes,
 		} as net.TcpNetConnectOpts);
@@ -114,8 +119,14 @@
 	private readonly busy = new Set<EngineConnection>();
 	private isClosed = false;
 
-	/** @param address as IP:PORT */
-	constructor(address: string) {
+	/**
+	 * @param address as IP:PORT
+	 * @param localAddress IP to connect from; undefined for any
+	 */
+	constructor(
+		address: string,
+		private readonly localAddress?: string,
+	) {
 		this.origin = new URL(`http://${address}`);
 	}
 
@@ -126,7 +137,8 @@
 	/** Returns an idle connection, or a new one that opens with its first call. */
 	acquire(): EngineConnection {
 		const connection =
-			this.idle.pop() ?? new EngineConnection(this.origin, (closed) => this.removeIdle(closed));
+			this.idle.pop() ??
+			new EngineConnection(this.origin, this.localAddress, (closed) => this.removeIdle(closed));
 		this.busy.add(connection);
 		return connection;
 	}
--- /dev/null
+++ b/src/infra/relay/engine-running-call.ts
@@ -0,0 +1,142 @@
+/**
+ * One HTTP call to an engine, or to a VM that forwards it, on a connection of its own.
+ * @module
+ */
+import type * as undici from 'undici';
+import type {
+	AnswerHead,
+	AnswerListener,
+	RawHeaders,
+	RunningCall,
+} from '../../core/relay/definitions.js';
+import type { EngineConnection, EngineConnectionPool } from './engine-connection-pool.js';
+
+export const connectionRefusedCode = 'ECONNREFUSED';
+
+/** Decodes the head of an answer. */
+export type AnswerDecoder = (status: number, rawHeaders: RawHeaders) => AnswerHead;
+
+/**
+ * One call to an engine. Uses undici's legacy handler methods: the newer ones wrap them and parse all
+ * headers a second time.
+ */
+export class EngineRunningCall implements undici.Dispatcher.DispatchHandler, RunningCall {
+	private readonly connection: EngineConnection;
+	private abortCall?: (err?: Error) => void;
+	private resumeReading?: () => void;
+	private isPaused = false;
+	private isStarting = true;
+	private isFramed = true;
+	private isDone = false;
+
+	constructor(
+		private readonly decodeAnswer: AnswerDecoder,
+		private readonly listener: AnswerListener,
+		private readonly pool: EngineConnectionPool,
+	) {
+		this.connection = pool.acquire();
+	}
+
+	start(opts: undici.Dispatcher.DispatchOptions): void {
+		this.connection.dispatch(opts, this);
+		this.isStarting = false;
+	}
+
+	pause(): void {
+		this.isPaused = true;
+	}
+
+	resume(): void {
+		if (this.isPaused) {
+			this.isPaused = false;
+			this.resumeReading?.();
+		}
+	}
+
+	abort(): void {
+		if (!this.isDone) {
+			this.discard();
+			this.abortCall?.(new Error('call aborted'));
+		}
+	}
+
+	/** Called by undici before it writes the first byte. */
+	onConnect(abort: (err?: Error) => void): void {
+		this.abortCall = abort;
+		if (this.isDone) {
+			abort(new Error('call aborted'));
+			return;
+		}
+		if (!this.listener.shouldSend()) {
+			this.discard();
+			abort(new Error('call withdrawn before it was sent'));
+			// Deferred, since the listener may dispatch the request to another engine.
+			setImmediate(() => this.listener.onWithdrawn());
+			return;
+		}
+		this.listener.onSent();
+	}
+
+	onHeaders(status: number, rawHeaders: Buffer[], resume: () => void): boolean {
+		this.resumeReading = resume;
+		if (!this.isDone && status >= 200) {
+			const headers: RawHeaders = [];
+			for (const value of rawHeaders) {
+				headers.push(value.toString('latin1'));
+			}
+			const head = this.decodeAnswer(status, headers);
+			this.isFramed = head.isFramed;
+			this.listener.onHead(head);
+		}
+		return !this.isPaused;
+	}
+
+	onData(chunk: Buffer): boolean {
+		if (!this.isDone) {
+			this.listener.onData(chunk);
+		}
+		return !this.isPaused;
+	}
+
+	onComplete(): void {
+		if (this.isFramed || !this.connection.resetChecked) {
+			this.finish();
+			return;
+		}
+		this.connection.resetChecked.then(
+			() => this.finish(),
+			(err: Error) => this.fail(err),
+		);
+	}
+
+	onError(err: Error): void {
+		if (this.isStarting) {
+			// undici rejects an invalid head inside dispatch(), before anything is sent.
+			setImmediate(() => this.fail(err));
+		} else {
+			this.fail(err);
+		}
+	}
+
+	private finish(): void {
+		if (!this.isFramed && this.connection.isBroken) {
+			this.fail(new Error('connection reset during an answer without a length'));
+		} else if (!this.isDone) {
+			this.isDone = true;
+			this.pool.release(this.connection);
+			this.listener.onEnd();
+		}
+	}
+
+	private fail(err: NodeJS.ErrnoException): void {
+		if (!this.isDone) {
+			this.discard();
+			this.listener.onError(err.message, err.code === connectionRefusedCode);
+		}
+	}
+
+	private discard(): void {
+		this.isDone = true;
+		this.pool.discard(this.connection);
+	}
+}
--- a/src/infra/relay/engine-transport.ts
+++ b/src/infra/relay/engine-transport.ts
@@ -5,37 +5,82 @@
 import * as net from 'node:net';
 import type * as undici from 'undici';
 import type {
-	AnswerHead,
 	AnswerListener,
+	CallListener,
 	EngineCall,
 	EngineTransport,
+	ForwardHop,
 	RawHeaders,
 	RunningCall,
 } from '../../core/relay/definitions.js';
-import type { EngineConnection } from './engine-connection-pool.js';
 import { connectTimeoutMs, EngineConnectionPool } from './engine-connection-pool.js';
-
-const connectionRefusedCode = 'ECONNREFUSED';
+import type { AnswerDecoder } from './engine-running-call.js';
+import { connectionRefusedCode, EngineRunningCall } from './engine-running-call.js';
+import { encodeOrder } from './forwarding-headers.js';
+import { HopListener } from './hop-listener.js';
 
 /** Encodes heads of calls and decodes heads of answers, as defined by the platform adapter. */
 export interface HeadCodec {
 	encodeCall(call: EngineCall): RawHeaders;
-	decodeAnswer(status: number, rawHeaders: RawHeaders): AnswerHead;
+	decodeAnswer: AnswerDecoder;
+}
+
+/** A request whose head is encoded. */
+export interface EncodedRequest {
+	method: string;
+	/** Path and query. */
+	target: string;
+	headers: RawHeaders;
+	body: Buffer;
 }
 
 export class UndiciEngineTransport implements EngineTransport {
-	/** By the engine's address. */
+	/** By the address of an engine, or of a VM that forwards requests. */
 	private readonly pools = new Map<string, EngineConnectionPool>();
+	private readonly decodeAnswer: AnswerDecoder;
 
-	constructor(private readonly codec: HeadCodec) {}
+	/** @param ip from which other VMs are asked to forward, as they check it; undefined for any */
+	constructor(
+		private readonly codec: HeadCodec,
+		private readonly ip?: string,
+	) {
+		this.decodeAnswer = (status, rawHeaders) => codec.decodeAnswer(status, rawHeaders);
+	}
 
-	send(call: EngineCall, listener: AnswerListener): RunningCall {
-		const { address, req } = call;
-		const running = new EngineRunningCall(this.codec, listener, this.poolFor(address));
+	send(call: EngineCall, listener: CallListener): RunningCall {
+		const { req, via } = call;
+		const headers = this.codec.encodeCall(call);
+		const { method, target, body } = req;
+		return via
+			? this.sendVia(via, call, { method, target, headers, body }, listener)
+			: this.sendEncoded(call.address, { method, target, headers, body }, listener);
+	}
+
+	/** Sends a request whose head another VM has encoded. */
+	sendEncoded(address: string, req: EncodedRequest, listener: AnswerListener): RunningCall {
+		const pool = this.poolFor(address);
+		return this.dispatch(req, new EngineRunningCall(this.decodeAnswer, listener, pool));
+	}
+
+	private sendVia(
+		{ address, enginesRevision }: ForwardHop,
+		call: EngineCall,
+		req: EncodedRequest,
+		listener: CallListener,
+	): RunningCall {
+		const { engineId, urgency } = call;
+		const order = { engineAddress: call.address, engineId, enginesRevision, urgency };
+		const hop = new HopListener(listener, this.decodeAnswer);
+		const pool = this.poolFor(address, this.ip);
+		const running = new EngineRunningCall((...head) => hop.decodeAnswer(...head), hop, pool);
+		return this.dispatch({ ...req, headers: [...req.headers, ...encodeOrder(order)] }, running);
+	}
+
+	private dispatch(req: EncodedRequest, running: EngineRunningCall): RunningCall {
 		running.start({
 			method: req.method as undici.Dispatcher.HttpMethod,
 			path: req.target,
-			headers: this.codec.encodeCall(call),
+			headers: req.headers,
 			body: req.body.length > 0 ? req.body : undefined,
 		});
 		return running;
@@ -62,10 +107,10 @@
 		await Promise.all([...this.pools.values()].map((pool) => pool.destroy()));
 	}
 
-	private poolFor(address: string): EngineConnectionPool {
+	private poolFor(address: string, localAddress?: string): EngineConnectionPool {
 		let pool = this.pools.get(address);
 		if (!pool) {
-			pool = new EngineConnectionPool(address);
+			pool = new EngineConnectionPool(address, localAddress);
 			this.pools.set(address, pool);
 		}
 		return pool;
@@ -97,128 +142,3 @@
 		);
 	});
 }
-
-/**
- * One call to an engine. Uses undici's legacy handler methods: the newer ones wrap them and parse all
- * headers a second time.
- */
-class EngineRunningCall implements undici.Dispatcher.DispatchHandler, RunningCall {
-	private readonly connection: EngineConnection;
-	private abortCall?: (err?: Error) => void;
-	private resumeReading?: () => void;
-	private isPaused = false;
-	private isStarting = true;
-	private isFramed = true;
-	private isDone = false;
-
-	constructor(
-		private readonly codec: HeadCodec,
-		private readonly listener: AnswerListener,
-		private readonly pool: EngineConnectionPool,
-	) {
-		this.connection = pool.acquire();
-	}
-
-	start(opts: undici.Dispatcher.DispatchOptions): void {
-		this.connection.dispatch(opts, this);
-		this.isStarting = false;
-	}
-
-	pause(): void {
-		this.isPaused = true;
-	}
-
-	resume(): void {
-		if (this.isPaused) {
-			this.isPaused = false;
-			this.resumeReading?.();
-		}
-	}
-
-	abort(): void {
-		if (!this.isDone) {
-			this.discard();
-			this.abortCall?.(new Error('call aborted'));
-		}
-	}
-
-	/** Called by undici before it writes the first byte. */
-	onConnect(abort: (err?: Error) => void): void {
-		this.abortCall = abort;
-		if (this.isDone) {
-			abort(new Error('call aborted'));
-			return;
-		}
-		if (!this.listener.shouldSend()) {
-			this.discard();
-			abort(new Error('call withdrawn before it was sent'));
-			// Deferred, since the listener may dispatch the request to another engine.
-			setImmediate(() => this.listener.onWithdrawn());
-			return;
-		}
-		this.listener.onSent();
-	}
-
-	onHeaders(status: number, rawHeaders: Buffer[], resume: () => void): boolean {
-		this.resumeReading = resume;
-		if (!this.isDone && status >= 200) {
-			const headers: RawHeaders = [];
-			for (const value of rawHeaders) {
-				headers.push(value.toString('latin1'));
-			}
-			const head = this.codec.decodeAnswer(status, headers);
-			this.isFramed = head.isFramed;
-			this.listener.onHead(head);
-		}
-		return !this.isPaused;
-	}
-
-	onData(chunk: Buffer): boolean {
-		if (!this.isDone) {
-			this.listener.onData(chunk);
-		}
-		return !this.isPaused;
-	}
-
-	onComplete(): void {
-		if (this.isFramed || !this.connection.resetChecked) {
-			this.finish();
-			return;
-		}
-		this.connection.resetChecked.then(
-			() => this.finish(),
-			(err: Error) => this.fail(err),
-		);
-	}
-
-	onError(err: Error): void {
-		if (this.isStarting) {
-			// undici rejects an invalid head inside dispatch(), before anything is sent.
-			setImmediate(() => this.fail(err));
-		} else {
-			this.fail(err);
-		}
-	}
-
-	private finish(): void {
-		if (!this.isFramed && this.connection.isBroken) {
-			this.fail(new Error('connection reset during an answer without a length'));
-		} else if (!this.isDone) {
-			this.isDone = true;
-			this.pool.release(this.connection);
-			this.listener.onEnd();
-		}
-	}
-
-	private fail(err: NodeJS.ErrnoException): void {
-		if (!this.isDone) {
-			this.discard();
-			this.listener.onError(err.message, err.code === connectionRefusedCode);
-		}
-	}
-
-	private discard(): void {
-		this.isDone = true;
-		this.pool.discard(this.connection);
-	}
-}
--- /dev/null
+++ b/src/infra/relay/forwarding-server.ts
@@ -0,0 +1,144 @@
+/**
+ * Accepts requests that other VMs ask this one to forward, on the port for peers.
+ * @module
+ */
+import type * as http from 'node:http';
+import type {
+	ForwardingContext,
+	ForwardResponse,
+} from '../../core/forwarding/forwarded-request.js';
+import { ForwardedRequest } from '../../core/forwarding/forwarded-request.js';
+import type { ForwardOrder, ForwardRefusal } from '../../core/forwarding/types.js';
+import { forwardRefusals } from '../../core/forwarding/types.js';
+import type { AnswerHead, RawHeaders } from '../../core/relay/definitions.js';
+import type { EncodedRequest, UndiciEngineTransport } from './engine-transport.js';
+import {
+	decodeOrder,
+	encodeResult,
+	forwardResults,
+	orderHeader,
+	stripForwardHeaders,
+} from './forwarding-headers.js';
+
+/** Bound for the bodies of all requests that are read or wait for their engine; further ones are refused. */
+const maxHeldBytes = 20 * 1024 * 1024;
+
+export interface ForwardingServerOptions extends ForwardingContext {
+	transport: Pick<UndiciEngineTransport, 'sendEncoded'>;
+	/** Removes the headers that concern one connection only. */
+	stripConnectionHeaders: (raw: RawHeaders) => RawHeaders;
+	/** Id of the request with this head, for the log. */
+	requestIdOf: (raw: RawHeaders) => string;
+	/** Called for each request, with the reason why it is not forwarded. */
+	onOrder: (refusal: string | undefined) => void;
+}
+
+export class ForwardingServer {
+	private heldBytes = 0;
+	private openCount = 0;
+
+	constructor(private readonly opts: ForwardingServerOptions) {}
+
+	/** Requests whose answer has not ended. */
+	get openRequests(): number {
+		return this.openCount;
+	}
+
+	/** @returns false for a request that asks for no forwarding */
+	handle(req: http.IncomingMessage, res: http.ServerResponse): boolean {
+		const order = decodeOrder(req.headers[orderHeader]);
+		if (!order) {
+			return false;
+		}
+		this.openCount++;
+		const sender = req.socket.remoteAddress ?? '';
+		const requestId = this.opts.requestIdOf(req.rawHeaders);
+		this.admit({ ...order, sender, requestId }, req, res);
+		return true;
+	}
+
+	private admit(order: ForwardOrder, req: http.IncomingMessage, res: http.ServerResponse): void {
+		const response = new HttpForwardResponse(res);
+		const isFull = this.heldBytes > maxHeldBytes;
+		const refusal =
+			this.opts.admission.getRefusal(order) ?? (isFull ? forwardRefusals.overloaded : undefined);
+		this.opts.onOrder(refusal);
+		const held = { bytes: 0 };
+		res.on('close', () => {
+			this.openCount--;
+			this.heldBytes -= held.bytes;
+		});
+		if (refusal) {
+			const { requestId, sender, engineId } = order;
+			const fields = { request: requestId, sender, engine: engineId, reason: refusal };
+			this.opts.log.warn('request.forward-refused', fields);
+			req.resume();
+			response.refuse(refusal);
+			return;
+		}
+		const chunks: Buffer[] = [];
+		req.on('data', (chunk: Buffer) => {
+			held.bytes += chunk.length;
+			this.heldBytes += chunk.length;
+			chunks.push(chunk);
+		});
+		req.on('end', () => this.forward(order, req, Buffer.concat(chunks), response));
+	}
+
+	private forward(
+		order: ForwardOrder,
+		req: http.IncomingMessage,
+		body: Buffer,
+		response: ForwardResponse,
+	): void {
+		const { method = 'GET', url: target = '/', rawHeaders } = req;
+		const headers = stripForwardHeaders(this.opts.stripConnectionHeaders(rawHeaders));
+		const encoded: EncodedRequest = { method, target, headers, body };
+		const request = new ForwardedRequest(this.opts, order, response);
+		request.start((listener) =>
+			this.opts.transport.sendEncoded(order.engineAddress, encoded, listener),
+		);
+	}
+}
+
+class HttpForwardResponse implements ForwardResponse {
+	constructor(private readonly res: http.ServerResponse) {}
+
+	refuse(refusal: ForwardRefusal): void {
+		this.res.writeHead(503, [...encodeResult({ refusal }), 'content-length', '0']);
+		this.res.end();
+	}
+
+	fail(reason: string): void {
+		this.res.writeHead(502, encodeResult(forwardResults.failed));
+		this.res.end(reason);
+	}
+
+	writeHead(head: AnswerHead): void {
+		this.res.writeHead(head.status, [...head.headers, ...encodeResult(forwardResults.answer)]);
+	}
+
+	write(chunk: Buffer): boolean {
+		return this.res.write(chunk);
+	}
+
+	end(): void {
+		this.res.end();
+	}
+
+	abort(): void {
+		this.res.destroy();
+	}
+
+	onDrain(callback: () => void): void {
+		this.res.once('drain', callback);
+	}
+
+	onDisconnect(callback: () => void): void {
+		this.res.on('close', () => {
+			if (!this.res.writableFinished) {
+				callback();
+			}
+		});
+	}
+}
--- a/src/infra/relay/peer-transfers.ts
+++ b/src/infra/relay/peer-transfers.ts
@@ -6,11 +6,14 @@
 import * as http from 'node:http';
 import * as undici from 'undici';
 import type { Log } from '../../core/definitions.js';
+import { maxHeadBytes } from './relay-http-server.js';
 
 const maxConcurrentSends = 3;
 /** A transfer without data for this long is aborted; leaves time to wait in the peer's queue. */
 const stallTimeoutMs = 1500;
 const connectTimeoutMs = 400;
+/** Upper bound for the heads of requests that peers ask this VM to forward: a caller's head, and what the peer adds. */
+const maxForwardHeadBytes = maxHeadBytes + 4096;
 /** After this long without data, another VM may be asked for the same path. */
 const slowTransferMs = 400;
 /** The fastest level; higher ones hardly reduce the size of a configuration. */
@@ -27,6 +30,8 @@
 	log: Log;
 	/** Returns the document for a path with its query; undefined when this VM does not have it. */
 	getDocument: (target: string) => string | undefined;
+	/** Handles a request that a peer asks this VM to forward; returns false for any other request. */
+	handleForward: (req: http.IncomingMessage, res: http.ServerResponse) => boolean;
 }
 
 export class PeerTransfers {
@@ -40,7 +45,9 @@
 	private readonly cachedDocuments: { text: string; compressed: Buffer }[] = [];
 
 	constructor(private readonly opts: PeerTransfersOptions) {
-		this.server = http.createServer((req, res) => this.serve(req, res));
+		this.server = http.createServer({ maxHeaderSize: maxForwardHeadBytes }, (req, res) =>
+			this.serve(req, res),
+		);
 	}
 
 	/**
@@ -101,6 +108,9 @@
 	}
 
 	private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
+		if (this.opts.handleForward(req, res)) {
+			return;
+		}
 		const text = this.opts.getDocument(req.url ?? '');
 		if (text === undefined) {
 			res.writeHead(404).end();
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -81,6 +81,16 @@
 		'Permits denied for engines with a rate limit, by service',
 		['service'],
 	);
+	private readonly forwardOrdersTotal = this.counter(
+		'slategauge_forward_orders_total',
+		'Requests that other VMs asked this one to forward, by result: accepted, or the reason of the refusal',
+		['result'],
+	);
+	private readonly forwardedTotal = this.counter(
+		'slategauge_forwarded_total',
+		'Requests of this VM that were sent through other VMs, by service',
+		['service'],
+	);
 	private readonly storeRestoredTotal = this.counter(
 		'slategauge_store_restored_total',
 		'Times that the store was restored from an older copy',
@@ -216,6 +226,15 @@
 		this.permitsDeniedTotal.inc({ service });
 	}
 
+	recordForwarded(service: string): void {
+		this.forwardedTotal.inc({ service });
+	}
+
+	/** @param refusal why the request of another VM is not forwarded; undefined if it is */
+	recordForwardOrder(refusal: string | undefined): void {
+		this.forwardOrdersTotal.inc({ result: refusal ?? 'accepted' });
+	}
+
 	recordCircuitOpened(): void {
 		this.circuitsOpenedTotal.inc();
 	}
--- a/src/infra/relay/relay-http-server.ts
+++ b/src/infra/relay/relay-http-server.ts
@@ -11,7 +11,7 @@
 import { sendWithLingeringClose } from '../lingering-close.js';
 
 /** Upper bound for request heads; the configured limit may be lower. */
-const maxHeadBytes = 65_536;
+export const maxHeadBytes = 65_536;
 /** Interval between checks for heads that exceed their time-out. */
 const headCheckIntervalMs = 1000;
 /** In force until a configuration is loaded. */
--- a/src/platform/http-messages.ts
+++ b/src/platform/http-messages.ts
@@ -104,6 +104,16 @@
 	return raw;
 }
 
+/** Removes the headers that concern one connection only. */
+export function stripConnectionHeaders(rawHeaders: RawHeaders): RawHeaders {
+	return filterHeaders(parseHead(rawHeaders), connectionHeaders);
+}
+
+/** @returns the id of the request with this head; empty without one */
+export function requestIdOf(rawHeaders: RawHeaders): string {
+	return parseHead(rawHeaders).values.get(headerNames.attemptId) ?? '';
+}
+
 export function decodeAnswer(status: number, rawHeaders: RawHeaders): AnswerHead {
 	const parsedHead = parseHead(rawHeaders);
 	const values = parsedHead.values;
--- a/test/features/forwarding.feature
+++ b/test/features/forwarding.feature
@@ -32,5 +32,6 @@
 
 	Scenario: A stalled event loop is no cut
 		Given 6 engines of a service and 3 of another, with requests in flight at all
-		When connections time out because the VM stalls for 1500 ms
+		When a connection takes 200 ms, and the VM stalls for 1500 ms as it tries further ones
 		Then the VM never counts as cut off
+		And at most 40 connections were tried
--- a/test/steps/engine-notices.steps.ts
+++ b/test/steps/engine-notices.steps.ts
@@ -337,6 +337,8 @@
 				onData() {},
 				onEnd() {},
 				onError: () => done('failed'),
+				onNotForwarded: () => done('not forwarded'),
+				onHelperLost: () => done('helper lost'),
 			});
 		});
 		await sleep(clockSlackMs);
--- a/test/steps/forwarding.steps.ts
+++ b/test/steps/forwarding.steps.ts
@@ -32,9 +32,11 @@
 	/** Engines that send nothing, by id. */
 	readonly silent = new Set<string>();
 	cutResult: ConnectResult = { isOpen: false, delayMs: connectTimeoutMs };
+	/** Duration of the first connection. */
+	firstConnectMs = connectMs;
 	probes = 0;
 	wasCutOff = false;
-	private readonly timers: { at: number; run: () => void }[] = [];
+	private readonly timers: { at: number; isConnection: boolean; run: () => void }[] = [];
 
 	constructor(first: number, second: number) {
 		const create = (service: string, count: number) =>
@@ -101,15 +103,25 @@
 		}
 	}
 
+	/** The VM does not run for a while; then timers fire before events of the network are read. */
+	async stall(ms: number): Promise<void> {
+		this.clock.now += ms;
+		this.timers.sort((a, b) => Number(a.isConnection) - Number(b.isConnection));
+		await this.runTimers();
+	}
+
 	private async connect(address: string): Promise<boolean> {
 		this.probes++;
-		const result = this.cut.has(address) ? this.cutResult : { isOpen: true, delayMs: connectMs };
-		await this.wait(result.delayMs);
+		const delayMs = this.probes === 1 ? this.firstConnectMs : connectMs;
+		const result = this.cut.has(address) ? this.cutResult : { isOpen: true, delayMs };
+		await this.wait(result.delayMs, true);
 		return result.isOpen;
 	}
 
-	private wait(ms: number): Promise<void> {
-		return new Promise((run) => this.timers.push({ at: this.clock.now + ms, run }));
+	private wait(ms: number, isConnection = false): Promise<void> {
+		return new Promise((run) => {
+			this.timers.push({ at: this.clock.now + ms, isConnection, run });
+		});
 	}
 
 	private async runTimers(): Promise<void> {
@@ -191,15 +203,16 @@
 );
 
 cucumber.When(
-	'connections time out because the VM stalls for {int} ms',
-	async function (this: FleetWorld, ms: number) {
+	'a connection takes {int} ms, and the VM stalls for {int} ms as it tries further ones',
+	async function (this: FleetWorld, connectionMs: number, stallMs: number) {
 		const links = linksOf(this);
-		links.cutResult = { isOpen: false, delayMs: ms };
 		for (const { id } of links.engines) {
-			links.cut.add(id);
+			links.silent.add(id);
 		}
-		await links.run(ms);
-		links.cut.clear();
+		links.firstConnectMs = connectionMs;
+		assert.ok(await links.runUntil(() => links.probes > 2, 1500));
+		await links.stall(stallMs);
+		links.silent.clear();
 		await links.run(3000);
 	},
 );
--- a/test/steps/relay-transfers.steps.ts
+++ b/test/steps/relay-transfers.steps.ts
@@ -44,7 +44,11 @@
 }
 
 function createTransfers(world: FleetWorld, text?: string): PeerTransfers {
-	const transfers = new PeerTransfers({ log: silentLog, getDocument: () => text });
+	const transfers = new PeerTransfers({
+		log: silentLog,
+		getDocument: () => text,
+		handleForward: () => false,
+	});
 	closeAfterScenario(world, () => transfers.close());
 	return transfers;
 }
