--- a/src/core/relay/placement-log.ts
+++ b/src/core/relay/placement-log.ts
@@ -13,7 +13,7 @@
 	/** The event after which the engine resumes the stream. */
 	lastEventId: string | undefined;
 	/** Name of the VM that forwards the request. */
-	via: string | undefined;
+	via?: string;
 }
 
 export function logPlacement(
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -11,35 +11,31 @@
 import { repeatabilities } from '../routing/types.js';
 import { AnswerRelay } from './answer-relay.js';
 import { applyEngineNotice } from './apply-engine-notice.js';
-import { Attempt } from './attempt.js';
+import type { Attempt } from './attempt.js';
 import { AttemptResults } from './attempt-results.js';
+import { AttemptSender } from './attempt-sender.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { AnswerHead, CallerResponse, CallListener } from './definitions.js';
-import { logPlacement } from './placement-log.js';
 import { RequestOutcome } from './request-outcome.js';
 import { RequestPlacement } from './request-placement.js';
+import { RequestRetries } from './request-retries.js';
 import type { RelayContext, RelayOutcome, RoutedRequest } from './types.js';
 import { relayOutcomes } from './types.js';
 
 /** Statuses that imply to a caller that its request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-/** Failed connections before a request is refused. */
-const maxUnreachable = 4;
-/** VMs that may refuse to forward a request before it is refused; most of the fleet may have lost its links. */
-const maxHelperFailures = 40;
 
 export class RelayedRequest {
 	private readonly deadlineAt: number;
 	private readonly requestPlacement: RequestPlacement;
 	private attempt?: Attempt;
-	private unreachableCount = 0;
-	private helperFailures = 0;
-	private hasAwaitedCheck = false;
 	private readonly answer: CallerAnswer;
 	private readonly outcome: RequestOutcome;
 	private readonly requestQuarantine: RequestQuarantine;
 	private readonly answerRelay: AnswerRelay;
 	private readonly results: AttemptResults;
+	private readonly sender: AttemptSender;
+	private readonly retries: RequestRetries;
 	private readonly timer: NodeJS.Timeout;
 
 	constructor(
@@ -61,11 +57,13 @@
 		});
 		this.answerRelay = new AnswerRelay(this.answer, req.lastEventId);
 		this.results = new AttemptResults(ctx, this.outcome, this.requestQuarantine);
+		this.sender = new AttemptSender(ctx, routed, this.outcome);
+		this.retries = new RequestRetries(ctx, routed, this.outcome, this.requestQuarantine);
 		this.requestPlacement = new RequestPlacement({
 			ctx,
 			routed,
 			onPlaced: (placement) => this.send(placement),
-			onRefused: (reason, retryAfterS) => this.handleRefused(reason, retryAfterS),
+			onRefused: (reason, retryAfterS) => this.outcome.giveUp(reason, retryAfterS),
 			outcome: this.outcome,
 		});
 		res.onDisconnect(() => this.handleCallerLeft());
@@ -115,7 +113,12 @@
 			return;
 		}
 		const mayRetry = this.answer.hasStarted ? routed.route.isResumable : this.isRepeatable;
-		if (!this.outcome.isFinished && attempt?.isSilent(now) && mayRetry && this.mayRetryNow(now)) {
+		if (
+			!this.outcome.isFinished &&
+			attempt?.isSilent(now) &&
+			mayRetry &&
+			this.retries.isAllowed(now)
+		) {
 			attempt.helper?.recordFailure();
 			this.handleBrokenAnswer(attempt, 'the engine is silent');
 		}
@@ -139,39 +142,14 @@
 	}
 
 	private send(placement: Placement): void {
-		const { engine } = placement;
-		const { ctx } = this;
-		const { req, customer, service, urgency } = this.routed;
-		const { lastEventId } = this.answerRelay;
-		const helper = engine.isForwarded ? ctx.forwarding.chooseHelper(urgency) : undefined;
-		if (engine.isForwarded && !helper) {
-			this.outcome.giveUp('no VM forwards the request', ctx.forwarding.retryAfterS);
+		const progress = { leftMs: this.leftMs, lastEventId: this.answerRelay.lastEventId };
+		const attempt = this.sender.prepare(placement, progress);
+		if (!attempt) {
+			this.outcome.giveUp('no VM forwards the request', this.ctx.forwarding.retryAfterS);
 			return;
 		}
-		logPlacement(ctx, this.routed, this.outcome, placement, {
-			leftMs: this.leftMs,
-			lastEventId,
-			via: helper?.name,
-		});
-		if (helper) {
-			ctx.metrics.recordForwarded(service);
-		}
-		const attempt = new Attempt(ctx, placement, service, customer?.name, helper);
 		this.attempt = attempt;
-		attempt.call = ctx.transport.send(
-			{
-				address: engine.registration.address,
-				engineId: engine.id,
-				req,
-				customer: customer?.name,
-				deadlineMs: this.leftMs,
-				urgency,
-				lastEventId,
-				copyFrom: placement.copyFrom?.registration.address,
-				via: helper && { address: helper.address, enginesRevision: ctx.engines.revision },
-			},
-			this.listen(attempt),
-		);
+		attempt.call = this.sender.dispatch(attempt, progress, this.listen(attempt));
 		if (this.answer.isPaused) {
 			attempt.call.pause();
 		}
@@ -312,34 +290,7 @@
 		}
 		this.results.recordUnreachable(attempt, reason);
 		this.endAttempt(attempt);
-		this.placeAfterUnreachable(reason);
-	}
-
-	private placeAfterUnreachable(reason: string): void {
-		this.unreachableCount++;
-		if (this.unreachableCount < maxUnreachable) {
-			this.place();
-		} else {
-			this.handleRefused(`engines unreachable: ${reason}`);
-		}
-	}
-
-	/** Gives up, unless no engine is available and a check may show that they can be reached through other VMs. */
-	private handleRefused(reason: string, retryAfterS?: number): void {
-		const check = this.ctx.links.getRunningCheck(this.routed.service);
-		const isUnreachable = this.unreachableCount > 0 || !this.requestPlacement.hasAvailableEngine;
-		if (!check || !isUnreachable || this.hasAwaitedCheck) {
-			this.outcome.giveUp(reason, retryAfterS);
-			return;
-		}
-		this.hasAwaitedCheck = true;
-		void check.then(() => {
-			if (!this.outcome.isFinished) {
-				this.unreachableCount = 0;
-				this.requestPlacement.retryUnsent();
-				this.place();
-			}
-		});
+		this.requestPlacement.placeAfterUnreachable(reason);
 	}
 
 	/** Nothing of the request reached the engine, so it counts as not sent. */
@@ -354,12 +305,12 @@
 		helper?.recordRefusal(refusal);
 		this.endAttempt(attempt);
 		if (refusal === forwardRefusals.engineUnavailable) {
-			this.placeAfterUnreachable(refusal);
+			this.requestPlacement.placeAfterUnreachable(refusal);
 		} else if (refusal === forwardRefusals.engineUnreachable) {
 			this.results.recordUnreachable(attempt, refusal);
-			this.placeAfterUnreachable(refusal);
+			this.requestPlacement.placeAfterUnreachable(refusal);
 		} else {
-			this.sendViaOther(attempt, refusal);
+			this.send(attempt.placement);
 		}
 	}
 
@@ -370,17 +321,7 @@
 			return;
 		}
 		this.endAttempt(attempt);
-		this.sendViaOther(attempt, reason);
-	}
-
-	/** Asks another VM to forward the request to the same engine. */
-	private sendViaOther({ placement }: Attempt, reason: string): void {
-		this.helperFailures++;
-		if (this.helperFailures > maxHelperFailures) {
-			this.outcome.giveUp(`no VM forwards the request: ${reason}`, this.ctx.forwarding.retryAfterS);
-		} else {
-			this.send(placement);
-		}
+		this.send(attempt.placement);
 	}
 
 	/** Handles an unusable answer to a request that may have run. */
@@ -403,29 +344,15 @@
 
 	/** Sends the request to another engine if route, retry budget and quarantine allow it. */
 	private retry(attempt: Attempt, reason: string): boolean {
-		const now = this.ctx.clock.monotonic();
-		const { service } = this.routed;
-		if (!this.mayRetryNow(now) || !this.ctx.retryBudget.tryConsume(service, now)) {
-			return false;
-		}
-		this.ctx.metrics.recordRetry(service);
-		this.outcome.log('request.retried', {
-			engine: attempt.engine.id,
+		const isAllowed = this.retries.tryConsume(
+			attempt.engine.id,
 			reason,
-			last_event: this.answerRelay.lastEventId,
-		});
-		this.place();
-		return true;
-	}
-
-	private mayRetryNow(now: number): boolean {
-		const { service, route } = this.routed;
-		const hasAttemptsLeft = this.outcome.sentTo.size < route.maxEngines;
-		return (
-			hasAttemptsLeft &&
-			this.ctx.retryBudget.getAvailable(service, now) >= 1 &&
-			this.requestQuarantine.isRetryAllowed
+			this.answerRelay.lastEventId,
 		);
+		if (isAllowed) {
+			this.place();
+		}
+		return isAllowed;
 	}
 
 	private isStream(attempt: Attempt): boolean {
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -8,6 +8,8 @@
 import type { RequestOutcome } from './request-outcome.js';
 import type { RelayContext, RoutedRequest } from './types.js';
 
+/** Engines that may be unreachable before the request is refused. */
+const maxUnreachable = 4;
 /** Permit requests before the request is refused, or sent to an engine without a limit. */
 const maxPermitRequests = 3;
 /**
@@ -34,6 +36,8 @@
 	/** Set when the request has ended: a permit that arrives later is not used. */
 	private isCancelled = false;
 	private permitRequests = 0;
+	private unreachableCount = 0;
+	private hasAwaitedCheck = false;
 	private waitingSince?: number;
 	/** The engine that the request has a permit for. */
 	private permittedEngine?: Engine;
@@ -42,7 +46,7 @@
 
 	/** Chooses an engine that was not tried yet; calls `onPlaced` or `onRefused`, at once or after waiting for a permit. */
 	placeNext(): void {
-		const { ctx, routed, onPlaced, onRefused } = this.opts;
+		const { ctx, routed, onPlaced } = this.opts;
 		const { req, service } = routed;
 		const engines = this.admittedEngines(ctx.engines.getEligible(service));
 		const placement = ctx.placement.choose(
@@ -64,7 +68,7 @@
 			this.now,
 		);
 		if ('refusal' in placement) {
-			onRefused(placement.refusal, this.callerRetryAfterS(engines) ?? placement.retryAfterS);
+			this.refuse(placement.refusal, this.callerRetryAfterS(engines) ?? placement.retryAfterS);
 		} else if (this.isLimited(placement.engine)) {
 			this.requestPermit(placement, engines);
 		} else {
@@ -73,15 +77,44 @@
 		}
 	}
 
+	/** Chooses another engine after one could not be reached, or refuses after several. */
+	placeAfterUnreachable(reason: string): void {
+		this.unreachableCount++;
+		if (this.unreachableCount < maxUnreachable) {
+			this.placeNext();
+		} else {
+			this.refuse(`engines unreachable: ${reason}`, undefined);
+		}
+	}
+
+	/** Refuses, unless no engine is available and a check may show that they can be reached through other VMs. */
+	private refuse(reason: string, retryAfterS: number | undefined): void {
+		const { ctx, routed, onRefused } = this.opts;
+		const check = ctx.links.getRunningCheck(routed.service);
+		const isUnreachable = this.unreachableCount > 0 || !this.hasAvailableEngine;
+		if (!check || !isUnreachable || this.hasAwaitedCheck) {
+			onRefused(reason, retryAfterS);
+			return;
+		}
+		this.hasAwaitedCheck = true;
+		void check.then(() => {
+			if (!this.isCancelled) {
+				this.unreachableCount = 0;
+				this.retryUnsent();
+				this.placeNext();
+			}
+		});
+	}
+
 	/** Whether some engine of the service is available by its health. */
-	get hasAvailableEngine(): boolean {
+	private get hasAvailableEngine(): boolean {
 		const { ctx, routed } = this.opts;
 		const engines = ctx.engines.getEligible(routed.service);
 		return engines.some(({ health }) => health.isAvailable(this.now));
 	}
 
 	/** Allows engines that were tried, but received nothing, to be chosen again. */
-	retryUnsent(): void {
+	private retryUnsent(): void {
 		for (const id of this.tried) {
 			if (!this.opts.outcome.sentTo.has(id)) {
 				this.tried.delete(id);
