The soak cuts VMs off from all engines

One VM or most of them lose their links for 1.5 to 5 s: connections hang, are reset, or live on while new ones are refused.

--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -42,6 +42,8 @@
 	/** Number of starts of its process. */
 	incarnation: number;
 	storeProxy: LoopbackProxy;
+	/** State of its links to engines. */
+	links: string;
 	/** Whether a fault is being injected into it. */
 	hasFault: boolean;
 }
@@ -59,10 +61,23 @@
 	registeredState?: 'ready' | 'draining';
 }
 
+/** VMs reach the engines through proxies. */
+class SoakFixture extends RelayFixture {
+	override hasCuttableLinks = true;
+
+	constructor(private readonly soakEngines: readonly SoakEngine[]) {
+		super();
+	}
+
+	protected override get engineAddresses(): string[] {
+		return this.soakEngines.map(({ address }) => address);
+	}
+}
+
 export class SoakDeployment {
-	readonly fixture = new RelayFixture();
 	readonly vms: SoakVm[] = [];
 	readonly engines: SoakEngine[] = [];
+	readonly fixture: RelayFixture = new SoakFixture(this.engines);
 	readonly injectedFaults: InjectedFault[] = [];
 	readonly keyChanges: KeyChange[] = [];
 	readonly departures: EngineDeparture[] = [];
@@ -154,10 +169,19 @@
 		const engine: SoakEngine = { standIn, proxy, address, hasFault: false, isLeaving: false };
 		this.engines.push(engine);
 		this.fixture.engines.set(standIn.id, standIn);
+		for (const { vm, links } of this.vms) {
+			void this.fixture.setLinks(vm, links);
+		}
 		await this.writeRegistration(engine, 'ready');
 		return engine;
 	}
 
+	/** Sets the state of a VM's links to all engines, as `RelayFixture.setLinks`. */
+	async setLinks(item: SoakVm, state: string): Promise<void> {
+		item.links = state;
+		await this.fixture.setLinks(item.vm, state);
+	}
+
 	/** Restarts an engine under the same id and address; the limit it announced before is void. */
 	async restartEngine(engine: SoakEngine): Promise<void> {
 		this.announceLimit(engine, undefined);
@@ -257,7 +281,7 @@
 		const storeProxy = new LoopbackProxy({ host, port: Number(port) });
 		this.storeAddresses.set(name, await storeProxy.start());
 		const vm = await this.startProcess(name, address, ports);
-		const item = { name, vm, incarnation: 1, storeProxy, hasFault: false };
+		const item = { name, vm, incarnation: 1, storeProxy, links: 'sound', hasFault: false };
 		this.vms.push(item);
 		this.watchExit(item);
 	}
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -13,6 +13,8 @@
 /** Shortest and longest duration of a fault. */
 const minFaultMs = 150;
 const maxFaultMs = 3500;
+/** Shortest duration of a cut from all engines; a VM notices it within some 1.5 s. */
+const minCutMs = 1500;
 /** VMs and engines that always stay healthy, so that requests can be served. */
 const minHealthy = 1;
 /** Longest back-off that an engine asks for. */
@@ -314,6 +316,21 @@
 const engineRestarts: Fault = (injector) =>
 	injector.injectEngineFault('restarted', (engine) => injector.deployment.restartEngine(engine));
 
+/** One VM or most of them lose their links to all engines. */
+const vmsLoseLinks: Fault = async (injector) => {
+	const { deployment, rng } = injector;
+	const state = injector.pickRandom(['hang', 'reset', 'refuse']);
+	const ms = minCutMs + injector.randomDurationMs();
+	const count = Math.ceil(rng() ** 2 * deployment.vms.length);
+	const cut = () =>
+		injector.injectVmFault(`links ${state}`, false, async (item) => {
+			await deployment.setLinks(item, state);
+			await sleep(ms);
+			await deployment.setLinks(item, 'sound');
+		});
+	await Promise.all(Array.from({ length: count }, cut));
+};
+
 const faults: readonly Fault[] = [
 	vmKilled,
 	vmPaused,
@@ -344,6 +361,8 @@
 	engineRestarts,
 	engineLeavesUnheard,
 	engineLeavesUnheard,
+	vmsLoseLinks,
+	vmsLoseLinks,
 ];
 
 /** Waits until a started VM is ready, or gives up after a while, as the store may be unavailable. */
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -302,6 +302,9 @@
 	 * @param state `sound`, `hang`, `reset`, or `refuse`, where open connections live on
 	 */
 	setLinks(vm: Vm, state: string): Promise<void> {
+		if (!vm.process.connected) {
+			return Promise.resolve();
+		}
 		return new Promise((done) => {
 			vm.process.once('message', () => done());
 			vm.process.send({ state, engines: this.engineAddresses });
@@ -324,7 +327,8 @@
 		return line === undefined ? 0 : Number(line.slice(name.length + 1));
 	}
 
-	private get engineAddresses(): string[] {
+	/** Addresses at which VMs reach the engines. */
+	protected get engineAddresses(): string[] {
 		return [...this.engines.values()].map((engine) => this.addressOf(engine));
 	}
 
