A caller cannot name the engine to which another VM sends its request

Found by reading: a caller's own forward-to header went along with a request that another VM forwards and was joined with the sender's, so the caller could name any address for the other VM to send to. Now both ends take these headers out of what callers and engines send. Connections to VMs that left the registry are closed, as those to engines.

Shown by: a scenario in cut-links.feature, red before (the request went to the address that the caller named).

--- a/src/core/forwarding/helper-selection.ts
+++ b/src/core/forwarding/helper-selection.ts
@@ -49,12 +49,15 @@
 	domain: string;
 	/** Other registered VMs. */
 	getOthers: () => readonly RegisteredVm[];
+	/** Called when no registered VM uses an address any more at which one forwarded requests, as IP:PORT. */
+	onAddressUnused: (address: string) => void;
 }
 
 export class HelperSelection {
 	/** By the VM's name. */
 	private readonly exclusions = new Map<string, Exclusion>();
 	private readonly running = new Map<string, number>();
+	private readonly usedAddresses = new Set<string>();
 
 	constructor(private readonly opts: HelperSelectionOptions) {}
 
@@ -88,12 +91,20 @@
 
 	/** Forgets VMs that are no longer registered. */
 	sweep(): void {
-		const names = new Set(this.opts.getOthers().map(({ name }) => name));
+		const others = this.opts.getOthers();
+		const names = new Set(others.map(({ name }) => name));
 		for (const name of this.exclusions.keys()) {
 			if (!names.has(name)) {
 				this.exclusions.delete(name);
 			}
 		}
+		const addresses = new Set(others.map(({ address }) => addressOf(address)));
+		for (const address of this.usedAddresses) {
+			if (!addresses.has(address)) {
+				this.usedAddresses.delete(address);
+				this.opts.onAddressUnused(address);
+			}
+		}
 	}
 
 	private get now(): number {
@@ -115,6 +126,7 @@
 
 	private createCall({ name, address }: RegisteredVm, urgency: number): HelperCall {
 		this.changeRunning(name, 1);
+		this.usedAddresses.add(addressOf(address));
 		let isReleased = false;
 		return {
 			name,
--- a/src/daemon/relay/forwarding-hub.ts
+++ b/src/daemon/relay/forwarding-hub.ts
@@ -50,7 +50,13 @@
 			onChecked: (service) => this.forwarding.updateService(service),
 			sleep: opts.sleep,
 		});
-		this.helpers = new HelperSelection({ clock, random, domain, getOthers: getOtherVms });
+		this.helpers = new HelperSelection({
+			clock,
+			random,
+			domain,
+			getOthers: getOtherVms,
+			onAddressUnused: (address) => transport.closeIdleConnections(address),
+		});
 		this.forwarding = new RequestForwarding({
 			clock,
 			links: this.links,
--- a/src/infra/relay/engine-transport.ts
+++ b/src/infra/relay/engine-transport.ts
@@ -16,7 +16,7 @@
 import { connectTimeoutMs, EngineConnectionPool } from './engine-connection-pool.js';
 import type { AnswerDecoder } from './engine-running-call.js';
 import { connectionRefusedCode, EngineRunningCall } from './engine-running-call.js';
-import { encodeOrder } from './forwarding-headers.js';
+import { encodeOrder, stripForwardHeaders } from './forwarding-headers.js';
 import { HopListener } from './hop-listener.js';
 
 /** Encodes heads of calls and decodes heads of answers, as defined by the platform adapter. */
@@ -73,7 +73,9 @@
 		const hop = new HopListener(listener, this.decodeAnswer);
 		const pool = this.poolFor(address, this.ip);
 		const running = new EngineRunningCall((...head) => hop.decodeAnswer(...head), hop, pool);
-		return this.dispatch({ ...req, headers: [...req.headers, ...encodeOrder(order)] }, running);
+		// A caller must not name the engine to which the other VM sends its request.
+		const headers = [...stripForwardHeaders(req.headers), ...encodeOrder(order)];
+		return this.dispatch({ ...req, headers }, running);
 	}
 
 	private dispatch(req: EncodedRequest, running: EngineRunningCall): RunningCall {
--- a/src/infra/relay/forwarding-server.ts
+++ b/src/infra/relay/forwarding-server.ts
@@ -115,7 +115,8 @@
 	}
 
 	writeHead(head: AnswerHead): void {
-		this.res.writeHead(head.status, [...head.headers, ...encodeResult(forwardResults.answer)]);
+		const headers = stripForwardHeaders(head.headers);
+		this.res.writeHead(head.status, [...headers, ...encodeResult(forwardResults.answer)]);
 	}
 
 	write(chunk: Buffer): boolean {
--- a/test/features/cut-links.feature
+++ b/test/features/cut-links.feature
@@ -99,3 +99,11 @@
 		When the links of 3 VMs to all engines "sound"
 		And 1500 ms pass in quiet
 		Then at least 100 % of "GET /plain/" requests are served at these VMs
+
+	Scenario: A caller cannot name the engine to which another VM sends its request
+		Given a relay of 2 VMs whose links can fail, with engines "a"
+		And the links of 1 VM to all engines "reset"
+		And 3000 ms pass in quiet
+		When a caller of the first VM names another server in the head of its request
+		Then the request is served by engine "a"
+		And the other server gets nothing
--- a/test/steps/cut-links.steps.ts
+++ b/test/steps/cut-links.steps.ts
@@ -6,7 +6,7 @@
 import * as http from 'node:http';
 import * as cucumber from '@cucumber/cucumber';
 import type { ReceivedRequest } from '../stand-ins/platform-engine.js';
-import { wholeStream } from '../stand-ins/platform-engine.js';
+import { PlatformEngineStandIn, wholeStream } from '../stand-ins/platform-engine.js';
 import { seen } from './relay-fakes.js';
 import { engineOf, fixtureOf } from './relay-fixture.js';
 import type { Answer, RelayFixture, Vm } from './relay-world.js';
@@ -222,6 +222,29 @@
 	},
 );
 
+cucumber.When(
+	'a caller of the first VM names another server in the head of its request',
+	async function (this: FleetWorld) {
+		const other = new PlatformEngineStandIn('other');
+		const address = await other.start();
+		this.state.set('other', other);
+		const headers = { 'forward-to': `${address} other 1 0`, 'forward-result': 'answer' };
+		this.state.set('answer', await fixtureOf(this).send('GET /plain/', '', { headers }));
+	},
+);
+
+cucumber.Then('the request is served by engine {string}', function (this: FleetWorld, id: string) {
+	const { status, headers } = seen<Answer>(this, 'answer');
+	assert.equal(status, 200);
+	assert.equal(headers['slategauge-response-signature'], `by-${id}`);
+});
+
+cucumber.Then('the other server gets nothing', function (this: FleetWorld) {
+	const other = seen<PlatformEngineStandIn>(this, 'other');
+	other.stop();
+	assert.deepEqual(other.receivedRequests, []);
+});
+
 function receivedRequests(world: FleetWorld): ReceivedRequest[] {
 	return [...fixtureOf(world).engines.values()].flatMap((engine) => engine.receivedRequests);
 }
--- a/test/steps/forwarding.steps.ts
+++ b/test/steps/forwarding.steps.ts
@@ -257,8 +257,9 @@
 		}));
 		for (const { name, domain } of this.vms.filter(({ isCutOff }) => isCutOff)) {
 			const others = registered.filter((vm) => vm.name !== name);
-			const options = { clock: this.clock, random: { next: this.random, hex: () => '' }, domain };
-			this.selections.set(name, new HelperSelection({ ...options, getOthers: () => others }));
+			const random = { next: this.random, hex: () => '' };
+			const ports = { clock: this.clock, random, getOthers: () => others, onAddressUnused() {} };
+			this.selections.set(name, new HelperSelection({ ...ports, domain }));
 		}
 	}
 
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -192,7 +192,7 @@
 	}
 
 	/** Sends a request, to the first VM by default, and records the answer. */
-	async send(call: string, body = '', opts: { key?: string; vm?: Vm } = {}): Promise<Answer> {
+	async send(call: string, body = '', opts: SendOptions = {}): Promise<Answer> {
 		const answer = await this.open(call, body, opts).answer;
 		this.answers.push(answer);
 		return answer;
@@ -201,7 +201,7 @@
 	open(
 		call: string,
 		body = '',
-		opts: { key?: string; vm?: Vm } = {},
+		opts: SendOptions = {},
 	): { req: http.ClientRequest; answer: Promise<Answer> } {
 		const [method, target] = call.split(' ');
 		const vm = opts.vm ?? (this.vms[0] as Vm);
@@ -217,6 +217,7 @@
 				'slategauge-attempt-id': `request-${this.nextId++}`,
 				'slategauge-deadline-ms': '5000',
 				'slategauge-tenant': 'forged',
+				...opts.headers,
 			},
 		});
 		const answer = readAnswer(req, String(req.getHeader('slategauge-attempt-id')));
@@ -346,6 +347,15 @@
 	}
 }
 
+export interface SendOptions {
+	/** @default the key of the only customer */
+	key?: string;
+	/** @default the first VM */
+	vm?: Vm;
+	/** Further headers of the request. */
+	headers?: http.OutgoingHttpHeaders;
+}
+
 export interface StartOptions {
 	/** Settings to leave out. */
 	omit?: readonly string[];
