A VM that has just registered may have requests forwarded at once

Now a VM that is asked by an unknown sender reads the registrations again, once a second at the most and not stale, before it decides.

The answer to a sender that left during that read is dropped, and its slot in the count is given back.

--- a/src/core/fleet/vm-registry.ts
+++ b/src/core/fleet/vm-registry.ts
@@ -20,6 +20,8 @@
 const readIntervalMs = 8000;
 const initialReadIntervalMs = 2000;
 const initialReads = 4;
+/** Minimum interval between reads because a VM is missing, in milliseconds. */
+const refreshIntervalMs = 1000;
 /** Delay of the second read after registering, which finds VMs that started at the same time. */
 const secondReadDelayMs = 400;
 /** Mean delay between attempts to register; jittered, since all VMs may retry at once after an outage. */
@@ -73,6 +75,7 @@
 	private readCount = 0;
 	private lastReadAt = 0;
 	private hasRead = false;
+	private refreshing?: Promise<void>;
 	/** Time of the next rewrite of the registration, in milliseconds since boot; undefined when none is needed. */
 	private rewriteAt?: number;
 
@@ -141,6 +144,32 @@
 		this.rewriteAt = clock.sinceBoot() + random.next() * rewriteSpreadMs;
 	}
 
+	/**
+	 * Reads the registrations, as one that is missing may have been written since the last read. Resolves also when the store
+	 * does not answer, or at once when they were read a moment ago.
+	 */
+	refresh(): Promise<void> {
+		const sinceReadMs = this.opts.clock.monotonic() - this.lastReadAt;
+		if (!this.refreshing && sinceReadMs < refreshIntervalMs) {
+			return Promise.resolve();
+		}
+		this.refreshing ??= this.tryRead().finally(() => {
+			this.refreshing = undefined;
+		});
+		return this.refreshing;
+	}
+
+	private async tryRead(): Promise<void> {
+		try {
+			await this.readOthers(false);
+		} catch (err) {
+			if (!(err instanceof StoreError)) {
+				throw err;
+			}
+			this.opts.log.warn('vm.refresh-failed', { reason: err.failure, error: err.message });
+		}
+	}
+
 	private get isRewriteDue(): boolean {
 		return this.rewriteAt !== undefined && this.opts.clock.sinceBoot() >= this.rewriteAt;
 	}
@@ -229,10 +258,10 @@
 		);
 	}
 
-	private async readOthers(): Promise<void> {
+	private async readOthers(mayBeStale = true): Promise<void> {
 		this.readCount++;
 		this.lastReadAt = this.opts.clock.monotonic();
-		const { items } = await this.opts.store.range(this.opts.prefix, true);
+		const { items } = await this.opts.store.range(this.opts.prefix, mayBeStale);
 		this.hasRead = true;
 		const found = new Set(items.map((item) => this.vmNameOf(item.key)));
 		for (const item of items) {
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -445,6 +445,14 @@
 			error: 'how the call failed',
 		},
 	},
+	{
+		name: 'vm.refresh-failed',
+		when: 'A VM that is not known as registered asked for something, and the registrations could not be read again.',
+		fields: {
+			reason: 'refused, unknown or lease-ended',
+			error: 'how the call failed',
+		},
+	},
 	{
 		name: 'peer.seen',
 		when: 'Gossip of a VM arrived for the first time, or again.',
--- a/src/daemon/relay/forwarding-hub.ts
+++ b/src/daemon/relay/forwarding-hub.ts
@@ -24,6 +24,8 @@
 	transport: UndiciEngineTransport;
 	/** Other registered VMs. */
 	getOtherVms: () => readonly RegisteredVm[];
+	/** Reads the registered VMs again, unless that happened a moment ago. */
+	refreshVms: () => Promise<void>;
 	isStopping: () => boolean;
 	loopDelayMs: () => number;
 	/** Called for each request to forward, with the reason why it is not forwarded. */
@@ -83,6 +85,7 @@
 			transport,
 			stripConnectionHeaders: platform.stripConnectionHeaders,
 			requestIdOf: platform.requestIdOf,
+			refreshVms: opts.refreshVms,
 			onOrder: opts.onOrder,
 		});
 	}
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -119,6 +119,7 @@
 			engines: this.engines,
 			transport,
 			getOtherVms: () => this.coordinator.registry.getOthers(),
+			refreshVms: () => this.coordinator.registry.refresh(),
 			isStopping: () => this.shutdown.isStopping,
 			loopDelayMs: () => this.loopMonitor.delayMs,
 			onOrder: (refusal) => this.metrics.recordForwardOrder(refusal),
--- a/src/infra/relay/forwarding-server.ts
+++ b/src/infra/relay/forwarding-server.ts
@@ -29,10 +29,17 @@
 	stripConnectionHeaders: (raw: RawHeaders) => RawHeaders;
 	/** Id of the request with this head, for the log. */
 	requestIdOf: (raw: RawHeaders) => string;
+	/** Reads the registered VMs again, unless that happened a moment ago. */
+	refreshVms: () => Promise<void>;
 	/** Called for each request, with the reason why it is not forwarded. */
 	onOrder: (refusal: string | undefined) => void;
 }
 
+/** Bytes of one request's body that are held. */
+interface HeldBody {
+	bytes: number;
+}
+
 export class ForwardingServer {
 	private heldBytes = 0;
 	private openCount = 0;
@@ -50,24 +57,30 @@
 		if (!order) {
 			return false;
 		}
+		const held = { bytes: 0 };
 		this.openCount++;
+		res.on('close', () => {
+			this.openCount--;
+			this.heldBytes -= held.bytes;
+		});
 		const sender = req.socket.remoteAddress ?? '';
 		const requestId = this.opts.requestIdOf(req.rawHeaders);
-		this.admit({ ...order, sender, requestId }, req, res);
+		void this.admit({ ...order, sender, requestId }, req, res, held);
 		return true;
 	}
 
-	private admit(order: ForwardOrder, req: http.IncomingMessage, res: http.ServerResponse): void {
-		const response = new HttpForwardResponse(res);
-		const isFull = this.heldBytes > maxHeldBytes;
-		const refusal =
-			this.opts.admission.getRefusal(order) ?? (isFull ? forwardRefusals.overloaded : undefined);
+	private async admit(
+		order: ForwardOrder,
+		req: http.IncomingMessage,
+		res: http.ServerResponse,
+		held: HeldBody,
+	): Promise<void> {
+		const refusal = await this.decide(order);
+		if (res.destroyed) {
+			return;
+		}
 		this.opts.onOrder(refusal);
-		const held = { bytes: 0 };
-		res.on('close', () => {
-			this.openCount--;
-			this.heldBytes -= held.bytes;
-		});
+		const response = new HttpForwardResponse(res);
 		if (refusal) {
 			const { requestId, sender, engineId } = order;
 			const fields = { request: requestId, sender, engine: engineId, reason: refusal };
@@ -76,13 +89,27 @@
 			response.refuse(refusal);
 			return;
 		}
+		this.readBody(req, held, (body) => this.forward(order, req, body, response));
+	}
+
+	private async decide(order: ForwardOrder): Promise<ForwardRefusal | undefined> {
+		const { admission, refreshVms } = this.opts;
+		if (admission.getRefusal(order) === forwardRefusals.unknownSender) {
+			// It may have registered since the registrations were read.
+			await refreshVms();
+		}
+		const isFull = this.heldBytes > maxHeldBytes;
+		return admission.getRefusal(order) ?? (isFull ? forwardRefusals.overloaded : undefined);
+	}
+
+	private readBody(req: http.IncomingMessage, held: HeldBody, done: (body: Buffer) => void): void {
 		const chunks: Buffer[] = [];
 		req.on('data', (chunk: Buffer) => {
 			held.bytes += chunk.length;
 			this.heldBytes += chunk.length;
 			chunks.push(chunk);
 		});
-		req.on('end', () => this.forward(order, req, Buffer.concat(chunks), response));
+		req.on('end', () => done(Buffer.concat(chunks)));
 	}
 
 	private forward(
--- a/test/features/cut-links.feature
+++ b/test/features/cut-links.feature
@@ -107,3 +107,10 @@
 		When a caller of the first VM names another server in the head of its request
 		Then the request is served by engine "a"
 		And the other server gets nothing
+
+	Scenario: A VM that registered a moment ago has lost its links
+		Given a relay of 2 VMs whose links can fail, with engines "a, b"
+		And 10000 ms pass in quiet
+		When a VM starts and the links of it to all engines "reset"
+		And 2500 ms pass in quiet
+		Then at least 95 % of "GET /plain/" requests are served at these VMs
--- a/test/steps/cut-links.steps.ts
+++ b/test/steps/cut-links.steps.ts
@@ -10,7 +10,7 @@
 import { seen } from './relay-fakes.js';
 import { engineOf, fixtureOf } from './relay-fixture.js';
 import type { Answer, RelayFixture, Vm } from './relay-world.js';
-import { until } from './relay-world.js';
+import { until, vmAddress } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
 /** Requests that each VM gets, and the interval between them. */
@@ -51,6 +51,20 @@
 	await Promise.all(cut.map((vm) => fixture.setLinks(vm, state)));
 }
 
+cucumber.When(
+	'a VM starts and the links of it to all engines {string}',
+	async function (this: FleetWorld, state: string) {
+		const fixture = fixtureOf(this);
+		const [{ ports }] = fixture.vms as [Vm];
+		const number = fixture.vms.length + 1;
+		const vm = await fixture.startVm(vmAddress(number), `vm-${number}`, ports);
+		fixture.vms.push(vm);
+		await until(() => fixture.isReady(vm));
+		await fixture.setLinks(vm, state);
+		this.state.set('cut VMs', [vm]);
+	},
+);
+
 cucumber.Then(
 	/^at least (\d+) % of "(.*)" requests are served at these VMs( and at the others)?$/,
 	async function (this: FleetWorld, percent: string, call: string, withOthers?: string) {
