Links are suspected for silence of all engines, not of half of those with requests in flight

Now nothing may have come from any engine for 0.6 s (1 s without requests in flight), or from any of one service for 1.5 s.

--- a/src/core/forwarding/link-monitor.ts
+++ b/src/core/forwarding/link-monitor.ts
@@ -7,8 +7,10 @@
 import type { Engine } from '../engines/engine.js';
 import type { EngineRef } from '../fleet/types.js';
 
-/** Engines with requests in flight are suspected after this time without any bytes, in milliseconds. */
+/** Links are suspected after this time without bytes from any engine while requests are in flight, in milliseconds. */
 const silenceMs = 600;
+/** The same for the engines of one service; longer, since a few requests may wait in their queues. */
+const serviceSilenceMs = 1500;
 /** A connection that takes longer is suspicious, in milliseconds; on a sound link it takes a few. */
 const quickConnectMs = 150;
 /** Minimum interval between suspicions because of silence that were not confirmed, in milliseconds. */
@@ -27,7 +29,7 @@
 const probeTimeoutMs = 250;
 /** A longer check proves nothing, as the event loop stalled and timed out connections that were established, in milliseconds. */
 const maxCheckMs = 400;
-/** Without bytes from any engine for this time a VM tries a connection, as a cut would go unnoticed, in milliseconds. */
+/** A VM without requests in flight tries a connection after this time without bytes from any engine, in milliseconds. */
 const idleCheckMs = 1000;
 
 /** State of the links to the engines of one service. */
@@ -60,10 +62,11 @@
 
 export class LinkMonitor {
 	private readonly byService = new Map<string, ServiceLinks>();
-	private idleCheckedAt: number;
+	private readonly startedAt: number;
+	private nextQuietCheckAt = 0;
 
 	constructor(private readonly opts: LinkMonitorOptions) {
-		this.idleCheckedAt = opts.clock.monotonic();
+		this.startedAt = opts.clock.monotonic();
 	}
 
 	/** Whether most links to the engines of a service are down. */
@@ -101,7 +104,7 @@
 
 	/** Runs the checks that are due; called several times a second. */
 	update(): void {
-		this.checkIdle();
+		this.checkQuiet();
 		for (const service of this.opts.getServices()) {
 			const links = this.linksOf(service);
 			if (links.running) {
@@ -124,18 +127,23 @@
 		}
 	}
 
-	/** Tries a connection to a random engine if none has sent anything lately. */
-	private checkIdle(): void {
-		if (this.now - this.idleCheckedAt < idleCheckMs) {
+	/** Tries a connection if no engine has sent anything for a while, as a cut would go unnoticed until then. */
+	private checkQuiet(): void {
+		if (this.now < this.nextQuietCheckAt) {
 			return;
 		}
 		const services = [...this.opts.getServices()].filter((service) => !this.isCutOff(service));
 		const engines = services.flatMap((service) => this.opts.getEngines(service));
+		const isAwaiting = engines.some(({ directHealth }) => directHealth.isAwaiting);
 		const activeAt = Math.max(...engines.map(({ directHealth }) => directHealth.activeAt));
-		this.idleCheckedAt = Math.max(this.idleCheckedAt, activeAt);
+		const quietAt = Math.max(this.startedAt, activeAt) + (isAwaiting ? silenceMs : idleCheckMs);
+		if (this.now < quietAt) {
+			this.nextQuietCheckAt = quietAt - (idleCheckMs - silenceMs);
+			return;
+		}
+		this.nextQuietCheckAt = this.now + (isAwaiting ? silenceSuspicionIntervalMs : idleCheckMs);
 		const engine = this.pickRandom(engines);
-		if (engine && this.now - this.idleCheckedAt >= idleCheckMs) {
-			this.idleCheckedAt = this.now;
+		if (engine) {
 			const links = this.linksOf(engine.registration.service);
 			if (!links.running) {
 				this.suspect(engine.registration.service, links, engine);
@@ -162,19 +170,16 @@
 		return links;
 	}
 
-	/** The engine silent for longest, if at least half of the engines with requests in flight are silent. */
+	/** Any engine of the service, if all of those with requests in flight have been silent for long. */
 	private findSilent(service: string): Engine | undefined {
 		const { now } = this;
 		const inFlight = this.opts
 			.getEngines(service)
 			.filter(({ directHealth }) => directHealth.isAwaiting);
-		const silent = inFlight.filter(({ directHealth }) => directHealth.silentMs(now) >= silenceMs);
-		if (silent.length === 0 || silent.length * 2 < inFlight.length) {
-			return undefined;
-		}
-		return silent.reduce((longest, engine) =>
-			engine.directHealth.silentMs(now) > longest.directHealth.silentMs(now) ? engine : longest,
+		const isSilent = inFlight.every(
+			({ directHealth }) => directHealth.silentMs(now) >= serviceSilenceMs,
 		);
+		return isSilent ? this.pickRandom(inFlight) : undefined;
 	}
 
 	/**
