A quiet VM tries one connection, and only after it had bytes from engines

Pooled connections close after 4 s, and a new one shows a cut by itself, so one try a second after the last bytes is enough. With requests in flight the silence of the engines that have them counts, so that the first request after a pause raises no suspicion.

Shown by: simulated requests on sound links cost no connection, or one each pause of seconds (forwarding.feature, four examples).

--- a/src/core/forwarding/link-monitor.ts
+++ b/src/core/forwarding/link-monitor.ts
@@ -62,12 +62,9 @@
 
 export class LinkMonitor {
 	private readonly byService = new Map<string, ServiceLinks>();
-	private readonly startedAt: number;
-	private nextQuietCheckAt = 0;
+	private quietCheckedAt = Number.NEGATIVE_INFINITY;
 
-	constructor(private readonly opts: LinkMonitorOptions) {
-		this.startedAt = opts.clock.monotonic();
-	}
+	constructor(private readonly opts: LinkMonitorOptions) {}
 
 	/** Whether most links to the engines of a service are down. */
 	isCutOff(service: string): boolean {
@@ -129,28 +126,35 @@
 
 	/** Tries a connection if no engine has sent anything for a while, as a cut would go unnoticed until then. */
 	private checkQuiet(): void {
-		if (this.now < this.nextQuietCheckAt) {
-			return;
-		}
 		const services = [...this.opts.getServices()].filter((service) => !this.isCutOff(service));
 		const engines = services.flatMap((service) => this.opts.getEngines(service));
-		const isAwaiting = engines.some(({ directHealth }) => directHealth.isAwaiting);
+		const inFlight = engines.filter(({ directHealth }) => directHealth.isAwaiting);
+		const isAwaiting = inFlight.length > 0;
 		const activeAt = Math.max(...engines.map(({ directHealth }) => directHealth.activeAt));
-		const quietAt = Math.max(this.startedAt, activeAt) + (isAwaiting ? silenceMs : idleCheckMs);
-		if (this.now < quietAt) {
-			this.nextQuietCheckAt = quietAt - (idleCheckMs - silenceMs);
+		const isQuiet =
+			this.now - activeAt >= (isAwaiting ? silenceMs : idleCheckMs) &&
+			this.areSilent(inFlight, silenceMs);
+		if (!isQuiet || !this.isQuietCheckDue(isAwaiting, activeAt)) {
 			return;
 		}
-		this.nextQuietCheckAt = this.now + (isAwaiting ? silenceSuspicionIntervalMs : idleCheckMs);
+		this.quietCheckedAt = this.now;
 		const engine = this.pickRandom(engines);
 		if (engine) {
-			const links = this.linksOf(engine.registration.service);
+			const { service } = engine.registration;
+			const links = this.linksOf(service);
 			if (!links.running) {
-				this.suspect(engine.registration.service, links, engine);
+				this.suspect(service, links, engine);
 			}
 		}
 	}
 
+	/** While no requests are in flight, once is enough: pooled connections are closed soon, and a new one shows the cut. */
+	private isQuietCheckDue(isAwaiting: boolean, activeAt: number): boolean {
+		return isAwaiting
+			? this.now - this.quietCheckedAt >= silenceSuspicionIntervalMs
+			: Number.isFinite(activeAt) && this.quietCheckedAt < activeAt;
+	}
+
 	private get now(): number {
 		return this.opts.clock.monotonic();
 	}
@@ -172,14 +176,16 @@
 
 	/** Any engine of the service, if all of those with requests in flight have been silent for long. */
 	private findSilent(service: string): Engine | undefined {
-		const { now } = this;
 		const inFlight = this.opts
 			.getEngines(service)
 			.filter(({ directHealth }) => directHealth.isAwaiting);
-		const isSilent = inFlight.every(
-			({ directHealth }) => directHealth.silentMs(now) >= serviceSilenceMs,
-		);
-		return isSilent ? this.pickRandom(inFlight) : undefined;
+		return this.areSilent(inFlight, serviceSilenceMs) ? this.pickRandom(inFlight) : undefined;
+	}
+
+	/** Whether engines with requests in flight have sent nothing for a time. */
+	private areSilent(inFlight: readonly Engine[], ms: number): boolean {
+		const { now } = this;
+		return inFlight.every(({ directHealth }) => directHealth.silentMs(now) >= ms);
 	}
 
 	/**
--- a/test/features/forwarding.feature
+++ b/test/features/forwarding.feature
@@ -74,3 +74,15 @@
 		Given a VM that is asked to forward requests
 		When the engine is in a newer list of the sender only
 		Then it accepts requests of urgency 0 to 9, and refuses those of 10 to 9 as "overloaded"
+
+	Scenario Outline: Sound links cost no connections
+		Given 6 engines of a service and 3 of another, with no requests in flight
+		When a request of <ms> ms is sent each <interval> ms for 20 s
+		Then at most <probes> connections were tried
+
+		Examples:
+			| ms   | interval | probes |
+			| 100  | 300      | 0      |
+			| 100  | 900      | 0      |
+			| 500  | 4000     | 5      |
+			| 1200 | 300      | 0      |
--- a/test/steps/forwarding.steps.ts
+++ b/test/steps/forwarding.steps.ts
@@ -44,6 +44,9 @@
 	/** Duration of the first connection. */
 	firstConnectMs = connectMs;
 	probes = 0;
+	/** Whether engines with requests in flight send something all the time. */
+	hasStreams = false;
+	private readonly random = createRng(3);
 	wasCutOff = false;
 	private readonly timers: { at: number; isConnection: boolean; run: () => void }[] = [];
 
@@ -65,11 +68,25 @@
 			onChecked() {},
 			sleep: (ms) => this.wait(ms),
 		});
+	}
+
+	/** Sends a request to each engine. */
+	sendToAll(): void {
 		for (const engine of this.engines) {
 			engine.directHealth.recordSent(this.clock.now, 0);
 		}
 	}
 
+	/** Sends a request to a random engine, which answers after a time. */
+	async request(ms: number): Promise<void> {
+		const index = Math.floor(this.random() * this.engines.length);
+		const { directHealth } = this.engines[index] as Engine;
+		directHealth.recordSent(this.clock.now, 0);
+		await this.wait(ms);
+		directHealth.recordActivity(this.clock.now);
+		directHealth.recordEnd(0);
+	}
+
 	/** Runs simulated time; resolves once all callbacks of that time have run. */
 	async run(ms: number): Promise<void> {
 		const end = this.clock.now + ms;
@@ -107,7 +124,7 @@
 			return;
 		}
 		for (const engine of this.engines) {
-			if (!this.cut.has(engine.id) && !this.silent.has(engine.id)) {
+			if (this.hasStreams && !this.cut.has(engine.id) && !this.silent.has(engine.id)) {
 				engine.directHealth.recordActivity(this.clock.now);
 			}
 		}
@@ -149,9 +166,25 @@
 }
 
 cucumber.Given(
-	'{int} engine(s) of a service and {int} of another, with requests in flight at all',
-	function (this: FleetWorld, first: number, second: number) {
-		this.state.set('links', new SimulatedLinks(first, second));
+	/^(\d+) engines? of a service and (\d+) of another, with (no requests in flight|requests in flight at all)$/,
+	function (this: FleetWorld, first: string, second: string, inFlight: string) {
+		const links = new SimulatedLinks(Number(first), Number(second));
+		if (inFlight === 'requests in flight at all') {
+			links.hasStreams = true;
+			links.sendToAll();
+		}
+		this.state.set('links', links);
+	},
+);
+
+cucumber.When(
+	'a request of {int} ms is sent each {int} ms for {int} s',
+	async function (this: FleetWorld, ms: number, intervalMs: number, seconds: number) {
+		const links = linksOf(this);
+		for (let elapsedMs = 0; elapsedMs < seconds * 1000; elapsedMs += intervalMs) {
+			void links.request(ms);
+			await links.run(intervalMs);
+		}
 	},
 );
 
