An engine that rests while the links come back is reached over them afterwards

Found by reading: engines were marked for the hop and back only while they accepted work, so one that asked for rest as the cut healed stayed marked, and its requests went through other VMs until the next cut. Now all engines of the service are updated.

Shown by: a scenario in cut-links.feature, red with the call that lists eligible engines only.

--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -99,6 +99,11 @@
 		return this.engines.values();
 	}
 
+	/** All engines of a service, also those that accept no work now. */
+	getByService(service: string): readonly Engine[] {
+		return this.byService.get(service) ?? [];
+	}
+
 	/** Engines of a service that accept new work now, sorted by id and regardless of health. */
 	getEligible(service: string): Engine[] {
 		const now = this.opts.clock.sinceBoot();
--- a/src/core/forwarding/request-forwarding.ts
+++ b/src/core/forwarding/request-forwarding.ts
@@ -11,7 +11,7 @@
 	clock: Clock;
 	links: LinkMonitor;
 	helpers: HelperSelection;
-	/** Engines of a service that accept work, regardless of health. */
+	/** All engines of a service: one that rests while the links come back is used again later. */
 	getEngines: (service: string) => readonly Engine[];
 	/** Called when this VM stops using its own link to an engine. */
 	onLinkLost: (engine: Engine) => void;
--- a/src/daemon/relay/forwarding-hub.ts
+++ b/src/daemon/relay/forwarding-hub.ts
@@ -41,13 +41,12 @@
 
 	constructor(opts: ForwardingHubOptions) {
 		const { clock, log, random, domain, engines, transport, getOtherVms } = opts;
-		const getEngines = (service: string) => engines.getEligible(service);
 		this.links = new LinkMonitor({
 			clock,
 			log,
 			random,
 			getServices: () => engines.getServices(),
-			getEngines,
+			getEngines: (service) => engines.getEligible(service),
 			canConnect: (address) => transport.canConnect(address),
 			onChecked: (service) => this.forwarding.updateService(service),
 			sleep: opts.sleep,
@@ -63,7 +62,7 @@
 			clock,
 			links: this.links,
 			helpers: this.helpers,
-			getEngines,
+			getEngines: (service) => engines.getByService(service),
 			onLinkLost: ({ registration }) => transport.closeIdleConnections(registration.address),
 		});
 		const { links } = this;
--- a/test/features/cut-links.feature
+++ b/test/features/cut-links.feature
@@ -114,3 +114,13 @@
 		When a VM starts and the links of it to all engines "reset"
 		And 2500 ms pass in quiet
 		Then at least 95 % of "GET /plain/" requests are served at these VMs
+
+	Scenario: An engine that rests while the links come back is reached over them afterwards
+		Given a relay of 2 VMs whose links can fail, with engines "a, b"
+		And each VM serves "GET /plain/" requests
+		When the links of 1 VM to all engines "reset"
+		And 2000 ms pass in quiet
+		And engine "a" refuses "GET /plain/" requests and asks for 3 s of rest
+		And the links of 1 VM to all engines "sound"
+		And 4500 ms pass in quiet
+		Then these VMs send no requests through others
--- a/test/steps/cut-links.steps.ts
+++ b/test/steps/cut-links.steps.ts
@@ -6,7 +6,11 @@
 import * as http from 'node:http';
 import * as cucumber from '@cucumber/cucumber';
 import type { ReceivedRequest } from '../stand-ins/platform-engine.js';
-import { PlatformEngineStandIn, wholeStream } from '../stand-ins/platform-engine.js';
+import {
+	engineBehaviours,
+	PlatformEngineStandIn,
+	wholeStream,
+} from '../stand-ins/platform-engine.js';
 import { seen } from './relay-fakes.js';
 import { engineOf, fixtureOf } from './relay-fixture.js';
 import type { Answer, RelayFixture, Vm } from './relay-world.js';
@@ -219,6 +223,19 @@
 	assert.equal(seen<string>(this, 'result'), reason);
 });
 
+cucumber.When(
+	'engine {string} refuses {string} requests and asks for {int} s of rest',
+	async function (this: FleetWorld, id: string, call: string, restS: number) {
+		const fixture = fixtureOf(this);
+		const engine = engineOf(this, id);
+		engine.behaviour = engineBehaviours.rejects;
+		engine.backOffS = restS;
+		await load(fixture, seen<Vm[]>(this, 'cut VMs'), call, warmUpCount, requestIntervalMs);
+		assert.ok(engine.receivedRequests.some(({ wasRejected }) => wasRejected));
+		engine.behaviour = engineBehaviours.healthy;
+	},
+);
+
 cucumber.Then('no engine got a request', function (this: FleetWorld) {
 	assert.deepEqual(receivedRequests(this), []);
 });
