--- a/src/core/quarantine/request-quarantine.ts
+++ b/src/core/quarantine/request-quarantine.ts
@@ -25,6 +25,11 @@
 		return this.hash;
 	}
 
+	/** Ids of the parts of the prompt that other requests may share: all but the last. */
+	get sharedParts(): string[] {
+		return this.req.promptSegments.slice(0, -1).map(({ id }) => id);
+	}
+
 	/** Whether the VM may retry the request at another engine on its own. */
 	get isRetryAllowed(): boolean {
 		return !this.mayHaveFailed || this.quarantine.isRetryAllowed(this.content);
--- a/src/core/relay/attempt-results.ts
+++ b/src/core/relay/attempt-results.ts
@@ -9,6 +9,9 @@
 import type { RequestOutcome } from './request-outcome.js';
 import type { RelayContext } from './types.js';
 
+/** Upper bound of prompt parts in a log line. */
+const maxLoggedParts = 8;
+
 export class AttemptResults {
 	constructor(
 		private readonly ctx: RelayContext,
@@ -60,6 +63,7 @@
 			via: attempt.helper?.name,
 			reason,
 			content: formatContentHash(this.requestQuarantine.content),
+			parts: this.requestQuarantine.sharedParts.slice(0, maxLoggedParts).join(','),
 			sent_ms: Math.round(sinceSentMs),
 			running_ms: sinceFirstEventMs === undefined ? undefined : Math.round(sinceFirstEventMs),
 		});
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -75,6 +75,7 @@
 			reason: 'the failure',
 			content:
 				'hash of method, host, path, customer and body; identifies the same request under another id',
+			parts: 'ids of the parts of its prompt that other requests may share, eight at most',
 			sent_ms: 'time since the request was sent to the engine',
 			running_ms: 'time since its first event, if there was one',
 		},
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -66,6 +66,8 @@
 
 /** Delay between the start of a request that crashes the engine and the crash. */
 const crashDelayMs = 30;
+/** Steps by which that delay differs between requests. */
+const crashDelayStepMs = 15;
 
 /** Number of events in every streamed answer. */
 export const streamEventCount = 8;
@@ -78,6 +80,8 @@
 	answerDelayMs = 0;
 	/** Body of requests that crash the engine. */
 	crashBody?: string;
+	/** Parts of prompts that crash the engine once it has begun to answer; the last part of a prompt does not. */
+	crashParts: readonly string[] = [];
 	/** Whether all answers announce that the engine drains. */
 	isDraining = false;
 	/** Back-off requested by answers with status 503. */
@@ -169,6 +173,10 @@
 			this.onCrash?.();
 			return;
 		}
+		if (partsOf(req).some((part) => this.crashParts.includes(part))) {
+			await this.crashAfterFirstEvent(req, res, signed);
+			return;
+		}
 		switch (this.behaviour) {
 			case engineBehaviours.rejects:
 				this.writeHead(req, res, 503, { 'slategauge-not-executed': '1' }).end();
@@ -215,6 +223,22 @@
 		}
 	}
 
+	private async crashAfterFirstEvent(
+		req: ReceivedRequest,
+		res: http.ServerResponse,
+		signed: Record<string, string>,
+	): Promise<void> {
+		if (req.url.startsWith('/stream')) {
+			this.writeHead(req, res, 200, { ...signed, 'content-type': 'text/event-stream' });
+			res.write(formatEvent(1, req.body));
+		}
+		await pause(crashDelayMs + (this.receivedRequests.length % 4) * crashDelayStepMs);
+		if (this.server.listening) {
+			this.stop();
+			this.onCrash?.();
+		}
+	}
+
 	/** Writes the head of an answer with the engine notice and records the notice. */
 	private writeHead(
 		req: ReceivedRequest,
@@ -291,6 +315,12 @@
 	}
 }
 
+/** Ids of the parts of the prompt but the last. */
+export function partsOf({ headers }: ReceivedRequest): string[] {
+	const parts = String(headers['slategauge-prefix-hash'] ?? '').split(',');
+	return parts.slice(0, -1).map((part) => part.split(':')[0] ?? '');
+}
+
 /** Formats an event of a streamed answer, with the request body if there is one. */
 export function formatEvent(event: number, body = ''): string {
 	const suffix = body === '' ? '' : ` of ${body}`;
--- a/test/steps/quarantine.steps.ts
+++ b/test/steps/quarantine.steps.ts
@@ -24,7 +24,7 @@
 cucumber.Given(
 	'each engine ends as it runs {string}, and is back after {int} ms',
 	function (this: FleetWorld, body: string, ms: number) {
-		fixtureOf(this).crashOn(body, registrationExpiryMs, ms);
+		fixtureOf(this).crashOn({ body }, registrationExpiryMs, ms);
 	},
 );
 
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -46,6 +46,8 @@
 	readonly engines = new Map<string, PlatformEngineStandIn>();
 	readonly vms: Vm[] = [];
 	answers: Answer[] = [];
+	/** Monotonic times of engine crashes, in milliseconds. */
+	readonly crashTimes: number[] = [];
 	/** Program started for each VM. */
 	program = 'dist/src/daemon/relay/main.js';
 	/** Whether `setLinks` can make links of VMs to engines fail. */
@@ -142,27 +144,30 @@
 	}
 
 	/**
-	 * Makes every engine crash when it runs the body. Its registration is removed after `goneMs`, and it is replaced under a new id
+	 * Makes every engine crash when it runs the cause. Its registration is removed after `goneMs`, and it is replaced under a new id
 	 * after `backMs`.
 	 */
-	crashOn(body: string, goneMs: number, backMs: number): void {
+	crashOn({ body, parts = [] }: CrashCause, goneMs: number, backMs: number): void {
 		for (const engine of this.engines.values()) {
-			this.crashEngineOn(engine, body, goneMs, backMs);
+			this.crashEngineOn(engine, { body, parts }, goneMs, backMs);
 		}
 	}
 
 	private crashEngineOn(
 		engine: PlatformEngineStandIn,
-		body: string,
+		cause: CrashCause,
 		goneMs: number,
 		backMs: number,
 	) {
-		engine.crashBody = body;
+		engine.crashBody = cause.body;
+		engine.crashParts = cause.parts ?? [];
 		engine.onCrash = () => {
+			this.crashTimes.push(performance.now());
 			const start = async () => {
 				const next = new PlatformEngineStandIn(`${engine.id}-${this.engines.size}`);
+				next.eventIntervalMs = engine.eventIntervalMs;
 				this.engines.set(next.id, next);
-				this.crashEngineOn(next, body, goneMs, backMs);
+				this.crashEngineOn(next, cause, goneMs, backMs);
 				await this.register(next, await next.start());
 			};
 			this.timers.push(setTimeout(() => this.store.remove(`servers/${engine.id}`), goneMs));
@@ -347,6 +352,12 @@
 	}
 }
 
+/** What crashes the engines: one body, or parts of prompts. */
+export interface CrashCause {
+	body?: string;
+	parts?: readonly string[];
+}
+
 export interface SendOptions {
 	/** @default the key of the only customer */
 	key?: string;
