--- a/src/core/explain/explain-request.ts
+++ b/src/core/explain/explain-request.ts
@@ -1,6 +1,6 @@
 /**
  * Reconstructs the history of a request from the logs of all VMs: its own lines, events that changed its VM's view of the engines
- * and the store shortly before, and lines of other requests with the same content.
+ * and the store shortly before, and lines of other requests with the content or prompt part that it was refused for.
  * @module
  */
 import type { LogLine } from './log-line.js';
@@ -74,26 +74,34 @@
 			time <= to
 		);
 	});
-	const explained = [...own, ...context, ...findSameContent(own, lines, to)].sort(
+	const explained = [...own, ...context, ...findSameTrait(own, lines, to)].sort(
 		(a, b) => timeOf(a) - timeOf(b),
 	);
 	return { lines: explained, gaps: findGaps(own, context) };
 }
 
-/** Finds earlier lines of any VM that concern the same content under other request ids, such as its quarantine. */
-function findSameContent(
-	own: readonly LogLine[],
-	lines: readonly LogLine[],
-	to: number,
-): LogLine[] {
+/**
+ * Finds earlier lines of any VM that concern the same content, or the prompt part that the request was refused for, under other
+ * request ids, such as its quarantine.
+ */
+function findSameTrait(own: readonly LogLine[], lines: readonly LogLine[], to: number): LogLine[] {
 	const content = own.map((line) => line.get('content')).find(Boolean);
-	if (content === undefined) {
-		return [];
-	}
-	const others = lines.filter((line) => line.get('content') === content && !own.includes(line));
+	const part = own.map((line) => line.get('part')).find(Boolean);
+	const others = lines.filter(
+		(line) => (hasContent(line, content) || hasPart(line, part)) && !own.includes(line),
+	);
 	return others.filter((line) => line.get('event') !== 'request.quarantined' && timeOf(line) <= to);
 }
 
+function hasContent(line: LogLine, content: string | undefined): boolean {
+	return content !== undefined && line.get('content') === content;
+}
+
+function hasPart(line: LogLine, part: string | undefined): boolean {
+	const parts = [line.get('part'), ...(line.get('parts') ?? '').split(',')];
+	return part !== undefined && parts.includes(part);
+}
+
 function isContextEvent(line: LogLine): boolean {
 	return contextEvents.has(line.get('event') ?? '');
 }
--- a/src/core/forwarding/forwarded-request.ts
+++ b/src/core/forwarding/forwarded-request.ts
@@ -35,6 +35,8 @@
 	admission: ForwardingAdmission;
 	links: Pick<LinkMonitor, 'recordUnreachable'>;
 	getEngine: (id: string) => Engine | undefined;
+	/** Called when an engine breaks off an answer. */
+	onEngineBroken: (engine: Engine) => void;
 }
 
 export class ForwardedRequest implements AnswerListener {
@@ -112,6 +114,9 @@
 			return;
 		}
 		this.finish('broken', reason);
+		if (this.engine) {
+			this.ctx.onEngineBroken(this.engine);
+		}
 		if (this.hasHead) {
 			this.res.abort();
 		} else {
--- a/src/core/quarantine/content-hash.ts
+++ b/src/core/quarantine/content-hash.ts
@@ -35,8 +35,3 @@
 export function extractHeadHash(content: ContentHash): HeadHash {
 	return Math.floor(content / bodyHashRange);
 }
-
-/** Formats a content hash as in logs and store keys. */
-export function formatContentHash(content: ContentHash): string {
-	return content.toString(16);
-}
--- a/src/core/quarantine/crash-ledger.ts
+++ b/src/core/quarantine/crash-ledger.ts
@@ -1,11 +1,14 @@
 /**
- * Replicated ledger of the contents that ran on engines when these crashed. Records only go from absent to present to cleared, so
- * that lost, duplicate and late gossip does no harm and all VMs converge.
+ * Replicated ledger of the traits of requests that ran on engines when these crashed. Records only go from absent to present to
+ * cleared, so that lost, duplicate and late gossip does no harm and all VMs converge.
  * @module
  */
 import type { Clock } from '../definitions.js';
 import type { EngineRef } from '../fleet/types.js';
-import type { ContentHash } from './content-hash.js';
+import type { CrashEvidence, Failure } from './crash-causes.js';
+import type { QueuedReport } from './report-queue.js';
+import { ReportQueue } from './report-queue.js';
+import type { Trait } from './traits.js';
 import type { CrashGossip, CrashReport } from './types.js';
 
 /** How long crashes are remembered, in milliseconds; equals the longest lease of the store. */
@@ -15,26 +18,23 @@
  * heartbeats of 1,200 ms) and a short outage of the store.
  */
 const confirmationMs = 15_000;
-/** How long a new report is included in gossip, in milliseconds; covers lost datagrams. */
-const gossipMs = 2000;
-/** Upper bound of reports per datagram (256 bytes, a fifth of it); the others go into the next ones. */
-const maxReportsPerMessage = 16;
-/** Interval at which reports of quarantined contents are repeated, in milliseconds, for VMs that start. */
-const repeatIntervalMs = 250;
-/** Upper bound of remembered contents; the least recently updated are evicted first. */
-const maxContents = 4000;
-
-/** A content that ran on an engine when it crashed. */
+/** Upper bound of remembered traits; the least recently updated are evicted first. */
+const maxTraits = 4000;
+
+/** A request with a trait ran on an engine when it crashed. */
 interface CrashRecord {
 	isCleared: boolean;
-	/** When this VM learned of it, in monotonic milliseconds. */
-	learnedAt: number;
+	/** Whether the engine had begun to answer the request, as far as known. */
+	hasBegun: boolean;
+	/** When the request failed, in monotonic milliseconds. */
+	at: number;
 }
 
 /** A failed request at an engine that is not known to have crashed. */
 interface UnconfirmedFailure {
-	content: ContentHash;
+	trait: Trait;
 	engine: EngineRef;
+	hasBegun: boolean;
 	at: number;
 }
 
@@ -47,51 +47,62 @@
 }
 
 export class CrashLedger implements CrashGossip {
-	private readonly records = new Map<ContentHash, Map<EngineRef, CrashRecord>>();
+	private readonly records = new Map<Trait, Map<EngineRef, CrashRecord>>();
+	/** When the last served request with a trait began to be answered; while no engine has crashed, none is kept. */
+	private readonly servedSince = new Map<Trait, number>();
 	/** Crashed engines, and when this VM learned of it. */
 	private readonly crashed = new Map<EngineRef, number>();
 	private unconfirmed: UnconfirmedFailure[] = [];
-	/** New reports, and until when each is included in gossip. */
-	private newReports: { report: CrashReport; until: number }[] = [];
-	private repeatedContents: ReadonlySet<ContentHash> = new Set();
-	private repeatedAt = Number.NEGATIVE_INFINITY;
-	/** Contents whose crashes this VM itself observed. */
-	private readonly locallyObserved = new Set<ContentHash>();
+	private readonly reports: ReportQueue;
+	private repeatedTraits: ReadonlySet<Trait> = new Set();
+	/** Traits whose crashes this VM itself observed. */
+	private readonly locallyObserved = new Set<Trait>();
+
+	constructor(private readonly opts: CrashLedgerOptions) {
+		this.reports = new ReportQueue({
+			clock: opts.clock,
+			countCrashes: (trait) => this.records.get(trait)?.size ?? 0,
+			getRepeated: () => this.getRepeatedReports(),
+		});
+	}
 
-	constructor(private readonly opts: CrashLedgerOptions) {}
+	/** Whether no request failed at an engine and no engine crashed, as far as is remembered. */
+	get isEmpty(): boolean {
+		return this.records.size + this.unconfirmed.length + this.crashed.size === 0;
+	}
 
-	/** Contents that failed at any engine. */
-	listContents(): Iterable<ContentHash> {
-		return [...this.records.keys(), ...this.unconfirmed.map(({ content }) => content)];
+	/** Traits of requests that failed at any engine. */
+	listTraits(): Iterable<Trait> {
+		return [...this.records.keys(), ...this.unconfirmed.map(({ trait }) => trait)];
 	}
 
-	/** Whether this VM itself observed an engine crash with the content. */
-	isLocallyObserved(content: ContentHash): boolean {
-		return this.locallyObserved.has(content);
+	/** Whether this VM itself observed an engine crash with the trait. */
+	isLocallyObserved(trait: Trait): boolean {
+		return this.locallyObserved.has(trait);
 	}
 
-	/** Engines that crashed while running each content, without cleared records. */
-	get evidence(): Map<ContentHash, ReadonlySet<EngineRef>> {
-		const evidence = new Map<ContentHash, ReadonlySet<EngineRef>>();
-		for (const [content, engines] of this.records) {
+	/** Engines that crashed while running each trait, without cleared records. */
+	get evidence(): CrashEvidence {
+		const evidence = new Map<Trait, ReadonlyMap<EngineRef, Failure>>();
+		for (const [trait, engines] of this.records) {
 			const uncleared = [...engines].filter(([, record]) => !record.isCleared);
 			if (uncleared.length > 0) {
-				evidence.set(content, new Set(uncleared.map(([engine]) => engine)));
+				evidence.set(trait, new Map(uncleared));
 			}
 		}
 		return evidence;
 	}
 
-	/** Number of engines at which the content failed, whether or not their crash is confirmed. */
-	countFailedEngines(content: ContentHash): number {
+	/** Number of engines at which the trait failed, whether or not their crash is confirmed. */
+	countFailedEngines(trait: Trait): number {
 		const engines = new Set<EngineRef>();
-		for (const [engine, record] of this.records.get(content) ?? []) {
+		for (const [engine, record] of this.records.get(trait) ?? []) {
 			if (!record.isCleared) {
 				engines.add(engine);
 			}
 		}
 		for (const failure of this.unconfirmed) {
-			if (failure.content === content) {
+			if (failure.trait === trait) {
 				engines.add(failure.engine);
 			}
 		}
@@ -102,12 +113,16 @@
 		return this.crashed.has(engine);
 	}
 
-	/** Records a failed request of this VM. */
-	recordFailure(content: ContentHash, engine: EngineRef): void {
+	/**
+	 * Records a failed request of this VM.
+	 * @param hasBegun whether the engine had begun to answer it, as far as known
+	 */
+	recordFailure(traits: readonly Trait[], engine: EngineRef, hasBegun: boolean): void {
+		const failures = traits.map((trait) => ({ trait, engine, hasBegun, at: this.now }));
 		if (this.crashed.has(engine)) {
-			this.addLocallyObserved([{ content, engine }]);
+			this.addLocallyObserved(failures);
 		} else {
-			this.unconfirmed.push({ content, engine, at: this.now });
+			this.unconfirmed.push(...failures);
 			this.opts.onChanged();
 		}
 	}
@@ -115,7 +130,7 @@
 	/** Records that the port of an engine is closed or its registration expired without notice. */
 	recordEngineCrash(engine: EngineRef): void {
 		if (!this.crashed.has(engine)) {
-			this.announce({ engine, isCleared: false });
+			this.reports.add({ engine, isCleared: false, hasBegun: false, at: this.now });
 		}
 		this.crashed.set(engine, this.now);
 		const failures = this.unconfirmed.filter((failure) => failure.engine === engine);
@@ -123,41 +138,37 @@
 		this.addLocallyObserved(failures);
 	}
 
-	/** Clears the records of a content that an engine served completely. */
-	recordSuccess(content: ContentHash): void {
-		this.unconfirmed = this.unconfirmed.filter((failure) => failure.content !== content);
-		const engines = [...(this.records.get(content)?.keys() ?? [])];
-		const changed = engines.filter((engine) => this.record(content, engine, true));
+	/**
+	 * Clears the records of the traits of a request that an engine served, as far as they are of crashes before.
+	 * @param beganAt when the engine began to answer it, in monotonic milliseconds
+	 */
+	recordSuccess(traits: readonly Trait[], beganAt: number): void {
+		const changed = traits.filter((trait) => this.clear(trait, beganAt));
 		if (changed.length > 0) {
 			this.opts.onChanged();
 			this.opts.onLocalChange();
 		}
 	}
 
-	/** Sets the contents whose reports are repeated as long as they are remembered, for VMs that start. */
-	setRepeatedContents(contents: ReadonlySet<ContentHash>): void {
-		this.repeatedContents = contents;
+	/** Sets the traits whose reports are repeated as long as they are remembered, for VMs that start. */
+	setRepeatedTraits(traits: ReadonlySet<Trait>): void {
+		this.repeatedTraits = traits;
 	}
 
 	getReportsToSend(): CrashReport[] {
-		if (this.newReports.length === 0 && this.repeatedContents.size === 0) {
-			return [];
-		}
-		const { now } = this;
-		this.newReports = this.newReports.filter(({ until }) => until > now);
-		const reports = this.newReports.slice(0, maxReportsPerMessage).map(({ report }) => report);
-		// Rotates, so that the next message carries the others.
-		this.newReports.push(...this.newReports.splice(0, maxReportsPerMessage));
-		return [...reports, ...this.getRepeatedReports(maxReportsPerMessage - reports.length)];
+		return this.reports.take();
 	}
 
 	merge(reports: readonly CrashReport[]): boolean {
 		let isNew = false;
-		for (const { content, engine, isCleared } of reports) {
-			if (content === undefined) {
+		for (const { trait, engine, ageMs, ...state } of reports) {
+			if (trait === undefined) {
 				isNew ||= !this.crashed.has(engine);
 				this.recordEngineCrash(engine);
-			} else if (this.record(content, engine, isCleared)) {
+			} else if (
+				ageMs < crashRetentionMs &&
+				this.record(trait, engine, { ...state, at: this.now - ageMs })
+			) {
 				isNew = true;
 			}
 		}
@@ -177,13 +188,16 @@
 			}
 		}
 		let isChanged = false;
-		for (const [content, engines] of this.records) {
-			const newest = Math.max(...[...engines.values()].map(({ learnedAt }) => learnedAt));
+		for (const [trait, engines] of this.records) {
+			const newest = Math.max(...[...engines.values()].map(({ at }) => at));
 			if (now - newest >= crashRetentionMs) {
-				isChanged = this.records.delete(content);
-				this.locallyObserved.delete(content);
+				isChanged = this.records.delete(trait);
+				this.locallyObserved.delete(trait);
 			}
 		}
+		if (this.isEmpty) {
+			this.servedSince.clear();
+		}
 		if (isChanged) {
 			this.opts.onChanged();
 		}
@@ -193,25 +207,19 @@
 		return this.opts.clock.monotonic();
 	}
 
-	private getRepeatedReports(maxCount: number): CrashReport[] {
-		const { now } = this;
-		if (now - this.repeatedAt < repeatIntervalMs) {
-			return [];
-		}
-		this.repeatedAt = now;
-		const reports = [...this.repeatedContents].flatMap((content) => {
-			const engines = [...(this.records.get(content) ?? [])];
-			return engines.map(([engine, { isCleared }]) => ({ content, engine, isCleared }));
+	private getRepeatedReports(): QueuedReport[] {
+		return [...this.repeatedTraits].flatMap((trait) => {
+			const engines = [...(this.records.get(trait) ?? [])];
+			return engines.map(([engine, record]) => ({ trait, engine, ...record }));
 		});
-		return reports.slice(0, maxCount);
 	}
 
-	private addLocallyObserved(
-		crashes: readonly { content: ContentHash; engine: EngineRef }[],
-	): void {
-		const added = crashes.filter(({ content, engine }) => this.record(content, engine, false));
-		for (const { content } of added) {
-			this.locallyObserved.add(content);
+	private addLocallyObserved(failures: readonly UnconfirmedFailure[]): void {
+		const added = failures.filter(({ trait, engine, hasBegun, at }) =>
+			this.record(trait, engine, { isCleared: false, hasBegun, at }),
+		);
+		for (const { trait } of added) {
+			this.locallyObserved.add(trait);
 		}
 		if (added.length > 0) {
 			this.opts.onChanged();
@@ -220,34 +228,57 @@
 	}
 
 	/** @returns whether the ledger changed */
-	private record(content: ContentHash, engine: EngineRef, isCleared: boolean): boolean {
-		const engines = this.records.get(content) ?? new Map<EngineRef, CrashRecord>();
+	private clear(trait: Trait, beganAt: number): boolean {
+		this.recordServed(trait, beganAt);
+		const isBefore = ({ at }: { at: number }) => at <= beganAt;
+		this.unconfirmed = this.unconfirmed.filter((item) => item.trait !== trait || !isBefore(item));
+		const crashes = [...(this.records.get(trait) ?? [])].filter(([, record]) => isBefore(record));
+		const cleared = crashes.filter(([engine, record]) =>
+			this.record(trait, engine, { ...record, isCleared: true }),
+		);
+		return cleared.length > 0;
+	}
+
+	private recordServed(trait: Trait, beganAt: number): void {
+		const previous = this.servedSince.get(trait) ?? beganAt;
+		// Moves the trait to the end of the eviction order.
+		this.servedSince.delete(trait);
+		this.servedSince.set(trait, Math.max(previous, beganAt));
+		const [oldest] = this.servedSince.keys();
+		if (this.servedSince.size > maxTraits && oldest !== undefined) {
+			this.servedSince.delete(oldest);
+		}
+	}
+
+	/** @returns whether the ledger changed */
+	private record(trait: Trait, engine: EngineRef, update: CrashRecord): boolean {
+		const engines = this.records.get(trait) ?? new Map<EngineRef, CrashRecord>();
 		const known = engines.get(engine);
-		if (known && (known.isCleared || !isCleared)) {
+		const isNew = !known || (!known.hasBegun && update.hasBegun) || update.isCleared;
+		if (known?.isCleared || !isNew) {
 			return false;
 		}
-		engines.set(engine, { isCleared, learnedAt: this.now });
-		// Moves the content to the end of the eviction order.
-		this.records.delete(content);
-		this.records.set(content, engines);
+		const { at, hasBegun } = update;
+		const wasServed = (this.servedSince.get(trait) ?? Number.NEGATIVE_INFINITY) >= at;
+		const isCleared = update.isCleared || wasServed;
+		engines.set(engine, { isCleared, hasBegun, at });
+		// Moves the trait to the end of the eviction order.
+		this.records.delete(trait);
+		this.records.set(trait, engines);
 		this.evictOldest();
-		this.announce({ content, engine, isCleared });
+		this.reports.add({ trait, engine, isCleared, hasBegun, at });
 		return true;
 	}
 
 	private evictOldest(): void {
-		for (const content of this.records.keys()) {
-			if (this.records.size <= maxContents) {
+		for (const trait of this.records.keys()) {
+			if (this.records.size <= maxTraits) {
 				return;
 			}
-			if (!this.repeatedContents.has(content)) {
-				this.records.delete(content);
-				this.locallyObserved.delete(content);
+			if (!this.repeatedTraits.has(trait)) {
+				this.records.delete(trait);
+				this.locallyObserved.delete(trait);
 			}
 		}
 	}
-
-	private announce(report: CrashReport): void {
-		this.newReports.unshift({ report, until: this.now + gossipMs });
-	}
 }
--- a/src/core/quarantine/quarantine-records.ts
+++ b/src/core/quarantine/quarantine-records.ts
@@ -1,15 +1,15 @@
 /**
- * Persists quarantined contents in the store, where they survive a restart of all VMs and reach VMs without gossip. Each entry has a
+ * Persists quarantined traits in the store, where they survive a restart of all VMs and reach VMs without gossip. Each entry has a
  * lease and expires with it.
  * @module
  */
 import type { Clock, Log } from '../definitions.js';
 import type { Store } from '../store/definitions.js';
 import { StoreError } from '../store/definitions.js';
-import type { ContentHash } from './content-hash.js';
-import { formatContentHash } from './content-hash.js';
 import { crashRetentionMs } from './crash-ledger.js';
 import type { Quarantine } from './quarantine.js';
+import type { Trait } from './traits.js';
+import { decodeTraitKey, encodeTraitKey, toLogFields } from './traits.js';
 
 /** Minimum interval between reads, and after a failed call, in milliseconds. */
 const minIntervalMs = 1000;
@@ -17,7 +17,9 @@
 const settleMs = 300;
 /** Maximum time that requests wait for the first read, in milliseconds. */
 const maxInitialWaitMs = 500;
-/** How long after its start a VM may still lack some contents, in milliseconds. */
+/** Value of an entry whose quarantine an operator has lifted. */
+const liftedValue = 'lifted';
+/** How long after its start a VM may still lack some traits, in milliseconds. */
 const startupMs = 10_000;
 
 export interface QuarantineRecordsOptions {
@@ -42,12 +44,12 @@
 	private hasCalled = false;
 	private shouldRead = false;
 	private nextAt = Number.NEGATIVE_INFINITY;
-	/** Locally observed contents to write, and since when they are known. */
-	private readonly unwritten = new Map<ContentHash, number>();
-	/** Contents written by this VM, and their leases. */
-	private readonly written = new Map<ContentHash, number>();
-	/** Contents withdrawn by this VM, and their leases; a restored store may contain them again. */
-	private readonly withdrawn = new Map<ContentHash, number>();
+	/** Locally observed traits to write, and since when they are known. */
+	private readonly unwritten = new Map<Trait, number>();
+	/** Traits written by this VM, and their leases. */
+	private readonly written = new Map<Trait, number>();
+	/** Traits withdrawn by this VM, and their leases; a restored store may contain them again. */
+	private readonly withdrawn = new Map<Trait, number>();
 
 	constructor(private readonly opts: QuarantineRecordsOptions) {
 		this.startedAt = opts.clock.monotonic();
@@ -64,6 +66,11 @@
 		return !this.hasRead || !quarantine.isEmpty || this.written.size > 0;
 	}
 
+	/** Reads the store again soon, for entries that an operator has lifted. */
+	refresh(): void {
+		this.shouldRead = true;
+	}
+
 	/** Performs the next due call; called several times a second. Handles store errors itself. */
 	async update(): Promise<void> {
 		this.queueOwnContents();
@@ -89,12 +96,12 @@
 
 	/** Repeats the writes and withdrawals of this VM after the store was restored from a backup. */
 	handleStoreRestored(): void {
-		for (const content of this.written.keys()) {
-			this.unwritten.set(content, this.now);
+		for (const trait of this.written.keys()) {
+			this.unwritten.set(trait, this.now);
 		}
 		this.written.clear();
-		for (const [content, lease] of this.withdrawn) {
-			this.written.set(content, lease);
+		for (const [trait, lease] of this.withdrawn) {
+			this.written.set(trait, lease);
 		}
 		this.withdrawn.clear();
 	}
@@ -103,17 +110,16 @@
 		return this.opts.clock.monotonic();
 	}
 
-	/** Queues locally observed contents; other VMs write theirs themselves. */
+	/** Queues locally observed traits; other VMs write theirs themselves. */
 	private queueOwnContents(): void {
 		const { quarantine, hasUnreachablePeers } = this.opts;
 		if (quarantine.consumeLocalChange()) {
 			this.shouldRead ||= hasUnreachablePeers() || this.now - this.startedAt < startupMs;
 		}
-		for (const content of quarantine.contents) {
-			const isUnwritten =
-				quarantine.ledger.isLocallyObserved(content) && !this.written.has(content);
-			if (isUnwritten && !this.unwritten.has(content)) {
-				this.unwritten.set(content, this.now);
+		for (const trait of quarantine.traits) {
+			const isUnwritten = quarantine.ledger.isLocallyObserved(trait) && !this.written.has(trait);
+			if (isUnwritten && !this.unwritten.has(trait)) {
+				this.unwritten.set(trait, this.now);
 			}
 		}
 	}
@@ -126,53 +132,64 @@
 			this.nextAt = this.now + minIntervalMs;
 			return;
 		}
-		for (const [content, lease] of this.written) {
-			if (!quarantine.isQuarantined(content)) {
-				await this.withdraw(content, lease);
+		for (const [trait, lease] of this.written) {
+			if (!quarantine.isQuarantined(trait)) {
+				await this.withdraw(trait, lease);
 				return;
 			}
 		}
-		for (const [content, since] of this.unwritten) {
-			if (!quarantine.isQuarantined(content)) {
-				this.unwritten.delete(content);
+		for (const [trait, since] of this.unwritten) {
+			if (!quarantine.isQuarantined(trait)) {
+				this.unwritten.delete(trait);
 			} else if (now - since >= settleMs) {
-				await this.write(content);
+				await this.write(trait);
 				return;
 			}
 		}
 	}
 
 	private async read(): Promise<void> {
-		// A stale first read is cheaper; gossip delivers newer contents.
+		// A stale first read is cheaper; gossip delivers newer traits.
 		const mayBeStale = !this.shouldRead;
 		const range = await this.opts.store.range(this.opts.prefix, mayBeStale);
-		const contents = range.items.map(({ key }) => this.parseKey(key)).filter(Number.isFinite);
+		const entries = range.items.map(({ key, value }) => ({ trait: this.parseKey(key), value }));
+		const valid = entries.filter(({ trait }) => Number.isFinite(trait));
 		const isFirst = !this.hasRead;
 		this.hasRead = true;
 		this.shouldRead = false;
-		this.opts.quarantine.applyStored(contents);
+		this.apply(valid);
 		if (isFirst) {
 			this.opts.onFirstRead();
 		}
 	}
 
-	private async write(content: ContentHash): Promise<void> {
+	private apply(entries: readonly { trait: Trait; value: string }[]): void {
+		const { quarantine, log } = this.opts;
+		const held = entries.filter(({ value }) => value !== liftedValue);
+		quarantine.applyStored(held.map(({ trait }) => trait));
+		for (const { trait } of entries.filter(({ value }) => value === liftedValue)) {
+			quarantine.lift(trait);
+			log.warn('quarantine.lifted', toLogFields(trait));
+		}
+	}
+
+	private async write(trait: Trait): Promise<void> {
 		const { store, prefix, log } = this.opts;
 		const lease = await store.grantLease(crashRetentionMs);
-		await store.put(prefix + formatContentHash(content), 'engines ended under it', lease);
-		this.unwritten.delete(content);
-		this.written.set(content, lease);
-		log.info('quarantine.recorded', { content: formatContentHash(content) });
+		await store.put(prefix + encodeTraitKey(trait), 'engines ended under it', lease);
+		this.unwritten.delete(trait);
+		this.written.set(trait, lease);
+		log.info('quarantine.recorded', toLogFields(trait));
 	}
 
-	/** Ends the lease of a content that left quarantine. */
-	private async withdraw(content: ContentHash, lease: number): Promise<void> {
+	/** Ends the lease of a trait that left quarantine. */
+	private async withdraw(trait: Trait, lease: number): Promise<void> {
 		await this.opts.store.endLease(lease);
-		this.written.delete(content);
-		this.withdrawn.set(content, lease);
+		this.written.delete(trait);
+		this.withdrawn.set(trait, lease);
 	}
 
-	private parseKey(key: string): ContentHash {
-		return Number.parseInt(key.slice(this.opts.prefix.length), 16);
+	private parseKey(key: string): Trait {
+		return decodeTraitKey(key.slice(this.opts.prefix.length));
 	}
 }
--- a/src/core/quarantine/types.ts
+++ b/src/core/quarantine/types.ts
@@ -3,16 +3,20 @@
  * @module
  */
 import type { EngineRef } from '../fleet/types.js';
-import type { ContentHash } from './content-hash.js';
+import type { Trait } from './traits.js';
 
-/** Reports that an engine crashed, or that a request ran there when it did. */
+/** Reports that an engine crashed, or that a request with a trait ran there when it did. */
 export interface CrashReport {
 	/** Incarnation of the engine. */
 	engine: EngineRef;
-	/** Content of the request; undefined when only the crash is reported. */
-	content?: ContentHash;
-	/** Whether the same content was served since, so that it did not cause the crash. */
+	/** Undefined when only the crash is reported. */
+	trait?: Trait;
+	/** Whether a request with the trait was served since, so that it did not cause the crash. */
 	isCleared: boolean;
+	/** Whether the engine had begun to answer the request, as far as known. */
+	hasBegun: boolean;
+	/** How long ago the request failed, in milliseconds. */
+	ageMs: number;
 }
 
 /** Exchange of crash reports through gossip. */
--- a/src/core/relay/attempt-results.ts
+++ b/src/core/relay/attempt-results.ts
@@ -3,8 +3,8 @@
  * @module
  */
 import type { Engine } from '../engines/engine.js';
-import { formatContentHash } from '../quarantine/content-hash.js';
 import type { RequestQuarantine } from '../quarantine/request-quarantine.js';
+import { formatTrait } from '../quarantine/traits.js';
 import type { Attempt } from './attempt.js';
 import type { RequestOutcome } from './request-outcome.js';
 import type { RelayContext } from './types.js';
@@ -52,9 +52,9 @@
 		}
 	}
 
-	/** The engine may have crashed while it ran this request, unless this VM lost its link to the engine. */
+	/** The engine may have crashed while it ran this request, unless it was sent over a link of this VM that is down. */
 	recordBrokenAttempt(attempt: Attempt, reason: string): void {
-		if (!attempt.engine.isForwarded) {
+		if (attempt.helper || !attempt.engine.isForwarded) {
 			this.requestQuarantine.recordFailure(attempt);
 		}
 		const { sinceSentMs, sinceFirstEventMs } = attempt;
@@ -62,8 +62,8 @@
 			engine: attempt.engine.id,
 			via: attempt.helper?.name,
 			reason,
-			content: formatContentHash(this.requestQuarantine.content),
-			parts: this.requestQuarantine.sharedParts.slice(0, maxLoggedParts).join(','),
+			content: formatTrait(this.requestQuarantine.content),
+			parts: this.requestQuarantine.parts.slice(0, maxLoggedParts).map(formatTrait).join(','),
 			sent_ms: Math.round(sinceSentMs),
 			running_ms: sinceFirstEventMs === undefined ? undefined : Math.round(sinceFirstEventMs),
 		});
--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -66,6 +66,11 @@
 		return this.ctx.clock.monotonic() - this.sentTime;
 	}
 
+	/** When the engine began to answer, as far as known; when the request was sent if the answer is no stream. Monotonic milliseconds. */
+	get beganAt(): number {
+		return this.firstEventAt ?? this.sentTime;
+	}
+
 	/** Undefined before the first event. */
 	get sinceFirstEventMs(): number | undefined {
 		const { firstEventAt } = this;
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -82,39 +82,51 @@
 	},
 	{
 		name: 'request.quarantined',
-		when: 'The request is refused because its content crashed engines before. It has not run.',
+		when: 'The request is not sent, or not sent again, because its content or a part of its prompt crashed engines before. Its request.ended tells whether it has run.',
 		fields: {
 			request: 'id of the request',
 			customer: 'name of the customer',
 			content: 'hash of the content, as in quarantine.entered and request.broken',
+			part: 'id of the prompt part, if it is refused for one',
 		},
 	},
 	{
 		name: 'quarantine.entered',
-		when: 'Engines crashed while running requests with this content; such requests are refused for ten minutes.',
+		when: 'Engines crashed while running requests with this content or prompt part; such requests are refused for ten minutes.',
 		fields: {
 			content: 'hash of the content',
+			part: 'id of the prompt part, in place of a content',
 			engines: 'number of engines that crashed, as known to this VM',
 			source: '`news`: VMs saw the crashes; `store`: another VM recorded the content before',
 		},
 	},
 	{
 		name: 'quarantine.left',
-		when: 'Requests with this content are accepted again: one was served, another content explains the crashes, or the time is over.',
+		when: 'Such requests are accepted again: one was served, something else explains the crashes, an operator lifted it, or the time is over.',
 		fields: {
 			content: 'hash of the content',
+			part: 'id of the prompt part, in place of a content',
 		},
 	},
 	{
 		name: 'quarantine.recorded',
-		when: 'The content is recorded in the store for VMs that start later.',
+		when: 'The quarantine is recorded in the store for VMs that start later.',
 		fields: {
 			content: 'hash of the content',
+			part: 'id of the prompt part, in place of a content',
+		},
+	},
+	{
+		name: 'quarantine.lifted',
+		when: 'An operator lifted the quarantine: the value of its entry in the store is `lifted`.',
+		fields: {
+			content: 'hash of the content',
+			part: 'id of the prompt part, in place of a content',
 		},
 	},
 	{
 		name: 'quarantine.unrecorded',
-		when: 'Quarantined contents could not be read from or written to the store; the call is retried after a second.',
+		when: 'Quarantined contents and prompt parts could not be read from or written to the store; the call is retried after a second.',
 		fields: {
 			error: 'error of the store',
 		},
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -3,7 +3,6 @@
  * @module
  */
 import type { Random } from '../definitions.js';
-import { formatContentHash } from '../quarantine/content-hash.js';
 import { RouteTable } from '../routing/route-table.js';
 import type { Customer, Route } from '../routing/types.js';
 import type { CallerRequest, CallerResponse } from './definitions.js';
@@ -54,6 +53,13 @@
 		}
 	}
 
+	/** Withdraws requests that are quarantined now from engines that have not begun to answer them. */
+	withdrawQuarantined(): void {
+		for (const request of [...this.open]) {
+			request.withdrawIfQuarantined();
+		}
+	}
+
 	/** Aborts all open requests. */
 	abortAll(reason: string): void {
 		for (const request of [...this.open]) {
@@ -111,9 +117,6 @@
 			this.deny(req, res, 503, refusal, table.version);
 			return;
 		}
-		if (this.refuseQuarantined(req, res, customer)) {
-			return;
-		}
 		const request = new RelayedRequest(this.opts, routed, res, (outcome, ended) => {
 			this.open.delete(ended);
 			const { tookMs, firstByteMs } = ended;
@@ -123,33 +126,6 @@
 		request.start();
 	}
 
-	/** Refuses a request whose content crashed engines. */
-	private refuseQuarantined(
-		req: CallerRequest,
-		res: CallerResponse,
-		customer: Customer | undefined,
-	): boolean {
-		const refusal = this.opts.quarantine.getRefusal(req, customer?.name);
-		if (!refusal) {
-			return false;
-		}
-		const { content, retryAfterS } = refusal;
-		this.opts.metrics.recordDenied(503);
-		const fields = {
-			request: req.id,
-			customer: customer?.name,
-			content: formatContentHash(content),
-		};
-		this.opts.log.warn('request.quarantined', fields);
-		this.sendText(
-			res,
-			503,
-			'engines crashed as they ran this request; it has not run',
-			retryAfterS,
-		);
-		return true;
-	}
-
 	/** Estimates the remainder of an outage by its duration so far. */
 	private notReadyRetryS(): number {
 		const unreachableS = this.opts.storeUnreachableMs() / 1000;
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -16,6 +16,7 @@
 import { AttemptSender } from './attempt-sender.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { AnswerHead, CallerResponse, CallListener } from './definitions.js';
+import { QuarantineGate } from './quarantine-gate.js';
 import { RequestOutcome } from './request-outcome.js';
 import { RequestPlacement } from './request-placement.js';
 import { RequestRetries } from './request-retries.js';
@@ -30,8 +31,9 @@
 	private readonly requestPlacement: RequestPlacement;
 	private attempt?: Attempt;
 	private readonly answer: CallerAnswer;
-	private readonly outcome: RequestOutcome;
 	private readonly requestQuarantine: RequestQuarantine;
+	private readonly gate: QuarantineGate;
+	private readonly outcome: RequestOutcome;
 	private readonly answerRelay: AnswerRelay;
 	private readonly results: AttemptResults;
 	private readonly sender: AttemptSender;
@@ -47,14 +49,21 @@
 		const { req, route } = routed;
 		const timeoutMs = Math.min(req.deadlineMs ?? route.timeoutMs, route.timeoutMs);
 		this.deadlineAt = req.arrivedAt + timeoutMs;
-		this.requestQuarantine = new RequestQuarantine(ctx.quarantine, req, routed.customer?.name);
+		this.requestQuarantine = new RequestQuarantine(
+			ctx.quarantine,
+			req,
+			routed.customer?.name,
+			route.isStreamed,
+		);
 		this.timer = setTimeout(() => this.handleTimeout(), Math.max(1, this.leftMs));
 		this.answer = new CallerAnswer(res, ctx.clock, () => this.attempt?.call?.resume());
 		this.outcome = new RequestOutcome(ctx, routed, this.answer, (outcome) => {
+			this.gate.cancel();
 			this.requestPlacement.cancel();
 			this.stopTimer();
 			onEnd(outcome, this);
 		});
+		this.gate = new QuarantineGate(routed, this.requestQuarantine, this.answer, this.outcome);
 		this.answerRelay = new AnswerRelay(this.answer, req.lastEventId);
 		this.results = new AttemptResults(ctx, this.outcome, this.requestQuarantine);
 		this.sender = new AttemptSender(ctx, routed, this.outcome);
@@ -102,6 +111,18 @@
 		}
 	}
 
+	/** Ends the request if it is quarantined and its engine has not begun to answer it. */
+	withdrawIfQuarantined(): void {
+		const { attempt, outcome } = this;
+		if (outcome.isFinished || !attempt || attempt.sinceFirstEventMs !== undefined) {
+			return;
+		}
+		if (this.gate.isClosed) {
+			this.abortAttempt();
+			this.gate.refuseIfClosed();
+		}
+	}
+
 	/**
 	 * Retries on another engine, where allowed, when the engine is silent towards all requests. Otherwise keeps waiting, as silence does
 	 * not prove a failure.
@@ -138,7 +159,7 @@
 			this.handleTimeout();
 			return;
 		}
-		this.requestPlacement.placeNext();
+		this.gate.pass(() => this.requestPlacement.placeNext());
 	}
 
 	private send(placement: Placement): void {
@@ -167,7 +188,7 @@
 		const recordActivity = () => attempt.recordActivity();
 		const endAttempt = () => this.endAttempt(attempt);
 		return {
-			shouldSend: () => this.requestPlacement.shouldSend(attempt.engine),
+			shouldSend: () => this.requestPlacement.shouldSend(attempt.engine) && !this.gate.isClosed,
 			onWithdrawn: () => ifCurrent(() => this.handleWithdrawn(attempt), endAttempt),
 			onSent: () => ifCurrent(() => this.handleSent(attempt), recordActivity),
 			onHead: (head) => {
@@ -215,6 +236,7 @@
 
 	private handleData(attempt: Attempt, chunk: Buffer): void {
 		attempt.recordActivity();
+		this.requestQuarantine.recordProgress(attempt);
 		this.answerRelay.relayData(attempt, chunk, this.isStream(attempt));
 	}
 
@@ -228,7 +250,7 @@
 			this.handleBrokenAnswer(attempt, 'the stream ended inside an event');
 		} else {
 			this.results.recordSuccess(attempt);
-			this.requestQuarantine.recordSuccess();
+			this.requestQuarantine.recordSuccess(attempt);
 			attempt.recordStreamEnd(this.routed.req.answerTokens);
 			this.endAttempt(attempt);
 			this.answerRelay.end(attempt, head);
--- a/src/daemon/relay/forwarding-hub.ts
+++ b/src/daemon/relay/forwarding-hub.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from 'node:http';
 import type { Clock, Log, Random } from '../../core/definitions.js';
+import type { Engine } from '../../core/engines/engine.js';
 import type { EngineDirectory } from '../../core/engines/engine-directory.js';
 import type { RegisteredVm } from '../../core/fleet/aggregator-selection.js';
 import { ForwardingAdmission } from '../../core/forwarding/forwarding-admission.js';
@@ -30,6 +31,8 @@
 	loopDelayMs: () => number;
 	/** Called for each request to forward, with the reason why it is not forwarded. */
 	onOrder: (refusal: string | undefined) => void;
+	/** Called when an engine breaks off the answer to a request of another VM. */
+	onEngineBroken: (engine: Engine) => void;
 	sleep: (ms: number) => Promise<void>;
 }
 
@@ -86,6 +89,7 @@
 			requestIdOf: platform.requestIdOf,
 			refreshVms: opts.refreshVms,
 			onOrder: opts.onOrder,
+			onEngineBroken: opts.onEngineBroken,
 		});
 	}
 
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -93,6 +93,7 @@
 			clock,
 			log,
 			onUpdate: () => this.coordinator.peers.markChanged(),
+			onEntered: () => this.relay.withdrawQuarantined(),
 			isPortClosed: (address) => transport.isPortClosed(address),
 		});
 		this.engines = new EngineDirectory({
@@ -123,6 +124,7 @@
 			isStopping: () => this.shutdown.isStopping,
 			loopDelayMs: () => this.loopMonitor.delayMs,
 			onOrder: (refusal) => this.metrics.recordForwardOrder(refusal),
+			onEngineBroken: (engine) => this.quarantine.probeEngine(engine),
 			sleep,
 		});
 		this.coordinator = new FleetCoordinator({
@@ -234,7 +236,7 @@
 			costEstimates: () => this.costReport.samples(),
 			limitedEngines: () => limits.ledger.size,
 			cutOffServices: () => this.hub.links.cutOffServices.length,
-			quarantinedContents: () => this.quarantine.contents.size,
+			quarantinedTraits: () => [...this.quarantine.traits],
 		});
 		this.restoration = new StoreRestoration({
 			log,
@@ -397,6 +399,7 @@
 	reload(settings: RelaySettings): void {
 		this.settings = { ...settings, listen: this.settings.listen, vm: this.settings.vm };
 		this.retryBudget.configure(settings.retries);
+		this.quarantineRecords.refresh();
 		this.log.info('daemon.reloaded', { seeds: settings.seeds.length });
 	}
 
--- a/src/infra/relay/gossip-codec.ts
+++ b/src/infra/relay/gossip-codec.ts
@@ -33,8 +33,14 @@
 /** Ages of paces are rounded to this unit, in milliseconds, and limited to what fits into a byte. */
 const ageUnitMs = 10;
 const maxAge = 255;
-/** Encodes the absence of a content in crash reports. */
-const noContent = -1;
+/** Encodes the absence of a trait in crash reports. */
+const noTrait = -1;
+/**
+ * State of a crash report: cleared, or from `minAgeState` on twice its age in milliseconds, plus one if the engine had not begun to
+ * answer. VMs of earlier versions send 0 for those that are not cleared.
+ */
+const clearedState = 1;
+const minAgeState = 2;
 
 const kindsByType: Readonly<Record<number, GossipKind>> = {
 	[messageTypes.report]: gossipKinds.report,
@@ -130,18 +136,23 @@
 	return acks;
 }
 
-function packCrash({ content, engine, isCleared }: CrashReport): number[] {
-	return [content ?? noContent, engine, isCleared ? 1 : 0];
+function packCrash({ trait, engine, isCleared, hasBegun, ageMs }: CrashReport): number[] {
+	const ageState = minAgeState + 2 * Math.round(ageMs) + (hasBegun ? 0 : 1);
+	const state = isCleared ? clearedState : ageState;
+	return [trait ?? noTrait, engine, state];
 }
 
 function readCrashes(fields: readonly number[]): CrashReport[] {
 	const reports: CrashReport[] = [];
 	for (let index = 0; index < fields.length; index += crashStride) {
-		const content = fields[index] ?? noContent;
+		const trait = fields[index] ?? noTrait;
+		const state = fields[index + 2] ?? 0;
 		reports.push({
-			content: content === noContent ? undefined : content,
+			trait: trait === noTrait ? undefined : trait,
 			engine: fields[index + 1] ?? 0,
-			isCleared: fields[index + 2] === 1,
+			isCleared: state === clearedState,
+			hasBegun: state % 2 === 0,
+			ageMs: Math.max(0, Math.floor((state - minAgeState) / 2)),
 		});
 	}
 	return reports;
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -5,6 +5,8 @@
  */
 import * as prometheus from 'prom-client';
 import type { CostEstimates } from '../../core/engines/work-estimate.js';
+import type { Trait } from '../../core/quarantine/traits.js';
+import { isPromptPart } from '../../core/quarantine/traits.js';
 import type { RelayMetrics } from '../../core/relay/metrics.js';
 import type { RelayOutcome } from '../../core/relay/types.js';
 
@@ -29,8 +31,8 @@
 	limitedEngines: () => number;
 	/** Number of services whose engines this VM cannot reach over its own links. */
 	cutOffServices: () => number;
-	/** Number of request contents quarantined after engine crashes. */
-	quarantinedContents: () => number;
+	/** What is quarantined after engine crashes. */
+	quarantinedTraits: () => readonly Trait[];
 }
 
 /** Statistics of the duties that this VM holds for the fleet. */
@@ -171,7 +173,12 @@
 		this.gauge(
 			'slategauge_quarantined_contents',
 			'Request contents quarantined after engine crashes',
-			gauges.quarantinedContents,
+			() => gauges.quarantinedTraits().filter((trait) => !isPromptPart(trait)).length,
+		);
+		this.gauge(
+			'slategauge_quarantined_prompt_parts',
+			'Parts of prompts quarantined after engine crashes',
+			() => gauges.quarantinedTraits().filter(isPromptPart).length,
 		);
 		this.costGauge(
 			gauges,
--- a/test/features/prompt-parts.feature
+++ b/test/features/prompt-parts.feature
@@ -13,7 +13,7 @@
 			| 2   | 8       | de, system, tools         | de     | 2     | POST /stream/resumed/                       |
 			| 3   | 10      | system, de, tools         | de     | 4     | POST /stream/resumed/                       |
 			| 3   | 10      | system, tools, de         | de     | 2     | POST /stream/resumed/, POST /stream/once/   |
-			| 5   | 6       | system, de, tools         | de     | 1     | POST /stream/resumed/, POST /stream/once/, GET /plain/ |
+			| 5   | 6       | system, de, tools         | de     | 1     | POST /stream/resumed/, POST /stream/once/, POST /plain/ |
 			| 8   | 12      | de, system, tools         | de     | 8     | POST /once/                                 |
 			| 8   | 12      | system, de, tools         | de     | 10    | POST /stream/resumed/                       |
 
@@ -36,3 +36,53 @@
 		When 30 prompts "system, de, tools" a second arrive at "POST /stream/resumed/" for 7 s, and 6 engines crash one after the other
 		Then at least 95 % of the other prompts from second 0 on are served
 		And at most 0 in 1000 of the other prompts is refused for what it shares
+
+	Scenario Outline: A prompt part that crashes engines is found by fleets of any size
+		Given <vms> VMs and <engines> engines that crash on one prompt part, which arrives <often> times a second
+		And <others> other requests a second
+		And <lost> percent of the gossip messages are lost
+		When the fleet is simulated <runs> times for 10 s
+		Then at most 5 engines crash in each run
+		And no such request reaches an engine later than 1000 ms after the fifth crash
+		And at most 1 in 1000 other requests is refused
+		And at least 95 percent of the other requests are served, of those on a calm day
+
+		Examples:
+			| vms | engines | often | others | lost | runs |
+			| 2   | 8       | 1     | 34     | 20   | 8    |
+			| 2   | 8       | 10    | 34     | 0    | 8    |
+			| 9   | 8       | 4     | 34     | 20   | 8    |
+			| 9   | 8       | 10    | 34     | 20   | 8    |
+			| 30  | 20      | 4     | 70     | 20   | 4    |
+			| 30  | 20      | 10    | 70     | 20   | 4    |
+			| 81  | 60      | 10    | 190    | 20   | 1    |
+
+	Scenario: A prompt part is cleared only by requests that engines began to answer after the crash
+		Given 3 VMs that exchange gossip
+		When 3 engines crash 200 ms after each other while they answer prompts with parts "de, aa"
+		And a request with part "aa" is served that began after the last crash
+		Then all VMs quarantine only part "de" after 1000 ms
+		When a request with part "de" is served that began before the first crash
+		Then all VMs quarantine only part "de" after 500 ms
+		When a request with part "de" is served that began after the last crash
+		Then no VM quarantines any part after 500 ms
+
+	Scenario: Engines that crash at once quarantine no prompt part
+		Given 3 VMs that exchange gossip
+		When 6 engines crash 5 ms after each other while they answer prompts with parts "aa"
+		Then no VM quarantines any part after 2000 ms
+
+	Scenario: A request that had not begun is no suspect where others had
+		Given 3 VMs that exchange gossip
+		When 3 engines crash 200 ms after each other while they answer prompts with parts "de" and prompts with parts "aa" wait
+		Then all VMs quarantine only part "de" after 1000 ms
+
+	Scenario: A prompt part of which nothing had begun is found all the same
+		Given 3 VMs that exchange gossip
+		When 3 engines crash 200 ms after each other while prompts with parts "de" wait
+		Then all VMs quarantine only part "de" after 1000 ms
+
+	Scenario: A content that crashes engines does not quarantine its prompt parts
+		Given 3 VMs that exchange gossip
+		When one content with part "aa" crashes 3 engines 200 ms after each other, and others with part "aa" are served
+		Then no VM quarantines any part after 1500 ms
--- a/test/steps/engine-notices.steps.ts
+++ b/test/steps/engine-notices.steps.ts
@@ -271,7 +271,7 @@
 			retryBudget: { recordRequest() {}, getAvailable: () => 5, tryConsume: () => true },
 			fleet: { size: 1, changeWork() {}, recordPrefill() {} },
 			metrics: { recordRetry() {}, recordCircuitOpened() {} },
-			quarantine: { hasMatchingHead: () => false },
+			quarantine: { isEmpty: true, hasMatchingHead: () => false },
 			fleetHealth: alwaysHealthy,
 			links: soundLinks,
 			limits: noRequestLimits,
--- a/test/steps/quarantine.steps.ts
+++ b/test/steps/quarantine.steps.ts
@@ -4,10 +4,10 @@
  */
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
-import type { Engine } from '../../src/core/engines/engine.js';
-import { formatContentHash } from '../../src/core/quarantine/content-hash.js';
 import { Quarantine } from '../../src/core/quarantine/quarantine.js';
 import { QuarantineRecords } from '../../src/core/quarantine/quarantine-records.js';
+import type { Trait } from '../../src/core/quarantine/traits.js';
+import { encodeTraitKey, isPromptPart, toPromptPart } from '../../src/core/quarantine/traits.js';
 import type { Store } from '../../src/core/store/definitions.js';
 import { wholeStream } from '../stand-ins/platform-engine.js';
 import { ManualClock, seen, silentLog } from './relay-fakes.js';
@@ -61,6 +61,7 @@
 	crashesPerS: number;
 	harmlessPerS: number;
 	lost: number;
+	crashingParts?: readonly Trait[];
 }
 
 cucumber.Given(
@@ -71,6 +72,15 @@
 	},
 );
 
+cucumber.Given(
+	'{int} VMs and {int} engines that crash on one prompt part, which arrives {int} times a second',
+	function (this: FleetWorld, vms: number, engines: number, crashesPerS: number) {
+		const crashingParts = [toPromptPart('de')];
+		const load = { vms, engines, crashesPerS, harmlessPerS: 0, lost: 0, crashingParts };
+		this.state.set('load', load);
+	},
+);
+
 cucumber.Given('{int} other requests a second', function (this: FleetWorld, harmlessPerS: number) {
 	seen<CrashLoad>(this, 'load').harmlessPerS = harmlessPerS;
 });
@@ -84,16 +94,18 @@
 
 cucumber.When(
 	'the fleet is simulated {int} times for {int} s',
-	{ timeout: 60_000 },
+	{ timeout: 120_000 },
 	function (this: FleetWorld, count: number, s: number) {
 		const load = seen<CrashLoad>(this, 'load');
-		const runs = Array.from({ length: count }, (_, index) => {
-			const run = new SimulatedCrashes({ ...load, seed: index + 1 });
-			run.fleet.lossRate = load.lost;
-			run.run(s * 1000);
-			return run;
-		});
-		this.state.set('runs', runs);
+		const simulate = (crashesPerS: number) =>
+			Array.from({ length: count }, (_, index) => {
+				const run = new SimulatedCrashes({ ...load, crashesPerS, seed: index + 1 });
+				run.fleet.lossRate = load.lost;
+				run.run(s * 1000);
+				return run;
+			});
+		this.state.set('runs', simulate(load.crashesPerS));
+		this.state.set('simulate calm days', () => simulate(0));
 	},
 );
 
@@ -115,6 +127,33 @@
 	},
 );
 
+cucumber.Then(
+	'no such request reaches an engine later than {int} ms after the fifth crash',
+	function (this: FleetWorld, ms: number) {
+		for (const { crashedAt, reachedAt } of seen<SimulatedCrashes[]>(this, 'runs')) {
+			const fifth = crashedAt[Math.min(4, crashedAt.length - 1)] as number;
+			assert.deepEqual(
+				reachedAt.filter((at) => at > fifth + ms),
+				[],
+			);
+		}
+	},
+);
+
+cucumber.Then(
+	'at least {int} percent of the other requests are served, of those on a calm day',
+	{ timeout: 120_000 },
+	function (this: FleetWorld, percent: number) {
+		const servedShare = (runs: readonly SimulatedCrashes[]) => {
+			const served = runs.reduce((sum, run) => sum + run.harmlessServedCount, 0);
+			return served / runs.reduce((sum, run) => sum + run.harmlessCount, 0);
+		};
+		const calm = servedShare(seen<() => SimulatedCrashes[]>(this, 'simulate calm days')());
+		const share = servedShare(seen<SimulatedCrashes[]>(this, 'runs'));
+		assert.ok(share * 100 >= calm * percent, `${share} of ${calm}`);
+	},
+);
+
 cucumber.Then(
 	'at most {int} in {int} other requests is refused',
 	function (this: FleetWorld, max: number, total: number) {
@@ -125,11 +164,6 @@
 	},
 );
 
-/** The part of an engine that the quarantine uses. */
-function engine(ref: number): Engine {
-	return { ref, registration: { address: `10.0.0.1:${ref}` } } as Engine;
-}
-
 const contents: Readonly<Record<string, number>> = { p: 17, q: 18, hot: 19, crasher: 20 };
 
 cucumber.Given('{int} VMs that exchange gossip', function (this: FleetWorld, count: number) {
@@ -142,7 +176,7 @@
 function crashWith(fleet: SimulatedFleet, ref: number, names: readonly string[]): void {
 	for (const [index, name] of names.entries()) {
 		const vm = fleet.vms[index % fleet.vms.length];
-		vm?.quarantine.recordFailure(contents[name] ?? 0, engine(ref));
+		vm?.quarantine.recordFailure([contents[name] ?? 0], ref);
 	}
 	fleet.vms[0]?.quarantine.recordEngineCrash(ref);
 	fleet.run(500);
@@ -168,9 +202,78 @@
 	},
 );
 
+/** Crashes engines one after the other while VMs in turn have requests there, each with a content of its own. */
+function crashInTurn(fleet: SimulatedFleet, count: number, ms: number, requests: OpenRequest[]) {
+	for (let ref = 1; ref <= count; ref++) {
+		for (const [index, { parts, hasBegun, content = ref * 100 + index }] of requests.entries()) {
+			const vm = fleet.vms[index % fleet.vms.length];
+			vm?.quarantine.recordFailure([content, ...parts.map(toPromptPart)], ref, hasBegun);
+		}
+		fleet.vms[0]?.quarantine.recordEngineCrash(ref);
+		fleet.run(ms);
+	}
+}
+
+interface OpenRequest {
+	parts: readonly string[];
+	hasBegun: boolean;
+	content?: number;
+}
+
+cucumber.When(
+	/^(\d+) engines crash (\d+) ms after each other while (?:they answer )?prompts with parts "([^"]*)"( wait)?(?: and prompts with parts "([^"]*)" wait)?$/,
+	function (
+		this: FleetWorld,
+		count: string,
+		ms: string,
+		parts: string,
+		isWaiting?: string,
+		waiting?: string,
+	) {
+		const fleet = seen<SimulatedFleet>(this, 'fleet');
+		const requests: OpenRequest[] = [{ parts: parts.split(', '), hasBegun: !isWaiting }];
+		if (waiting) {
+			requests.push({ parts: waiting.split(', '), hasBegun: false });
+		}
+		this.state.set('before the first crash', fleet.clock.now - 1);
+		crashInTurn(fleet, Number(count), Number(ms), requests);
+	},
+);
+
+cucumber.When(
+	'one content with part {string} crashes {int} engines {int} ms after each other, and others with part {string} are served',
+	function (this: FleetWorld, part: string, count: number, ms: number, other: string) {
+		const fleet = seen<SimulatedFleet>(this, 'fleet');
+		crashInTurn(fleet, count, ms, [{ parts: [part], hasBegun: true, content: 20 }]);
+		fleet.vms[1]?.quarantine.recordSuccess([toPromptPart(other)], fleet.clock.now);
+	},
+);
+
+cucumber.When(
+	/^a request with part "(.*)" is served that began (before the first|after the last) crash$/,
+	function (this: FleetWorld, part: string, when: string) {
+		const fleet = seen<SimulatedFleet>(this, 'fleet');
+		const before = seen<number>(this, 'before the first crash');
+		const beganAt = when === 'before the first' ? before : fleet.clock.now;
+		fleet.vms[2]?.quarantine.recordSuccess([toPromptPart(part)], beganAt);
+	},
+);
+
+cucumber.Then(
+	/^(?:all VMs quarantine only part "(.*)"|no VM quarantines any part) after (\d+) ms$/,
+	function (this: FleetWorld, part: string | undefined, ms: string) {
+		const fleet = seen<SimulatedFleet>(this, 'fleet');
+		fleet.run(Number(ms));
+		for (const { quarantine } of fleet.vms) {
+			const parts = [...quarantine.traits].filter(isPromptPart);
+			assert.deepEqual(parts, part === undefined ? [] : [toPromptPart(part)]);
+		}
+	},
+);
+
 cucumber.When('one of its attempts is served', function (this: FleetWorld) {
 	const fleet = seen<SimulatedFleet>(this, 'fleet');
-	fleet.vms[2]?.quarantine.recordSuccess(contents.hot ?? 0);
+	fleet.vms[2]?.quarantine.recordSuccess([contents.hot ?? 0], fleet.clock.now);
 });
 
 cucumber.Then('all VMs quarantine it', function (this: FleetWorld) {
@@ -189,7 +292,7 @@
 
 cucumber.Then('all VMs quarantine only {string}', function (this: FleetWorld, name: string) {
 	for (const { quarantine } of seen<SimulatedFleet>(this, 'fleet').vms) {
-		assert.deepEqual([...quarantine.contents], [contents[name]]);
+		assert.deepEqual([...quarantine.traits], [contents[name]]);
 	}
 });
 
@@ -228,7 +331,7 @@
 	'the store holds {string} as quarantined',
 	function (this: FleetWorld, name: string) {
 		const item = {
-			key: `quarantine/${formatContentHash(contents[name] ?? 0)}`,
+			key: `quarantine/${encodeTraitKey(contents[name] ?? 0)}`,
 			value: '',
 			revision: 1,
 			lease: 1,
@@ -245,6 +348,7 @@
 		clock,
 		log: silentLog,
 		onUpdate() {},
+		onEntered() {},
 		isPortClosed,
 	});
 	const store = seen<Store>(this, 'store');
@@ -271,7 +375,7 @@
 	'that VM sees an engine crash while running {string}',
 	async function (this: FleetWorld, name: string) {
 		const quarantine = seen<Quarantine>(this, 'quarantine');
-		quarantine.recordFailure(contents[name] ?? 0, engine(1));
+		quarantine.recordFailure([contents[name] ?? 0], 1);
 		quarantine.recordEngineCrash(1);
 		await seen<QuarantineRecords>(this, 'records').update();
 	},
--- a/test/steps/simulated-crashes.ts
+++ b/test/steps/simulated-crashes.ts
@@ -1,9 +1,9 @@
 /**
- * Simulates a fleet and engines that crash on one content. Every request goes to the least loaded engine.
+ * Simulates a fleet and engines that crash on one content or on parts of prompts. Every request goes to the least loaded engine.
  * @module
  */
-import type { Engine } from '../../src/core/engines/engine.js';
-import type { Quarantine } from '../../src/core/quarantine/quarantine.js';
+import type { Trait } from '../../src/core/quarantine/traits.js';
+import { toPromptPart } from '../../src/core/quarantine/traits.js';
 import { seededRandom } from './relay-fakes.js';
 import type { SimulatedVm } from './simulated-fleet.js';
 import { SimulatedFleet } from './simulated-fleet.js';
@@ -15,7 +15,7 @@
 const queueMs = 40;
 /** From the first event to the end of the answer. */
 const runMs = 1500;
-/** From the first event of the crashing content to the crash. */
+/** From the first event of a crashing request to the crash. */
 const crashMs = 60;
 /** From a crash to the restart of the engine. */
 const restartMs = 3500;
@@ -24,12 +24,23 @@
 /** Delay until a caller repeats a failed request. */
 const repeatMs = 200;
 /** A request that ran this long did not crash its engine, as in the relay. */
-const harmlessMs = 500;
+const harmlessMs = 250;
+/** Interval at which requests look whether they are cleared, as in the relay. */
+const clearanceCheckMs = 40;
+/** Multiples of it are spread evenly between 0 and 1 by their fraction. */
+const goldenRatio = 0.618;
+/** Prompts share the first of these parts, and each has one of the others. */
+const systemPart = toPromptPart('aa');
+const otherParts = ['b0', 'b1', 'b2', 'b3', 'b4', 'b5'].map(toPromptPart);
 
 export const crashingContent = 1;
 
 interface Running {
-	content: number;
+	/** Its content first, then its prompt parts. */
+	traits: readonly Trait[];
+	isCrashing: boolean;
+	failedAt?: number;
+	isProven: boolean;
 	vm: SimulatedVm;
 	engine: number;
 	sentAt: number;
@@ -47,27 +58,32 @@
 export interface CrashLoadOptions {
 	vms: number;
 	engines: number;
-	/** Arrivals of the crashing content per second. */
+	/** Arrivals of crashing requests per second. */
 	crashesPerS: number;
-	/** Arrivals of all other contents per second. */
+	/** Arrivals of all other requests per second. */
 	harmlessPerS: number;
+	/** Prompt parts that crash engines; a single content does where there are none. */
+	crashingParts?: readonly Trait[];
 	seed: number;
 }
 
 export class SimulatedCrashes {
 	readonly fleet: SimulatedFleet;
-	/** Times at which the crashing content reached an engine. */
+	/** Times at which crashing requests reached an engine. */
 	readonly reachedAt: number[] = [];
 	/** Times of engine crashes. */
 	readonly crashedAt: number[] = [];
 	harmlessCount = 0;
 	harmlessRefusedCount = 0;
+	harmlessServedCount = 0;
 	private readonly next: () => number;
 	private readonly up = new Set<number>();
 	private running: Running[] = [];
 	private due: Due[] = [];
 	private lastEngineRef = 0;
 	private lastContent = crashingContent;
+	/** Crashing requests that are due. */
+	private crashingDue = 0;
 
 	constructor(private readonly load: CrashLoadOptions) {
 		this.fleet = new SimulatedFleet(load.vms, 3, load.seed);
@@ -75,6 +91,9 @@
 		for (let index = 0; index < load.engines; index++) {
 			this.up.add(++this.lastEngineRef);
 		}
+		for (const vm of this.fleet.vms) {
+			vm.onQuarantined = () => this.withdraw(vm);
+		}
 		this.fleet.run(2000);
 	}
 
@@ -100,26 +119,69 @@
 	}
 
 	private arrive(): void {
-		if (this.next() < (this.load.crashesPerS * stepMs) / 1000) {
-			this.send(crashingContent, false);
+		if (this.isCrashingDue()) {
+			this.send(this.crashingTraits(), true, false);
 		}
 		if (this.next() < (this.load.harmlessPerS * stepMs) / 1000) {
 			this.harmlessCount++;
-			this.send(++this.lastContent, false);
+			this.send([++this.lastContent, ...this.sharedParts()], false, false);
+		}
+	}
+
+	/** Prompts arrive at a steady rate, single contents by chance. */
+	private isCrashingDue(): boolean {
+		const perStep = (this.load.crashesPerS * stepMs) / 1000;
+		if (!this.load.crashingParts) {
+			return this.next() < perStep;
+		}
+		this.crashingDue += perStep;
+		const isDue = this.crashingDue >= 1;
+		this.crashingDue -= isDue ? 1 : 0;
+		return isDue;
+	}
+
+	private crashingTraits(): Trait[] {
+		const { crashingParts = [] } = this.load;
+		if (crashingParts.length === 0) {
+			return [crashingContent];
+		}
+		const part = crashingParts[Math.floor(this.next() * crashingParts.length)] as Trait;
+		return [++this.lastContent, part, ...this.sharedParts()];
+	}
+
+	private sharedParts(): Trait[] {
+		if (!this.load.crashingParts) {
+			return [];
 		}
+		return [systemPart, otherParts[Math.floor(this.next() * otherParts.length)] as Trait];
 	}
 
-	private send(content: number, isRepeated: boolean): void {
+	private send(traits: readonly Trait[], isCrashing: boolean, isRepeated: boolean): void {
 		const { running } = this.fleet;
 		const vm = running[Math.floor(this.next() * running.length)] as SimulatedVm;
-		if (vm.quarantine.isQuarantined(content)) {
-			this.harmlessRefusedCount += content === crashingContent ? 0 : 1;
-			return;
-		}
-		this.place({ content, vm, engine: 0, sentAt: 0, startsAt: 0, tries: 0, isRepeated });
+		const state = {
+			isProven: false,
+			engine: 0,
+			sentAt: 0,
+			startsAt: 0,
+			tries: 0,
+		};
+		this.place({ traits, isCrashing, vm, isRepeated, ...state });
 	}
 
 	private place(request: Running): void {
+		const { vm, traits, isCrashing } = request;
+		if (traits.some((trait) => vm.quarantine.isQuarantined(trait))) {
+			this.harmlessRefusedCount += isCrashing ? 0 : 1;
+			return;
+		}
+		const turn = ((traits[0] as number) * goldenRatio) % 1;
+		const clearanceMs = vm.quarantine.getClearanceMs(traits.slice(1), turn, request.failedAt);
+		if (clearanceMs > 0) {
+			const at = this.now + Math.min(clearanceMs, clearanceCheckMs);
+			this.due.push({ at, run: () => this.place(request) });
+			return;
+		}
 		const engines = [...this.up];
 		if (engines.length === 0) {
 			return;
@@ -128,12 +190,22 @@
 		const ahead = this.running.filter((other) => other.engine === engine).length;
 		const startsAt = this.now + firstEventMs + ahead * queueMs;
 		const tries = request.tries + 1;
-		this.running.push({ ...request, engine, sentAt: this.now, startsAt, tries });
-		if (request.content === crashingContent) {
+		this.running.push({ ...request, engine, sentAt: this.now, startsAt, tries, isProven: false });
+		if (isCrashing) {
 			this.reachedAt.push(this.now);
 		}
 	}
 
+	/** Withdraws what a VM quarantined from engines that have not begun to answer it. */
+	private withdraw(vm: SimulatedVm): void {
+		this.running = this.running.filter(
+			(request) =>
+				request.vm !== vm ||
+				request.startsAt <= this.now ||
+				!request.traits.some((trait) => vm.quarantine.isQuarantined(trait)),
+		);
+	}
+
 	private pickLeastLoaded(engines: readonly number[]): number {
 		const count = (engine: number) =>
 			this.running.filter((other) => other.engine === engine).length;
@@ -143,11 +215,17 @@
 	private proceed(): void {
 		for (const request of this.running) {
 			const forMs = this.now - request.startsAt;
-			if (request.content === crashingContent && forMs >= crashMs) {
-				this.crash(request.engine);
-			} else if (request.content !== crashingContent && forMs >= runMs) {
+			if (request.isCrashing) {
+				if (forMs >= crashMs) {
+					this.crash(request.engine);
+				}
+			} else if (forMs >= runMs) {
 				this.running = this.running.filter((other) => other !== request);
-				request.vm.quarantine.recordSuccess(request.content);
+				this.harmlessServedCount++;
+				request.vm.quarantine.recordSuccess(request.traits, request.startsAt);
+			} else if (forMs >= harmlessMs && !request.isProven) {
+				request.isProven = true;
+				request.vm.quarantine.recordSuccess(request.traits, request.startsAt);
 			}
 		}
 	}
@@ -166,21 +244,23 @@
 	}
 
 	private handleFailure(request: Running): void {
-		const { content, vm, engine, startsAt, tries, isRepeated } = request;
+		const { traits, isCrashing, vm, engine, startsAt, tries, isRepeated } = request;
 		const { quarantine } = vm;
-		if (this.now - startsAt < harmlessMs) {
-			quarantine.recordFailure(content, engineOf(engine));
+		const [content = 0] = traits;
+		const hasBegun = startsAt <= this.now;
+		const mayBeCause = this.now - startsAt < harmlessMs;
+		if (mayBeCause) {
+			quarantine.recordFailure(traits, engine, hasBegun);
 			this.due.push({ at: this.now + probeMs, run: () => quarantine.recordEngineCrash(engine) });
 		}
 		if (tries < 2 && quarantine.isRetryAllowed(content)) {
-			this.place(request);
+			const failedAt = mayBeCause && hasBegun ? engine : undefined;
+			this.due.push({ at: this.now + probeMs, run: () => this.place({ ...request, failedAt }) });
 		} else if (!isRepeated && this.next() < 0.5) {
-			this.due.push({ at: this.now + repeatMs, run: () => this.send(content, true) });
+			this.due.push({
+				at: this.now + repeatMs,
+				run: () => this.send(traits, isCrashing, true),
+			});
 		}
 	}
 }
-
-/** The part of an engine that the quarantine uses. */
-function engineOf(ref: number): Parameters<Quarantine['recordFailure']>[1] {
-	return { ref, registration: { address: `10.0.0.1:${ref}` } } as Engine;
-}
--- a/test/steps/simulated-fleet.ts
+++ b/test/steps/simulated-fleet.ts
@@ -40,6 +40,8 @@
 	exchange: GossipExchange;
 	costs: CostModel;
 	quarantine: Quarantine;
+	/** Called when the VM quarantined something. */
+	onQuarantined?: () => void;
 	limits: FleetLimits;
 	health: FleetHealth;
 	/** Running requests at each engine. */
@@ -87,7 +89,8 @@
 		const costs = new CostModel();
 		const onUpdate = () => vm.exchange.markChanged();
 		const isPortClosed = async () => false;
-		const ports = { clock: this.clock, log: silentLog, onUpdate, isPortClosed };
+		const onEntered = () => vm.onQuarantined?.();
+		const ports = { clock: this.clock, log: silentLog, onUpdate, onEntered, isPortClosed };
 		const quarantine = new Quarantine(ports);
 		const others = () =>
 			this.vms.filter((other) => other !== vm).map((other) => other.registration);
