--- a/test/features/prompt-parts.feature
+++ b/test/features/prompt-parts.feature
@@ -31,6 +31,25 @@
 		And none of these prompts reaches an engine later than 1000 ms after the fifth crash
 		And at most 1 in 1000 of the other prompts is refused for what it shares
 
+	Scenario: A prompt part that crashes engines is found through VMs that forward requests
+		Given a relay of 3 VMs whose links can fail, with engines "a, b, c, d, e, f, g, h, i, j"
+		And these engines crash on "de" and are back after 2000 ms
+		And each VM serves "GET /plain/" requests
+		When the links of 2 VMs to all engines "hang"
+		And 3000 ms pass in quiet
+		And prompts "system, de, tools" arrive at "POST /stream/resumed/" 4 times a second, and 20 a second with other parts than "de", for 8 s
+		Then at most 5 engines crash
+		And none of these prompts reaches an engine later than 1000 ms after the fifth crash
+		And at most 1 in 1000 of the other prompts is refused for what it shares
+
+	Scenario: An operator lifts the quarantine of a prompt part
+		Given a relay of 2 VMs with 8 engines that crash on "de" and are back after 1000 ms
+		When prompts "system, de, tools" arrive at "POST /stream/resumed/" 4 times a second, and 20 a second with other parts than "de", for 4 s
+		And the engines no longer crash on "de"
+		Then a prompt with parts "system, de" is refused by each VM
+		When the store holds the quarantine of part "de" as lifted and the VMs reload their settings
+		Then a prompt with parts "system, de" is served by each VM
+
 	Scenario: Crashes without a cause keep no prompt part from engines
 		Given a relay of 3 VMs with 8 engines that crash on "nothing" and are back after 2000 ms
 		When 30 prompts "system, de, tools" a second arrive at "POST /stream/resumed/" for 7 s, and 6 engines crash one after the other
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -109,6 +109,39 @@
 		When "POST /once/" with body "order" is sent
 		Then the answer is 200 "half and half", signed by "a"
 
+	Scenario Outline: A stream without a length ends with its connection
+		Given a relay of 1 VM with engines "a"
+		And engine "a" unframed-stream
+		When "<call>" is sent 4 times
+		Then each stream is complete
+
+		Examples:
+			| call                  |
+			| POST /stream/resumed/ |
+			| POST /stream/once/    |
+
+	Scenario Outline: A stream that ends with its connection inside an event is resumed
+		Given a relay of 1 VM with engines "a, b"
+		And engine "a" <does>
+		When "POST /stream/resumed/" is sent 6 times
+		Then each stream is complete
+
+		Examples:
+			| does                      |
+			| unframed-stream-cut       |
+			| unframed-stream-cut-in-id |
+
+	Scenario Outline: A stream that may not be resumed and ends inside an event is cut
+		Given a relay of 1 VM with engines "a"
+		And engine "a" <does>
+		When "POST /stream/once/" is sent
+		Then the answer is cut after 3 events
+
+		Examples:
+			| does                      |
+			| unframed-stream-cut       |
+			| unframed-stream-cut-in-id |
+
 	Scenario: A second answer on the same connection is not taken as the answer to another request
 		Given a relay of 1 VM with engines "a"
 		And engine "a" answers-twice
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -27,6 +27,11 @@
 	unframedImmediateReset: 'unframed-reset-at-once',
 	/** Sends an answer without a content length that ends when the connection closes. */
 	unframed: 'unframed',
+	/** Sends streams without a length or chunks, which end with the connection. */
+	unframedStream: 'unframed-stream',
+	/** The same, but the connection ends inside the fourth event, or inside its id. */
+	unframedStreamCut: 'unframed-stream-cut',
+	unframedStreamCutInId: 'unframed-stream-cut-in-id',
 	/** Answers 500. */
 	fails: 'fails',
 	/** Sends a second, unsolicited answer after the first. */
@@ -203,6 +208,11 @@
 			case engineBehaviours.unframedImmediateReset:
 				await this.sendUnframedAnswer(req, socket);
 				return;
+			case engineBehaviours.unframedStream:
+			case engineBehaviours.unframedStreamCut:
+			case engineBehaviours.unframedStreamCutInId:
+				await this.sendUnframedStream(req, socket);
+				return;
 			case engineBehaviours.answersTwice:
 				if (req.url.startsWith('/stream')) {
 					await this.sendAnswer(req, res, signed, socket);
@@ -265,17 +275,40 @@
 		return { ...draining, ...limit };
 	}
 
-	private async sendUnframedAnswer(req: ReceivedRequest, socket: Socket): Promise<void> {
-		const { behaviour, isDraining, limitPerS, noticeHeaders } = this;
+	/** Writes the head of an answer without a length and records the notice. */
+	private writeUnframedHead(req: ReceivedRequest, socket: Socket): void {
+		const { isDraining, limitPerS, noticeHeaders } = this;
 		req.notice = { at: performance.now(), isDraining, backOffMs: 0, limitPerS };
 		const head = [
 			'HTTP/1.1 200 OK',
 			`slategauge-attempt-id: ${req.headers['slategauge-attempt-id']}`,
 			`slategauge-response-signature: by-${this.id}`,
 			'connection: close',
+			...(req.url.startsWith('/stream') ? ['content-type: text/event-stream'] : []),
 			...Object.entries(noticeHeaders).map((header) => header.join(': ')),
 		];
-		socket.write(`${head.join('\r\n')}\r\n\r\nhalf`);
+		socket.write(`${head.join('\r\n')}\r\n\r\n`);
+	}
+
+	private async sendUnframedStream(req: ReceivedRequest, socket: Socket): Promise<void> {
+		this.writeUnframedHead(req, socket);
+		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
+		for (let event = first; event <= streamEventCount; event++) {
+			if (event === 4 && this.behaviour !== engineBehaviours.unframedStream) {
+				const isInId = this.behaviour === engineBehaviours.unframedStreamCutInId;
+				socket.end(isInId ? 'id:' : `id: ${event}\ndata: tok`);
+				return;
+			}
+			socket.write(formatEvent(event, req.body));
+			await pause(this.eventIntervalMs);
+		}
+		socket.end();
+	}
+
+	private async sendUnframedAnswer(req: ReceivedRequest, socket: Socket): Promise<void> {
+		const { behaviour } = this;
+		this.writeUnframedHead(req, socket);
+		socket.write('half');
 		if (behaviour === engineBehaviours.unframedImmediateReset) {
 			socket.resetAndDestroy();
 			return;
--- a/test/steps/prompt-parts.steps.ts
+++ b/test/steps/prompt-parts.steps.ts
@@ -4,6 +4,7 @@
  */
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
+import { encodeTraitKey, toPromptPart } from '../../src/core/quarantine/traits.js';
 import { partsOf } from '../stand-ins/platform-engine.js';
 import { seen } from './relay-fakes.js';
 import { fixtureOf } from './relay-fixture.js';
@@ -44,9 +45,55 @@
 		for (const engine of fixture.engines.values()) {
 			engine.eventIntervalMs = eventIntervalMs;
 		}
-		const deadly = parts.split(', ');
-		fixture.crashOn({ parts: deadly }, registrationExpiryMs, ms);
-		this.state.set('deadly parts', deadly);
+		crashOnParts(this, parts, ms);
+	},
+);
+
+cucumber.Given(
+	'these engines crash on {string} and are back after {int} ms',
+	function (this: FleetWorld, parts: string, ms: number) {
+		crashOnParts(this, parts, ms);
+	},
+);
+
+function crashOnParts(world: FleetWorld, parts: string, backMs: number): void {
+	const deadly = parts.split(', ');
+	fixtureOf(world).crashOn({ parts: deadly }, registrationExpiryMs, backMs);
+	world.state.set('deadly parts', deadly);
+}
+
+cucumber.When('the engines no longer crash on {string}', function (this: FleetWorld, _: string) {
+	for (const engine of fixtureOf(this).engines.values()) {
+		engine.crashParts = [];
+	}
+});
+
+cucumber.When(
+	'the store holds the quarantine of part {string} as lifted and the VMs reload their settings',
+	async function (this: FleetWorld, part: string) {
+		const fixture = fixtureOf(this);
+		const key = `quarantine/${encodeTraitKey(toPromptPart(part))}`;
+		await until(() => fixture.store.keys('quarantine/').includes(key));
+		fixture.store.put(key, 'lifted');
+		for (const vm of fixture.vms) {
+			vm.process.kill('SIGHUP');
+		}
+	},
+);
+
+cucumber.Then(
+	/^a prompt with parts "(.*)" is (refused|served) by each VM$/,
+	async function (this: FleetWorld, parts: string, result: string) {
+		const fixture = fixtureOf(this);
+		const ids = [...parts.split(', '), 'own'];
+		const headers = { 'slategauge-prefix-hash': ids.map((id) => `${id}:100`).join(',') };
+		const status = result === 'served' ? 200 : 503;
+		for (const vm of fixture.vms) {
+			await until(async () => {
+				const answer = await fixture.open('POST /stream/resumed/', '', { vm, headers }).answer;
+				return answer.status === status;
+			});
+		}
 	},
 );
 
--- a/test/steps/relay.steps.ts
+++ b/test/steps/relay.steps.ts
@@ -23,7 +23,7 @@
 );
 
 cucumber.Given(
-	/^engine "(\w+)" (well|rejects|bare-503|resets|breaks-off|mixes-up|unsigned|fails|silent|answers-twice|answers-early|unframed|unframed-reset|unframed-reset-at-once)$/,
+	/^engine "(\w+)" (well|rejects|bare-503|resets|breaks-off|mixes-up|unsigned|fails|silent|answers-twice|answers-early|unframed|unframed-reset|unframed-reset-at-once|unframed-stream|unframed-stream-cut|unframed-stream-cut-in-id)$/,
 	function (this: FleetWorld, id: string, behaviour: EngineBehaviour) {
 		engineOf(this, id).behaviour = behaviour;
 	},
