Parts that come together are quarantined together, and only while engines serve others

Cause: each part was judged by itself, as a cause if nothing cleared it for 900 ms. When all engines of the service are down nothing is served, so the part that all sound requests share was quarantined too, and then never cleared, since nothing with it was sent.

Change: parts that were at the same crashes form a group, and a request is held or refused only if it has all of them; sound ones lack the deadly part, go on, and clear the others. A group becomes a cause only if another part that was at its crashes has been served since. Crashes within 60 ms count once, and engines that fell silent make no part suspect.

--- a/src/core/quarantine/crash-ledger.ts
+++ b/src/core/quarantine/crash-ledger.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock } from '../definitions.js';
 import type { EngineRef } from '../fleet/types.js';
-import type { CrashEvidence, Failure } from './crash-causes.js';
+import type { CrashEvidence, Failure as CrashRecord } from './crash-causes.js';
 import type { QueuedReport } from './report-queue.js';
 import { ReportQueue } from './report-queue.js';
 import type { Trait } from './traits.js';
@@ -21,15 +21,6 @@
 /** Upper bound of remembered traits; the least recently updated are evicted first. */
 const maxTraits = 4000;
 
-/** A request with a trait ran on an engine when it crashed. */
-interface CrashRecord {
-	isCleared: boolean;
-	/** Whether the engine had begun to answer the request, as far as known. */
-	hasBegun: boolean;
-	/** When the request failed, in monotonic milliseconds. */
-	at: number;
-}
-
 /** A failed request at an engine that is not known to have crashed. */
 interface UnconfirmedFailure {
 	trait: Trait;
@@ -81,16 +72,9 @@
 		return this.locallyObserved.has(trait);
 	}
 
-	/** Engines that crashed while running each trait, without cleared records. */
+	/** Engines that crashed while running each trait. */
 	get evidence(): CrashEvidence {
-		const evidence = new Map<Trait, ReadonlyMap<EngineRef, Failure>>();
-		for (const [trait, engines] of this.records) {
-			const uncleared = [...engines].filter(([, record]) => !record.isCleared);
-			if (uncleared.length > 0) {
-				evidence.set(trait, new Map(uncleared));
-			}
-		}
-		return evidence;
+		return this.records;
 	}
 
 	/** Number of engines at which the trait failed, whether or not their crash is confirmed. */
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -8,9 +8,11 @@
 import type { CallerRequest } from '../relay/definitions.js';
 import type { ContentHash, HeadHash } from './content-hash.js';
 import { extractHeadHash, hashHead } from './content-hash.js';
-import type { CrashAnalysis, Suspect } from './crash-causes.js';
-import { findCrashCauses, trialsMs } from './crash-causes.js';
+import type { CrashAnalysis } from './crash-causes.js';
+import { findCrashCauses } from './crash-causes.js';
 import { CrashLedger, crashRetentionMs } from './crash-ledger.js';
+import type { PartGroup } from './part-causes.js';
+import { trialsMs } from './part-causes.js';
 import type { PromptPart, Trait } from './traits.js';
 import { isPromptPart, toLogFields } from './traits.js';
 
@@ -23,7 +25,7 @@
 /** Time until a quarantine ends at the latest, in seconds. */
 export const quarantineS = crashRetentionMs / 1000;
 
-const noAnalysis: CrashAnalysis = { causes: new Set(), suspects: new Map() };
+const noAnalysis: CrashAnalysis = { contents: new Set(), groups: [], suspects: [] };
 
 export interface QuarantineOptions {
 	clock: Clock;
@@ -66,10 +68,10 @@
 		return this.ledger.isEmpty && this.stored.size === 0;
 	}
 
-	/** Quarantined traits. */
+	/** Quarantined traits, without parts of prompts that are quarantined only together. */
 	get traits(): ReadonlySet<Trait> {
 		this.review();
-		return new Set([...this.analysis.causes, ...this.stored.keys()]);
+		return new Set([...listSingleCauses(this.analysis), ...this.stored.keys()]);
 	}
 
 	/** Cheap check whether the content of a request may have failed before; does not read the body. */
@@ -77,9 +79,17 @@
 		return this.heads.size > 0 && this.heads.has(hashHead(req, customer));
 	}
 
-	isQuarantined(trait: Trait): boolean {
+	/** @returns the first of these traits of one request for which it is quarantined; undefined if it is not */
+	findCause(traits: readonly Trait[]): Trait | undefined {
 		this.review();
-		return this.analysis.causes.has(trait) || this.stored.has(trait);
+		const { contents, groups } = this.analysis;
+		const single = traits.find((trait) => contents.has(trait) || this.stored.has(trait));
+		return single ?? groups.find((group) => hasAll(traits, group))?.parts[0];
+	}
+
+	/** Whether a request with this trait is quarantined, whatever else it has. */
+	isQuarantined(trait: Trait): boolean {
+		return this.findCause([trait]) !== undefined;
 	}
 
 	/** Whether the VM may retry the content at another engine on its own. */
@@ -186,26 +196,18 @@
 		if (parts.length > 0 && this.probed.has(failedAt)) {
 			return probeCheckMs;
 		}
-		const { suspects } = this.analysis;
-		const waits = parts.map((part) => (suspects.get(part)?.clearableUntil ?? 0) - this.now);
-		return Math.max(0, ...waits);
+		const own = this.analysis.suspects.filter(
+			(group) => group.engines.includes(failedAt) && hasAll(parts, group),
+		);
+		return Math.max(0, ...own.map(({ until }) => until - this.now));
 	}
 
-	/**
-	 * How long a request waits that has all parts that were at most crashes. Requests that lack one of them are not the cause, and
-	 * clear the others when they are served.
-	 */
+	/** How long a request waits that has all parts of a group that was at several crashes. */
 	private getSuspectMs(parts: readonly PromptPart[], turn: number): number {
-		const suspects = [...this.analysis.suspects];
-		const mostCrashes = Math.max(suspectCrashes, ...suspects.map(([, { crashes }]) => crashes));
-		const top = suspects.filter(([, { crashes }]) => crashes === mostCrashes);
-		if (!top.every(([part]) => parts.includes(part))) {
-			return 0;
-		}
-		const waits = top.map(([, { until, isTried }]) => {
-			return until + (isTried ? turn * trialsMs : 0) - this.now;
-		});
-		return Math.max(0, ...waits);
+		const groups = this.analysis.suspects.filter(
+			(group) => group.crashes >= suspectCrashes && hasAll(parts, group),
+		);
+		return Math.max(0, ...groups.map(({ until }) => until + turn * trialsMs - this.now));
 	}
 
 	/** Analyses again when the time of a suspect has passed. */
@@ -216,11 +218,13 @@
 	}
 
 	private recompute(): void {
-		const before = this.analysis.causes;
+		const before = listSingleCauses(this.analysis);
+		const groupCount = this.analysis.groups.length;
 		this.analysis = findCrashCauses(this.ledger.evidence, this.now);
-		const { causes, suspects } = this.analysis;
-		this.reviewAt = this.findReviewTime(suspects.values());
-		this.ledger.setRepeatedTraits(causes);
+		const { groups, suspects } = this.analysis;
+		const causes = listSingleCauses(this.analysis);
+		this.reviewAt = Math.min(...suspects.map(({ until }) => until).filter((at) => at > this.now));
+		this.ledger.setRepeatedTraits(new Set([...causes, ...groups.flatMap(({ parts }) => parts)]));
 		const known = [...this.ledger.listTraits(), ...this.stored.keys()];
 		this.heads = new Set(known.filter((trait) => !isPromptPart(trait)).map(extractHeadHash));
 		for (const trait of before) {
@@ -230,13 +234,9 @@
 		}
 		const added = [...causes].filter((trait) => !before.has(trait));
 		this.announceEntered(added, 'news');
-	}
-
-	private findReviewTime(suspects: Iterable<Suspect>): number {
-		const times = [...suspects].flatMap(({ clearableUntil, until, causeAt }) => {
-			return [clearableUntil, until, until + trialsMs, causeAt];
-		});
-		return Math.min(...times.filter((at) => at > this.now));
+		if (groups.length > groupCount) {
+			this.opts.onEntered();
+		}
 	}
 
 	private announceEntered(added: readonly Trait[], source: string): void {
@@ -249,3 +249,13 @@
 		}
 	}
 }
+
+function hasAll(traits: readonly Trait[], { parts }: PartGroup): boolean {
+	return parts.every((part) => traits.includes(part));
+}
+
+/** Contents and parts that are causes by themselves. */
+function listSingleCauses({ contents, groups }: CrashAnalysis): ReadonlySet<Trait> {
+	const singles = groups.filter(({ parts }) => parts.length === 1);
+	return new Set([...contents, ...singles.flatMap(({ parts }) => parts)]);
+}
--- a/src/core/quarantine/request-quarantine.ts
+++ b/src/core/quarantine/request-quarantine.ts
@@ -54,7 +54,7 @@
 		if (this.quarantine.isEmpty) {
 			return undefined;
 		}
-		return this.knownTraits.find((trait) => this.quarantine.isQuarantined(trait));
+		return this.quarantine.findCause(this.knownTraits);
 	}
 
 	/** How long to wait until the request may be sent, or is quarantined, in milliseconds. */
@@ -69,16 +69,20 @@
 		return !this.mayHaveFailed || this.quarantine.isRetryAllowed(this.content);
 	}
 
-	/** Records a failed or silent attempt, except at draining engines, which stop as planned. */
-	recordFailure(attempt: Attempt): void {
+	/**
+	 * Records a failed or silent attempt, except at draining engines, which stop as planned. Parts of the prompt are suspected only
+	 * where the connection ended, as it does when the engine's process crashes; hosts and links fall silent.
+	 */
+	recordFailure(attempt: Attempt, isSilent: boolean): void {
 		const { sinceFirstEventMs, engine } = attempt;
 		const isShort = sinceFirstEventMs === undefined || sinceFirstEventMs < harmlessMs;
 		if (!isShort || engine.isDraining) {
 			return;
 		}
 		const hasBegun = !this.isStreamed || sinceFirstEventMs !== undefined;
-		this.failedAt = hasBegun ? engine.ref : undefined;
-		this.quarantine.recordFailure([this.content, ...this.parts], engine.ref, hasBegun);
+		this.failedAt = hasBegun && !isSilent ? engine.ref : undefined;
+		const traits = isSilent ? [this.content] : [this.content, ...this.parts];
+		this.quarantine.recordFailure(traits, engine.ref, hasBegun);
 		// Over a link that is down, any engine looks closed.
 		if (!engine.isForwarded) {
 			this.quarantine.probeEngine(engine);
--- a/src/core/relay/attempt-results.ts
+++ b/src/core/relay/attempt-results.ts
@@ -52,10 +52,13 @@
 		}
 	}
 
-	/** The engine may have crashed while it ran this request, unless it was sent over a link of this VM that is down. */
-	recordBrokenAttempt(attempt: Attempt, reason: string): void {
+	/**
+	 * The engine may have crashed while it ran this request, unless it was sent over a link of this VM that is down.
+	 * @param isSilent whether the engine fell silent, and did not end the connection
+	 */
+	recordBrokenAttempt(attempt: Attempt, reason: string, isSilent = false): void {
 		if (attempt.helper || !attempt.engine.isForwarded) {
-			this.requestQuarantine.recordFailure(attempt);
+			this.requestQuarantine.recordFailure(attempt, isSilent);
 		}
 		const { sinceSentMs, sinceFirstEventMs } = attempt;
 		this.outcome.log('request.broken', {
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -141,7 +141,7 @@
 			this.retries.isAllowed(now)
 		) {
 			attempt.helper?.recordFailure();
-			this.handleBrokenAnswer(attempt, 'the engine is silent');
+			this.handleBrokenAnswer(attempt, 'the engine is silent', true);
 		}
 	}
 
@@ -347,11 +347,11 @@
 	}
 
 	/** Handles an unusable answer to a request that may have run. */
-	private handleBrokenAnswer(attempt: Attempt, reason: string): void {
+	private handleBrokenAnswer(attempt: Attempt, reason: string, isSilent = false): void {
 		attempt.call?.abort();
 		this.endAttempt(attempt);
 		this.outcome.mayHaveRun = true;
-		this.results.recordBrokenAttempt(attempt, reason);
+		this.results.recordBrokenAttempt(attempt, reason, isSilent);
 		this.results.recordFailure(attempt, reason);
 		const mayRetry = this.answer.hasStarted ? this.routed.route.isResumable : this.isRepeatable;
 		if (mayRetry && this.retry(attempt, reason)) {
@@ -405,7 +405,7 @@
 		}
 		const { attempt } = this;
 		if (attempt?.isSent && !attempt.head) {
-			this.results.recordBrokenAttempt(attempt, 'no answer in time');
+			this.results.recordBrokenAttempt(attempt, 'no answer in time', true);
 			this.results.recordFailure(attempt, 'no answer in time');
 		}
 		this.abortAttempt();
--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -24,6 +24,10 @@
 const probeIntervalMs = 500;
 const maxFailedProbes = 2;
 
+/** Part of prompts that crashes engines while the fault of that name lasts, and how many requests come to one with it. */
+export const crashingPart = 'de';
+const crashingPeriod = 24;
+
 const paths: Record<RequestKind, string> = {
 	[requestKinds.plain]: '/plain/',
 	[requestKinds.singleRun]: '/once/',
@@ -84,6 +88,7 @@
 				authorization: `Bearer ${key}`,
 				'slategauge-attempt-id': id,
 				'slategauge-deadline-ms': String(deadlineMs),
+				'slategauge-prefix-hash': this.promptOf(id),
 			},
 		});
 		const timer = setTimeout(() => req.destroy(new Error('deadline')), deadlineMs);
@@ -94,6 +99,12 @@
 		return record;
 	}
 
+	/** Prompts share their first part; one in several has the part that may crash engines. */
+	private promptOf(id: string): string {
+		const isCrashing = this.nextId % crashingPeriod === 0;
+		return `aa:100,${isCrashing ? crashingPart : 'bb'}:100,${id}:10`;
+	}
+
 	private async runCaller(): Promise<void> {
 		while (!this.stopped) {
 			const item = this.pickVm();
--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -314,6 +314,10 @@
 	engineBehaviours.unframed,
 	engineBehaviours.answersTwice,
 	engineBehaviours.answersEarly,
+	// Streams in answer to requests that expect none.
+	engineBehaviours.unframedStream,
+	engineBehaviours.unframedStreamCut,
+	engineBehaviours.unframedStreamCutInId,
 ]);
 
 /** Faulty engine behaviours to draw from. */
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -5,6 +5,7 @@
  */
 import type { Rng } from '../../bench/random.js';
 import { engineBehaviours } from '../stand-ins/platform-engine.js';
+import { crashingPart } from './callers.js';
 import type { SoakDeployment, SoakEngine, SoakVm } from './deployment.js';
 import { faultyBehaviours, sleep } from './deployment.js';
 import type { LinkState } from './loopback-proxy.js';
@@ -15,6 +16,8 @@
 const maxFaultMs = 3500;
 /** Shortest duration of a cut from all engines; a VM notices it within some 1.5 s. */
 const minCutMs = 1500;
+/** Shortest duration for which a prompt part crashes engines. */
+const minCrashingMs = 1500;
 /** VMs and engines that always stay healthy, so that requests can be served. */
 const minHealthy = 1;
 /** Longest back-off that an engine asks for. */
@@ -331,6 +334,20 @@
 	await Promise.all(Array.from({ length: count }, cut));
 };
 
+/** All engines crash, and start again, as they begin to answer prompts with one part. */
+const promptPartCrashesEngines: Fault = async ({ deployment, rng }) => {
+	const engines = deployment.engines.filter(({ isLeaving }) => !isLeaving);
+	for (const engine of engines) {
+		engine.standIn.restartsAtOnce = true;
+		engine.standIn.onCrash = () => void deployment.restartEngine(engine);
+		engine.standIn.crashParts = [crashingPart];
+	}
+	await sleep(minCrashingMs + rng() * maxFaultMs);
+	for (const { standIn } of engines) {
+		standIn.crashParts = [];
+	}
+};
+
 const faults: readonly Fault[] = [
 	vmKilled,
 	vmPaused,
@@ -363,6 +380,7 @@
 	engineLeavesUnheard,
 	vmsLoseLinks,
 	vmsLoseLinks,
+	promptPartCrashesEngines,
 ];
 
 /** Waits until a started VM is ready, or gives up after a while, as the store may be unavailable. */
--- a/test/steps/quarantine.steps.ts
+++ b/test/steps/quarantine.steps.ts
@@ -271,6 +271,17 @@
 	},
 );
 
+cucumber.Then(
+	'all VMs quarantine requests with parts {string}, but not with parts {string}',
+	function (this: FleetWorld, refused: string, served: string) {
+		const toParts = (ids: string) => ids.split(', ').map(toPromptPart);
+		for (const { quarantine } of seen<SimulatedFleet>(this, 'fleet').vms) {
+			assert.notEqual(quarantine.findCause(toParts(refused)), undefined);
+			assert.equal(quarantine.findCause(toParts(served)), undefined);
+		}
+	},
+);
+
 cucumber.When('one of its attempts is served', function (this: FleetWorld) {
 	const fleet = seen<SimulatedFleet>(this, 'fleet');
 	fleet.vms[2]?.quarantine.recordSuccess([contents.hot ?? 0], fleet.clock.now);
