Requests of which no byte was seen are suspects as well

Cause: parts of requests that had not begun were no suspects where others had.

A crash that a group of parts is only suspected of no longer counts as explained for contents; groups are logged (part=a+b); explain follows them.

--- a/src/core/explain/explain-request.ts
+++ b/src/core/explain/explain-request.ts
@@ -98,7 +98,7 @@
 }
 
 function hasPart(line: LogLine, part: string | undefined): boolean {
-	const parts = [line.get('part'), ...(line.get('parts') ?? '').split(',')];
+	const parts = [...(line.get('part') ?? '').split('+'), ...(line.get('parts') ?? '').split(',')];
 	return part !== undefined && parts.includes(part);
 }
 
--- a/src/core/quarantine/crash-causes.ts
+++ b/src/core/quarantine/crash-causes.ts
@@ -24,8 +24,6 @@
 export interface Failure {
 	/** Monotonic milliseconds. */
 	at: number;
-	/** Whether the engine had begun to answer it, as far as known. */
-	hasBegun: boolean;
 	/** Whether a request with the trait was served since. */
 	isCleared: boolean;
 }
@@ -53,6 +51,8 @@
 	const groups: PartGroup[] = [];
 	const suspects: PartGroup[] = [];
 	const explained = new Set<EngineRef>();
+	/** Crashes of the groups, also of those that are only suspected. */
+	const grouped = new Set<EngineRef>();
 	const uncleared = selectUncleared(evidence);
 	const rules: PartRules = { evidence, now };
 	const counts = new Set([...uncleared.values()].map((crashes) => crashes.size));
@@ -61,14 +61,20 @@
 		for (const [content, crashes] of found) {
 			contents.add(content);
 			addAll(explained, crashes.keys());
+			addAll(grouped, crashes.keys());
 		}
 		for (;;) {
-			const group = findTopGroup(uncleared, explained, rules);
+			const group = findTopGroup(uncleared, grouped, rules);
 			if (!group || group.engines.length < count) {
 				break;
 			}
-			(group.isCause ? groups : suspects).push(group);
-			addAll(explained, group.engines);
+			addAll(grouped, group.engines);
+			if (group.isCause) {
+				groups.push(group);
+				addAll(explained, group.engines);
+			} else {
+				suspects.push(group);
+			}
 		}
 	}
 	return { contents, groups, suspects };
--- a/src/core/quarantine/crash-ledger.ts
+++ b/src/core/quarantine/crash-ledger.ts
@@ -25,7 +25,6 @@
 interface UnconfirmedFailure {
 	trait: Trait;
 	engine: EngineRef;
-	hasBegun: boolean;
 	at: number;
 }
 
@@ -97,12 +96,9 @@
 		return this.crashed.has(engine);
 	}
 
-	/**
-	 * Records a failed request of this VM.
-	 * @param hasBegun whether the engine had begun to answer it, as far as known
-	 */
-	recordFailure(traits: readonly Trait[], engine: EngineRef, hasBegun: boolean): void {
-		const failures = traits.map((trait) => ({ trait, engine, hasBegun, at: this.now }));
+	/** Records a failed request of this VM. */
+	recordFailure(traits: readonly Trait[], engine: EngineRef): void {
+		const failures = traits.map((trait) => ({ trait, engine, at: this.now }));
 		if (this.crashed.has(engine)) {
 			this.addLocallyObserved(failures);
 		} else {
@@ -114,7 +110,7 @@
 	/** Records that the port of an engine is closed or its registration expired without notice. */
 	recordEngineCrash(engine: EngineRef): void {
 		if (!this.crashed.has(engine)) {
-			this.reports.add({ engine, isCleared: false, hasBegun: false, at: this.now });
+			this.reports.add({ engine, isCleared: false, at: this.now });
 		}
 		this.crashed.set(engine, this.now);
 		const failures = this.unconfirmed.filter((failure) => failure.engine === engine);
@@ -199,8 +195,8 @@
 	}
 
 	private addLocallyObserved(failures: readonly UnconfirmedFailure[]): void {
-		const added = failures.filter(({ trait, engine, hasBegun, at }) =>
-			this.record(trait, engine, { isCleared: false, hasBegun, at }),
+		const added = failures.filter(({ trait, engine, at }) =>
+			this.record(trait, engine, { isCleared: false, at }),
 		);
 		for (const { trait } of added) {
 			this.locallyObserved.add(trait);
@@ -238,19 +234,18 @@
 	private record(trait: Trait, engine: EngineRef, update: CrashRecord): boolean {
 		const engines = this.records.get(trait) ?? new Map<EngineRef, CrashRecord>();
 		const known = engines.get(engine);
-		const isNew = !known || (!known.hasBegun && update.hasBegun) || update.isCleared;
-		if (known?.isCleared || !isNew) {
+		if (known && (known.isCleared || !update.isCleared)) {
 			return false;
 		}
-		const { at, hasBegun } = update;
+		const { at } = update;
 		const wasServed = (this.servedSince.get(trait) ?? Number.NEGATIVE_INFINITY) >= at;
 		const isCleared = update.isCleared || wasServed;
-		engines.set(engine, { isCleared, hasBegun, at });
+		engines.set(engine, { isCleared, at });
 		// Moves the trait to the end of the eviction order.
 		this.records.delete(trait);
 		this.records.set(trait, engines);
 		this.evictOldest();
-		this.reports.add({ trait, engine, isCleared, hasBegun, at });
+		this.reports.add({ trait, engine, isCleared, at });
 		return true;
 	}
 
--- a/src/core/quarantine/part-causes.ts
+++ b/src/core/quarantine/part-causes.ts
@@ -32,7 +32,7 @@
 	/** Number of crashes that did not happen at the same time. */
 	crashes: number;
 	isCause: boolean;
-	/** When parts in many requests have been cleared. */
+	/** When parts in many requests have been cleared, and reports have arrived. */
 	until: number;
 }
 
@@ -48,7 +48,7 @@
 export function findTopGroup(
 	uncleared: ReadonlyMap<Trait, Crashes>,
 	explained: ReadonlySet<EngineRef>,
-	rules: PartRules,
+	{ evidence, now }: PartRules,
 ): PartGroup | undefined {
 	const candidates = selectSuspected(uncleared, explained);
 	const [top] = candidates.sort((a, b) => b.engines.size - a.engines.size);
@@ -58,13 +58,13 @@
 	const together = findTogether(candidates, top, 0);
 	const nearlyTogether = findTogether(candidates, top, lateReports);
 	const times = [...top.engines.values()].map(({ at }) => at).sort((a, b) => a - b);
-	const until = (times[0] as number) + clearanceMs;
+	const clearedAt = (times[0] as number) + clearanceMs;
 	const crashes = countSeparate(times);
-	const settledAt = Math.max(until, (times[causeCrashes - 1] ?? 0) + reportDelayMs);
+	const settledAt = Math.max(clearedAt, (times[causeCrashes - 1] ?? 0) + reportDelayMs);
 	const isCause =
 		crashes >= causeCrashes &&
-		rules.now >= settledAt &&
-		isServiceSound(top.engines, nearlyTogether, rules.evidence);
+		now >= settledAt &&
+		isServiceSound(top.engines, nearlyTogether, evidence);
 	const parts = isCause ? nearlyTogether : together;
 	return { parts, engines: [...top.engines.keys()], crashes, isCause, until: settledAt };
 }
@@ -87,27 +87,15 @@
 	engines: Map<EngineRef, Failure>;
 }
 
-/** Parts are not suspected at engines where requests with others had begun and theirs had not. */
 function selectSuspected(
 	uncleared: ReadonlyMap<Trait, Crashes>,
 	explained: ReadonlySet<EngineRef>,
 ): Candidate[] {
-	const parts = [...uncleared].filter(([trait]) => isPromptPart(trait));
-	const begun = new Set<EngineRef>();
-	for (const [, crashes] of parts) {
-		for (const [engine, { hasBegun }] of crashes) {
-			if (hasBegun) {
-				begun.add(engine);
-			}
-		}
-	}
-	const candidates = parts.map(([part, crashes]) => {
-		const engines = [...crashes].filter(
-			([engine, { hasBegun }]) => !explained.has(engine) && (hasBegun || !begun.has(engine)),
-		);
+	const candidates = [...uncleared].map(([part, crashes]) => {
+		const engines = [...crashes].filter(([engine]) => !explained.has(engine));
 		return { part, engines: new Map(engines) };
 	});
-	return candidates.filter(({ engines }) => engines.size > 0);
+	return candidates.filter(({ part, engines }) => isPromptPart(part) && engines.size > 0);
 }
 
 /**
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -8,13 +8,13 @@
 import type { CallerRequest } from '../relay/definitions.js';
 import type { ContentHash, HeadHash } from './content-hash.js';
 import { extractHeadHash, hashHead } from './content-hash.js';
-import type { CrashAnalysis } from './crash-causes.js';
+import type { CrashAnalysis, CrashEvidence } from './crash-causes.js';
 import { findCrashCauses } from './crash-causes.js';
 import { CrashLedger, crashRetentionMs } from './crash-ledger.js';
 import type { PartGroup } from './part-causes.js';
 import { trialsMs } from './part-causes.js';
 import type { PromptPart, Trait } from './traits.js';
-import { isPromptPart, toLogFields } from './traits.js';
+import { formatTrait, isPromptPart, toLogFields } from './traits.js';
 
 /** Engines at which a content may fail before the VM stops retrying it on its own. */
 const maxFailedEngines = 2;
@@ -25,6 +25,8 @@
 /** Time until a quarantine ends at the latest, in seconds. */
 export const quarantineS = crashRetentionMs / 1000;
 
+type LogFields = Parameters<Log['warn']>[1];
+
 const noAnalysis: CrashAnalysis = { contents: new Set(), groups: [], suspects: [] };
 
 export interface QuarantineOptions {
@@ -123,12 +125,9 @@
 		this.ledger.recordSuccess(traits, beganAt);
 	}
 
-	/**
-	 * Records that a request with these traits failed at an engine.
-	 * @param hasBegun whether the engine had begun to answer it, as far as known
-	 */
-	recordFailure(traits: readonly Trait[], engine: EngineRef, hasBegun = true): void {
-		this.ledger.recordFailure(traits, engine, hasBegun);
+	/** Records that a request with these traits failed at an engine. */
+	recordFailure(traits: readonly Trait[], engine: EngineRef): void {
+		this.ledger.recordFailure(traits, engine);
 	}
 
 	recordEngineCrash(engine: EngineRef): void {
@@ -153,7 +152,12 @@
 			this.stored.set(trait, this.now);
 		}
 		this.recompute();
-		this.announceEntered(added, 'store');
+		for (const trait of added) {
+			this.opts.log.warn('quarantine.entered', { ...toLogFields(trait), source: 'store' });
+		}
+		if (added.length > 0) {
+			this.opts.onEntered();
+		}
 	}
 
 	/** Ends the quarantine of a trait on behalf of an operator. */
@@ -218,31 +222,26 @@
 	}
 
 	private recompute(): void {
-		const before = listSingleCauses(this.analysis);
-		const groupCount = this.analysis.groups.length;
-		this.analysis = findCrashCauses(this.ledger.evidence, this.now);
-		const { groups, suspects } = this.analysis;
-		const causes = listSingleCauses(this.analysis);
+		const { evidence } = this.ledger;
+		const before = describeCauses(this.analysis, evidence);
+		this.analysis = findCrashCauses(evidence, this.now);
+		const { contents, groups, suspects } = this.analysis;
 		this.reviewAt = Math.min(...suspects.map(({ until }) => until).filter((at) => at > this.now));
-		this.ledger.setRepeatedTraits(new Set([...causes, ...groups.flatMap(({ parts }) => parts)]));
+		this.ledger.setRepeatedTraits(new Set([...contents, ...groups.flatMap(({ parts }) => parts)]));
 		const known = [...this.ledger.listTraits(), ...this.stored.keys()];
 		this.heads = new Set(known.filter((trait) => !isPromptPart(trait)).map(extractHeadHash));
-		for (const trait of before) {
-			if (!causes.has(trait)) {
-				this.opts.log.warn('quarantine.left', toLogFields(trait));
-			}
-		}
-		const added = [...causes].filter((trait) => !before.has(trait));
-		this.announceEntered(added, 'news');
-		if (groups.length > groupCount) {
-			this.opts.onEntered();
-		}
+		this.announceChanges(before, describeCauses(this.analysis, evidence));
 	}
 
-	private announceEntered(added: readonly Trait[], source: string): void {
-		for (const trait of added) {
-			const engines = this.ledger.evidence.get(trait)?.size;
-			this.opts.log.warn('quarantine.entered', { ...toLogFields(trait), engines, source });
+	private announceChanges(before: CauseFields, after: CauseFields): void {
+		for (const [key, fields] of before) {
+			if (!after.has(key)) {
+				this.opts.log.warn('quarantine.left', fields);
+			}
+		}
+		const added = [...after].filter(([key]) => !before.has(key));
+		for (const [, fields] of added) {
+			this.opts.log.warn('quarantine.entered', { ...fields, source: 'news' });
 		}
 		if (added.length > 0) {
 			this.opts.onEntered();
@@ -250,6 +249,24 @@
 	}
 }
 
+/** Log fields of causes, by a text that names each. */
+type CauseFields = ReadonlyMap<string, LogFields>;
+
+function describeCauses({ contents, groups }: CrashAnalysis, evidence: CrashEvidence): CauseFields {
+	const ofGroups = groups.map(({ parts, engines }) => {
+		const part = [...parts]
+			.sort((a, b) => b - a)
+			.map(formatTrait)
+			.join('+');
+		return [part, { part, engines: engines.length }] as const;
+	});
+	const ofContents = [...contents].map((content) => {
+		const fields = { ...toLogFields(content), engines: evidence.get(content)?.size };
+		return [formatTrait(content), fields] as const;
+	});
+	return new Map<string, LogFields>([...ofContents, ...ofGroups]);
+}
+
 function hasAll(traits: readonly Trait[], { parts }: PartGroup): boolean {
 	return parts.every((part) => traits.includes(part));
 }
--- a/src/core/quarantine/request-quarantine.ts
+++ b/src/core/quarantine/request-quarantine.ts
@@ -22,7 +22,7 @@
 export class RequestQuarantine {
 	private hash?: ContentHash;
 	private partsOfPrompt?: readonly PromptPart[];
-	/** The engine that the request may have crashed, as that had begun to answer it. */
+	/** The engine that the request may have crashed. */
 	private failedAt?: EngineRef;
 	/** The attempt that was recorded as harmless. */
 	private harmlessAttempt?: Attempt;
@@ -31,8 +31,6 @@
 		private readonly quarantine: Quarantine,
 		private readonly req: CallerRequest,
 		private readonly customer: string | undefined,
-		/** Whether the answer is a stream, so that its first event tells when the engine began. */
-		private readonly isStreamed: boolean,
 	) {}
 
 	get content(): ContentHash {
@@ -79,10 +77,9 @@
 		if (!isShort || engine.isDraining) {
 			return;
 		}
-		const hasBegun = !this.isStreamed || sinceFirstEventMs !== undefined;
-		this.failedAt = hasBegun && !isSilent ? engine.ref : undefined;
+		this.failedAt = isSilent ? undefined : engine.ref;
 		const traits = isSilent ? [this.content] : [this.content, ...this.parts];
-		this.quarantine.recordFailure(traits, engine.ref, hasBegun);
+		this.quarantine.recordFailure(traits, engine.ref);
 		// Over a link that is down, any engine looks closed.
 		if (!engine.isForwarded) {
 			this.quarantine.probeEngine(engine);
--- a/src/core/quarantine/types.ts
+++ b/src/core/quarantine/types.ts
@@ -13,8 +13,6 @@
 	trait?: Trait;
 	/** Whether a request with the trait was served since, so that it did not cause the crash. */
 	isCleared: boolean;
-	/** Whether the engine had begun to answer the request, as far as known. */
-	hasBegun: boolean;
 	/** How long ago the request failed, in milliseconds. */
 	ageMs: number;
 }
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -95,7 +95,7 @@
 		when: 'Engines crashed while running requests with this content or prompt part; such requests are refused for ten minutes.',
 		fields: {
 			content: 'hash of the content',
-			part: 'id of the prompt part, in place of a content',
+			part: 'id of the prompt part, in place of a content; several joined by +, if only requests with all of them are refused',
 			engines: 'number of engines that crashed, as known to this VM',
 			source: '`news`: VMs saw the crashes; `store`: another VM recorded the content before',
 		},
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -49,12 +49,7 @@
 		const { req, route } = routed;
 		const timeoutMs = Math.min(req.deadlineMs ?? route.timeoutMs, route.timeoutMs);
 		this.deadlineAt = req.arrivedAt + timeoutMs;
-		this.requestQuarantine = new RequestQuarantine(
-			ctx.quarantine,
-			req,
-			routed.customer?.name,
-			route.isStreamed,
-		);
+		this.requestQuarantine = new RequestQuarantine(ctx.quarantine, req, routed.customer?.name);
 		this.timer = setTimeout(() => this.handleTimeout(), Math.max(1, this.leftMs));
 		this.answer = new CallerAnswer(res, ctx.clock, () => this.attempt?.call?.resume());
 		this.outcome = new RequestOutcome(ctx, routed, this.answer, (outcome) => {
--- a/src/infra/relay/gossip-codec.ts
+++ b/src/infra/relay/gossip-codec.ts
@@ -35,10 +35,7 @@
 const maxAge = 255;
 /** Encodes the absence of a trait in crash reports. */
 const noTrait = -1;
-/**
- * State of a crash report: cleared, or from `minAgeState` on twice its age in milliseconds, plus one if the engine had not begun to
- * answer. VMs of earlier versions send 0 for those that are not cleared.
- */
+/** State of a crash report: cleared, or its age in milliseconds from `minAgeState` on. VMs of earlier versions send 0 for the latter. */
 const clearedState = 1;
 const minAgeState = 2;
 
@@ -136,9 +133,8 @@
 	return acks;
 }
 
-function packCrash({ trait, engine, isCleared, hasBegun, ageMs }: CrashReport): number[] {
-	const ageState = minAgeState + 2 * Math.round(ageMs) + (hasBegun ? 0 : 1);
-	const state = isCleared ? clearedState : ageState;
+function packCrash({ trait, engine, isCleared, ageMs }: CrashReport): number[] {
+	const state = isCleared ? clearedState : minAgeState + Math.round(ageMs);
 	return [trait ?? noTrait, engine, state];
 }
 
@@ -151,8 +147,7 @@
 			trait: trait === noTrait ? undefined : trait,
 			engine: fields[index + 1] ?? 0,
 			isCleared: state === clearedState,
-			hasBegun: state % 2 === 0,
-			ageMs: Math.max(0, Math.floor((state - minAgeState) / 2)),
+			ageMs: Math.max(0, state - minAgeState),
 		});
 	}
 	return reports;
