--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -98,6 +98,7 @@
 			'',
 			'',
 		];
+		record.add(`${attempt} sent to ${this.relay.name}`);
 		this.socket.write(head.join('\r\n'));
 		return this.#readAnswer(performance.now() + deadlineMs);
 	}
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -77,7 +77,8 @@
 }
 
 /** Sends one request on the agent's kept connection, if there is one. */
-function order({ address, ports }, agent, attempt) {
+function order({ name, address, ports }, agent, attempt) {
+	record.add(`${attempt} sent to ${name}`);
 	return new Promise((done) => {
 		const req = http.request({
 			method: 'POST',
