--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -6,7 +6,15 @@
 import * as net from 'node:net';
 import * as path from 'node:path';
 import * as url from 'node:url';
-import { apiKey, Deployment, host, Record, SetupError, sleep } from '../lib/deployment.mjs';
+import {
+	apiKey,
+	Deployment,
+	host,
+	loopback,
+	Record,
+	SetupError,
+	sleep,
+} from '../lib/deployment.mjs';
 
 const folder = path.dirname(url.fileURLToPath(import.meta.url));
 const hasTrouble = process.env.TROUBLE !== '0';
@@ -69,7 +77,7 @@
 		});
 		res.end(body);
 	});
-	return new Promise((done) => server.listen(0, '127.0.0.1', () => done(server)));
+	return new Promise((done) => server.listen(0, loopback, () => done(server)));
 }
 
 /** A client that keeps its connection, and reads exactly what the relay sends on it. */
@@ -223,7 +231,7 @@
 	);
 	try {
 		for (const [index, id] of ids.entries()) {
-			const address = `127.0.0.1:${engines[index].address().port}`;
+			const address = `${loopback}:${engines[index].address().port}`;
 			deployment.register(id, { service: 'storefront-api', address });
 		}
 		await deployment.start();
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -5,7 +5,15 @@
 import * as http from 'node:http';
 import * as path from 'node:path';
 import * as url from 'node:url';
-import { apiKey, Deployment, host, Record, SetupError, sleep } from '../lib/deployment.mjs';
+import {
+	apiKey,
+	Deployment,
+	host,
+	loopback,
+	Record,
+	SetupError,
+	sleep,
+} from '../lib/deployment.mjs';
 
 const folder = path.dirname(url.fileURLToPath(import.meta.url));
 const hasTrouble = process.env.TROUBLE !== '0';
@@ -25,7 +33,7 @@
 const deadlineMs = 4000;
 const timeoutMs = 2000;
 const workMs = 450;
-const clientCount = 12;
+const clientCount = 18;
 /** Between two requests of a client. */
 const pauseMs = 100;
 /** Times since the start of the traffic, in milliseconds. */
@@ -73,7 +81,7 @@
 		});
 		res.end(body);
 	});
-	return new Promise((done) => server.listen(0, '127.0.0.1', () => done(server)));
+	return new Promise((done) => server.listen(0, loopback, () => done(server)));
 }
 
 /** Sends one request on the agent's kept connection, if there is one. */
@@ -149,7 +157,7 @@
 	};
 	try {
 		for (const [index, id] of ids.entries()) {
-			const address = `127.0.0.1:${engines[index].address().port}`;
+			const address = `${loopback}:${engines[index].address().port}`;
 			deployment.register(id, { service: 'storefront-api', address });
 		}
 		await deployment.start();
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -26,6 +26,8 @@
 /** From the end of a process to its next start. */
 const restartDelayMs = 500;
 
+/** Address of the store and the engines. */
+export const loopback = '127.0.0.1';
 export const host = 'relay.example';
 export const apiKey = 'key-of-studio';
 
@@ -89,7 +91,8 @@
 	}
 
 	async start() {
-		await this.store.start();
+		// The stand-in's own start() listens at all addresses of the machine.
+		await new Promise((done) => this.store.server.listen(0, loopback, done));
 		this.store.put('op/config', {
 			version: 3,
 			routes: this.routes,
@@ -186,7 +189,7 @@
 			'heartbeat-ms': 1200,
 			bounds: this.bounds,
 			platform: {
-				address: this.store.addressFor(address),
+				address: `${loopback}:${this.store.server.address().port}`,
 				'writes-per-s': 400,
 				'reads-per-s': 2000,
 				'ttl-min-ms': 1000,
