Review: a process ends as a deadly request times out twice

Shown: a request that takes down silent engines comes twice, and at the second timeout the process of the relay ends by itself (ERR_HTTP_HEADERS_SENT), with the requests that sound engines run for it. It takes the place of the entry whose address is no IP:PORT.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -23,6 +23,7 @@
 	String(metricsPort),
 ];
 const startTimeoutMs = 10_000;
+const heartbeatMs = 1200;
 /** From the end of a process to its next start. */
 const restartDelayMs = 500;
 
@@ -112,7 +113,10 @@
 		await sleep(2500);
 	}
 
-	/** Registers an engine and repeats its heartbeat, until the deployment stops. */
+	/**
+	 * Registers an engine and repeats its heartbeat, until the deployment stops.
+	 * @returns ends the heartbeat; the entry goes after three that are missing
+	 */
 	register(id, fields) {
 		let sequence = 0;
 		const born = Date.now();
@@ -129,12 +133,12 @@
 			});
 		};
 		write();
-		this.#timers.push(setInterval(write, 1200));
-	}
-
-	/** Writes the entry of another writer under an id of its own. */
-	putForeignEntry(id, entry) {
-		this.store.put(`servers/${id}`, entry);
+		const timer = setInterval(write, heartbeatMs);
+		this.#timers.push(timer);
+		return () => {
+			clearInterval(timer);
+			this.#timers.push(setTimeout(() => this.store.remove(`servers/${id}`), 3 * heartbeatMs));
+		};
 	}
 
 	async stop() {
@@ -186,7 +190,7 @@
 				'disk-mb': 0,
 			},
 			'data-dir': null,
-			'heartbeat-ms': 1200,
+			'heartbeat-ms': heartbeatMs,
 			bounds: this.bounds,
 			platform: {
 				address: `${loopback}:${this.store.server.address().port}`,
