--- /dev/null
+++ b/test/features/silent-engines.feature
@@ -0,0 +1,59 @@
+Feature: Sound engines that fall silent for a while and go on
+
+	Scenario Outline: Answers under way are whole though sound engines fall silent
+		Given a relay of <vms> VMs with <engines> engines whose streams send an event each 250 ms
+		When <count> "<call>" requests are under way at each VM
+		And <silent> engines fall silent for <ms> ms
+		Then all these answers are whole
+
+		Examples:
+			| vms | engines | count | call                  | silent | ms   |
+			| 2   | 3       | 8     | POST /stream/resumed/ | 3      | 1200 |
+			| 5   | 6       | 30    | POST /stream/resumed/ | 6      | 1300 |
+			| 3   | 4       | 15    | POST /stream/resumed/ | 2      | 1500 |
+			| 2   | 1       | 10    | POST /stream/resumed/ | 1      | 1500 |
+			| 3   | 4       | 10    | POST /stream/once/    | 4      | 1500 |
+
+	Scenario: Answers under way are whole though sound engines fall silent twice in a row
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When 10 "POST /stream/resumed/" requests are under way at each VM
+		And 4 engines fall silent for 1000 ms
+		And 1100 ms pass in quiet
+		And 4 engines fall silent for 900 ms
+		Then all these answers are whole
+
+	Scenario Outline: Requests that begin while sound engines are silent are answered
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When <silent> engines fall silent for <ms> ms
+		And <count> "<call>" requests are under way at each VM
+		Then all these answers are whole
+
+		Examples:
+			| silent | ms   | count | call                  |
+			| 4      | 1200 | 10    | POST /stream/resumed/ |
+			| 2      | 1200 | 10    | POST /stream/resumed/ |
+			| 4      | 750  | 13    | GET /plain/           |
+			| 3      | 750  | 13    | GET /plain/           |
+			| 4      | 750  | 13    | POST /once/           |
+
+	Scenario: Requests that begin late in a silence of all engines are answered
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When 10 "POST /stream/resumed/" requests are under way at each VM
+		And 4 engines fall silent for 1500 ms
+		And 900 ms pass in quiet
+		And 10 more "POST /stream/resumed/" requests are under way at each VM
+		Then all these answers are whole
+
+	Scenario: Streams of an engine that stays silent go on elsewhere
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When 8 "POST /stream/resumed/" requests are under way at each VM
+		And 1 engines fall silent for 60000 ms
+		Then all these answers are whole
+		And no stream paused for more than 1200 ms
+
+	Scenario: Streams of an engine that stays silent wait for the others to go on
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When 8 "POST /stream/resumed/" requests are under way at each VM
+		And 1 engines fall silent for 60000 ms
+		And 4 engines fall silent for 1500 ms
+		Then all these answers are whole
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -74,6 +74,9 @@
 /** Steps by which that delay differs between requests. */
 const crashDelayStepMs = 15;
 
+/** Interval at which a silent engine looks whether it may go on. */
+const silenceCheckMs = 50;
+
 /** Number of events in every streamed answer. */
 export const streamEventCount = 8;
 
@@ -83,6 +86,8 @@
 	eventIntervalMs = 5;
 	/** Delay of answers that are not streamed. */
 	answerDelayMs = 0;
+	/** Until when healthy answers are held back, in monotonic milliseconds. */
+	private silentUntil = 0;
 	/** Body of requests that crash the engine. */
 	crashBody?: string;
 	/** Parts of prompts that crash the engine once it has begun to answer; the last part of a prompt does not. */
@@ -122,6 +127,18 @@
 		this.server.closeAllConnections();
 	}
 
+	/** Sends nothing for a time and then goes on; connections and requests are still accepted. */
+	fallSilent(ms: number): void {
+		this.silentUntil = Math.max(this.silentUntil, performance.now() + ms);
+	}
+
+	private async untilSpeaking(): Promise<void> {
+		for (let left = this.silentUntil - performance.now(); left > 0; ) {
+			await pause(Math.min(left, silenceCheckMs));
+			left = this.silentUntil - performance.now();
+		}
+	}
+
 	private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
 		if (this.resetsReusedConnections && this.usedSockets.has(req.socket)) {
 			req.socket.resetAndDestroy();
@@ -335,9 +352,11 @@
 	): Promise<void> {
 		if (!req.url.startsWith('/stream')) {
 			await pause(this.answerDelayMs);
+			await this.untilSpeaking();
 			this.writeHead(req, res, 200, signed).end(`answer to ${req.body || req.url}`);
 			return;
 		}
+		await this.untilSpeaking();
 		this.writeHead(req, res, 200, { ...signed, 'content-type': 'text/event-stream' });
 		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
 		for (let event = first; event <= streamEventCount; event++) {
@@ -347,9 +366,11 @@
 				socket.resetAndDestroy();
 				return;
 			}
+			await this.untilSpeaking();
 			res.write(formatEvent(event, req.body));
 			await pause(this.eventIntervalMs);
 		}
+		await this.untilSpeaking();
 		res.end();
 	}
 }
--- /dev/null
+++ b/test/steps/silent-engines.steps.ts
@@ -0,0 +1,102 @@
+/**
+ * Steps for engines that fall silent and go on, with real daemons.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import type * as http from 'node:http';
+import * as cucumber from '@cucumber/cucumber';
+import { wholeStream } from '../stand-ins/platform-engine.js';
+import { seen } from './relay-fakes.js';
+import { fixtureOf } from './relay-fixture.js';
+import type { Answer } from './relay-world.js';
+import type { FleetWorld } from './world.js';
+
+/** Time in which requests reach their engines; also the first events of streams. */
+const underWayMs = 350;
+
+interface OpenRequest {
+	call: string;
+	body: string;
+	answer: Promise<Answer>;
+	/** Longest time without a byte after the head, in milliseconds; final once the answer has ended. */
+	pause: { maxMs: number };
+}
+
+cucumber.Given(
+	'a relay of {int} VMs with {int} engines whose streams send an event each {int} ms',
+	async function (this: FleetWorld, vms: number, engines: number, ms: number) {
+		const fixture = fixtureOf(this);
+		await fixture.start(
+			vms,
+			Array.from({ length: engines }, (_, index) => `e${index}`),
+		);
+		for (const engine of fixture.engines.values()) {
+			engine.eventIntervalMs = ms;
+		}
+		this.state.set('open requests', []);
+	},
+);
+
+cucumber.When(
+	/^(\d+) (?:more )?"(.*)" requests are under way at each VM$/,
+	async function (this: FleetWorld, count: string, call: string) {
+		const fixture = fixtureOf(this);
+		const open = seen<OpenRequest[]>(this, 'open requests');
+		for (const vm of fixture.vms) {
+			for (let index = 0; index < Number(count); index++) {
+				const body = call.startsWith('GET') ? '' : `${vm.address} ${open.length}`;
+				const { req, answer } = fixture.open(call, body, { vm });
+				open.push({ call, body, answer, pause: measurePause(req) });
+			}
+		}
+		await new Promise((done) => setTimeout(done, underWayMs));
+	},
+);
+
+cucumber.When(
+	'{int} engines fall silent for {int} ms',
+	function (this: FleetWorld, count: number, ms: number) {
+		const engines = [...fixtureOf(this).engines.values()];
+		for (const engine of engines.slice(0, count)) {
+			engine.fallSilent(ms);
+		}
+	},
+);
+
+cucumber.Then(
+	'all these answers are whole',
+	{ timeout: 20_000 },
+	async function (this: FleetWorld) {
+		const open = seen<OpenRequest[]>(this, 'open requests');
+		const answers = await Promise.all(open.map(({ answer }) => answer));
+		const failures = open.flatMap(({ call, body }, index) => {
+			const { status, body: received, cut } = answers[index] as Answer;
+			const target = call.split(' ')[1] ?? '';
+			const whole = target.startsWith('/stream')
+				? wholeStream(body)
+				: `answer to ${body || target}`;
+			const isWhole = status === 200 && !cut && received === whole;
+			return isWhole ? [] : [`${call}: ${status}${cut ? ' cut' : ''} ${JSON.stringify(received)}`];
+		});
+		const summary = `${failures.length} of ${open.length} are not whole: ${failures.slice(0, 3)}`;
+		assert.equal(failures.length, 0, summary);
+	},
+);
+
+cucumber.Then('no stream paused for more than {int} ms', function (this: FleetWorld, ms: number) {
+	const pauses = seen<OpenRequest[]>(this, 'open requests').map(({ pause }) => pause.maxMs);
+	assert.ok(Math.max(...pauses) <= ms, `paused for ${Math.round(Math.max(...pauses))} ms`);
+});
+
+function measurePause(req: http.ClientRequest): { maxMs: number } {
+	const pause = { maxMs: 0 };
+	req.on('response', (res) => {
+		let lastAt = performance.now();
+		res.on('data', () => {
+			const now = performance.now();
+			pause.maxMs = Math.max(pause.maxMs, now - lastAt);
+			lastAt = now;
+		});
+	});
+	return pause;
+}
