--- a/src/core/relay/attempt-results.ts
+++ b/src/core/relay/attempt-results.ts
@@ -52,11 +52,33 @@
 		}
 	}
 
+	/** The answer broke off or cannot be used. */
+	recordBroken(attempt: Attempt, reason: string): void {
+		this.recordBrokenAttempt(attempt, reason);
+		this.recordFailure(attempt, reason);
+	}
+
+	/** The engine was silent until another one answered. */
+	recordSilence(attempt: Attempt, reason: string): void {
+		this.recordBrokenAttempt(attempt, reason, true);
+		this.recordFailure(attempt, reason);
+	}
+
+	/**
+	 * The deadline passed before the engine answered.
+	 * @param wasSilent whether the engine was silent towards all requests
+	 */
+	recordTimeout(attempt: Attempt, wasSilent: boolean): void {
+		const reason = wasSilent ? 'the engine was silent until the deadline' : 'no answer in time';
+		this.recordBrokenAttempt(attempt, reason, true);
+		this.recordFailure(attempt, reason);
+	}
+
 	/**
 	 * The engine may have crashed while it ran this request, unless it was sent over a link of this VM that is down.
 	 * @param isSilent whether the engine fell silent, and did not end the connection
 	 */
-	recordBrokenAttempt(attempt: Attempt, reason: string, isSilent = false): void {
+	private recordBrokenAttempt(attempt: Attempt, reason: string, isSilent = false): void {
 		if (attempt.helper || !attempt.engine.isForwarded) {
 			this.requestQuarantine.recordFailure(attempt, isSilent);
 		}
--- a/src/core/relay/quarantine-gate.ts
+++ b/src/core/relay/quarantine-gate.ts
@@ -21,6 +21,7 @@
 		private readonly quarantine: RequestQuarantine,
 		private readonly answer: CallerAnswer,
 		private readonly outcome: RequestOutcome,
+		private readonly guard: (action: () => void) => void,
 	) {}
 
 	/** Whether the request must not be sent to engines. */
@@ -28,12 +29,19 @@
 		return this.quarantine.findQuarantined() !== undefined;
 	}
 
+	/** Why no further engine may get the request now; undefined if one may. */
+	get refusal(): string | undefined {
+		const isHeldBack = this.isClosed || this.quarantine.clearanceMs > 0;
+		return isHeldBack ? 'such requests may crash engines' : undefined;
+	}
+
 	/** Calls back at once if the request may be sent, later if it has to wait, and never if it is refused. */
 	pass(onPassed: () => void): void {
 		const { clearanceMs } = this.quarantine;
 		if (clearanceMs > 0) {
 			const waitMs = Math.min(clearanceMs, clearanceCheckMs);
-			this.timer = setTimeout(() => this.outcome.isFinished || this.pass(onPassed), waitMs);
+			const passLater = () => this.outcome.isFinished || this.pass(onPassed);
+			this.timer = setTimeout(() => this.guard(passLater), waitMs);
 		} else if (!this.refuseIfClosed()) {
 			onPassed();
 		}
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -45,11 +45,11 @@
 		}
 	}
 
-	/** Retries requests whose engine is silent on another engine; called several times a second. */
-	checkSilentEngines(): void {
+	/** Looks for engines that take over requests of silent ones; called several times a second. */
+	checkProgress(): void {
 		const now = this.opts.clock.monotonic();
 		for (const request of [...this.open]) {
-			request.checkSilentEngine(now);
+			request.checkProgress(now);
 		}
 	}
 
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -1,5 +1,6 @@
 /**
- * Relays one request: places and sends it, retries or resumes it on other engines, and ends its answer.
+ * Relays one request: places and sends it, retries, resumes or replaces it on other engines, and ends its answer. An attempt ends only
+ * by its own failure, its deadline, its caller, or the first event of another one.
  * @module
  */
 
@@ -16,10 +17,12 @@
 import { AttemptSender } from './attempt-sender.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { AnswerHead, CallerResponse, CallListener } from './definitions.js';
+import { LiveAttempts } from './live-attempts.js';
+import { replacementResults } from './metrics.js';
 import { QuarantineGate } from './quarantine-gate.js';
 import { RequestOutcome } from './request-outcome.js';
 import { RequestPlacement } from './request-placement.js';
-import { RequestRetries } from './request-retries.js';
+import { RequestRetries, retryRefusals } from './request-retries.js';
 import type { RelayContext, RelayOutcome, RoutedRequest } from './types.js';
 import { relayOutcomes } from './types.js';
 
@@ -29,7 +32,7 @@
 export class RelayedRequest {
 	private readonly deadlineAt: number;
 	private readonly requestPlacement: RequestPlacement;
-	private attempt?: Attempt;
+	private readonly live = new LiveAttempts();
 	private readonly answer: CallerAnswer;
 	private readonly requestQuarantine: RequestQuarantine;
 	private readonly gate: QuarantineGate;
@@ -39,6 +42,10 @@
 	private readonly sender: AttemptSender;
 	private readonly retries: RequestRetries;
 	private readonly timer: NodeJS.Timeout;
+	/** An engine is being chosen, or a permit for it awaited. */
+	private isPlacing = false;
+	/** No engine works on the request, and it waits until one can take it over. */
+	private isHeld = false;
 
 	constructor(
 		private readonly ctx: RelayContext,
@@ -47,30 +54,41 @@
 		onEnd: (outcome: RelayOutcome, request: RelayedRequest) => void,
 	) {
 		const { req, route } = routed;
+		const guard = (action: () => void) => this.guard(action);
 		const timeoutMs = Math.min(req.deadlineMs ?? route.timeoutMs, route.timeoutMs);
 		this.deadlineAt = req.arrivedAt + timeoutMs;
 		this.requestQuarantine = new RequestQuarantine(ctx.quarantine, req, routed.customer?.name);
-		this.timer = setTimeout(() => this.handleTimeout(), Math.max(1, this.leftMs));
-		this.answer = new CallerAnswer(res, ctx.clock, () => this.attempt?.call?.resume());
+		this.timer = setTimeout(() => guard(() => this.handleTimeout()), Math.max(1, this.leftMs));
+		this.answer = new CallerAnswer(res, ctx.clock, () => this.live.resume());
 		this.outcome = new RequestOutcome(ctx, routed, this.answer, (outcome) => {
 			this.gate.cancel();
 			this.requestPlacement.cancel();
 			this.stopTimer();
 			onEnd(outcome, this);
 		});
-		this.gate = new QuarantineGate(routed, this.requestQuarantine, this.answer, this.outcome);
-		this.answerRelay = new AnswerRelay(this.answer, req.lastEventId);
+		this.gate = new QuarantineGate(
+			routed,
+			this.requestQuarantine,
+			this.answer,
+			this.outcome,
+			guard,
+		);
+		this.answerRelay = new AnswerRelay(this.answer, req.lastEventId, {
+			onEvents: (attempt) => this.endOthers(attempt),
+			onLargeAnswer: (attempt) => this.handleLargeAnswer(attempt),
+		});
 		this.results = new AttemptResults(ctx, this.outcome, this.requestQuarantine);
 		this.sender = new AttemptSender(ctx, routed, this.outcome);
 		this.retries = new RequestRetries(ctx, routed, this.outcome, this.requestQuarantine);
 		this.requestPlacement = new RequestPlacement({
 			ctx,
 			routed,
-			onPlaced: (placement) => this.send(placement),
-			onRefused: (reason, retryAfterS) => this.outcome.giveUp(reason, retryAfterS),
+			onPlaced: (placement) => this.handlePlaced(placement),
+			onRefused: (reason, retryAfterS) => this.handleRefused(reason, retryAfterS),
 			outcome: this.outcome,
+			guard,
 		});
-		res.onDisconnect(() => this.handleCallerLeft());
+		res.onDisconnect(() => guard(() => this.handleCallerLeft()));
 	}
 
 	/** Time from the request to the first byte of the answer. */
@@ -92,56 +110,54 @@
 	}
 
 	start(): void {
-		this.ctx.retryBudget.recordRequest(this.routed.service, this.ctx.clock.monotonic());
-		this.place();
+		this.guard(() => {
+			this.ctx.retryBudget.recordRequest(this.routed.service, this.ctx.clock.monotonic());
+			this.place();
+		});
 	}
 
 	/** Ends the request because the process stops. */
 	abort(reason: string): void {
-		this.abortAttempt();
-		if (this.answer.hasStarted) {
-			this.outcome.abort(relayOutcomes.cut, reason);
-		} else {
+		this.guard(() => {
+			this.abortAttempts();
 			this.outcome.giveUp(reason);
-		}
+		});
 	}
 
-	/** Ends the request if it is quarantined and its engine has not begun to answer it. */
+	/** Ends the request if it is quarantined and no engine has begun to answer it. */
 	withdrawIfQuarantined(): void {
-		const { attempt, outcome } = this;
-		if (outcome.isFinished || !attempt || attempt.sinceFirstEventMs !== undefined) {
-			return;
-		}
-		if (this.gate.isClosed) {
-			this.abortAttempt();
-			this.gate.refuseIfClosed();
-		}
+		this.guard(() => {
+			const { live, outcome } = this;
+			if (outcome.isFinished || live.isEmpty || live.hasFirstEvent) {
+				return;
+			}
+			if (this.gate.isClosed) {
+				this.abortAttempts();
+				this.gate.refuseIfClosed();
+			}
+		});
 	}
 
-	/**
-	 * Retries on another engine, where allowed, when the engine is silent towards all requests. Otherwise keeps waiting, as silence does
-	 * not prove a failure.
-	 */
-	checkSilentEngine(now: number): void {
-		const { attempt, ctx, routed } = this;
-		if (ctx.links.getRunningCheck(routed.service)) {
-			// Soon tells whether the engine is silent or this VM's link to it is down.
-			return;
-		}
-		const mayRetry = this.answer.hasStarted ? routed.route.isResumable : this.isRepeatable;
-		if (
-			!this.outcome.isFinished &&
-			attempt?.isSilent(now) &&
-			mayRetry &&
-			this.retries.isAllowed(now)
-		) {
-			attempt.helper?.recordFailure();
-			this.handleBrokenAnswer(attempt, 'the engine is silent', true);
-		}
+	/** Looks for an engine that takes over from one that is silent, or that failed while there was none. */
+	checkProgress(now: number): void {
+		this.guard(() => {
+			if (this.outcome.isFinished || this.isPlacing) {
+				return;
+			}
+			if (this.isHeld) {
+				this.placeHeld(now);
+			} else if (this.shouldReplace(now)) {
+				this.placeReplacement(now);
+			}
+		});
 	}
 
-	private get isRepeatable(): boolean {
-		return this.routed.route.repeatability === repeatabilities.idempotent;
+	/** Whether another engine may go on with the request although one may have run it. */
+	private get mayRepeat(): boolean {
+		const { route } = this.routed;
+		return this.answer.hasStarted
+			? route.isResumable
+			: route.repeatability === repeatabilities.idempotent;
 	}
 
 	/** Time left until the deadline of route or caller, which also passes while the VM is suspended. */
@@ -149,22 +165,113 @@
 		return this.deadlineAt - this.ctx.clock.sinceBoot();
 	}
 
+	/** An error in the life of one request ends only that request. */
+	private guard(action: () => void): void {
+		try {
+			action();
+		} catch (err) {
+			const { req, route } = this.routed;
+			const fields = { request: req.id, route: route.name, error: (err as Error).stack };
+			this.ctx.log.error('request.defect', fields);
+			this.ctx.metrics.recordRequestDefect();
+			this.abortAttempts();
+			this.answer.abort();
+			this.outcome.abort(relayOutcomes.unknown, 'an error in the relay');
+		}
+	}
+
 	private place(): void {
 		if (this.leftMs <= 0) {
 			this.handleTimeout();
 			return;
 		}
+		this.isPlacing = true;
 		this.gate.pass(() => this.requestPlacement.placeNext());
 	}
 
+	/** Silence proves no failure: the silent attempts go on beside their replacement until one of them answers. */
+	private shouldReplace(now: number): boolean {
+		const isWaitingForEngine = !this.live.isEmpty && !this.answer.isPaused;
+		if (!isWaitingForEngine || !this.mayRepeat || !this.live.areSilent(now)) {
+			return false;
+		}
+		// A check soon tells whether the engine is silent or this VM's link to it is down.
+		return this.ctx.links.getRunningCheck(this.routed.service) === undefined;
+	}
+
+	private placeReplacement(now: number): void {
+		const refusal = this.retries.findRefusal(now) ?? this.gate.refusal;
+		if (refusal !== undefined) {
+			this.outcome.recordNotReplaced(refusal);
+			return;
+		}
+		const engines = this.live.list().map(({ engine }) => engine.id);
+		this.retries.prepare(engines.join(','), 'the engine is silent');
+		this.isPlacing = true;
+		this.requestPlacement.placeNext();
+	}
+
+	private placeHeld(now: number): void {
+		const refusal = this.retries.findRefusal(now);
+		if (refusal === undefined) {
+			this.isHeld = false;
+			this.place();
+		} else if (refusal !== retryRefusals.budget) {
+			this.outcome.giveUp(refusal);
+		}
+	}
+
+	private handlePlaced(placement: Placement): void {
+		const isNeeded = this.live.isEmpty || this.live.areSilent(this.ctx.clock.monotonic());
+		const refusal = isNeeded
+			? this.retries.consume(this.answerRelay.lastEventId)
+			: 'the engine went on';
+		if (refusal === undefined) {
+			this.send(placement);
+		} else {
+			this.requestPlacement.release(placement.engine);
+			this.handleRefused(refusal, undefined);
+		}
+	}
+
+	private handleRefused(reason: string, retryAfterS: number | undefined): void {
+		this.isPlacing = false;
+		if (!this.live.isEmpty) {
+			this.outcome.recordNotReplaced(reason);
+		} else if (this.shouldHold) {
+			this.hold(reason);
+		} else {
+			this.outcome.giveUp(reason, retryAfterS);
+		}
+	}
+
+	/**
+	 * Whether to wait for an engine: a caller that has part of a stream is served by the rest only, and where engines are silent they
+	 * soon go on.
+	 */
+	private get shouldHold(): boolean {
+		if (!this.mayRepeat) {
+			return false;
+		}
+		return (
+			this.answer.hasStarted || (this.outcome.mayHaveRun && this.requestPlacement.hasSilentEngine)
+		);
+	}
+
+	private hold(reason: string): void {
+		this.isHeld = true;
+		this.outcome.recordNotReplaced(reason);
+	}
+
 	private send(placement: Placement): void {
+		this.isPlacing = false;
 		const progress = { leftMs: this.leftMs, lastEventId: this.answerRelay.lastEventId };
 		const attempt = this.sender.prepare(placement, progress);
 		if (!attempt) {
-			this.outcome.giveUp('no VM forwards the request', this.ctx.forwarding.retryAfterS);
+			this.handleRefused('no VM forwards the request', this.ctx.forwarding.retryAfterS);
 			return;
 		}
-		this.attempt = attempt;
+		this.live.add(attempt);
 		attempt.call = this.sender.dispatch(attempt, progress, this.listen(attempt));
 		if (this.answer.isPaused) {
 			attempt.call.pause();
@@ -176,8 +283,8 @@
 	 */
 	private listen(attempt: Attempt): CallListener {
 		const ifCurrent = (action: () => void, ifFinished: () => void) => {
-			if (this.attempt === attempt) {
-				(this.outcome.isFinished ? ifFinished : action)();
+			if (this.live.has(attempt)) {
+				this.guard(this.outcome.isFinished ? ifFinished : action);
 			}
 		};
 		const recordActivity = () => attempt.recordActivity();
@@ -207,9 +314,11 @@
 
 	/** The engine asked for a back-off or set a limit while the connection was being established. */
 	private handleWithdrawn(attempt: Attempt): void {
-		this.endAttempt(attempt);
 		this.requestPlacement.withdraw(attempt.engine);
-		this.place();
+		this.endUnsent(attempt);
+		if (this.live.isEmpty) {
+			this.place();
+		}
 	}
 
 	private handleHead(attempt: Attempt, head: AnswerHead): void {
@@ -240,44 +349,64 @@
 		if (!head) {
 			this.handleBrokenAnswer(attempt, 'the answer ended without a head');
 		} else if (head.status >= 300) {
-			this.handleErrorAnswer(attempt, head);
+			this.handleErrorAnswer(attempt, head, true);
 		} else if (attempt.splitter.hasPartialEvent) {
 			this.handleBrokenAnswer(attempt, 'the stream ended inside an event');
 		} else {
 			this.results.recordSuccess(attempt);
 			this.requestQuarantine.recordSuccess(attempt);
 			attempt.recordStreamEnd(this.routed.req.answerTokens);
-			this.endAttempt(attempt);
-			this.answerRelay.end(attempt, head);
-			this.outcome.finish(relayOutcomes.complete);
+			this.finishWith(attempt, head, relayOutcomes.complete);
 		}
 	}
 
-	/** Handles a complete answer with an error status. */
-	private handleErrorAnswer(attempt: Attempt, head: AnswerHead): void {
-		this.endAttempt(attempt);
+	/** @returns whether the answer goes to the caller although the rest of it has not arrived */
+	private handleLargeAnswer(attempt: Attempt): boolean {
+		const head = attempt.head as AnswerHead;
+		if (head.status >= 300) {
+			this.handleErrorAnswer(attempt, head, false);
+		} else {
+			this.endOthers(attempt);
+		}
+		return this.live.has(attempt);
+	}
+
+	/**
+	 * Decides what becomes of an error answer. Another engine is asked where possible, as long as the caller has received nothing of it.
+	 * @param isComplete false when it is too large to be buffered; the attempt goes on if the answer goes to the caller
+	 */
+	private handleErrorAnswer(attempt: Attempt, head: AnswerHead, isComplete: boolean): void {
+		const reason = `status ${head.status}`;
+		if (this.answerRelay.isForwarding(attempt)) {
+			this.finishWith(attempt, head, relayOutcomes.engineFailure, reason);
+			return;
+		}
 		if (head.hasNotRun) {
+			this.live.abort(attempt);
 			this.handleRejection(attempt, head);
 			return;
 		}
 		this.outcome.mayHaveRun = true;
 		if (head.status >= 500) {
-			this.results.recordFailure(attempt, `status ${head.status}`);
-			if (this.isRepeatable && this.retry(attempt, `status ${head.status}`)) {
+			this.results.recordFailure(attempt, reason);
+			if (this.mayRepeat && this.canGoOnWithout(attempt)) {
+				this.live.abort(attempt);
+				this.goOn(attempt, reason);
 				return;
 			}
 		}
 		if (this.answer.hasStarted) {
-			this.outcome.abort(relayOutcomes.cut, `status ${head.status}`);
-			return;
-		}
-		if (notRunStatuses.has(head.status)) {
+			this.abortAttempts();
+			this.outcome.abort(relayOutcomes.cut, reason);
+		} else if (notRunStatuses.has(head.status)) {
 			// Without the engine's declaration the caller must not conclude that the request has not run.
+			this.abortAttempts();
 			this.outcome.respond(502, 'the engine failed', relayOutcomes.unknown);
-			return;
+		} else if (isComplete) {
+			this.finishWith(attempt, head, relayOutcomes.engineFailure, reason);
+		} else {
+			this.endOthers(attempt);
 		}
-		this.answerRelay.end(attempt, head);
-		this.outcome.finish(relayOutcomes.engineFailure, `status ${head.status}`);
 	}
 
 	/** The engine declared that it did not run the request. */
@@ -288,10 +417,10 @@
 		} else {
 			attempt.health.recordRejection(this.ctx.clock.monotonic());
 		}
-		if (this.retry(attempt, `rejected with ${head.status}`)) {
-			return;
+		const reason = `rejected with ${head.status}`;
+		if (!this.goOn(attempt, reason)) {
+			this.outcome.giveUp(reason, this.requestPlacement.backOffLeftS);
 		}
-		this.outcome.giveUp(`rejected with ${head.status}`, this.requestPlacement.backOffLeftS);
 	}
 
 	private handleFailure(attempt: Attempt, reason: string, isRefused: boolean): void {
@@ -302,12 +431,12 @@
 			return;
 		}
 		// Nothing of the request was sent.
+		this.endUnsent(attempt);
 		if (isRefused) {
 			this.results.recordEngineExit(attempt);
 		}
 		this.results.recordUnreachable(attempt, reason);
-		this.endAttempt(attempt);
-		this.requestPlacement.placeAfterUnreachable(reason);
+		this.placeAfterUnreachable(reason);
 	}
 
 	/** Nothing of the request reached the engine, so it counts as not sent. */
@@ -320,12 +449,12 @@
 			reason: refusal,
 		});
 		helper?.recordRefusal(refusal);
-		this.endAttempt(attempt);
+		this.endUnsent(attempt);
 		if (refusal === forwardRefusals.engineUnavailable) {
-			this.requestPlacement.placeAfterUnreachable(refusal);
+			this.placeAfterUnreachable(refusal);
 		} else if (refusal === forwardRefusals.engineUnreachable) {
 			this.results.recordUnreachable(attempt, refusal);
-			this.requestPlacement.placeAfterUnreachable(refusal);
+			this.placeAfterUnreachable(refusal);
 		} else {
 			this.send(attempt.placement);
 		}
@@ -337,19 +466,16 @@
 			this.handleBrokenAnswer(attempt, reason);
 			return;
 		}
-		this.endAttempt(attempt);
+		this.endUnsent(attempt);
 		this.send(attempt.placement);
 	}
 
 	/** Handles an unusable answer to a request that may have run. */
-	private handleBrokenAnswer(attempt: Attempt, reason: string, isSilent = false): void {
-		attempt.call?.abort();
-		this.endAttempt(attempt);
+	private handleBrokenAnswer(attempt: Attempt, reason: string): void {
+		this.live.abort(attempt);
 		this.outcome.mayHaveRun = true;
-		this.results.recordBrokenAttempt(attempt, reason, isSilent);
-		this.results.recordFailure(attempt, reason);
-		const mayRetry = this.answer.hasStarted ? this.routed.route.isResumable : this.isRepeatable;
-		if (mayRetry && this.retry(attempt, reason)) {
+		this.results.recordBroken(attempt, reason);
+		if (this.mayRepeat && this.goOn(attempt, reason)) {
 			return;
 		}
 		if (this.answer.hasStarted) {
@@ -359,51 +485,117 @@
 		}
 	}
 
-	/** Sends the request to another engine if route, retry budget and quarantine allow it. */
-	private retry(attempt: Attempt, reason: string): boolean {
-		const isAllowed = this.retries.tryConsume(
-			attempt.engine.id,
-			reason,
-			this.answerRelay.lastEventId,
-		);
-		if (isAllowed) {
+	/** Whether other attempts or other engines may go on with the request. */
+	private canGoOnWithout(attempt: Attempt): boolean {
+		const isTakenOver = this.live.listOthers(attempt).length > 0 || this.isPlacing;
+		return isTakenOver || this.retries.findRefusal(this.ctx.clock.monotonic()) === undefined;
+	}
+
+	/**
+	 * Goes on with the other attempts, or on another engine.
+	 * @returns false if neither is possible
+	 */
+	private goOn({ engine }: Attempt, reason: string): boolean {
+		if (!this.live.isEmpty || this.isPlacing) {
+			return true;
+		}
+		const refusal = this.retries.findRefusal(this.ctx.clock.monotonic());
+		const isTemporary = refusal === retryRefusals.budget && this.answer.hasStarted;
+		if (refusal !== undefined && !isTemporary) {
+			this.outcome.recordNotReplaced(refusal);
+			return false;
+		}
+		this.retries.prepare(engine.id, reason);
+		if (refusal === undefined) {
 			this.place();
+		} else {
+			this.hold(refusal);
 		}
-		return isAllowed;
+		return true;
+	}
+
+	private placeAfterUnreachable(reason: string): void {
+		this.isPlacing = true;
+		this.requestPlacement.placeAfterUnreachable(reason);
 	}
 
 	private isStream(attempt: Attempt): boolean {
 		return this.routed.route.isStreamed && (attempt.head?.status ?? 0) < 300;
 	}
 
+	/** Ends the request with the complete answer of one attempt. */
+	private finishWith(
+		attempt: Attempt,
+		head: AnswerHead,
+		outcome: RelayOutcome,
+		reason?: string,
+	): void {
+		this.endOthers(attempt);
+		this.endAttempt(attempt);
+		this.answerRelay.end(attempt, head);
+		this.outcome.finish(outcome, reason);
+	}
+
+	/** Ends all attempts but the first to answer. */
+	private endOthers(winner: Attempt): void {
+		const now = this.ctx.clock.monotonic();
+		for (const other of this.live.listOthers(winner)) {
+			const wasSilent = other.sentAt < winner.sentAt && other.isSilent(now);
+			this.outcome.mayHaveRun ||= other.isSent;
+			this.live.abort(other);
+			this.recordReplacement(winner, other, wasSilent);
+		}
+		this.outcome.clearNotReplaced();
+	}
+
+	private recordReplacement(winner: Attempt, loser: Attempt, wasSilent: boolean): void {
+		this.outcome.log('request.replaced', {
+			engine: loser.engine.id,
+			by: winner.engine.id,
+			reason: wasSilent ? 'it answered first' : 'the engine went on',
+			sent_ms: Math.round(loser.sinceSentMs),
+			last_event: this.answerRelay.lastEventId,
+		});
+		const result = wasSilent ? replacementResults.used : replacementResults.notNeeded;
+		this.ctx.metrics.recordReplacement(this.routed.service, result);
+		if (wasSilent) {
+			loser.helper?.recordFailure();
+			this.results.recordSilence(loser, 'another engine answered first');
+		}
+	}
+
 	private endAttempt(attempt: Attempt): void {
-		this.attempt = undefined;
-		attempt.markEnded();
+		this.live.end(attempt);
 		if (this.outcome.isFinished) {
-			clearTimeout(this.timer);
+			this.stopTimer();
 		}
 	}
 
-	private abortAttempt(): void {
-		const { attempt } = this;
-		if (attempt) {
-			attempt.call?.abort();
+	/** Ends an attempt of which nothing reached the engine. */
+	private endUnsent(attempt: Attempt): void {
+		this.retries.refundUnsent();
+		this.endAttempt(attempt);
+	}
+
+	private abortAttempts(): void {
+		for (const attempt of this.live.list()) {
 			this.outcome.mayHaveRun ||= attempt.isSent;
-			this.endAttempt(attempt);
+			this.live.abort(attempt);
 		}
 	}
 
 	private handleTimeout(): void {
+		const now = this.ctx.clock.monotonic();
+		const unanswered = this.live.list().filter(({ isSent, head }) => isSent && !head);
+		const silent = new Set(unanswered.filter((attempt) => attempt.isSilent(now)));
+		this.abortAttempts();
 		if (this.outcome.isFinished) {
-			this.abortAttempt();
+			this.stopTimer();
 			return;
 		}
-		const { attempt } = this;
-		if (attempt?.isSent && !attempt.head) {
-			this.results.recordBrokenAttempt(attempt, 'no answer in time', true);
-			this.results.recordFailure(attempt, 'no answer in time');
+		for (const attempt of unanswered) {
+			this.results.recordTimeout(attempt, silent.has(attempt));
 		}
-		this.abortAttempt();
 		if (this.answer.hasStarted) {
 			this.outcome.abort(relayOutcomes.timedOut, 'the deadline of the route or the caller passed');
 		} else if (this.outcome.mayHaveRun) {
@@ -417,20 +609,23 @@
 		if (this.outcome.isFinished) {
 			return;
 		}
-		if (!this.routed.route.isStreamed) {
-			this.attempt?.countStartedAtSend();
+		const { isStreamed, repeatability } = this.routed.route;
+		if (!isStreamed) {
+			for (const attempt of this.live.list()) {
+				attempt.countStartedAtSend();
+			}
 		}
 		// A request that must not run twice continues, so that a caller that retries finds it done.
-		const shouldContinue = !this.isRepeatable && !this.routed.route.isStreamed;
+		const shouldContinue = !isStreamed && repeatability !== repeatabilities.idempotent;
 		if (!shouldContinue) {
-			this.abortAttempt();
+			this.abortAttempts();
 		}
 		this.outcome.finish(relayOutcomes.callerLeft);
 	}
 
 	/** Keeps the timer for an attempt that continues without its caller. */
 	private stopTimer(): void {
-		if (!this.attempt) {
+		if (this.live.isEmpty) {
 			clearTimeout(this.timer);
 		}
 	}
--- a/src/core/relay/request-outcome.ts
+++ b/src/core/relay/request-outcome.ts
@@ -4,12 +4,19 @@
  */
 import type { CallerAnswer } from './caller-answer.js';
 import type { RawHeaders } from './definitions.js';
+import { replacementResults } from './metrics.js';
 import type { RelayContext, RelayOutcome, RoutedRequest } from './types.js';
 import { relayOutcomes } from './types.js';
 
 /** Retry time for a refused caller, unless the engine sets one. */
 const defaultRetryAfterS = 0.1;
 
+interface EndCause {
+	reason?: string;
+	/** Status of an answer that the router generates. */
+	status?: number;
+}
+
 export type LogFields = Record<string, string | number | boolean | undefined>;
 
 export class RequestOutcome {
@@ -17,6 +24,8 @@
 	mayHaveRun = false;
 	/** Engines that received bytes of the request. */
 	readonly sentTo = new Set<string>();
+	/** Why no other engine took over last. */
+	private notReplacedReason?: string;
 	private finished = false;
 	private endedAt?: number;
 
@@ -42,7 +51,7 @@
 		return (this.endedAt ?? this.ctx.clock.sinceBoot()) - this.routed.req.arrivedAt;
 	}
 
-	/** Ends a request that no engine runs now, and tells the caller whether it may have run. */
+	/** Ends a request that no engine runs now, and tells the caller whether it may have run. Like all ends, ignored after the first. */
 	giveUp(reason: string, retryAfterS = defaultRetryAfterS): void {
 		if (this.answer.hasStarted) {
 			this.abort(relayOutcomes.cut, reason);
@@ -56,8 +65,7 @@
 
 	/** Closes the connection, so that the answer is recognisably incomplete. */
 	abort(outcome: RelayOutcome, reason: string): void {
-		this.answer.abort();
-		this.finish(outcome, reason);
+		this.end(outcome, { reason }, () => this.answer.abort());
 	}
 
 	/** Answers with a text that the router generates. */
@@ -68,21 +76,27 @@
 		reason = text,
 		headers: RawHeaders = [],
 	): void {
-		this.answer.sendText(status, text, headers);
-		this.finish(outcome, reason, status);
+		this.end(outcome, { reason, status }, () => this.answer.sendText(status, text, headers));
 	}
 
-	finish(outcome: RelayOutcome, reason?: string, status?: number): void {
+	/** Ends a request whose answer has ended, or whose caller has left. */
+	finish(outcome: RelayOutcome, reason?: string): void {
+		this.end(outcome, { reason }, () => {});
+	}
+
+	/** @param answer answers the caller; called only for the first end of the request, so that it gets one answer */
+	private end(outcome: RelayOutcome, cause: EndCause, answer: () => void): void {
 		if (this.finished) {
 			return;
 		}
 		this.finished = true;
+		answer();
 		this.endedAt = this.ctx.clock.sinceBoot();
 		const level = outcome === relayOutcomes.complete ? 'info' : 'warn';
 		const fields = {
 			outcome,
-			reason,
-			status,
+			...cause,
+			not_replaced: this.notReplacedReason,
 			engines: [...this.sentTo].join(','),
 			first_ms: roundMs(this.firstByteMs),
 			pause_ms: roundMs(this.answer.maxPauseMs),
@@ -92,6 +106,20 @@
 		this.onEnd(outcome);
 	}
 
+	/** Records why no other engine takes over from one that is silent or failed. */
+	recordNotReplaced(reason: string): void {
+		if (reason !== this.notReplacedReason) {
+			this.notReplacedReason = reason;
+			this.log('request.not-replaced', { reason });
+			this.ctx.metrics.recordReplacement(this.routed.service, replacementResults.refused);
+		}
+	}
+
+	/** An engine goes on with the request: what was refused before did not end it. */
+	clearNotReplaced(): void {
+		this.notReplacedReason = undefined;
+	}
+
 	/** Logs an event with the fields of this request. */
 	log(event: string, fields: LogFields, level: 'info' | 'warn' = 'info'): void {
 		const { req, route } = this.routed;
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -27,6 +27,8 @@
 	/** @param retryAfterS retry time for the caller; undefined for the default */
 	onRefused: (reason: string, retryAfterS: number | undefined) => void;
 	outcome: RequestOutcome;
+	/** Runs what follows a wait, so that an error ends only this request. */
+	guard: (action: () => void) => void;
 }
 
 export class RequestPlacement {
@@ -97,13 +99,22 @@
 			return;
 		}
 		this.hasAwaitedCheck = true;
-		void check.then(() => {
-			if (!this.isCancelled) {
-				this.unreachableCount = 0;
-				this.retryUnsent();
-				this.placeNext();
-			}
-		});
+		void check.then(() => this.opts.guard(() => this.placeAfterCheck()));
+	}
+
+	private placeAfterCheck(): void {
+		if (!this.isCancelled) {
+			this.unreachableCount = 0;
+			this.retryUnsent();
+			this.placeNext();
+		}
+	}
+
+	/** Whether some engine of the service is silent, so that it may soon go on. */
+	get hasSilentEngine(): boolean {
+		const { ctx, routed } = this.opts;
+		const engines = ctx.engines.getEligible(routed.service);
+		return engines.some(({ health }) => health.isSilent(this.now));
 	}
 
 	/** Whether some engine of the service is available by its health. */
@@ -144,6 +155,12 @@
 		);
 	}
 
+	/** The placement is not used, so the engine may be chosen again. */
+	release(engine: Engine): void {
+		this.tried.delete(engine.id);
+		this.permittedEngine = undefined;
+	}
+
 	/** Nothing was sent to the engine, so it may be chosen again. */
 	withdraw(engine: Engine): void {
 		this.opts.outcome.log('request.withdrawn', {
@@ -152,8 +169,7 @@
 			rest_ms: Math.round(this.backOffLeftMs(engine)),
 			limit_per_s: this.opts.ctx.limits.ledger.getLimitPerS(engine.ref),
 		});
-		this.tried.delete(engine.id);
-		this.permittedEngine = undefined;
+		this.release(engine);
 	}
 
 	private backOffLeftMs({ notices }: Engine): number {
@@ -199,7 +215,7 @@
 	}
 
 	private requestPermit(placement: Placement, engines: readonly Engine[]): void {
-		const { ctx, routed, onPlaced } = this.opts;
+		const { ctx, routed, guard } = this.opts;
 		const { engine } = placement;
 		const waitMs = this.waitMs(engines);
 		this.permitRequests++;
@@ -207,21 +223,27 @@
 		// A synchronous denial requests the next permit before `request` returns, and its call is overwritten here: `isCancelled`
 		// covers it.
 		this.permitCall = ctx.limits.permits.request(engine.ref, routed.urgency, waitMs, (result) => {
-			if (this.isCancelled) {
-				return;
-			}
-			if (result.isGranted) {
-				this.permittedEngine = engine;
-				this.tried.add(engine.id);
-				ctx.limits.getRetrySchedule(routed.service).recordAdmission(this.now);
-				onPlaced(placement);
-			} else {
-				this.recordDenied(engine, result);
-				this.placeNext();
-			}
+			guard(() => this.handlePermit(placement, result));
 		});
 	}
 
+	private handlePermit(placement: Placement, result: PermitResult): void {
+		const { ctx, routed, onPlaced } = this.opts;
+		const { engine } = placement;
+		if (this.isCancelled) {
+			return;
+		}
+		if (result.isGranted) {
+			this.permittedEngine = engine;
+			this.tried.add(engine.id);
+			ctx.limits.getRetrySchedule(routed.service).recordAdmission(this.now);
+			onPlaced(placement);
+		} else {
+			this.recordDenied(engine, result);
+			this.placeNext();
+		}
+	}
+
 	private recordDenied(engine: Engine, { retryAfterMs }: PermitResult): void {
 		const { ctx, routed, outcome } = this.opts;
 		outcome.log('permit.denied', { engine: engine.id, retry_ms: Math.round(retryAfterMs) });
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -93,7 +93,8 @@
 			clock,
 			log,
 			onUpdate: () => this.coordinator.peers.markChanged(),
-			onEntered: () => this.relay.withdrawQuarantined(),
+			// Deferred, as a request may be reporting the failure of its own attempt.
+			onEntered: () => setImmediate(() => this.relay.withdrawQuarantined()),
 			isPortClosed: (address) => transport.isPortClosed(address),
 		});
 		this.engines = new EngineDirectory({
@@ -281,7 +282,7 @@
 			clock,
 			log,
 			decode: platform.decodeRequest,
-			isEventLoopLagging: () => this.loopMonitor.delayMs > lateLoopMs,
+			isEventLoopLagging: () => this.isLoopLate,
 			handle: (req, res) => this.relay.handle(req, res),
 		});
 		this.loopMonitor = new EventLoopMonitor({
@@ -372,7 +373,10 @@
 		this.storeSync.update();
 		this.engines.sweep();
 		this.hub.update();
-		this.relay.checkSilentEngines();
+		if (!this.isLoopLate) {
+			// Bytes that arrived meanwhile are read first, as engines would look silent otherwise.
+			this.relay.checkProgress();
+		}
 		if (this.quarantineRecords.hasWork) {
 			this.supervise(this.quarantineRecords.update());
 		}
@@ -381,6 +385,10 @@
 		}
 	}
 
+	private get isLoopLate(): boolean {
+		return this.loopMonitor.delayMs > lateLoopMs;
+	}
+
 	private sweep(): void {
 		this.coordinator.sweep();
 		this.hub.sweep();
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -7,7 +7,7 @@
 import type { CostEstimates } from '../../core/engines/work-estimate.js';
 import type { Trait } from '../../core/quarantine/traits.js';
 import { isPromptPart } from '../../core/quarantine/traits.js';
-import type { RelayMetrics } from '../../core/relay/metrics.js';
+import type { RelayMetrics, ReplacementResult } from '../../core/relay/metrics.js';
 import type { RelayOutcome } from '../../core/relay/types.js';
 
 /** Upper bounds of the histogram buckets, up to the longest deadline. */
@@ -73,6 +73,16 @@
 		'Retries at another engine, by service',
 		['service'],
 	);
+	private readonly replacementsTotal = this.counter(
+		'slategauge_replacements_total',
+		'Replacements of engines that fell silent or failed while they answered, by service and result: used, not-needed (the engine went on) or refused',
+		['service', 'result'],
+	);
+	private readonly requestDefectsTotal = this.counter(
+		'slategauge_request_defects_total',
+		'Requests that were ended because of an error in the relay itself',
+		[],
+	);
 	private readonly circuitsOpenedTotal = this.counter(
 		'slategauge_engines_closed_total',
 		'Times that the circuit breaker of an engine opened after failures',
@@ -225,6 +235,14 @@
 		this.retriesTotal.inc({ service });
 	}
 
+	recordReplacement(service: string, result: ReplacementResult): void {
+		this.replacementsTotal.inc({ service, result });
+	}
+
+	recordRequestDefect(): void {
+		this.requestDefectsTotal.inc();
+	}
+
 	recordStoreRestored(): void {
 		this.storeRestoredTotal.inc();
 	}
--- a/test/steps/engine-limits.steps.ts
+++ b/test/steps/engine-limits.steps.ts
@@ -293,6 +293,7 @@
 			outcome: { log() {} } as unknown as RequestOutcome,
 			onPlaced: ({ engine }) => sent.push(engine.id),
 			onRefused() {},
+			guard: (action) => action(),
 		});
 		placement.placeNext();
 		assert.deepEqual(requested, ['a', 'b']);
--- a/test/steps/engine-notices.steps.ts
+++ b/test/steps/engine-notices.steps.ts
@@ -270,7 +270,12 @@
 			transport,
 			retryBudget: { recordRequest() {}, getAvailable: () => 5, tryConsume: () => true },
 			fleet: { size: 1, changeWork() {}, recordPrefill() {} },
-			metrics: { recordRetry() {}, recordCircuitOpened() {} },
+			metrics: {
+				recordRetry() {},
+				recordReplacement() {},
+				recordRequestDefect() {},
+				recordCircuitOpened() {},
+			},
 			quarantine: { isEmpty: true, hasMatchingHead: () => false },
 			fleetHealth: alwaysHealthy,
 			links: soundLinks,
--- a/test/steps/suspension.steps.ts
+++ b/test/steps/suspension.steps.ts
@@ -275,7 +275,14 @@
 		fleetHealth: alwaysHealthy,
 		links: soundLinks,
 		costs: new CostModel(),
-		metrics: { recordEnded() {}, recordDenied() {}, recordRetry() {}, recordCircuitOpened() {} },
+		metrics: {
+			recordEnded() {},
+			recordDenied() {},
+			recordRetry() {},
+			recordReplacement() {},
+			recordRequestDefect() {},
+			recordCircuitOpened() {},
+		},
 		onWorkChanged() {},
 	} as unknown as RelayContext;
 }
