--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -156,7 +156,7 @@
 	private get mayRepeat(): boolean {
 		const { route } = this.routed;
 		return this.answer.hasStarted
-			? route.isResumable
+			? route.isResumable && this.answerRelay.lastEventId !== undefined
 			: route.repeatability === repeatabilities.idempotent;
 	}
 
@@ -387,20 +387,21 @@
 			return;
 		}
 		this.outcome.mayHaveRun = true;
-		if (head.status >= 500) {
+		const isServerError = head.status >= 500;
+		if (isServerError) {
 			this.results.recordFailure(attempt, reason);
-			if (this.mayRepeat && this.canGoOnWithout(attempt)) {
-				this.live.abort(attempt);
-				this.goOn(attempt, reason);
-				return;
-			}
 		}
-		if (this.answer.hasStarted) {
-			this.abortAttempts();
+		const isFinal = !isServerError && !this.answer.hasStarted && !notRunStatuses.has(head.status);
+		const mayGoOn = isServerError ? this.canGoOnWithout(attempt) : this.hasOthers(attempt);
+		if (!isFinal && this.mayRepeat && mayGoOn) {
+			this.live.abort(attempt);
+			this.goOn(attempt, reason);
+		} else if (this.answer.hasStarted) {
+			this.live.abort(attempt);
 			this.outcome.abort(relayOutcomes.cut, reason);
 		} else if (notRunStatuses.has(head.status)) {
 			// Without the engine's declaration the caller must not conclude that the request has not run.
-			this.abortAttempts();
+			this.live.abort(attempt);
 			this.outcome.respond(502, 'the engine failed', relayOutcomes.unknown);
 		} else if (isComplete) {
 			this.finishWith(attempt, head, relayOutcomes.engineFailure, reason);
@@ -456,7 +457,7 @@
 			this.results.recordUnreachable(attempt, refusal);
 			this.placeAfterUnreachable(refusal);
 		} else {
-			this.send(attempt.placement);
+			this.handlePlaced(attempt.placement);
 		}
 	}
 
@@ -467,7 +468,7 @@
 			return;
 		}
 		this.endUnsent(attempt);
-		this.send(attempt.placement);
+		this.handlePlaced(attempt.placement);
 	}
 
 	/** Handles an unusable answer to a request that may have run. */
@@ -487,8 +488,13 @@
 
 	/** Whether other attempts or other engines may go on with the request. */
 	private canGoOnWithout(attempt: Attempt): boolean {
-		const isTakenOver = this.live.listOthers(attempt).length > 0 || this.isPlacing;
-		return isTakenOver || this.retries.findRefusal(this.ctx.clock.monotonic()) === undefined;
+		const refusal = this.retries.findRefusal(this.ctx.clock.monotonic());
+		return this.hasOthers(attempt) || refusal === undefined;
+	}
+
+	/** Whether other attempts go on, or one is about to be made. */
+	private hasOthers(attempt: Attempt): boolean {
+		return this.live.listOthers(attempt).length > 0 || this.isPlacing;
 	}
 
 	/**
--- a/src/core/relay/request-outcome.ts
+++ b/src/core/relay/request-outcome.ts
@@ -90,7 +90,14 @@
 			return;
 		}
 		this.finished = true;
-		answer();
+		try {
+			answer();
+		} finally {
+			this.recordEnd(outcome, cause);
+		}
+	}
+
+	private recordEnd(outcome: RelayOutcome, cause: EndCause): void {
 		this.endedAt = this.ctx.clock.sinceBoot();
 		const level = outcome === relayOutcomes.complete ? 'info' : 'warn';
 		const fields = {
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -282,7 +282,7 @@
 			clock,
 			log,
 			decode: platform.decodeRequest,
-			isEventLoopLagging: () => this.isLoopLate,
+			isEventLoopLagging: () => this.loopMonitor.delayMs > lateLoopMs,
 			handle: (req, res) => this.relay.handle(req, res),
 		});
 		this.loopMonitor = new EventLoopMonitor({
@@ -373,10 +373,7 @@
 		this.storeSync.update();
 		this.engines.sweep();
 		this.hub.update();
-		if (!this.isLoopLate) {
-			// Bytes that arrived meanwhile are read first, as engines would look silent otherwise.
-			this.relay.checkProgress();
-		}
+		this.checkProgress();
 		if (this.quarantineRecords.hasWork) {
 			this.supervise(this.quarantineRecords.update());
 		}
@@ -385,8 +382,9 @@
 		}
 	}
 
-	private get isLoopLate(): boolean {
-		return this.loopMonitor.delayMs > lateLoopMs;
+	/** Bytes that have arrived are read first: after a late event loop engines would look silent otherwise. */
+	private checkProgress(): void {
+		setImmediate(() => setImmediate(() => this.relay.checkProgress()));
 	}
 
 	private sweep(): void {
--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -46,6 +46,7 @@
 
 	Scenario: Streams of an engine that stays silent go on elsewhere
 		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		And each VM serves 30 "GET /plain/" requests
 		When 8 "POST /stream/resumed/" requests are under way at each VM
 		And 1 engines fall silent for 60000 ms
 		Then all these answers are whole
@@ -53,7 +54,23 @@
 
 	Scenario: Streams of an engine that stays silent wait for the others to go on
 		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		And each VM serves 30 "GET /plain/" requests
 		When 8 "POST /stream/resumed/" requests are under way at each VM
 		And 1 engines fall silent for 60000 ms
 		And 4 engines fall silent for 1500 ms
 		Then all these answers are whole
+
+	Scenario Outline: Streams of a silent engine go on there after its replacement "<fault>"
+		Given a relay of 1 VMs with 2 engines whose streams send an event each 250 ms
+		When 8 "POST /stream/resumed/" requests are under way at each VM
+		And engine "e1" now "<fault>"
+		And 1 engines fall silent for 1500 ms
+		Then all these answers are whole
+
+		Examples:
+			| fault      |
+			| rejects    |
+			| fails      |
+			| bare-404   |
+			| resets     |
+			| unsigned   |
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -13,6 +13,8 @@
 	rejects: 'rejects',
 	/** Answers 503 without that header. */
 	unmarked503: 'bare-503',
+	/** Answers 404, which says nothing about whether the request ran. */
+	unmarked404: 'bare-404',
 	/** Resets the connection before any answer. */
 	resets: 'resets',
 	/** Sends three events and half of the fourth, then resets the connection. */
@@ -208,6 +210,9 @@
 			case engineBehaviours.unmarked503:
 				this.writeHead(req, res, 503, signed).end('busy');
 				return;
+			case engineBehaviours.unmarked404:
+				this.writeHead(req, res, 404, signed).end('unknown');
+				return;
 			case engineBehaviours.resets:
 				socket.resetAndDestroy();
 				return;
--- a/test/steps/silent-engines.steps.ts
+++ b/test/steps/silent-engines.steps.ts
@@ -5,9 +5,10 @@
 import * as assert from 'node:assert/strict';
 import type * as http from 'node:http';
 import * as cucumber from '@cucumber/cucumber';
+import type { EngineBehaviour } from '../stand-ins/platform-engine.js';
 import { wholeStream } from '../stand-ins/platform-engine.js';
 import { seen } from './relay-fakes.js';
-import { fixtureOf } from './relay-fixture.js';
+import { engineOf, fixtureOf } from './relay-fixture.js';
 import type { Answer } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
@@ -37,6 +38,18 @@
 	},
 );
 
+cucumber.Given(
+	'each VM serves {int} {string} requests',
+	async function (this: FleetWorld, count: number, call: string) {
+		const fixture = fixtureOf(this);
+		for (const vm of fixture.vms) {
+			const sent = Array.from({ length: count }, () => fixture.open(call, '', { vm }).answer);
+			const answers = await Promise.all(sent);
+			assert.ok(answers.every(({ status, cut }) => status === 200 && !cut));
+		}
+	},
+);
+
 cucumber.When(
 	/^(\d+) (?:more )?"(.*)" requests are under way at each VM$/,
 	async function (this: FleetWorld, count: string, call: string) {
@@ -63,6 +76,10 @@
 	},
 );
 
+cucumber.When('engine {string} now {string}', function (this: FleetWorld, id: string, how: string) {
+	engineOf(this, id).behaviour = how as EngineBehaviour;
+});
+
 cucumber.Then(
 	'all these answers are whole',
 	{ timeout: 20_000 },
@@ -70,15 +87,16 @@
 		const open = seen<OpenRequest[]>(this, 'open requests');
 		const answers = await Promise.all(open.map(({ answer }) => answer));
 		const failures = open.flatMap(({ call, body }, index) => {
-			const { status, body: received, cut } = answers[index] as Answer;
+			const { id, status, body: received, cut } = answers[index] as Answer;
 			const target = call.split(' ')[1] ?? '';
 			const whole = target.startsWith('/stream')
 				? wholeStream(body)
 				: `answer to ${body || target}`;
 			const isWhole = status === 200 && !cut && received === whole;
-			return isWhole ? [] : [`${call}: ${status}${cut ? ' cut' : ''} ${JSON.stringify(received)}`];
+			const seenByCaller = `${call}: ${status}${cut ? ' cut' : ''} ${JSON.stringify(received)}`;
+			return isWhole ? [] : [`${seenByCaller}\n${listLogLines(this, id)}`];
 		});
-		const summary = `${failures.length} of ${open.length} are not whole: ${failures.slice(0, 3)}`;
+		const summary = `${failures.length} of ${open.length} are not whole: ${failures.slice(0, 2)}`;
 		assert.equal(failures.length, 0, summary);
 	},
 );
@@ -88,6 +106,12 @@
 	assert.ok(Math.max(...pauses) <= ms, `paused for ${Math.round(Math.max(...pauses))} ms`);
 });
 
+/** What VMs logged of a request. */
+function listLogLines(world: FleetWorld, id: string): string {
+	const lines = fixtureOf(world).vms.flatMap(({ output }) => output.split('\n'));
+	return lines.filter((line) => line.includes(`request=${id} `)).join('\n');
+}
+
 function measurePause(req: http.ClientRequest): { maxMs: number } {
 	const pause = { maxMs: 0 };
 	req.on('response', (res) => {
