--- a/src/core/relay/answer-relay.ts
+++ b/src/core/relay/answer-relay.ts
@@ -36,6 +36,11 @@
 		return this.forwarded === attempt;
 	}
 
+	/** Whether parts of an error answer have gone to the caller, which no other engine can continue. */
+	get isForwardingError(): boolean {
+		return (this.forwarded?.head?.status ?? 0) >= 300;
+	}
+
 	/** @param isStream whether the answer is an event stream */
 	relayData(attempt: Attempt, chunk: Buffer, isStream: boolean): void {
 		if (isStream) {
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -156,7 +156,7 @@
 	private get mayRepeat(): boolean {
 		const { route } = this.routed;
 		return this.answer.hasStarted
-			? route.isResumable
+			? route.isResumable && !this.answerRelay.isForwardingError
 			: route.repeatability === repeatabilities.idempotent;
 	}
 
--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -57,3 +57,10 @@
 		And 1 engines fall silent for 60000 ms
 		And 4 engines fall silent for 1500 ms
 		Then all these answers are whole
+
+	Scenario: No events follow an error answer that is too large to be buffered
+		Given a stream that engine "a" of "a, b" begins with a large error, for up to 2 engines and no retries
+		When all engines are silent for a while
+		And retries are allowed again
+		And the relay looks 1 time for an engine
+		Then it was sent to "a", and the caller got "500 large"
