--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -395,7 +395,11 @@
 				return;
 			}
 		}
-		if (this.answer.hasStarted) {
+		const isUsable = !this.answer.hasStarted && !notRunStatuses.has(head.status);
+		if (!isUsable && this.live.listOthers(attempt).length > 0) {
+			this.live.abort(attempt);
+			this.outcome.recordNotReplaced(reason);
+		} else if (this.answer.hasStarted) {
 			this.abortAttempts();
 			this.outcome.abort(relayOutcomes.cut, reason);
 		} else if (notRunStatuses.has(head.status)) {
--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -58,6 +58,15 @@
 		And 4 engines fall silent for 1500 ms
 		Then all these answers are whole
 
+	Scenario: The answer of a silent engine does not end because the engine asked beside it refuses
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When all engines are silent for a while
+		And the relay looks 1 time for an engine
+		And the stream is sent to "b"
+		And "b" answers 429
+		And "a" sends event 2
+		Then it was sent to "a, b", and the caller got "200 id:1 id:2"
+
 	Scenario: No events follow an error answer that is too large to be buffered
 		Given a stream that engine "a" of "a, b" begins with a large error, for up to 2 engines and no retries
 		When all engines are silent for a while
