--- a/src/core/relay/attempt-sender.ts
+++ b/src/core/relay/attempt-sender.ts
@@ -66,9 +66,9 @@
 		if (this.helperCount >= maxHelpers) {
 			return undefined;
 		}
-		this.helperCount++;
 		const helper = ctx.forwarding.chooseHelper(routed.urgency);
 		if (helper) {
+			this.helperCount++;
 			ctx.metrics.recordForwarded(routed.service);
 		}
 		return helper;
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -268,6 +268,8 @@
 		const progress = { leftMs: this.leftMs, lastEventId: this.answerRelay.lastEventId };
 		const attempt = this.sender.prepare(placement, progress);
 		if (!attempt) {
+			this.retries.refundUnsent();
+			this.requestPlacement.release(placement.engine);
 			this.handleRefused('no VM forwards the request', this.ctx.forwarding.retryAfterS);
 			return;
 		}
--- a/src/core/relay/request-retries.ts
+++ b/src/core/relay/request-retries.ts
@@ -72,8 +72,8 @@
 		}
 		if (!isUnsent) {
 			ctx.retryBudget.tryConsume(routed.service, now);
+			ctx.metrics.recordRetry(routed.service);
 		}
-		ctx.metrics.recordRetry(routed.service);
 		this.outcome.log('request.retried', { ...pending, last_event: lastEventId });
 		this.pending = undefined;
 		return undefined;
--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -73,3 +73,19 @@
 		And retries are allowed again
 		And the relay looks 1 time for an engine
 		Then it was sent to "a", and the caller got "500 large"
+
+	Scenario: A retry that no VM forwards counts once
+		Given a stream that engine "a" of "a, b, c, d" has begun, for up to 4 engines
+		When "b, c, d" are reached through other VMs, of which none forwards
+		And all engines are silent for a while
+		And the relay looks 5 times for an engine
+		Then 1 retries are counted
+
+	Scenario: A stream that waits for a VM that forwards it does so until its deadline
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When "b" are reached through other VMs, of which none forwards
+		And "a" breaks off
+		And the relay looks 50 times for an engine
+		And "b" are reached through other VMs, of which one forwards
+		And the relay looks 1 time for an engine
+		Then it was sent to "a, b", and the caller got "200 id:1"
