--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -312,6 +312,7 @@
 	private handleSent(attempt: Attempt): void {
 		attempt.markSent(this.routed.req.promptSegments.slice(0, -1));
 		this.outcome.sentTo.add(attempt.engine.id);
+		this.retries.recordSent();
 	}
 
 	/** The engine asked for a back-off or set a limit while the connection was being established. */
--- a/src/core/relay/request-retries.ts
+++ b/src/core/relay/request-retries.ts
@@ -55,13 +55,17 @@
 		this.isUnsent = this.outcome.sentTo.size > 0;
 	}
 
+	/** The last attempt was sent: the next one counts again. */
+	recordSent(): void {
+		this.isUnsent = false;
+	}
+
 	/**
 	 * Counts and logs the retry that was prepared, if any.
 	 * @returns why it may not be sent any more; undefined if it may
 	 */
 	consume(lastEventId: string | undefined): RetryRefusal | undefined {
 		const { pending, routed, ctx, isUnsent } = this;
-		this.isUnsent = false;
 		if (!pending) {
 			return undefined;
 		}
--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -81,6 +81,17 @@
 		And the relay looks 5 times for an engine
 		Then 1 retries are counted
 
+	Scenario: A retry counts for each engine that got it, though a VM refused to forward one
+		Given a stream that engine "a" of "a, b, c" has begun, for up to 3 engines
+		When "b" are reached through other VMs, of which one forwards
+		And all engines are silent for a while
+		And the relay looks 1 time for an engine
+		And the VM that forwards to "b" refuses
+		And the stream is sent to "b"
+		And all engines are silent for a while
+		And the relay looks 1 time for an engine
+		Then 2 retries are counted
+
 	Scenario: A stream that waits for a VM that forwards it does so until its deadline
 		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
 		When "b" are reached through other VMs, of which none forwards
