--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -208,6 +208,7 @@
 		const engines = this.live.list().map(({ engine }) => engine.id);
 		this.retries.prepare(engines.join(','), 'the engine is silent');
 		this.isPlacing = true;
+		this.requestPlacement.startOver();
 		this.requestPlacement.placeNext();
 	}
 
@@ -215,6 +216,7 @@
 		const refusal = this.retries.findRefusal(now);
 		if (refusal === undefined) {
 			this.isHeld = false;
+			this.requestPlacement.startOver();
 			this.place();
 		} else if (refusal !== retryRefusals.budget) {
 			this.outcome.giveUp(refusal);
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -110,6 +110,14 @@
 		}
 	}
 
+	/** Begins another search: engines that got nothing may be chosen again, and permits asked for again. */
+	startOver(): void {
+		this.unreachableCount = 0;
+		this.permitRequests = 0;
+		this.waitingSince = undefined;
+		this.retryUnsent();
+	}
+
 	/** Whether some engine of the service is silent, so that it may soon go on. */
 	get hasSilentEngine(): boolean {
 		const { ctx, routed } = this.opts;
--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -92,6 +92,15 @@
 		And the relay looks 1 time for an engine
 		Then 2 retries are counted
 
+	Scenario: A stream that waits is sent to an engine that could not be reached before
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When "a" breaks off
+		And "b" cannot be reached
+		And the relay looks 1 time for an engine
+		And the stream is sent to "b"
+		And "b" sends event 2
+		Then it was sent to "a, b, b", and the caller got "200 id:1 id:2"
+
 	Scenario: A stream that waits for a VM that forwards it does so until its deadline
 		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
 		When "b" are reached through other VMs, of which none forwards
