--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -200,6 +200,10 @@
 	}
 
 	private placeReplacement(now: number): void {
+		if (this.leftMs <= 0) {
+			this.handleTimeout();
+			return;
+		}
 		const refusal = this.retries.findRefusal(now) ?? this.gate.refusal;
 		if (refusal !== undefined) {
 			this.outcome.recordNotReplaced(refusal);
--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -109,3 +109,10 @@
 		And "b" are reached through other VMs, of which one forwards
 		And the relay looks 1 time for an engine
 		Then it was sent to "a, b", and the caller got "200 id:1"
+
+	Scenario: A silent engine is not replaced after the deadline
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When the deadline passes while the VM is suspended
+		And all engines are silent for a while
+		And the relay looks 1 time for an engine
+		Then it was sent to "a", and the caller got "200 id:1 !"
