--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -556,7 +556,11 @@
 			const wasSilent = other.sentAt < winner.sentAt && other.isSilent(now);
 			this.outcome.mayHaveRun ||= other.isSent;
 			this.live.abort(other);
-			this.recordReplacement(winner, other, wasSilent);
+			if (other.isSent) {
+				this.recordReplacement(winner, other, wasSilent);
+			} else {
+				this.retries.refundUnsent();
+			}
 		}
 		this.outcome.clearNotReplaced();
 	}
--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -116,3 +116,12 @@
 		And all engines are silent for a while
 		And the relay looks 1 time for an engine
 		Then it was sent to "a", and the caller got "200 id:1 !"
+
+	Scenario: A retry of which nothing was sent counts for the next one
+		Given a stream that engine "a" of "a, b, c" has begun, for up to 3 engines
+		When all engines are silent for a while
+		And the relay looks 1 time for an engine
+		And "a" sends event 2
+		And all engines are silent for a while
+		And the relay looks 1 time for an engine
+		Then 1 retries are counted
