--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -125,3 +125,37 @@
 		And all engines are silent for a while
 		And the relay looks 1 time for an engine
 		Then 1 retries are counted
+
+	Scenario: A silent engine's stream that may run once is not sent to a second engine
+		Given a stream that may run once, which engine "a" of "a, b" has begun, for up to 2 engines
+		When all engines are silent for a while
+		And the relay looks 5 times for an engine
+		And "a" sends event 2
+		Then it was sent to "a", and the caller got "200 id:1 id:2"
+
+	Scenario: A permit that comes as the silent engine goes on is not used
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When all engines are silent for a while
+		And permits for engines are slow
+		And the relay looks 1 time for an engine
+		And "a" sends event 2
+		And the permit comes
+		Then it was sent to "a", and the caller got "200 id:1 id:2"
+
+	Scenario: A slow caller does not make its engine look silent
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When the caller reads no more
+		And "a" sends event 2
+		And all engines are silent for a while
+		And the relay looks 1 time for an engine
+		Then it was sent to "a", and the caller got "200 id:1 id:2"
+
+	Scenario: Of two engines that answer in one tick the first goes on
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When all engines are silent for a while
+		And the relay looks 1 time for an engine
+		And the stream is sent to "b"
+		And "a" begins an event
+		And "b" sends event 2
+		Then the call to "a" is over
+		And it was sent to "a, b", and the caller got "200 id:1 id:2"
--- a/test/steps/silence-decisions.steps.ts
+++ b/test/steps/silence-decisions.steps.ts
@@ -8,6 +8,7 @@
 import { Engine } from '../../src/core/engines/engine.js';
 import { nominalPace } from '../../src/core/engines/engine-pace.js';
 import { forwardRefusals } from '../../src/core/forwarding/types.js';
+import type { PermitResult } from '../../src/core/limits/permit-client.js';
 import { Quarantine } from '../../src/core/quarantine/quarantine.js';
 import type { AnswerHead, CallListener, EngineCall } from '../../src/core/relay/definitions.js';
 import { RelayedRequest } from '../../src/core/relay/relayed-request.js';
@@ -17,7 +18,6 @@
 	clockOf,
 	entry,
 	newFleetView,
-	noRequestLimits,
 	route,
 	seen,
 	silentLog,
@@ -34,6 +34,8 @@
 /** More than is buffered of an answer. */
 const largeBytes = 300 * 1024;
 
+type PermitCallback = (result: PermitResult) => void;
+
 interface StreamCall {
 	call: EngineCall;
 	listener: CallListener;
@@ -47,6 +49,9 @@
 	budget: RetryBudget;
 	/** Whether another VM forwards requests. */
 	helpers: { exist: boolean };
+	caller: { reads: boolean };
+	/** Grants of permits, for engines with limits. */
+	permits: { areSlow: boolean; grant?: () => void };
 	/** What the caller received; `|` marks the end and `!` a cut. */
 	received: string[];
 }
@@ -66,9 +71,9 @@
 };
 
 cucumber.Given(
-	'a stream that engine {string} of {string} has begun, for up to {int} engines',
-	function (this: FleetWorld, first: string, ids: string, maxEngines: number) {
-		const stream = startStream(this, ids.split(', '), maxEngines);
+	/^a stream that (may run once, which )?engine "(.*)" of "(.*)" has begun, for up to (\d+) engines$/,
+	function (this: FleetWorld, once: string | null, first: string, ids: string, max: string) {
+		const stream = startStream(this, ids.split(', '), Number(max), once !== null);
 		const begun = callTo(stream, first);
 		begun.listener.onSent();
 		begun.listener.onHead(head);
@@ -124,6 +129,28 @@
 	listener.onData(Buffer.from(`id: ${event}\n\n`));
 });
 
+cucumber.When('{string} begins an event', function (this: FleetWorld, id: string) {
+	const { listener } = callTo(streamOf(this), id);
+	listener.onData(Buffer.from('id: 2\n'));
+});
+
+cucumber.When('the caller reads no more', function (this: FleetWorld) {
+	streamOf(this).caller.reads = false;
+});
+
+cucumber.When('permits for engines are slow', function (this: FleetWorld) {
+	streamOf(this).permits.areSlow = true;
+});
+
+cucumber.When('the permit comes', function (this: FleetWorld) {
+	streamOf(this).permits.grant?.();
+});
+
+cucumber.Then('the call to {string} is over', function (this: FleetWorld, id: string) {
+	const { calls } = streamOf(this);
+	assert.ok(calls.every(({ call, hasEnded }) => call.engineId !== id || hasEnded));
+});
+
 cucumber.When('{string} breaks off', function (this: FleetWorld, id: string) {
 	endCall(streamOf(this), id).onError('other side closed', false);
 });
@@ -168,12 +195,19 @@
 	},
 );
 
-function startStream(world: FleetWorld, ids: string[], maxEngines: number): ObservedStream {
+function startStream(
+	world: FleetWorld,
+	ids: string[],
+	maxEngines: number,
+	runsOnce = false,
+): ObservedStream {
 	const clock = clockOf(world);
 	const engines = ids.map((id) => new Engine(entry(id)));
 	const calls: StreamCall[] = [];
 	const received: string[] = [];
 	const helpers = { exist: true };
+	const caller = { reads: true };
+	const permits: ObservedStream['permits'] = { areSlow: false };
 	const budget = new RetryBudget(retries, () => 1);
 	const work = { engine: 0, running: 0, promptTokens: 0 };
 	const figures = { uncachedTokens: 0, readingMs: 0, waitMs: 0, readMsPerToken: 0, work };
@@ -226,7 +260,17 @@
 			isPortClosed: async () => false,
 		}),
 		fleet: newFleetView(world),
-		limits: noRequestLimits,
+		limits: {
+			ledger: { getLimitPerS: () => (permits.areSlow ? 1 : undefined), recordNoLimit() {} },
+			getRetrySchedule: () => ({ recordAdmission() {} }),
+			permits: {
+				getRetryDelayMs: () => 0,
+				request(_engine: unknown, _urgency: number, _waitMs: number, done: PermitCallback) {
+					permits.grant = () => done({ isGranted: true, retryAfterMs: 0 });
+					return { cancel() {} };
+				},
+			},
+		},
 		fleetHealth: alwaysHealthy,
 		links: soundLinks,
 		costs: new CostModel(),
@@ -246,16 +290,16 @@
 		arrivedAt: clock.sinceBoot(),
 	};
 	const terms = {
-		repeatability: 'idempotent',
+		repeatability: runsOnce ? 'once' : 'idempotent',
 		isStreamed: true,
-		isResumable: true,
+		isResumable: !runsOnce,
 		timeoutMs,
 		maxEngines,
 	} as const;
 	const routed = { req, route: route(terms), service: 'pool', urgency: 0, isLeastUrgent: false };
 	const res = {
 		writeHead: (status: number) => void received.push(String(status)),
-		write: (bytes: Buffer) => received.push(nameOf(bytes)) > 0,
+		write: (bytes: Buffer) => received.push(nameOf(bytes)) > 0 && caller.reads,
 		end: () => void received.push('|'),
 		abort: () => void received.push('!'),
 		onDrain() {},
@@ -263,7 +307,7 @@
 	};
 	const request = new RelayedRequest(ctx as never, routed as never, res, () => {});
 	request.start();
-	return { request, engines, calls, budget, helpers, received };
+	return { request, engines, calls, budget, helpers, caller, permits, received };
 }
 
 const nameOf = (bytes: Buffer) =>
