--- a/src/core/relay/answer-relay.ts
+++ b/src/core/relay/answer-relay.ts
@@ -36,6 +36,12 @@
 		return this.forwarded === attempt;
 	}
 
+	/** Whether another engine can continue what the caller has received: events with ids, and no error answer. */
+	get canBeContinued(): boolean {
+		const isError = (this.forwarded?.head?.status ?? 0) >= 300;
+		return !isError && this.lastEventId !== undefined;
+	}
+
 	/** @param isStream whether the answer is an event stream */
 	relayData(attempt: Attempt, chunk: Buffer, isStream: boolean): void {
 		if (isStream) {
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -156,7 +156,7 @@
 	private get mayRepeat(): boolean {
 		const { route } = this.routed;
 		return this.answer.hasStarted
-			? route.isResumable && this.answerRelay.lastEventId !== undefined
+			? route.isResumable && this.answerRelay.canBeContinued
 			: route.repeatability === repeatabilities.idempotent;
 	}
 
@@ -200,6 +200,10 @@
 	}
 
 	private placeReplacement(now: number): void {
+		if (this.leftMs <= 0) {
+			this.handleTimeout();
+			return;
+		}
 		const refusal = this.retries.findRefusal(now) ?? this.gate.refusal;
 		if (refusal !== undefined) {
 			this.outcome.recordNotReplaced(refusal);
@@ -208,6 +212,7 @@
 		const engines = this.live.list().map(({ engine }) => engine.id);
 		this.retries.prepare(engines.join(','), 'the engine is silent');
 		this.isPlacing = true;
+		this.requestPlacement.startOver();
 		this.requestPlacement.placeNext();
 	}
 
@@ -215,6 +220,7 @@
 		const refusal = this.retries.findRefusal(now);
 		if (refusal === undefined) {
 			this.isHeld = false;
+			this.requestPlacement.startOver();
 			this.place();
 		} else if (refusal !== retryRefusals.budget) {
 			this.outcome.giveUp(refusal);
@@ -268,6 +274,8 @@
 		const progress = { leftMs: this.leftMs, lastEventId: this.answerRelay.lastEventId };
 		const attempt = this.sender.prepare(placement, progress);
 		if (!attempt) {
+			this.retries.refundUnsent();
+			this.requestPlacement.release(placement.engine);
 			this.handleRefused('no VM forwards the request', this.ctx.forwarding.retryAfterS);
 			return;
 		}
@@ -310,6 +318,7 @@
 	private handleSent(attempt: Attempt): void {
 		attempt.markSent(this.routed.req.promptSegments.slice(0, -1));
 		this.outcome.sentTo.add(attempt.engine.id);
+		this.retries.recordSent();
 	}
 
 	/** The engine asked for a back-off or set a limit while the connection was being established. */
@@ -549,7 +558,11 @@
 			const wasSilent = other.sentAt < winner.sentAt && other.isSilent(now);
 			this.outcome.mayHaveRun ||= other.isSent;
 			this.live.abort(other);
-			this.recordReplacement(winner, other, wasSilent);
+			if (other.isSent) {
+				this.recordReplacement(winner, other, wasSilent);
+			} else {
+				this.retries.refundUnsent();
+			}
 		}
 		this.outcome.clearNotReplaced();
 	}
--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -74,3 +74,105 @@
 			| bare-404   |
 			| resets     |
 			| unsigned   |
+
+	Scenario: The answer of a silent engine does not end because the engine asked beside it refuses
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When all engines are silent for a while
+		And the relay looks 1 time for an engine
+		And the stream is sent to "b"
+		And "b" answers 429
+		And "a" sends event 2
+		Then it was sent to "a, b", and the caller got "200 id:1 id:2"
+
+	Scenario: No events follow an error answer that is too large to be buffered
+		Given a stream that engine "a" of "a, b" begins with a large error, for up to 2 engines and no retries
+		When all engines are silent for a while
+		And retries are allowed again
+		And the relay looks 1 time for an engine
+		Then it was sent to "a", and the caller got "500 large"
+
+	Scenario: A retry that no VM forwards counts once
+		Given a stream that engine "a" of "a, b, c, d" has begun, for up to 4 engines
+		When "b, c, d" are reached through other VMs, of which none forwards
+		And all engines are silent for a while
+		And the relay looks 5 times for an engine
+		Then 1 retries are counted
+
+	Scenario: A retry counts for each engine that got it, though a VM refused to forward one
+		Given a stream that engine "a" of "a, b, c" has begun, for up to 3 engines
+		When "b" are reached through other VMs, of which one forwards
+		And all engines are silent for a while
+		And the relay looks 1 time for an engine
+		And the VM that forwards to "b" refuses
+		And the stream is sent to "b"
+		And all engines are silent for a while
+		And the relay looks 1 time for an engine
+		Then 2 retries are counted
+
+	Scenario: A stream that waits is sent to an engine that could not be reached before
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When "a" breaks off
+		And "b" cannot be reached
+		And the relay looks 1 time for an engine
+		And the stream is sent to "b"
+		And "b" sends event 2
+		Then it was sent to "a, b, b", and the caller got "200 id:1 id:2"
+
+	Scenario: A stream that waits for a VM that forwards it does so until its deadline
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When "b" are reached through other VMs, of which none forwards
+		And "a" breaks off
+		And the relay looks 50 times for an engine
+		And "b" are reached through other VMs, of which one forwards
+		And the relay looks 1 time for an engine
+		Then it was sent to "a, b", and the caller got "200 id:1"
+
+	Scenario: A silent engine is not replaced after the deadline
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When the deadline passes while the VM is suspended
+		And all engines are silent for a while
+		And the relay looks 1 time for an engine
+		Then it was sent to "a", and the caller got "200 id:1 !"
+
+	Scenario: A retry of which nothing was sent counts for the next one
+		Given a stream that engine "a" of "a, b, c" has begun, for up to 3 engines
+		When all engines are silent for a while
+		And the relay looks 1 time for an engine
+		And "a" sends event 2
+		And all engines are silent for a while
+		And the relay looks 1 time for an engine
+		Then 1 retries are counted
+
+	Scenario: A silent engine's stream that may run once is not sent to a second engine
+		Given a stream that may run once, which engine "a" of "a, b" has begun, for up to 2 engines
+		When all engines are silent for a while
+		And the relay looks 5 times for an engine
+		And "a" sends event 2
+		Then it was sent to "a", and the caller got "200 id:1 id:2"
+
+	Scenario: A permit that comes as the silent engine goes on is not used
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When all engines are silent for a while
+		And permits for engines are slow
+		And the relay looks 1 time for an engine
+		And "a" sends event 2
+		And the permit comes
+		Then it was sent to "a", and the caller got "200 id:1 id:2"
+
+	Scenario: A slow caller does not make its engine look silent
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When the caller reads no more
+		And "a" sends event 2
+		And all engines are silent for a while
+		And the relay looks 1 time for an engine
+		Then it was sent to "a", and the caller got "200 id:1 id:2"
+
+	Scenario: Of two engines that answer in one tick the first goes on
+		Given a stream that engine "a" of "a, b" has begun, for up to 2 engines
+		When all engines are silent for a while
+		And the relay looks 1 time for an engine
+		And the stream is sent to "b"
+		And "a" begins an event
+		And "b" sends event 2
+		Then the call to "a" is over
+		And it was sent to "a, b", and the caller got "200 id:1 id:2"
