--- a/src/core/duties/usage-records.ts
+++ b/src/core/duties/usage-records.ts
@@ -7,7 +7,7 @@
 import type { Store } from '../store/definitions.js';
 import { eraOf } from '../store/revisions.js';
 import type { DutyHolder } from './duty-holder.js';
-import type { UsageReport } from './types.js';
+import type { CustomerCount, UsageReport } from './types.js';
 
 /** Covers all windows that another VM may still have to send again. */
 const maxReports = 4;
@@ -130,14 +130,31 @@
 		return this.knownReports;
 	}
 
+	private isReadable(report: UsageReport | null): boolean {
+		const isValid =
+			Number.isSafeInteger(report?.window) &&
+			Array.isArray(report?.counts) &&
+			report.counts.every(isCount);
+		if (!isValid) {
+			this.opts.log.error('usage.unreadable', { error: `no report: ${JSON.stringify(report)}` });
+		}
+		return isValid;
+	}
+
 	/** An unreadable value counts as no reports. */
 	private decode(text: string): StoredReports | undefined {
 		try {
 			const stored = JSON.parse(text) as StoredReports;
-			return Array.isArray(stored.reports) ? stored : undefined;
+			const doubtedBefore = Number.isSafeInteger(stored.doubtedBefore) ? stored.doubtedBefore : 0;
+			const reports = stored.reports.filter((report) => this.isReadable(report));
+			return { era: stored.era, doubtedBefore, reports };
 		} catch (err) {
 			this.opts.log.error('usage.unreadable', { error: (err as Error).message });
 			return undefined;
 		}
 	}
 }
+
+function isCount(count: CustomerCount | null): boolean {
+	return typeof count?.customer === 'string' && Number.isSafeInteger(count.started);
+}
--- a/src/core/engines/engine-directory.ts
+++ b/src/core/engines/engine-directory.ts
@@ -184,7 +184,7 @@
 	 * @throws Error when the text is no valid copy
 	 */
 	applyCopy(text: string): boolean {
-		const copy = JSON.parse(text) as DirectoryCopy;
+		const copy = decodeCopy(text);
 		if (copy.revision < this.appliedRevision || copy.ids.length === 0) {
 			return true;
 		}
@@ -443,6 +443,28 @@
 	}
 }
 
+/** @throws Error when the text is no copy; nothing of it may be applied then */
+function decodeCopy(text: string): DirectoryCopy {
+	const copy = JSON.parse(text) as DirectoryCopy | null;
+	const isValid =
+		Number.isSafeInteger(copy?.revision) &&
+		Number.isInteger(copy?.digest) &&
+		copy?.ids.every((id) => typeof id === 'string') &&
+		copy.items.every(isItem);
+	if (!copy || !isValid) {
+		throw new Error('expected a revision, a digest, ids and items');
+	}
+	return copy;
+}
+
+function isItem(item: StoreItem | null): boolean {
+	return (
+		typeof item?.key === 'string' &&
+		typeof item.value === 'string' &&
+		Number.isSafeInteger(item.revision)
+	);
+}
+
 /** Index at which an engine with this id keeps the list sorted by id. */
 function findInsertionIndex(sorted: readonly Engine[], id: string): number {
 	let from = 0;
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -434,6 +434,13 @@
 			era: 'number of times the store was restored from an older copy',
 		},
 	},
+	{
+		name: 'store.unreadable',
+		when: 'The store answered with an entry that names no key or no revision; it is ignored.',
+		fields: {
+			entry: 'as the store wrote it, cut off when it is long',
+		},
+	},
 	{
 		name: 'store.watch-dropped',
 		when: 'A watch that may hang is given up, and the range is read again.',
@@ -547,8 +554,9 @@
 	},
 	{
 		name: 'peers.unreadable',
-		when: 'The first datagram that is not a gossip message of this format.',
+		when: 'The first datagram that is not a message of this format.',
 		fields: {
+			from: 'its sender',
 			bytes: 'its length',
 		},
 	},
--- a/src/core/store/revisions.ts
+++ b/src/core/store/revisions.ts
@@ -5,7 +5,8 @@
  */
 
 /** Leaves 17 bits of a safe integer for the era. At 3,200 writes a second the revisions of one era last for 248 days. */
-const revisionsPerEra = 2 ** 36;
+export const revisionsPerEra = 2 ** 36;
+export const maxEras = 2 ** 17;
 
 /** Combines an era and a revision of the store. */
 export function revisionIn(era: number, stored: number): number {
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -36,6 +36,8 @@
 
 /** From this delay of the event loop on, callers may have disconnected unnoticed. */
 const lateLoopMs = 100;
+/** Characters of an unreadable entry of the store in the log. */
+const maxLoggedEntry = 200;
 /** Interval between removals of silent peers and outdated state. */
 const sweepIntervalMs = 1000;
 /** Maximum time after the start that readiness waits for the VM registry to be read. */
@@ -86,9 +88,12 @@
 		const transport = new UndiciEngineTransport(platform, settings.vm.address);
 		this.transport = transport;
 		const incarnation = Math.floor(random.next() * 2 ** 32);
-		this.store = new platform.PlatformStore(settings.store.address, clock, ({ era }) => {
-			this.restoration.handleRestored(era);
-		});
+		this.store = new platform.PlatformStore(
+			settings.store.address,
+			clock,
+			({ era }) => this.restoration.handleRestored(era),
+			(entry) => log.warn('store.unreadable', { entry: entry.slice(0, maxLoggedEntry) }),
+		);
 		this.quarantine = new Quarantine({
 			clock,
 			log,
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -15,8 +15,16 @@
 } from '../core/store/definitions.js';
 import { StoreError, storeFailures } from '../core/store/definitions.js';
 import { eraOf, revisionIn, storedRevision } from '../core/store/revisions.js';
-import type { WireChanges, WireItem, WireRange } from './store-wire.js';
-import { decodeEra, toEvent, toItem } from './store-wire.js';
+import type { Page, UnreadableListener } from './store-wire.js';
+import {
+	decodeChanges,
+	decodeEra,
+	decodeItem,
+	decodeLease,
+	decodePage,
+	decodeRevision,
+	toRecord,
+} from './store-wire.js';
 import { headerNames } from './wire-names.js';
 
 /** Timeout of calls other than watches. */
@@ -38,11 +46,6 @@
 	era: number;
 }
 
-interface OkReply<T> {
-	body: T;
-	era: number;
-}
-
 interface CallOptions {
 	body?: object;
 	timeoutMs?: number;
@@ -55,11 +58,15 @@
 	private answeredAt = Number.NEGATIVE_INFINITY;
 	private lastEra?: number;
 
-	/** @param onRestored called on the first answer of a new era, before that answer is returned */
+	/**
+	 * @param onRestored called on the first answer of a new era, before that answer is returned
+	 * @param onUnreadable called with each entry that is passed over
+	 */
 	constructor(
 		address: HostPort,
 		private readonly clock: Clock,
 		private readonly onRestored: (restored: EraChange) => void = () => {},
+		private readonly onUnreadable: UnreadableListener = () => {},
 	) {
 		this.pool = new undici.Pool(`http://${address.host}:${address.port}`, {
 			connections,
@@ -87,21 +94,23 @@
 		let revision: number | undefined;
 		let after = '';
 		for (;;) {
-			const { body: page, era } = await this.readPage(prefix, after, mayBeStale, signal);
+			const page = await this.readPage(prefix, after, mayBeStale, signal);
 			// Pages are not read as one snapshot: a watch from the first page's revision covers changes in between.
-			revision ??= revisionIn(era, page.timestamp);
-			if (era !== eraOf(revision)) {
+			revision ??= page.revision;
+			if (eraOf(page.revision) !== eraOf(revision)) {
 				throw new StoreError(
 					storeFailures.unknown,
 					'the store was restored from a backup during a paged read',
 				);
 			}
-			items.push(...page.entries.map((entry) => toItem(entry, era)));
-			const last = page.entries.at(-1);
-			if (!page['has-more'] || !last) {
+			items.push(...page.items);
+			if (page.nextAfter === undefined) {
 				return { items, revision };
 			}
-			after = last['private-key'];
+			if (page.nextAfter === after) {
+				throw new StoreError(storeFailures.unknown, 'the store repeats a page');
+			}
+			after = page.nextAfter;
 		}
 	}
 
@@ -124,11 +133,10 @@
 		if (reply.status === 410) {
 			throw new StoreError(storeFailures.compacted, `no history since revision ${revision}`);
 		}
-		const { body, era } = expectOk<WireChanges>(reply);
+		const { body, era } = expectOk(reply);
 		// After a restore the store may reuse the revision and answer with changes of another history.
 		this.expectEra(revision, era);
-		const events = body.events.map((event) => toEvent(event, era));
-		return { events, revision: revisionIn(era, body.timestamp) };
+		return decodeChanges(body, era, this.onUnreadable);
 	}
 
 	async get(key: string): Promise<StoreItem | undefined> {
@@ -137,8 +145,12 @@
 		if (reply.status === 404) {
 			return undefined;
 		}
-		const { body, era } = expectOk<WireItem>(reply);
-		return toItem(body, era);
+		const { body, era } = expectOk(reply);
+		const item = decodeItem(body, era);
+		if (!item) {
+			throw new StoreError(storeFailures.unknown, 'the store answered without an entry');
+		}
+		return item;
 	}
 
 	async transact({ expected, write }: Transaction): Promise<number | undefined> {
@@ -166,8 +178,8 @@
 		if (reply.status === 412) {
 			return undefined;
 		}
-		const { body: committed, era } = expectOk<{ revision: number }>(reply);
-		return revisionIn(era, committed.revision);
+		const { body: committed, era } = expectOk(reply);
+		return revisionIn(era, decodeRevision(toRecord(committed).revision));
 	}
 
 	async put(key: string, value: string, lease: number): Promise<void> {
@@ -177,7 +189,7 @@
 	async grantLease(ttlMs: number): Promise<number> {
 		const body = { 'ttl-ms': Math.round(ttlMs) };
 		const reply = await this.call('POST', '/kv-lease', { body });
-		return expectOk<{ 'lease-id': number }>(reply).body['lease-id'];
+		return decodeLease(expectOk(reply).body);
 	}
 
 	async renewLease(id: number): Promise<void> {
@@ -202,7 +214,7 @@
 		after: string,
 		mayBeStale: boolean,
 		signal: AbortSignal | undefined,
-	): Promise<OkReply<WireRange>> {
+	): Promise<Page> {
 		const query = new URLSearchParams({ 'path-prefix': prefix });
 		if (mayBeStale) {
 			query.set('stale-ok', '1');
@@ -211,7 +223,8 @@
 			// In range reads this parameter takes the last key of the previous page.
 			query.set('since-revision', after);
 		}
-		return expectOk<WireRange>(await this.call('GET', `/kv-range?${query}`, { signal }));
+		const { body, era } = expectOk(await this.call('GET', `/kv-range?${query}`, { signal }));
+		return decodePage(body, era, this.onUnreadable);
 	}
 
 	/** @throws StoreError when the revision is not from the given era */
@@ -272,9 +285,9 @@
 }
 
 /** @throws StoreError when the store refused the call */
-function expectOk<T>(reply: Reply): OkReply<T> {
+function expectOk(reply: Reply): Reply {
 	if (reply.status !== 200) {
 		throw new StoreError(storeFailures.refused, `the store answered with status ${reply.status}`);
 	}
-	return { body: reply.body as T, era: reply.era };
+	return reply;
 }
