--- a/src/daemon/relay/peer-exchange.ts
+++ b/src/daemon/relay/peer-exchange.ts
@@ -196,11 +196,11 @@
 
 	/** Returns what a peer fetches under a path and query; undefined when this VM does not have it. */
 	private contentOf(target: string): string | undefined {
-		const { pathname, searchParams } = new URL(target, 'http://peer');
-		if (pathname === configurationPath) {
+		const [path, query = ''] = target.split('?', 2);
+		if (path === configurationPath) {
 			return this.opts.configurationText();
 		}
-		const since = Number(searchParams.get('since') ?? 0);
-		return pathname === enginesPath ? this.opts.exportEngines(since) : undefined;
+		const since = Number(new URLSearchParams(query).get('since') ?? 0);
+		return path === enginesPath ? this.opts.exportEngines(since) : undefined;
 	}
 }
