--- a/src/core/quarantine/traits.ts
+++ b/src/core/quarantine/traits.ts
@@ -14,6 +14,8 @@
 const largestPromptPart = -2;
 /** Ids that are kept as numbers, so that logs and store keys show them; others are hashed. */
 const hexId = /^[0-9a-f]{1,12}$/i;
+/** A content in a store key. */
+const contentKey = /^[0-9a-f]{1,14}$/;
 /** Distinguishes prompt parts from contents in store keys; earlier versions ignore them. */
 const partKeyPrefix = 'part-';
 /** Ids of prompt parts are logged with this many digits at least. */
@@ -48,7 +50,8 @@
 
 /** @returns NaN for a key that is none of a trait */
 export function decodeTraitKey(key: string): Trait {
-	return key.startsWith(partKeyPrefix)
-		? toPromptPart(key.slice(partKeyPrefix.length))
-		: Number.parseInt(key, 16);
+	if (key.startsWith(partKeyPrefix)) {
+		return toPromptPart(key.slice(partKeyPrefix.length));
+	}
+	return contentKey.test(key) ? Number.parseInt(key, 16) : Number.NaN;
 }
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -12,22 +12,27 @@
 /** Applies to routes without a `timeout-ms`. */
 const defaultTimeoutMs = 60_000;
 
+/** Timers fire at once when set for longer, in milliseconds. */
+const maxTimerMs = 2 ** 31 - 1;
+const nonNegative = zod.number().check(zod.gte(0));
+const duration = zod.number().check(zod.gte(0), zod.lte(maxTimerMs));
+
 const routeSchema = zod.object({
 	name: zod.string(),
 	hostname: zod.string(),
 	'path-prefix': zod.string(),
 	/** `streaming`, `idempotent` or `non_idempotent`; requests of any other type run at most once. */
 	type: zod._default(zod.string(), 'non_idempotent'),
-	'timeout-ms': zod._default(zod.number(), defaultTimeoutMs),
-	'target-latency-ms': zod._default(zod.number(), 1000),
+	'timeout-ms': zod._default(duration, defaultTimeoutMs),
+	'target-latency-ms': zod._default(duration, 1000),
 	/** Inter-token latency: the longest pause between two events. */
-	'target-itl-ms': zod.optional(zod.number()),
-	priority: zod._default(zod.number(), defaultTier),
+	'target-itl-ms': zod.optional(duration),
+	priority: zod._default(nonNegative, defaultTier),
 	service: zod.optional(zod.string()),
 	'traffic-split': zod.optional(
-		zod.array(zod.object({ service: zod.string(), weight: zod.number() })),
+		zod.array(zod.object({ service: zod.string(), weight: nonNegative })),
 	),
-	'max-attempts': zod._default(zod.number(), 1),
+	'max-attempts': zod._default(nonNegative, 1),
 	anonymous: zod._default(zod.boolean(), false),
 	/** Set on routes whose requests list their prompt segments. */
 	'session-affinity': zod._default(zod.boolean(), false),
@@ -37,32 +42,32 @@
 const serviceSchema = zod.object({
 	name: zod.string(),
 	'health-path': zod._default(zod.string(), '/healthz'),
-	'max-connections': zod._default(zod.number(), 100),
+	'max-connections': zod._default(nonNegative, 100),
 	/** Present for model engines. */
-	backend: zod.optional(zod.object({ slots: zod.number(), 'kv-capacity': zod.number() })),
+	backend: zod.optional(zod.object({ slots: nonNegative, 'kv-capacity': nonNegative })),
 	/** Present where the router scales the engines; the limits apply per zone. */
 	autoscale: zod.optional(
 		zod.object({
-			'min-replicas': zod._default(zod.number(), 0),
-			'max-replicas': zod.number(),
-			'boot-time-s': zod._default(zod.number(), 0),
-			'spot-price': zod._default(zod.number(), 1),
+			'min-replicas': zod._default(nonNegative, 0),
+			'max-replicas': nonNegative,
+			'boot-time-s': zod._default(duration, 0),
+			'spot-price': zod._default(nonNegative, 1),
 			/** Price of one engine for one second, by zone. */
-			'zone-prices': zod.record(zod.string(), zod.number()),
+			'zone-prices': zod.record(zod.string(), nonNegative),
 		}),
 	),
 });
 
 const schema = zod.object({
-	version: zod.number(),
+	version: zod.int().check(zod.gte(0)),
 	routes: zod.array(routeSchema),
 	services: zod.array(serviceSchema),
 	limits: zod.prefault(
 		zod.object({
-			'max-header-bytes': zod._default(zod.number(), 16_384),
-			'max-body-bytes': zod._default(zod.number(), 4_194_304),
-			'header-timeout-ms': zod._default(zod.number(), 3000),
-			'idle-timeout-ms': zod._default(zod.number(), 15_000),
+			'max-header-bytes': zod._default(nonNegative, 16_384),
+			'max-body-bytes': zod._default(nonNegative, 4_194_304),
+			'header-timeout-ms': zod._default(duration, 3000),
+			'idle-timeout-ms': zod._default(duration, 15_000),
 		}),
 		{},
 	),
@@ -71,7 +76,7 @@
 			zod.object({
 				name: zod.string(),
 				'api-keys': zod._default(zod.array(zod.string()), []),
-				priority: zod.optional(zod.number()),
+				priority: zod.optional(nonNegative),
 			}),
 		),
 		[],
