--- a/src/core/fleet/aggregator-selection.ts
+++ b/src/core/fleet/aggregator-selection.ts
@@ -6,6 +6,7 @@
  */
 import * as rendezvous from '../membership/rendezvous.js';
 import type { HostPort } from '../relay/settings.js';
+import { addressOf } from './address.js';
 import { smallFleetSize } from './reader-selection.js';
 
 /** Maximum VMs per aggregator, on average over a domain; it then sends some forty datagrams a round. */
@@ -154,15 +155,6 @@
 	return Math.ceil(ranked.length / maxVmsPerAggregator);
 }
 
-export function addressOf({ host, port }: HostPort): string {
-	return `${host}:${port}`;
-}
-
-export function parseAddress(text: string): HostPort {
-	const colon = text.lastIndexOf(':');
-	return { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
-}
-
 /** Ranks the VMs of each domain, those with the most CPU first, since aggregation is costly for small VMs. */
 function rank(vms: readonly RegisteredVm[]): Map<string, RegisteredVm[]> {
 	const ranked = new Map<string, RegisteredVm[]>();
--- a/src/core/fleet/gossip-exchange.ts
+++ b/src/core/fleet/gossip-exchange.ts
@@ -4,8 +4,8 @@
  */
 import type { Clock, Log } from '../definitions.js';
 import type { HostPort } from '../relay/settings.js';
+import { addressOf, parseAddress } from './address.js';
 import type { AggregatorSelection, RegisteredVm } from './aggregator-selection.js';
-import { addressOf, parseAddress } from './aggregator-selection.js';
 import type { FleetView } from './fleet-view.js';
 import type { GossipIntervals } from './gossip-schedule.js';
 import { GossipSchedule } from './gossip-schedule.js';
--- a/src/core/fleet/vm-registry.ts
+++ b/src/core/fleet/vm-registry.ts
@@ -6,8 +6,8 @@
 import type { Store, StoreItem } from '../store/definitions.js';
 import { StoreError, storeFailures } from '../store/definitions.js';
 import { storedRevision } from '../store/revisions.js';
+import { addressOf, isAddress, parseAddress } from './address.js';
 import type { RegisteredVm } from './aggregator-selection.js';
-import { addressOf, parseAddress } from './aggregator-selection.js';
 
 /** Duration of the registration's lease. A VM that restarts within it takes its previous registration over. */
 const leaseMs = 12_000;
@@ -316,12 +316,12 @@
 	return `${addressOf(address)} ${cores} ${domain}`;
 }
 
-const vmPattern = /^(\d+\.\d+\.\d+\.\d+:\d+) (\d+(?:\.\d+)?) (.*)$/;
+const vmPattern = /^(\S+) (\d+(?:\.\d+)?) (.+)$/;
 
 /** @returns undefined when the value is not a registration */
 function decodeVm(name: string, value: string): RegisteredVm | undefined {
 	const [, address, cores, domain] = vmPattern.exec(value) ?? [];
-	if (address === undefined || domain === undefined) {
+	if (address === undefined || domain === undefined || !isAddress(address)) {
 		return undefined;
 	}
 	return { name, domain, address: parseAddress(address), cores: Number(cores) };
--- a/src/core/forwarding/helper-selection.ts
+++ b/src/core/forwarding/helper-selection.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { Clock, Random } from '../definitions.js';
+import { addressOf } from '../fleet/address.js';
 import type { RegisteredVm } from '../fleet/aggregator-selection.js';
-import { addressOf } from '../fleet/aggregator-selection.js';
 import type { ForwardRefusal } from './types.js';
 import { forwardRefusals } from './types.js';
 
--- a/src/core/limits/issuer-election.ts
+++ b/src/core/limits/issuer-election.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { Clock, Log } from '../definitions.js';
+import { addressOf } from '../fleet/address.js';
 import type { RegisteredVm } from '../fleet/aggregator-selection.js';
-import { addressOf } from '../fleet/aggregator-selection.js';
 import * as rendezvous from '../membership/rendezvous.js';
 import type { IssuerAnnouncement } from './types.js';
 
--- a/src/daemon/relay/fleet-duties.ts
+++ b/src/daemon/relay/fleet-duties.ts
@@ -15,7 +15,7 @@
 import { UsageReporter } from '../../core/duties/usage-reporter.js';
 import { UsageSender } from '../../core/duties/usage-sender.js';
 import type { EngineDirectory } from '../../core/engines/engine-directory.js';
-import { parseAddress } from '../../core/fleet/aggregator-selection.js';
+import { parseAddress } from '../../core/fleet/address.js';
 import type { FleetView } from '../../core/fleet/fleet-view.js';
 import { maxContactAgeMs } from '../../core/fleet/reader-selection.js';
 import type { LimitLedger } from '../../core/limits/limit-ledger.js';
--- a/src/daemon/relay/limit-exchange.ts
+++ b/src/daemon/relay/limit-exchange.ts
@@ -3,8 +3,8 @@
  * @module
  */
 import type { Clock, Log, Random } from '../../core/definitions.js';
+import { addressOf, parseAddress } from '../../core/fleet/address.js';
 import type { RegisteredVm } from '../../core/fleet/aggregator-selection.js';
-import { addressOf, parseAddress } from '../../core/fleet/aggregator-selection.js';
 import type { EngineRef } from '../../core/fleet/types.js';
 import { FleetLimits } from '../../core/limits/fleet-limits.js';
 import { issuerRank } from '../../core/limits/issuer-election.js';
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -9,7 +9,7 @@
 import { CostModel } from '../../core/engines/cost-model.js';
 import { EngineDirectory } from '../../core/engines/engine-directory.js';
 import { EnginePlacement } from '../../core/engines/placement.js';
-import { addressOf } from '../../core/fleet/aggregator-selection.js';
+import { addressOf } from '../../core/fleet/address.js';
 import { Quarantine } from '../../core/quarantine/quarantine.js';
 import { QuarantineRecords } from '../../core/quarantine/quarantine-records.js';
 import { Relay } from '../../core/relay/relay.js';
--- a/src/infra/relay/forwarding-headers.ts
+++ b/src/infra/relay/forwarding-headers.ts
@@ -3,6 +3,7 @@
  * @module
  */
 
+import { isAddress } from '../../core/fleet/address.js';
 import type { ForwardOrder, ForwardRefusal } from '../../core/forwarding/types.js';
 import { forwardRefusals } from '../../core/forwarding/types.js';
 import type { RawHeaders } from '../../core/relay/definitions.js';
@@ -34,10 +35,17 @@
 	header: string | string[] | undefined,
 ): Omit<ForwardOrder, 'requestId' | 'sender'> | undefined {
 	const [engineAddress, engineId, revision, urgency] = String(header ?? '').split(' ');
-	const enginesRevision = Number(revision);
-	const isValid = engineAddress && engineId && Number.isFinite(enginesRevision) && urgency;
-	return isValid
-		? { engineAddress, engineId, enginesRevision, urgency: Number(urgency) }
+	const order = {
+		engineId: engineId ?? '',
+		enginesRevision: Number(revision),
+		urgency: Number(urgency),
+	};
+	const isValid =
+		order.engineId !== '' &&
+		Number.isSafeInteger(order.enginesRevision) &&
+		Number.isInteger(order.urgency);
+	return isValid && engineAddress !== undefined && isAddress(engineAddress)
+		? { engineAddress, ...order }
 		: undefined;
 }
 
--- a/src/infra/relay/gossip-codec.ts
+++ b/src/infra/relay/gossip-codec.ts
@@ -88,7 +88,7 @@
 		incarnation: row.number(),
 		seq: row.number(),
 		configurationVersion: row.number(),
-		address: row.string(),
+		address: row.address(),
 		isLeaving: row.boolean(),
 		intervalMs: row.number(),
 		vmCount: row.number(),
@@ -190,7 +190,7 @@
 
 function readStoreReader(row: RowReader): StoreReader {
 	return {
-		address: row.string(),
+		address: row.address(),
 		contactAgeMs: row.number(),
 		revision: row.number(),
 		digest: row.number(),
@@ -204,7 +204,7 @@
 
 function readIssuer(row: RowReader): IssuerAnnouncement {
 	return {
-		address: row.string(),
+		address: row.address(),
 		term: row.number(),
 		heartbeatSeq: row.number(),
 		isResigned: row.boolean(),
--- a/src/infra/relay/limit-codec.ts
+++ b/src/infra/relay/limit-codec.ts
@@ -2,16 +2,13 @@
  * Encodes rate limits of engines and permit messages between VMs as MessagePack.
  * @module
  */
-import * as net from 'node:net';
 import * as msgpack from '@msgpack/msgpack';
-import { parseAddress } from '../../core/fleet/aggregator-selection.js';
 import type { LimitUpdate, PermitRequest, PermitResponse } from '../../core/limits/types.js';
 import { urgencyLevels } from '../../core/relay/definitions.js';
 import { messageTypes, wireFormatVersion } from './message-types.js';
 import type { RowReader } from './row-reader.js';
 import { RowError, toThousandths } from './row-reader.js';
 
-const maxPort = 65_535;
 const urgencies = Array.from({ length: urgencyLevels }, (_, level) => level);
 /** Upper bound for the wait of a permit request. */
 const maxWaitMs = 60_000;
@@ -51,7 +48,7 @@
 /** @throws RowError when the fields after the type are not a permit request that can be answered */
 export function decodePermitRequest(row: RowReader): PermitRequest {
 	const request = {
-		from: row.string(),
+		from: row.address(),
 		id: row.number(),
 		limit: row.nested(readLimit),
 		urgency: row.number(),
@@ -59,18 +56,12 @@
 	};
 	row.expectEnd();
 	const isValidWait = request.waitMs >= 0 && request.waitMs <= maxWaitMs;
-	if (!isAddress(request.from) || !urgencies.includes(request.urgency) || !isValidWait) {
-		throw new RowError('a permit request with a valid address, urgency and wait');
+	if (!urgencies.includes(request.urgency) || !isValidWait) {
+		throw new RowError('a permit request with a valid urgency and wait');
 	}
 	return request;
 }
 
-/** Whether a datagram can be sent there; an invalid address would make the socket throw. */
-function isAddress(text: string): boolean {
-	const { host, port } = parseAddress(text);
-	return net.isIPv4(host) && Number.isInteger(port) && port > 0 && port <= maxPort;
-}
-
 export function encodePermitResponse(response: PermitResponse): Uint8Array {
 	const { id, limit, isGranted, retryAfterMs } = response;
 	const { permitResponse } = messageTypes;
--- a/src/infra/relay/peer-datagram-socket.ts
+++ b/src/infra/relay/peer-datagram-socket.ts
@@ -38,7 +38,7 @@
 		private readonly log: Log,
 		private readonly listener: PeerListener,
 	) {
-		this.socket.on('message', (datagram) => this.receive(datagram));
+		this.socket.on('message', (datagram, from) => this.receive(datagram, from));
 		this.socket.on('error', (err) => this.log.warn('peers.socket-failed', { error: err.message }));
 	}
 
@@ -88,13 +88,13 @@
 		}
 	}
 
-	private receive(datagram: Buffer): void {
+	private receive(datagram: Buffer, { address, port }: dgram.RemoteInfo): void {
 		if (dispatchDatagram(datagram, this.listener)) {
 			return;
 		}
 		this.unreadableCount++;
 		if (this.unreadableCount === 1) {
-			this.log.warn('peers.unreadable', { bytes: datagram.length });
+			this.log.warn('peers.unreadable', { from: `${address}:${port}`, bytes: datagram.length });
 		}
 	}
 }
--- a/src/infra/relay/row-reader.ts
+++ b/src/infra/relay/row-reader.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { isAddress } from '../../core/fleet/address.js';
+
 export class RowError extends Error {
 	constructor(expected: string) {
 		super(`expected ${expected}`);
@@ -44,6 +46,15 @@
 		return value;
 	}
 
+	/** Reads an address as IP:PORT, which a datagram can be sent to. */
+	address(): string {
+		const value = this.string();
+		if (!isAddress(value)) {
+			throw new RowError('an address');
+		}
+		return value;
+	}
+
 	boolean(): boolean {
 		const value = this.row[this.index++];
 		if (typeof value !== 'boolean') {
--- a/src/infra/relay/usage-codec.ts
+++ b/src/infra/relay/usage-codec.ts
@@ -29,7 +29,7 @@
 	const usage: UsageCounts = {
 		vm: row.string(),
 		incarnation: row.number(),
-		address: row.string(),
+		address: row.address(),
 		sentAt: row.number(),
 		window: row.number(),
 		total: row.number(),
--- a/src/platform/engine-registrations.ts
+++ b/src/platform/engine-registrations.ts
@@ -5,12 +5,13 @@
 import './zod-setup.js';
 import * as zod from 'zod/mini';
 import type { EngineRegistration } from '../core/engines/types.js';
+import { isAddress } from '../core/fleet/address.js';
 import { storeKeys } from './wire-names.js';
 
 /** An entry that lacks a required field, or has a field of another type, is rejected. */
 const schema = zod.object({
 	service: zod.string().check(zod.minLength(1)),
-	address: zod.string().check(zod.regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected IP:PORT')),
+	address: zod.string().check(zod.refine(isAddress, 'expected IP:PORT')),
 	zone: zod.string().check(zod.minLength(1)),
 	version: zod.string(),
 	slots: zod.int().check(zod.positive()),
@@ -24,6 +25,9 @@
 	spot: zod._default(zod.boolean(), false),
 });
 
+/** Ids are sent in a header. */
+const idPattern = /^[\x20-\x7e]+$/;
+
 /** Engine id in a store key. */
 export function engineIdOf(key: string): string {
 	return key.slice(storeKeys.engines.length);
@@ -33,9 +37,13 @@
  * @throws Error when the value is not a valid engine registration
  */
 export function decodeEngineRegistration(key: string, text: string): EngineRegistration {
+	const id = engineIdOf(key);
+	if (!idPattern.test(id)) {
+		throw new Error('the id cannot be sent in a header');
+	}
 	const raw = schema.parse(JSON.parse(text));
 	return {
-		id: engineIdOf(key),
+		id,
 		service: raw.service,
 		address: raw.address,
 		domain: raw.zone,
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -5,14 +5,18 @@
 import './zod-setup.js';
 import * as zod from 'zod/mini';
 import type { Finding } from '../core/errors/index.js';
-import type { DutySettings, HostPort, RelaySettings } from '../core/relay/settings.js';
+import { isAddress, parseAddress } from '../core/fleet/address.js';
+import type { DutySettings, RelaySettings } from '../core/relay/settings.js';
 
 const hostPortSchema = zod.pipe(
-	zod.string().check(zod.regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected IP:PORT')),
-	zod.transform(parseHostPort),
+	zod.string().check(zod.refine(isAddress, 'expected IP:PORT')),
+	zod.transform(parseAddress),
 );
+const port = zod.int().check(zod.gte(1), zod.lte(65_535));
 const nonEmptyText = zod.string().check(zod.minLength(1));
-const nonNegative = zod.number().check(zod.gte(0));
+/** Timers fire at once when set for longer, in milliseconds. */
+const maxTimerMs = 2 ** 31 - 1;
+const nonNegative = zod.number().check(zod.gte(0), zod.lte(maxTimerMs));
 const positive = zod.number().check(zod.positive());
 
 /** Duration with a default, in the unit that the field's name ends with. */
@@ -34,7 +38,7 @@
 		'control-plane': zod.optional(hostPortSchema),
 	}),
 	/** First and last port for traffic between VMs, both inclusive; the same on all VMs. */
-	'port-range': zod.tuple([zod.int(), zod.int()]),
+	'port-range': zod.tuple([port, port]),
 	'seed-nodes': zod._default(zod.array(hostPortSchema), []),
 	limits: zod.object({
 		'memory-mb': zod.number(),
@@ -146,11 +150,6 @@
 	);
 }
 
-function parseHostPort(text: string): HostPort {
-	const separator = text.lastIndexOf(':');
-	return { host: text.slice(0, separator), port: Number(text.slice(separator + 1)) };
-}
-
 /** Findings are located by path: the JSON parser reports no lines. */
 function createFinding(file: string, path: string, message: string): Finding {
 	return { file, line: 1, column: 1, path, message };
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -55,6 +55,23 @@
 		Then whatever another writer leaves under "b", engines "a, c" are offered
 		And whatever another writer leaves under "e", engines "a, b, c" are offered
 
+	# Guards against one value that ends the processes of all VMs, again after each restart.
+	Scenario Outline: A value that cannot be used costs only itself
+		Then whatever <value> is, it costs only itself
+
+		Examples:
+			| value                          |
+			| the address of an engine       |
+			| the id of an engine            |
+			| the registration of a VM       |
+			| an answer of the store         |
+			| a peer's copy of the engines   |
+			| an address in a datagram       |
+			| an order to forward a request  |
+			| the earlier usage reports      |
+			| the settings                   |
+			| a number of the configuration  |
+
 	Scenario: A VM fetches changed registrations from a peer
 		Given a directory of engines "a, b, c"
 		And a peer with the same directory
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -331,3 +331,11 @@
 		When the relay starts with settings that lack a zone and a store
 		Then it ends with code 78
 		And it names "zone" and "platform"
+
+	# Guards against values of others that end the processes of all VMs.
+	Scenario: Unusable entries of another writer and requests of strangers end no VM
+		Given a relay of 3 VMs with engines "a, b"
+		When another writer leaves an engine and a VM at "127.0.0.1:99999"
+		And a stranger asks each VM for "//" as a peer does
+		And 2500 ms pass in quiet
+		Then 20 "GET /plain/" requests at each VM are answered, and no VM has ended
--- a/test/steps/relay-fleet.steps.ts
+++ b/test/steps/relay-fleet.steps.ts
@@ -56,7 +56,7 @@
 	},
 );
 
-function newDirectory(
+export function newDirectory(
 	world: FleetWorld,
 	ids: string,
 	onGone: (engine: Engine) => void = () => {},
--- a/test/steps/simulated-fleet.ts
+++ b/test/steps/simulated-fleet.ts
@@ -5,8 +5,9 @@
  */
 import { CostModel } from '../../src/core/engines/cost-model.js';
 import { FleetHealth } from '../../src/core/engines/fleet-health.js';
+import { addressOf } from '../../src/core/fleet/address.js';
 import type { RegisteredVm } from '../../src/core/fleet/aggregator-selection.js';
-import { AggregatorSelection, addressOf } from '../../src/core/fleet/aggregator-selection.js';
+import { AggregatorSelection } from '../../src/core/fleet/aggregator-selection.js';
 import { FleetView } from '../../src/core/fleet/fleet-view.js';
 import { GossipExchange } from '../../src/core/fleet/gossip-exchange.js';
 import type { GossipMessage, StoreStatus } from '../../src/core/fleet/types.js';
