--- a/test/features/quarantine.feature
+++ b/test/features/quarantine.feature
@@ -64,3 +64,11 @@
 		And a VM without peers, started long ago
 		When that VM sees an engine crash while running "crasher"
 		Then that VM quarantines "crasher"
+
+	# Guards against a VM that ends as a request that takes down engines times out for the second time.
+	Scenario: A request that takes down engines times out twice, and the VMs live on
+		Given a relay of 2 VMs with engines "a, b, c, d, e, f"
+		And each engine falls silent for good as it runs "crasher"
+		When "POST /once/" with body "crasher" is sent to each VM, 300 ms after the one before
+		And 300 ms pass in quiet
+		Then each of them is answered with 504, and no VM has ended
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -55,6 +55,11 @@
 		Then whatever another writer leaves under "b", engines "a, c" are offered
 		And whatever another writer leaves under "e", engines "a, b, c" are offered
 
+	# Guards against an error of the relay in the life of one request that ends the process.
+	Scenario: An error of the relay costs only the request that it concerns
+		Given two requests under way, and the answer of the first makes the relay throw
+		Then only the first is aborted, with a log line and a count
+
 	# Guards against one value that ends the processes of all VMs, again after each restart.
 	Scenario Outline: A value that cannot be used costs only itself
 		Then whatever <value> is, it costs only itself
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -339,3 +339,23 @@
 		And a stranger asks each VM for "//" as a peer does
 		And 2500 ms pass in quiet
 		Then 20 "GET /plain/" requests at each VM are answered, and no VM has ended
+
+	# Guards against foreign bytes on a caller's kept connection after an error that was retried.
+	Scenario Outline: Error answers of any size are whole, or retried with nothing of the first sent
+		Given a relay of 1 VM with engines "a, b, c, d"
+		Then a <status> of an engine to "<call>" reaches the caller as <result>
+
+		Examples:
+			| status | call                  | result                  |
+			| 500    | POST /plain/          | another engine's answer |
+			| 500    | POST /once/           | the engine's error      |
+			| 500    | POST /stream/resumed/ | another engine's answer |
+			| 500    | POST /stream/once/    | the engine's error      |
+			| 404    | POST /plain/          | the engine's error      |
+			| 404    | POST /once/           | the engine's error      |
+			| 404    | POST /stream/resumed/ | the engine's error      |
+			| 404    | POST /stream/once/    | the engine's error      |
+			| 503    | POST /plain/          | another engine's answer |
+			| 503    | POST /once/           | an error of the relay   |
+			| 503    | POST /stream/resumed/ | another engine's answer |
+			| 503    | POST /stream/once/    | an error of the relay   |
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -58,6 +58,23 @@
 	notice?: EngineNotice;
 }
 
+/** Ways in which the end of an answer is told. */
+export const framings = {
+	length: 'length',
+	chunked: 'chunked',
+	/** By the end of the connection. */
+	unframed: 'unframed',
+} as const;
+export type Framing = (typeof framings)[keyof typeof framings];
+
+/** An error answer to a request with this body. */
+export interface ErrorAnswer {
+	requestBody: string;
+	status: number;
+	bytes: number;
+	framing: Framing;
+}
+
 /** State of an engine that it announces in the head of an answer. */
 export interface EngineNotice {
 	/** Monotonic time in milliseconds. */
@@ -90,6 +107,10 @@
 	private silentUntil = 0;
 	/** Body of requests that crash the engine. */
 	crashBody?: string;
+	/** Whether the crash leaves connections open and the engine silent, as when its host loses power. */
+	crashesSilently = false;
+	/** Error that the engine gives to one request, unless another engine has given it. */
+	errorAnswer?: ErrorAnswer & { wasGiven: boolean };
 	/** Parts of prompts that crash the engine once it has begun to answer; the last part of a prompt does not. */
 	crashParts: readonly string[] = [];
 	/** Whether all answers announce that the engine drains. */
@@ -193,10 +214,21 @@
 		};
 		if (this.crashBody !== undefined && req.body === this.crashBody) {
 			await pause(crashDelayMs);
+			if (this.crashesSilently) {
+				this.behaviour = engineBehaviours.silent;
+				this.onCrash?.();
+				return;
+			}
 			this.stop();
 			this.onCrash?.();
 			return;
 		}
+		const { errorAnswer } = this;
+		if (errorAnswer?.requestBody === req.body && !errorAnswer.wasGiven) {
+			errorAnswer.wasGiven = true;
+			this.sendError(req, res, signed, errorAnswer);
+			return;
+		}
 		if (partsOf(req).some((part) => this.crashParts.includes(part))) {
 			await this.crashOnPart(req, res, signed);
 			return;
@@ -252,6 +284,26 @@
 		}
 	}
 
+	private sendError(
+		req: ReceivedRequest,
+		res: http.ServerResponse,
+		signed: Record<string, string>,
+		{ status, bytes, framing }: ErrorAnswer,
+	): void {
+		const body = errorBody(req.body, bytes);
+		if (framing === framings.unframed) {
+			const head = Object.entries(signed).map((header) => header.join(': '));
+			res.socket?.end(
+				`HTTP/1.1 ${status} Error\r\n${head.join('\r\n')}\r\nconnection: close\r\n\r\n${body}`,
+			);
+			return;
+		}
+		const length = framing === framings.length ? { 'content-length': body.length } : undefined;
+		this.writeHead(req, res, status, { ...signed, ...length });
+		res.write(body.slice(0, bytes / 2));
+		res.end(body.slice(bytes / 2));
+	}
+
 	private async crashOnPart(
 		req: ReceivedRequest,
 		res: http.ServerResponse,
@@ -387,6 +439,11 @@
 	return `id: ${event}\ndata: token ${event}${suffix}\n\n`;
 }
 
+/** Body of an error answer. */
+export function errorBody(requestBody: string, bytes: number): string {
+	return `no ${requestBody} `.repeat(bytes).slice(0, bytes);
+}
+
 /** Complete body of a streamed answer. */
 export function wholeStream(body = ''): string {
 	const events = Array.from({ length: streamEventCount }, (_, index) =>
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -215,7 +215,7 @@
 			port: vm.ports.callers,
 			method,
 			path: target,
-			agent: false,
+			agent: opts.agent ?? false,
 			headers: {
 				host,
 				authorization: `Bearer ${opts.key ?? key}`,
@@ -365,6 +365,8 @@
 	vm?: Vm;
 	/** Further headers of the request. */
 	headers?: http.OutgoingHttpHeaders;
+	/** @default a connection of its own */
+	agent?: http.Agent;
 }
 
 export interface StartOptions {
--- a/test/steps/suspension.steps.ts
+++ b/test/steps/suspension.steps.ts
@@ -18,7 +18,7 @@
 } from '../../src/core/relay/definitions.js';
 import { RelayedRequest } from '../../src/core/relay/relayed-request.js';
 import { RetryBudget } from '../../src/core/relay/retry-budget.js';
-import type { RelayContext } from '../../src/core/relay/types.js';
+import type { RelayContext, RoutedRequest } from '../../src/core/relay/types.js';
 import type { Store } from '../../src/core/store/definitions.js';
 import { StoreError, storeFailures } from '../../src/core/store/definitions.js';
 import { PrefixFollower } from '../../src/core/store/prefix-follower.js';
@@ -187,7 +187,7 @@
 	follower.stop();
 });
 
-interface RequestInFlight {
+export interface RequestInFlight {
 	calls: EngineCall[];
 	listeners: AnswerListener[];
 	statuses: number[];
@@ -196,29 +196,8 @@
 cucumber.Given(
 	'a request with {int} ms that was sent to an engine',
 	function (this: FleetWorld, deadlineMs: number) {
-		const clock = clockOf(this);
 		const inFlight: RequestInFlight = { calls: [], listeners: [], statuses: [] };
-		const req: CallerRequest = {
-			method: 'GET',
-			target: '/',
-			host: 'a.example',
-			id: 'request-1',
-			deadlineMs,
-			promptSegments: [],
-			promptTokens: 0,
-			answerTokens: 0,
-			headers: [],
-			body: Buffer.alloc(0),
-			arrivedAt: clock.sinceBoot(),
-		};
-		const terms = {
-			req,
-			route: route({ repeatability: 'idempotent', timeoutMs: 10_000, maxEngines: 2 }),
-			service: 'pool',
-			isLeastUrgent: false,
-			urgency: 0,
-			configurationVersion: 1,
-		};
+		const terms = termsOf(this, 'request-1', deadlineMs);
 		const request = new RelayedRequest(
 			contextOf(this, inFlight),
 			terms,
@@ -231,7 +210,32 @@
 	},
 );
 
-function contextOf(world: FleetWorld, inFlight: RequestInFlight): RelayContext {
+/** An idempotent request as it comes from the route table. */
+export function termsOf(world: FleetWorld, id: string, deadlineMs: number): RoutedRequest {
+	const req: CallerRequest = {
+		method: 'GET',
+		target: '/',
+		host: 'a.example',
+		id,
+		deadlineMs,
+		promptSegments: [],
+		promptTokens: 0,
+		answerTokens: 0,
+		headers: [],
+		body: Buffer.alloc(0),
+		arrivedAt: clockOf(world).sinceBoot(),
+	};
+	return {
+		req,
+		route: route({ repeatability: 'idempotent', timeoutMs: 10_000, maxEngines: 2 }),
+		service: 'pool',
+		isLeastUrgent: false,
+		urgency: 0,
+		configurationVersion: 1,
+	};
+}
+
+export function contextOf(world: FleetWorld, inFlight: RequestInFlight): RelayContext {
 	const clock = clockOf(world);
 	const engines = ['a', 'b'].map((id) => new Engine(entry(id)));
 	const isPortClosed = async () => false;
