--- a/test/features/soak.feature
+++ b/test/features/soak.feature
@@ -24,6 +24,7 @@
 			| stays down after the last fault                    | recovery              |
 			| leaks open files                                   | resourceLeak          |
 			| exits unexpectedly                                 | unexpectedExit        |
+			| ends a request by an error of its own              | requestDefect         |
 
 	Scenario: A VM is exempt from time bounds while a fault affects it
 		Given records of a run in which all guarantees hold
--- a/test/soak/oracle.ts
+++ b/test/soak/oracle.ts
@@ -30,6 +30,7 @@
 	recovery: 'a VM did not serve again after the last fault',
 	resourceLeak: 'a process leaks files or memory',
 	unexpectedExit: 'a process ended unexpectedly',
+	requestDefect: 'an error in the relay ended a request',
 } as const;
 
 export function checkGuarantees(records: SoakRecords): SoakFinding[] {
@@ -59,6 +60,9 @@
 	for (const vm of records.unexpectedExits) {
 		report(guarantees.unexpectedExit, vm);
 	}
+	for (const line of records.requestDefects) {
+		report(guarantees.requestDefect, line);
+	}
 	return findings;
 }
 
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as fs from 'node:fs';
+import * as path from 'node:path';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { createRng } from '../../bench/random.js';
 import { key as permanentKey } from '../steps/relay-world.js';
@@ -49,6 +50,9 @@
 /** Resident memory allowed per daemon at the end of a run; fits the smallest VM. */
 const maxMemoryMb = 160;
 
+/** Start of a log line about a request that an error in the relay ended. */
+const defectLine = /^time=\S+ level=\S+ event=request\.defect /;
+
 export async function runSoak(opts: SoakOptions): Promise<SoakResult> {
 	fs.mkdirSync(opts.out, { recursive: true });
 	const loopDelay = monitorEventLoopDelay({ resolution: 10 });
@@ -77,6 +81,7 @@
 			notRecovered,
 			resourceLeaks: findResourceLeaks(deployment, opts),
 			unexpectedExits: deployment.unexpectedExits,
+			requestDefects: findRequestDefects(opts.out),
 		};
 		const findings = checkGuarantees(records);
 		if (findings.length > 0) {
@@ -132,6 +137,15 @@
 	return consecutive >= requiredAnswers;
 }
 
+/** @returns the lines of the daemons' logs about errors in the relay, each after the name of its log */
+export function findRequestDefects(logFolder: string): string[] {
+	const names = fs.readdirSync(logFolder).filter((name) => name.endsWith('.log'));
+	return names.flatMap((name) => {
+		const lines = fs.readFileSync(path.join(logFolder, name), 'utf8').split('\n');
+		return lines.filter((line) => defectLine.test(line)).map((line) => `${name}: ${line}`);
+	});
+}
+
 /** @returns a line for each running daemon with too many open files or too much memory */
 function findResourceLeaks(deployment: SoakDeployment, opts: SoakOptions): string[] {
 	const maxOpenFiles = extraOpenFiles + opts.callers * (1 + opts.engines);
--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -109,6 +109,8 @@
 	resourceLeaks: string[];
 	/** Processes that ended without having been signalled, one line each. */
 	unexpectedExits: string[];
+	/** Log lines about requests that an error in the relay ended. */
+	requestDefects: string[];
 }
 
 /** A violated guarantee. */
--- a/test/steps/soak.steps.ts
+++ b/test/steps/soak.steps.ts
@@ -8,10 +8,11 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as cucumber from '@cucumber/cucumber';
+import { LogfmtLog } from '../../src/infra/logfmt-log.js';
 import { LoopbackProxy } from '../soak/loopback-proxy.js';
 import { checkGuarantees, guarantees } from '../soak/oracle.js';
 import type { SoakResult } from '../soak/run.js';
-import { runSoak } from '../soak/run.js';
+import { findRequestDefects, runSoak } from '../soak/run.js';
 import type { CallerRecord, EngineArrival, SoakRecords } from '../soak/types.js';
 import { wholeStream } from '../stand-ins/platform-engine.js';
 import type { FleetWorld } from './world.js';
@@ -75,6 +76,7 @@
 		notRecovered: [],
 		resourceLeaks: [],
 		unexpectedExits: [],
+		requestDefects: [],
 	};
 }
 
@@ -170,6 +172,16 @@
 	'exits unexpectedly': (records) => {
 		records.unexpectedExits.push('vm-1');
 	},
+	'ends a request by an error of its own': (records) => {
+		const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'soak-'));
+		const write = (line: string) => fs.appendFileSync(path.join(folder, 'vm-1.log'), line);
+		const log = new LogfmtLog({ level: 'info', baseFields: { vm: 'vm-1' }, write });
+		log.info('request.ended', { request: 'x', reason: 'not event=request.defect' });
+		log.error('request.defect', { request: 'y', error: 'TypeError: no such thing' });
+		records.requestDefects.push(...findRequestDefects(folder));
+		fs.rmSync(folder, { recursive: true });
+		assert.equal(records.requestDefects.length, 1);
+	},
 };
 
 cucumber.Given('records of a run in which all guarantees hold', function (this: FleetWorld) {
