--- a/src/infra/relay/gossip-codec.ts
+++ b/src/infra/relay/gossip-codec.ts
@@ -86,12 +86,12 @@
 		kind,
 		from: row.string(),
 		incarnation: row.number(),
-		seq: row.number(),
-		configurationVersion: row.number(),
+		seq: row.nonNegative(),
+		configurationVersion: row.nonNegative(),
 		address: row.address(),
 		isLeaving: row.boolean(),
-		intervalMs: row.number(),
-		vmCount: row.number(),
+		intervalMs: row.nonNegative(),
+		vmCount: row.nonNegative(),
 		engines: row.nested((range) => ({ from: range.number(), to: range.number() })),
 		work: readWork(row.numbers(workStride)),
 		cacheUpdates: row.rows((item) => ({
@@ -191,10 +191,10 @@
 function readStoreReader(row: RowReader): StoreReader {
 	return {
 		address: row.address(),
-		contactAgeMs: row.number(),
-		revision: row.number(),
+		contactAgeMs: row.nonNegative(),
+		revision: row.nonNegative(),
 		digest: row.number(),
-		dutyToken: row.number(),
+		dutyToken: row.nonNegative(),
 	};
 }
 
@@ -205,8 +205,8 @@
 function readIssuer(row: RowReader): IssuerAnnouncement {
 	return {
 		address: row.address(),
-		term: row.number(),
-		heartbeatSeq: row.number(),
+		term: row.nonNegative(),
+		heartbeatSeq: row.nonNegative(),
 		isResigned: row.boolean(),
 	};
 }
--- a/src/infra/relay/row-reader.ts
+++ b/src/infra/relay/row-reader.ts
@@ -33,6 +33,15 @@
 		return value;
 	}
 
+	/** Reads a count, a time or a version, which is never below 0. */
+	nonNegative(): number {
+		const value = this.number();
+		if (value < 0 || value > Number.MAX_SAFE_INTEGER) {
+			throw new RowError('a number from 0');
+		}
+		return value;
+	}
+
 	/** Reads a number stored by `toThousandths`. */
 	thousandths(): number {
 		return this.number() / 1000;
--- a/src/infra/relay/usage-codec.ts
+++ b/src/infra/relay/usage-codec.ts
@@ -31,10 +31,10 @@
 		incarnation: row.number(),
 		address: row.address(),
 		sentAt: row.number(),
-		window: row.number(),
-		total: row.number(),
+		window: row.nonNegative(),
+		total: row.nonNegative(),
 		isFinal: row.boolean(),
-		counts: row.rows((item) => ({ customer: item.string(), started: item.number() })),
+		counts: row.rows((item) => ({ customer: item.string(), started: item.nonNegative() })),
 	};
 	row.expectEnd();
 	return usage;
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -72,6 +72,7 @@
 			| an answer of the store         |
 			| a peer's copy of the engines   |
 			| an address in a datagram       |
+			| a number in a datagram         |
 			| an order to forward a request  |
 			| the earlier usage reports      |
 			| the settings                   |
--- a/test/steps/foreign-values.steps.ts
+++ b/test/steps/foreign-values.steps.ts
@@ -13,6 +13,7 @@
 import { StoreError } from '../../src/core/store/definitions.js';
 import * as forwarding from '../../src/infra/relay/forwarding-headers.js';
 import { encodeGossip } from '../../src/infra/relay/gossip-codec.js';
+import { encodePermitResponse } from '../../src/infra/relay/limit-codec.js';
 import * as datagrams from '../../src/infra/relay/peer-datagram-socket.js';
 import { encodeUsage } from '../../src/infra/relay/usage-codec.js';
 import * as platform from '../../src/platform/index.js';
@@ -202,6 +203,24 @@
 	});
 }
 
+function checkDatagramNumbers(): Promise<void> {
+	const reader = { address: '10.0.0.1:80', contactAgeMs: 1, revision: 1, digest: 1, dutyToken: 0 };
+	const numbers = ['seq', 'configurationVersion', 'intervalMs', 'vmCount'];
+	const ofReader = ['contactAgeMs', 'revision', 'dutyToken'];
+	const limit = { engine: 1, limitPerS: 3, version: 1 };
+	return check(fc.constantFrom(-1, -1e9, 1e300), (value) => {
+		for (const field of numbers) {
+			assertRefused(encodeGossip(gossipMessage({ [field]: value })));
+		}
+		for (const field of ofReader) {
+			const storeReaders = [{ ...reader, [field]: value }];
+			assertRefused(encodeGossip(gossipMessage({ storeReaders })));
+		}
+		const response = { id: 1, limit, isGranted: false, retryAfterMs: value };
+		assertRefused(encodePermitResponse(response));
+	});
+}
+
 function checkForwardOrders(): Promise<void> {
 	const headers = fc.oneof(
 		unusableAddress.map((address) => `${address} e1 1 0`),
@@ -294,6 +313,7 @@
 	'an answer of the store': checkStoreAnswers,
 	"a peer's copy of the engines": checkEngineCopies,
 	'an address in a datagram': checkDatagrams,
+	'a number in a datagram': checkDatagramNumbers,
 	'an order to forward a request': checkForwardOrders,
 	'the earlier usage reports': checkUsageReports,
 	'the settings': checkSettings,
