--- a/src/infra/relay/gossip-codec.ts
+++ b/src/infra/relay/gossip-codec.ts
@@ -86,12 +86,12 @@
 		kind,
 		from: row.string(),
 		incarnation: row.number(),
-		seq: row.number(),
-		configurationVersion: row.number(),
-		address: row.string(),
+		seq: row.nonNegative(),
+		configurationVersion: row.nonNegative(),
+		address: row.address(),
 		isLeaving: row.boolean(),
-		intervalMs: row.number(),
-		vmCount: row.number(),
+		intervalMs: row.nonNegative(),
+		vmCount: row.nonNegative(),
 		engines: row.nested((range) => ({ from: range.number(), to: range.number() })),
 		work: readWork(row.numbers(workStride)),
 		cacheUpdates: row.rows((item) => ({
@@ -190,11 +190,11 @@
 
 function readStoreReader(row: RowReader): StoreReader {
 	return {
-		address: row.string(),
-		contactAgeMs: row.number(),
-		revision: row.number(),
+		address: row.address(),
+		contactAgeMs: row.nonNegative(),
+		revision: row.nonNegative(),
 		digest: row.number(),
-		dutyToken: row.number(),
+		dutyToken: row.nonNegative(),
 	};
 }
 
@@ -204,9 +204,9 @@
 
 function readIssuer(row: RowReader): IssuerAnnouncement {
 	return {
-		address: row.string(),
-		term: row.number(),
-		heartbeatSeq: row.number(),
+		address: row.address(),
+		term: row.nonNegative(),
+		heartbeatSeq: row.nonNegative(),
 		isResigned: row.boolean(),
 	};
 }
--- a/src/infra/relay/row-reader.ts
+++ b/src/infra/relay/row-reader.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { isAddress } from '../../core/fleet/address.js';
+
 export class RowError extends Error {
 	constructor(expected: string) {
 		super(`expected ${expected}`);
@@ -31,6 +33,15 @@
 		return value;
 	}
 
+	/** Reads a count, a time or a version, which is never below 0. */
+	nonNegative(): number {
+		const value = this.number();
+		if (value < 0 || value > Number.MAX_SAFE_INTEGER) {
+			throw new RowError('a number from 0');
+		}
+		return value;
+	}
+
 	/** Reads a number stored by `toThousandths`. */
 	thousandths(): number {
 		return this.number() / 1000;
@@ -44,6 +55,15 @@
 		return value;
 	}
 
+	/** Reads an address as IP:PORT, which a datagram can be sent to. */
+	address(): string {
+		const value = this.string();
+		if (!isAddress(value)) {
+			throw new RowError('an address');
+		}
+		return value;
+	}
+
 	boolean(): boolean {
 		const value = this.row[this.index++];
 		if (typeof value !== 'boolean') {
--- a/src/infra/relay/usage-codec.ts
+++ b/src/infra/relay/usage-codec.ts
@@ -29,12 +29,12 @@
 	const usage: UsageCounts = {
 		vm: row.string(),
 		incarnation: row.number(),
-		address: row.string(),
+		address: row.address(),
 		sentAt: row.number(),
-		window: row.number(),
-		total: row.number(),
+		window: row.nonNegative(),
+		total: row.nonNegative(),
 		isFinal: row.boolean(),
-		counts: row.rows((item) => ({ customer: item.string(), started: item.number() })),
+		counts: row.rows((item) => ({ customer: item.string(), started: item.nonNegative() })),
 	};
 	row.expectEnd();
 	return usage;
