--- a/src/core/engines/engine-health.ts
+++ b/src/core/engines/engine-health.ts
@@ -12,6 +12,11 @@
 const rejectionOpenMs = 200;
 /** An engine with requests in flight counts as silent after this time without any bytes, in milliseconds. */
 const silenceMs = 600;
+/**
+ * A longer silence is evidence against an engine, in milliseconds. Sound engines are silent for up to 1,500 ms, and their last event
+ * may have been sent one interval before.
+ */
+const maxSoundSilenceMs = 1800;
 /** Silence is excused for this multiple of the estimated reading time of the prompts in flight. */
 const readingMargin = 2;
 
@@ -42,6 +47,11 @@
 		return this.awaitingSince !== undefined && now - this.awaitingSince > allowedMs;
 	}
 
+	/** Whether nothing but a silence that sound engines may have speaks against the engine. */
+	isBrieflySilent(now: number): boolean {
+		return !this.isCircuitOpen(now) && this.isSilent(now) && this.silentMs(now) < maxSoundSilenceMs;
+	}
+
 	/** Whether requests are in flight. */
 	get isAwaiting(): boolean {
 		return this.awaitingSince !== undefined;
--- a/src/core/engines/placement-types.ts
+++ b/src/core/engines/placement-types.ts
@@ -26,6 +26,8 @@
 	isLeastUrgent: boolean;
 	/** Ids of the engines that this request was already sent to. */
 	tried: ReadonlySet<string>;
+	/** Whether an engine that is briefly silent will do where no other is available. */
+	acceptsSilent?: boolean;
 	/** Whether the known rate limit of an engine allows the request now. */
 	admits: (engine: Engine) => boolean;
 	/** Whether an engine announces a rate limit. */
--- a/src/core/engines/placement.ts
+++ b/src/core/engines/placement.ts
@@ -78,9 +78,7 @@
 
 	/** @param engines eligible engines of the service, in an order that all VMs share */
 	choose(req: PlacementRequest, engines: readonly Engine[], now: number): Placement | Refusal {
-		const usable = engines.filter((engine) => {
-			return !req.tried.has(engine.id) && engine.health.isAvailable(now) && req.admits(engine);
-		});
+		const usable = findUsable(req, engines, now);
 		if (usable.length === 0) {
 			return { refusal: 'no engine of the service can be used', retryAfterS: refusalRetryAfterS };
 		}
@@ -295,6 +293,23 @@
 	}
 }
 
+/** Engines that may get the request: those that are available, or else briefly silent ones where the request accepts these. */
+function findUsable(
+	req: PlacementRequest,
+	engines: readonly Engine[],
+	now: number,
+): readonly Engine[] {
+	const filter = (isHealthy: (engine: Engine) => boolean) => {
+		return engines.filter((engine) => {
+			return !req.tried.has(engine.id) && isHealthy(engine) && req.admits(engine);
+		});
+	};
+	const available = filter(({ health }) => health.isAvailable(now));
+	return available.length === 0 && req.acceptsSilent
+		? filter(({ health }) => health.isBrieflySilent(now))
+		: available;
+}
+
 /**
  * Affinity engines of a prompt. None where all engines are scored anyway, the shared prefix is short, or an engine is known to have
  * it cached.
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -84,6 +84,7 @@
 			ctx,
 			routed,
 			onPlaced: (placement) => this.handlePlaced(placement),
+			isRefusalFinal: () => this.live.isEmpty && !this.shouldHold,
 			onRefused: (reason, retryAfterS) => this.handleRefused(reason, retryAfterS),
 			outcome: this.outcome,
 			guard,
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -24,6 +24,8 @@
 	ctx: RelayContext;
 	routed: RoutedRequest;
 	onPlaced: (placement: Placement) => void;
+	/** Whether a refusal ends the request: no engine works on it, and it cannot wait for one. */
+	isRefusalFinal: () => boolean;
 	/** @param retryAfterS retry time for the caller; undefined for the default */
 	onRefused: (reason: string, retryAfterS: number | undefined) => void;
 	outcome: RequestOutcome;
@@ -63,6 +65,7 @@
 				model: routed.model,
 				isLeastUrgent: routed.isLeastUrgent,
 				tried: this.tried,
+				acceptsSilent: this.acceptsSilent,
 				admits: (engine) => this.admits(engine, engines),
 				isLimited: (engine) => this.isLimited(engine),
 			},
@@ -114,7 +117,14 @@
 	get hasSilentEngine(): boolean {
 		const { ctx, routed } = this.opts;
 		const engines = ctx.engines.getEligible(routed.service);
-		return engines.some(({ health }) => health.isSilent(this.now));
+		return engines.some(({ health }) => health.isBrieflySilent(this.now));
+	}
+
+	/** Where all engines are silent, a check of the links is awaited first: it tells whether this VM lost them. */
+	private get acceptsSilent(): boolean {
+		const { ctx, routed, isRefusalFinal } = this.opts;
+		const isCheckAwaited = this.hasAwaitedCheck || !ctx.links.getRunningCheck(routed.service);
+		return isCheckAwaited && isRefusalFinal();
 	}
 
 	/** Whether some engine of the service is available by its health. */
--- a/test/steps/engine-limits.steps.ts
+++ b/test/steps/engine-limits.steps.ts
@@ -291,6 +291,7 @@
 			ctx,
 			routed: { req: {}, route: route({}), service: 'pool', urgency: 0 } as never,
 			outcome: { log() {} } as unknown as RequestOutcome,
+			isRefusalFinal: () => true,
 			onPlaced: ({ engine }) => sent.push(engine.id),
 			onRefused() {},
 			guard: (action) => action(),
