--- a/src/core/quarantine/crash-ledger.ts
+++ b/src/core/quarantine/crash-ledger.ts
@@ -26,6 +26,8 @@
 	trait: Trait;
 	engine: EngineRef;
 	at: number;
+	/** Whether the engine was silent towards all requests, so that its failure is a guess. */
+	isSilent: boolean;
 }
 
 export interface CrashLedgerOptions {
@@ -76,7 +78,7 @@
 		return this.records;
 	}
 
-	/** Number of engines at which the trait failed, whether or not their crash is confirmed. */
+	/** Number of engines at which the trait failed, whether or not their crash is confirmed; without engines that were only silent. */
 	countFailedEngines(trait: Trait): number {
 		const engines = new Set<EngineRef>();
 		for (const [engine, record] of this.records.get(trait) ?? []) {
@@ -85,7 +87,7 @@
 			}
 		}
 		for (const failure of this.unconfirmed) {
-			if (failure.trait === trait) {
+			if (failure.trait === trait && !failure.isSilent) {
 				engines.add(failure.engine);
 			}
 		}
@@ -96,9 +98,12 @@
 		return this.crashed.has(engine);
 	}
 
-	/** Records a failed request of this VM. */
-	recordFailure(traits: readonly Trait[], engine: EngineRef): void {
-		const failures = traits.map((trait) => ({ trait, engine, at: this.now }));
+	/**
+	 * Records a failed request of this VM.
+	 * @param isSilent whether the engine was silent towards all requests; it counts only once its crash is known
+	 */
+	recordFailure(traits: readonly Trait[], engine: EngineRef, isSilent = false): void {
+		const failures = traits.map((trait) => ({ trait, engine, at: this.now, isSilent }));
 		if (this.crashed.has(engine)) {
 			this.addLocallyObserved(failures);
 		} else {
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -125,9 +125,12 @@
 		this.ledger.recordSuccess(traits, beganAt);
 	}
 
-	/** Records that a request with these traits failed at an engine. */
-	recordFailure(traits: readonly Trait[], engine: EngineRef): void {
-		this.ledger.recordFailure(traits, engine);
+	/**
+	 * Records that a request with these traits failed at an engine.
+	 * @param isSilent whether the engine was silent towards all requests
+	 */
+	recordFailure(traits: readonly Trait[], engine: EngineRef, isSilent = false): void {
+		this.ledger.recordFailure(traits, engine, isSilent);
 	}
 
 	recordEngineCrash(engine: EngineRef): void {
--- a/src/core/quarantine/request-quarantine.ts
+++ b/src/core/quarantine/request-quarantine.ts
@@ -19,6 +19,17 @@
 /** Upper bound of compared parts of a prompt. */
 const maxParts = 32;
 
+/** How an attempt failed. */
+export const attemptFailures = {
+	/** The connection ended, or the answer cannot be used. */
+	broken: 'broken',
+	/** The engine did not answer in time, but answered others. */
+	late: 'late',
+	/** The engine sent nothing to any request. */
+	silent: 'silent',
+} as const;
+export type AttemptFailure = (typeof attemptFailures)[keyof typeof attemptFailures];
+
 export class RequestQuarantine {
 	private hash?: ContentHash;
 	private partsOfPrompt?: readonly PromptPart[];
@@ -68,18 +79,19 @@
 	}
 
 	/**
-	 * Records a failed or silent attempt, except at draining engines, which stop as planned. Parts of the prompt are suspected only
+	 * Records a failed attempt, except at draining engines, which stop as planned. Parts of the prompt are suspected only
 	 * where the connection ended, as it does when the engine's process crashes; hosts and links fall silent.
 	 */
-	recordFailure(attempt: Attempt, isSilent: boolean): void {
+	recordFailure(attempt: Attempt, failure: AttemptFailure): void {
 		const { sinceFirstEventMs, engine } = attempt;
 		const isShort = sinceFirstEventMs === undefined || sinceFirstEventMs < harmlessMs;
 		if (!isShort || engine.isDraining) {
 			return;
 		}
-		this.failedAt = isSilent ? undefined : engine.ref;
-		const traits = isSilent ? [this.content] : [this.content, ...this.parts];
-		this.quarantine.recordFailure(traits, engine.ref);
+		const isBroken = failure === attemptFailures.broken;
+		this.failedAt = isBroken ? engine.ref : undefined;
+		const traits = isBroken ? [this.content, ...this.parts] : [this.content];
+		this.quarantine.recordFailure(traits, engine.ref, failure === attemptFailures.silent);
 		// Over a link that is down, any engine looks closed.
 		if (!engine.isForwarded) {
 			this.quarantine.probeEngine(engine);
--- a/src/core/relay/attempt-results.ts
+++ b/src/core/relay/attempt-results.ts
@@ -3,7 +3,8 @@
  * @module
  */
 import type { Engine } from '../engines/engine.js';
-import type { RequestQuarantine } from '../quarantine/request-quarantine.js';
+import type { AttemptFailure, RequestQuarantine } from '../quarantine/request-quarantine.js';
+import { attemptFailures } from '../quarantine/request-quarantine.js';
 import { formatTrait } from '../quarantine/traits.js';
 import type { Attempt } from './attempt.js';
 import type { RequestOutcome } from './request-outcome.js';
@@ -54,13 +55,13 @@
 
 	/** The answer broke off or cannot be used. */
 	recordBroken(attempt: Attempt, reason: string): void {
-		this.recordBrokenAttempt(attempt, reason);
+		this.recordBrokenAttempt(attempt, reason, attemptFailures.broken);
 		this.recordFailure(attempt, reason);
 	}
 
 	/** The engine was silent until another one answered. */
 	recordSilence(attempt: Attempt, reason: string): void {
-		this.recordBrokenAttempt(attempt, reason, true);
+		this.recordBrokenAttempt(attempt, reason, attemptFailures.silent);
 		this.recordFailure(attempt, reason);
 	}
 
@@ -70,17 +71,15 @@
 	 */
 	recordTimeout(attempt: Attempt, wasSilent: boolean): void {
 		const reason = wasSilent ? 'the engine was silent until the deadline' : 'no answer in time';
-		this.recordBrokenAttempt(attempt, reason, true);
+		const failure = wasSilent ? attemptFailures.silent : attemptFailures.late;
+		this.recordBrokenAttempt(attempt, reason, failure);
 		this.recordFailure(attempt, reason);
 	}
 
-	/**
-	 * The engine may have crashed while it ran this request, unless it was sent over a link of this VM that is down.
-	 * @param isSilent whether the engine fell silent, and did not end the connection
-	 */
-	private recordBrokenAttempt(attempt: Attempt, reason: string, isSilent = false): void {
+	/** The engine may have crashed while it ran this request, unless it was sent over a link of this VM that is down. */
+	private recordBrokenAttempt(attempt: Attempt, reason: string, failure: AttemptFailure): void {
 		if (attempt.helper || !attempt.engine.isForwarded) {
-			this.requestQuarantine.recordFailure(attempt, isSilent);
+			this.requestQuarantine.recordFailure(attempt, failure);
 		}
 		const { sinceSentMs, sinceFirstEventMs } = attempt;
 		this.outcome.log('request.broken', {
--- a/test/features/silent-engines-decisions.feature
+++ b/test/features/silent-engines-decisions.feature
@@ -20,3 +20,15 @@
 		Given 1 model engines, of which 1 are silent for 700 ms
 		And each engine failed 3 requests in a row
 		Then a new request is refused
+
+	Scenario Outline: Only engines known to have failed use up the retries of a content
+		Given a content whose attempts ended at <silent> silent engines and broke off at <broken> others
+		And <crashed> of the silent engines are known to have crashed
+		Then it <may> be retried
+
+		Examples:
+			| silent | broken | crashed | may     |
+			| 3      | 0      | 0       | may     |
+			| 3      | 1      | 0       | may     |
+			| 3      | 1      | 1       | may not |
+			| 3      | 2      | 0       | may not |
--- a/test/steps/silent-engines-decisions.steps.ts
+++ b/test/steps/silent-engines-decisions.steps.ts
@@ -6,11 +6,13 @@
 import * as cucumber from '@cucumber/cucumber';
 import type { Engine } from '../../src/core/engines/engine.js';
 import type { EnginePlacement } from '../../src/core/engines/placement.js';
-import { seen, unlimited } from './relay-fakes.js';
+import { Quarantine } from '../../src/core/quarantine/quarantine.js';
+import { clockOf, seen, silentLog, unlimited } from './relay-fakes.js';
 import { startEngines } from './relay-placement.steps.js';
 import type { FleetWorld } from './world.js';
 
 const now = 10_000;
+const content = 17;
 
 /** @returns the engine of a request without a prompt; undefined if it is refused */
 function choose(world: FleetWorld, acceptsSilent: boolean): Engine | undefined {
@@ -61,3 +63,34 @@
 		}
 	},
 );
+
+cucumber.Given(
+	'a content whose attempts ended at {int} silent engines and broke off at {int} others',
+	function (this: FleetWorld, silent: number, broken: number) {
+		const quarantine = new Quarantine({
+			clock: clockOf(this),
+			log: silentLog,
+			onUpdate() {},
+			onEntered() {},
+			isPortClosed: async () => false,
+		});
+		for (let engine = 0; engine < silent + broken; engine++) {
+			quarantine.recordFailure([content], engine, engine < silent);
+		}
+		this.state.set('quarantine', quarantine);
+	},
+);
+
+cucumber.Given(
+	'{int} of the silent engines are known to have crashed',
+	function (this: FleetWorld, crashed: number) {
+		for (let engine = 0; engine < crashed; engine++) {
+			seen<Quarantine>(this, 'quarantine').recordEngineCrash(engine);
+		}
+	},
+);
+
+cucumber.Then(/^it may( not)? be retried$/, function (this: FleetWorld, not: string | undefined) {
+	const isAllowed = seen<Quarantine>(this, 'quarantine').isRetryAllowed(content);
+	assert.equal(isAllowed, !not);
+});
