--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -22,6 +22,7 @@
 import { QuarantineGate } from './quarantine-gate.js';
 import { RequestOutcome } from './request-outcome.js';
 import { RequestPlacement } from './request-placement.js';
+import type { RetryRefusal } from './request-retries.js';
 import { RequestRetries, retryRefusals } from './request-retries.js';
 import type { RelayContext, RelayOutcome, RoutedRequest } from './types.js';
 import { relayOutcomes } from './types.js';
@@ -303,7 +304,7 @@
 			onWithdrawn: () => ifCurrent(() => this.handleWithdrawn(attempt), endAttempt),
 			onSent: () => ifCurrent(() => this.handleSent(attempt), recordActivity),
 			onHead: (head) => {
-				applyEngineNotice(this.ctx, this.outcome, attempt, head, this.id);
+				this.guard(() => applyEngineNotice(this.ctx, this.outcome, attempt, head, this.id));
 				ifCurrent(() => this.handleHead(attempt, head), recordActivity);
 			},
 			onData: (chunk) => ifCurrent(() => this.handleData(attempt, chunk), recordActivity),
@@ -498,8 +499,17 @@
 
 	/** Whether other attempts or other engines may go on with the request. */
 	private canGoOnWithout(attempt: Attempt): boolean {
-		const refusal = this.retries.findRefusal(this.ctx.clock.monotonic());
-		return this.hasOthers(attempt) || refusal === undefined;
+		return this.hasOthers(attempt) || !this.isFinal(this.findRetryRefusal());
+	}
+
+	private findRetryRefusal(): RetryRefusal | undefined {
+		return this.retries.findRefusal(this.ctx.clock.monotonic());
+	}
+
+	/** Whether a retry that is refused now will not be allowed later either, or there is nothing to wait for. */
+	private isFinal(refusal: RetryRefusal | undefined): boolean {
+		const isTemporary = refusal === retryRefusals.budget && this.answer.hasStarted;
+		return refusal !== undefined && !isTemporary;
 	}
 
 	/** Whether other attempts go on, or one is about to be made. */
@@ -515,9 +525,8 @@
 		if (!this.live.isEmpty || this.isPlacing) {
 			return true;
 		}
-		const refusal = this.retries.findRefusal(this.ctx.clock.monotonic());
-		const isTemporary = refusal === retryRefusals.budget && this.answer.hasStarted;
-		if (refusal !== undefined && !isTemporary) {
+		const refusal = this.findRetryRefusal();
+		if (refusal !== undefined && this.isFinal(refusal)) {
 			this.outcome.recordNotReplaced(refusal);
 			return false;
 		}
--- a/src/core/relay/request-outcome.ts
+++ b/src/core/relay/request-outcome.ts
@@ -115,8 +115,9 @@
 
 	/** Records why no other engine takes over from one that is silent or failed. */
 	recordNotReplaced(reason: string): void {
-		if (reason !== this.notReplacedReason) {
-			this.notReplacedReason = reason;
+		const isNew = kindOf(reason) !== kindOf(this.notReplacedReason ?? '');
+		this.notReplacedReason = reason;
+		if (isNew) {
 			this.log('request.not-replaced', { reason });
 			this.ctx.metrics.recordReplacement(this.routed.service, replacementResults.refused);
 		}
@@ -134,6 +135,11 @@
 	}
 }
 
+/** A reason without its figures, which change with each look for an engine. */
+function kindOf(reason: string): string {
+	return reason.replace(/\d+/g, '');
+}
+
 function roundMs(ms: number | undefined): number | undefined {
 	return ms === undefined ? undefined : Math.round(ms);
 }
--- a/src/infra/relay/limit-codec.ts
+++ b/src/infra/relay/limit-codec.ts
@@ -81,7 +81,7 @@
 		id: row.number(),
 		limit: row.nested(readLimit),
 		isGranted: row.boolean(),
-		retryAfterMs: row.number(),
+		retryAfterMs: row.nonNegative(),
 	};
 	row.expectEnd();
 	return response;
