--- a/src/infra/callers/callers-server.ts
+++ b/src/infra/callers/callers-server.ts
@@ -3,7 +3,6 @@
  * @module
  */
 import * as http from 'node:http';
-import type * as stream from 'node:stream';
 import type { ConfigurationView, RoutingTarget } from '../../core/configuration/index.js';
 import type { Clock, Log, Random } from '../../core/definitions.js';
 import * as errors from '../../core/errors/index.js';
@@ -12,7 +11,8 @@
 import type { Router } from '../../core/requests/router.js';
 import type { Request } from '../../core/requests/types.js';
 import { outcomes } from '../../core/requests/types.js';
-import { sendWithLingeringClose } from '../lingering-close.js';
+import type { ClientError, ErrorAnswer } from '../caller-connections.js';
+import { CallerConnections, clientErrorCodes } from '../caller-connections.js';
 import { answerHeaderNames, errorBody, errorHeaders } from './error-body.js';
 import * as requestBody from './request-body.js';
 import { JsonSink, ServiceSink, StreamSink } from './sinks.js';
@@ -40,17 +40,21 @@
 
 export class CallersServer {
 	readonly server: http.Server;
+	private readonly connections: CallerConnections;
 	private nextTicket = 1;
 
 	constructor(private readonly opts: CallersServerOptions) {
 		const httpOptions = { maxHeaderSize: opts.limits.header_bytes, keepAliveTimeout: 65_000 };
 		this.server = http.createServer(httpOptions, (req, res) => void this.handle(req, res));
-		this.server.on('clientError', (err, socket) =>
-			rejectSocket(err, socket, opts.limits.header_bytes),
+		this.connections = new CallerConnections(this.server, (err) =>
+			answerError(err, opts.limits.header_bytes),
 		);
 	}
 
 	private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (!this.connections.take(req, res)) {
+			return;
+		}
 		try {
 			await this.route(req, res);
 		} catch (err) {
@@ -188,6 +192,9 @@
 		sink: CallerSink,
 		res: http.ServerResponse,
 	): void {
+		if (this.connections.isDropped(res)) {
+			return;
+		}
 		const run = this.opts.router.submit(request, template, sink);
 		res.on('close', () => run.handleDisconnect());
 	}
@@ -205,7 +212,7 @@
 			return;
 		}
 		const headers = errorHeaders(err, outcomes.notRun);
-		sendWithLingeringClose(
+		this.connections.refuse(
 			req,
 			res,
 			err.data.status ?? 500,
@@ -216,23 +223,17 @@
 }
 
 /** Answers a request whose head is too large or malformed, which Node.js never passes to the request handler. */
-function rejectSocket(err: Error & { code?: string }, socket: stream.Duplex, limit: number): void {
-	if (!socket.writable) {
-		return;
-	}
-	const tooLarge = err.code === 'HPE_HEADER_OVERFLOW';
-	const error = tooLarge
-		? new errors.UserError(errors.data.HeadTooLarge, [String(limit)])
-		: new errors.UserError(errors.data.BadRequest, ['it is not valid HTTP']);
-	const body = errorBody(error, outcomes.notRun);
-	const head = [
-		`HTTP/1.1 ${error.data.status} ${error.data.title}`,
-		'content-type: application/json',
-		`${answerHeaderNames.outcome}: ${outcomes.notRun}`,
-		`content-length: ${Buffer.byteLength(body)}`,
-		'connection: close',
-	];
-	socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+function answerError(err: ClientError, limit: number): ErrorAnswer {
+	const error =
+		err.code === clientErrorCodes.headTooLarge
+			? new errors.UserError(errors.data.HeadTooLarge, [String(limit)])
+			: new errors.UserError(errors.data.BadRequest, ['it is not valid HTTP']);
+	return {
+		status: error.data.status ?? 400,
+		reason: error.data.title,
+		headers: errorHeaders(error, outcomes.notRun),
+		body: errorBody(error, outcomes.notRun),
+	};
 }
 
 function sendJson(res: http.ServerResponse, status: number, value: unknown): void {
--- a/src/infra/relay/relay-http-server.ts
+++ b/src/infra/relay/relay-http-server.ts
@@ -4,11 +4,11 @@
  */
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import type * as stream from 'node:stream';
 import type { Clock, Log } from '../../core/definitions.js';
 import type { CallerRequest, CallerResponse, RawHeaders } from '../../core/relay/definitions.js';
 import type { CallerLimits } from '../../core/routing/types.js';
-import { sendWithLingeringClose } from '../lingering-close.js';
+import type { ClientError, ErrorAnswer } from '../caller-connections.js';
+import { CallerConnections, clientErrorCodes } from '../caller-connections.js';
 
 /** Upper bound for request heads; the configured limit may be lower. */
 export const maxHeadBytes = 65_536;
@@ -44,6 +44,7 @@
 
 export class RelayHttpServer {
 	readonly server: http.Server;
+	private readonly connections: CallerConnections;
 	private limits = defaultLimits;
 	private bufferedBytes = 0;
 	private isKeepAliveDisabled = false;
@@ -61,7 +62,7 @@
 			},
 			(req, res) => this.accept(req, res),
 		);
-		this.server.on('clientError', handleClientError);
+		this.connections = new CallerConnections(this.server, answerError);
 	}
 
 	/** Requests whose answer has not ended. */
@@ -85,6 +86,9 @@
 	}
 
 	private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
+		if (!this.connections.take(req, res)) {
+			return;
+		}
 		this.openCount++;
 		const bodySize = { bytes: 0 };
 		res.on('close', () => {
@@ -93,16 +97,16 @@
 		});
 		const arrivedAt = this.opts.clock.sinceBoot();
 		if (headBytes(req.rawHeaders) > this.limits.headBytes) {
-			refuse(req, res, 431, 'the head is too large');
+			this.refuse(req, res, 431, 'the head is too large');
 			return;
 		}
 		if (Number(req.headers['content-length'] ?? 0) > this.limits.bodyBytes) {
-			refuse(req, res, 413, 'the body is too large');
+			this.refuse(req, res, 413, 'the body is too large');
 			return;
 		}
 		if (this.bufferedBytes > maxBufferedBytes) {
 			this.opts.log.warn('callers.memory-full', { held_bytes: this.bufferedBytes });
-			refuse(req, res, 503, 'too many bodies are held', true);
+			this.refuse(req, res, 503, 'too many bodies are held', true);
 			return;
 		}
 		this.readBody(req, res, bodySize, (body) =>
@@ -122,7 +126,7 @@
 			this.bufferedBytes += chunk.length;
 			if (bodySize.bytes > this.limits.bodyBytes && !res.headersSent) {
 				chunks.length = 0;
-				refuse(req, res, 413, 'the body is too large');
+				this.refuse(req, res, 413, 'the body is too large');
 				return;
 			}
 			chunks.push(chunk);
@@ -164,13 +168,39 @@
 		body: Buffer,
 		arrivedAt: number,
 	): void {
+		if (this.connections.isDropped(res)) {
+			return;
+		}
 		const { method = 'GET', url: target = '/', rawHeaders } = req;
 		const request = this.opts.decode({ method, target, rawHeaders, arrivedAt }, body);
 		if (!request) {
-			refuse(req, res, 400, 'the head names no request or host');
+			this.refuse(req, res, 400, 'the head names no request or host');
 			return;
 		}
-		this.opts.handle(request, new HttpCallerResponse(res, () => this.isKeepAliveDisabled));
+		this.opts.handle(request, new HttpCallerResponse(res, () => this.shouldClose(res)));
+	}
+
+	/** Whether the answer that begins is the last of its connection. */
+	private shouldClose(res: http.ServerResponse): boolean {
+		if (this.isKeepAliveDisabled) {
+			this.connections.takeNoneAfter(res);
+		}
+		return this.isKeepAliveDisabled;
+	}
+
+	/** Refuses a request and closes its connection, since its body may be unread. */
+	private refuse(
+		req: http.IncomingMessage,
+		res: http.ServerResponse,
+		status: number,
+		reason: string,
+		shouldRetry = false,
+	): void {
+		const headers: http.OutgoingHttpHeaders = { 'content-type': 'text/plain' };
+		if (shouldRetry) {
+			headers['retry-after'] = '0.2';
+		}
+		this.connections.refuse(req, res, status, headers, `${reason}\n`);
 	}
 }
 
@@ -248,32 +278,14 @@
 	return bytes;
 }
 
-/** Refuses a request and closes its connection, since its body may be unread. */
-function refuse(
-	req: http.IncomingMessage,
-	res: http.ServerResponse,
-	status: number,
-	reason: string,
-	shouldRetry = false,
-): void {
-	const headers: http.OutgoingHttpHeaders = { 'content-type': 'text/plain' };
-	if (shouldRetry) {
-		headers['retry-after'] = '0.2';
-	}
-	sendWithLingeringClose(req, res, status, headers, `${reason}\n`);
-}
-
-/** Answers bytes that are not a valid HTTP request and closes the connection. */
-function handleClientError(err: Error & { code?: string }, socket: stream.Duplex): void {
-	if (!socket.writable || err.code === 'ECONNRESET') {
-		socket.destroy();
-		return;
+/** Answers a head that is late or too large, or bytes that are no valid HTTP request. */
+function answerError(err: ClientError): ErrorAnswer {
+	switch (err.code) {
+		case clientErrorCodes.headTooLarge:
+			return { status: 431, reason: 'Request Header Fields Too Large' };
+		case clientErrorCodes.late:
+			return { status: 408, reason: 'Request Timeout' };
+		default:
+			return { status: 400, reason: 'Bad Request' };
 	}
-	const status =
-		err.code === 'HPE_HEADER_OVERFLOW'
-			? '431 Request Header Fields Too Large'
-			: err.code === 'ERR_HTTP_REQUEST_TIMEOUT'
-				? '408 Request Timeout'
-				: '400 Bad Request';
-	socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
 }
--- a/test/steps/relay-http-server.steps.ts
+++ b/test/steps/relay-http-server.steps.ts
@@ -66,30 +66,76 @@
 	},
 );
 
+cucumber.Given(
+	'it allows {int} ms and {int} bytes for heads, and {int} bytes for bodies',
+	function (this: FleetWorld, headTimeoutMs: number, headBytes: number, bodyBytes: number) {
+		const relayServer = seen<RelayHttpServer>(this, 'relayServer');
+		relayServer.configure({ headTimeoutMs, headBytes, bodyBytes, idleTimeoutMs: 15_000 });
+	},
+);
+
+cucumber.Given(
+	'a caller that has sent {int} bytes of its head',
+	async function (this: FleetWorld, bytes: number) {
+		const { server } = seen<RelayHttpServer>(this, 'relayServer');
+		const socket = connect(this);
+		const head = encodeRequests(['/a'], '1.1');
+		socket.write(head.slice(0, bytes));
+		const accepted = await new Promise<net.Socket>((done) => server.once('connection', done));
+		while (accepted.bytesRead < bytes) {
+			await new Promise((done) => setImmediate(done));
+		}
+		this.state.set('socket', socket);
+		this.state.set('rest', head.slice(bytes));
+	},
+);
+
+cucumber.When(
+	'it sends the rest and the process stands still for {int} ms',
+	async function (this: FleetWorld, pauseMs: number) {
+		const socket = seen<net.Socket>(this, 'socket');
+		socket.write(seen<string>(this, 'rest'));
+		standStill(pauseMs);
+		this.state.set('read', await readAll(this, socket));
+	},
+);
+
+cucumber.When(
+	'the process stands still for {int} ms and the caller sends the rest once it is answered',
+	async function (this: FleetWorld, pauseMs: number) {
+		const socket = seen<net.Socket>(this, 'socket');
+		standStill(pauseMs);
+		socket.once('data', () => socket.end(seen<string>(this, 'rest')));
+		this.state.set('read', await readAll(this, socket));
+	},
+);
+
+cucumber.When(
+	/^a caller sends a request with the lines (.*) and one behind it$/,
+	async function (this: FleetWorld, lines: string) {
+		const socket = connect(this);
+		const head = decodeText(`POST /a HTTP/1.1~host: relay.example~${lines}`);
+		socket.end(head + encodeRequests(['/b'], '1.1'));
+		this.state.set('read', await readAll(this, socket));
+	},
+);
+
 cucumber.When(
 	'a caller requests {string} with HTTP {word} and reads once {int} answers are blocked',
 	async function (this: FleetWorld, paths: string, version: string, blocked: number) {
-		const { server } = seen<RelayHttpServer>(this, 'relayServer');
 		const writers = seen<PieceWriter[]>(this, 'writers');
-		const socket = net.connect((server.address() as AddressInfo).port, '127.0.0.1');
-		socket.pause();
+		const socket = connect(this).pause();
 		socket.write(encodeRequests(paths.split(' '), version));
 		while (writers.filter(({ blockedCount }) => blockedCount > 0).length < blocked) {
 			await new Promise((done) => setImmediate(done));
 		}
-		const chunks: Buffer[] = [];
-		socket.on('data', (chunk) => chunks.push(chunk));
-		socket.resume();
-		await new Promise((done) => socket.on('end', done));
-		socket.destroy();
-		server.close();
-		this.state.set('read', Buffer.concat(chunks));
+		this.state.set('read', await readAll(this, socket));
 	},
 );
 
 cucumber.Then(
-	/^it receives complete answers to "(.*)"(, with chunked encoding)?$/,
-	function (this: FleetWorld, paths: string, isChunked: string | undefined) {
+	/^it receives complete answers to "(.*)"(, with chunked encoding)?(?:, and then the status (\d+))?$/,
+	function (this: FleetWorld, paths: string, isChunked?: string, status?: string) {
 		let remaining = seen<Buffer>(this, 'read');
 		for (const target of paths.split(' ')) {
 			const headEnd = remaining.indexOf('\r\n\r\n') + 4;
@@ -104,10 +150,54 @@
 			assert.ok(body.equals(Buffer.concat(pieces)));
 			remaining = rest;
 		}
-		assert.equal(remaining.length, 0);
+		if (status) {
+			assertOnlyStatus(remaining, status);
+		} else {
+			assert.equal(remaining.length, 0);
+		}
 	},
 );
 
+cucumber.Then('it receives only the status {word}', function (this: FleetWorld, status: string) {
+	assertOnlyStatus(seen<Buffer>(this, 'read'), status);
+});
+
+cucumber.Then('no request was handled', function (this: FleetWorld) {
+	assert.equal(seen<PieceWriter[]>(this, 'writers').length, 0);
+});
+
+function assertOnlyStatus(read: Buffer, status: string): void {
+	const text = read.toString('latin1');
+	assert.match(text, new RegExp(`^HTTP/1.1 ${status} `));
+	assert.equal(text.split('HTTP/1.1').length, 2, text);
+}
+
+function connect(world: FleetWorld): net.Socket {
+	const { server } = seen<RelayHttpServer>(world, 'relayServer');
+	return net.connect((server.address() as AddressInfo).port, '127.0.0.1');
+}
+
+/** Reads until the connection is closed on both sides, then stops the server. */
+async function readAll(world: FleetWorld, socket: net.Socket): Promise<Buffer> {
+	const chunks: Buffer[] = [];
+	socket.on('data', (chunk) => chunks.push(chunk));
+	socket.resume();
+	await new Promise((done) => socket.on('close', done));
+	const { server } = seen<RelayHttpServer>(world, 'relayServer');
+	await new Promise((done) => server.close(done));
+	return Buffer.concat(chunks);
+}
+
+/** Blocks the event loop, as a stop of the process does. */
+function standStill(ms: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
+
+/** Decodes text with `~` for line ends and a number behind `x` for its repetition. */
+function decodeText(text: string): string {
+	return text.replaceAll('~', '\r\n').replace(/x(\d+)/, (_, count) => 'x'.repeat(Number(count)));
+}
+
 function createPiece(target: string, index: number): Buffer {
 	return Buffer.alloc(pieceBytes, `${target} ${index} `);
 }
