--- a/src/infra/caller-connections.ts
+++ b/src/infra/caller-connections.ts
@@ -117,11 +117,13 @@
 	}
 
 	private find(socket: stream.Duplex): Connection {
-		let connection = this.connections.get(socket);
-		if (!connection) {
-			connection = { takenCount: 0, open: [] };
-			this.connections.set(socket, connection);
+		const known = this.connections.get(socket);
+		if (known) {
+			return known;
 		}
+		const connection: Connection = { takenCount: 0, open: [] };
+		this.connections.set(socket, connection);
+		socket.once('close', () => closeQueued(connection.open));
 		return connection;
 	}
 
@@ -184,6 +186,19 @@
 	return res && !res.req.complete ? res : undefined;
 }
 
+/**
+ * Tells the answers that waited for others that their connection has closed, which Node tells only the
+ * answer that was being sent.
+ */
+function closeQueued(open: readonly http.ServerResponse[]): void {
+	for (const res of [...open]) {
+		if (!res.socket && !res.writableFinished) {
+			res.destroy();
+			res.emit('close');
+		}
+	}
+}
+
 function encodeAnswer({ status, reason, headers = {}, body = '' }: ErrorAnswer): string {
 	const lines = [`HTTP/1.1 ${status} ${reason}`];
 	for (const [name, value] of Object.entries(headers)) {
--- a/test/features/relay-http-server.feature
+++ b/test/features/relay-http-server.feature
@@ -61,3 +61,8 @@
 		Given an HTTP server that answers each path with 200 pieces
 		When a caller requests "/a broken" with HTTP 1.1 and reads once 1 answers are blocked
 		Then it receives complete answers to "/a", with chunked encoding, and then the status 400
+
+	Scenario: A caller that leaves also leaves its pipelined requests
+		Given an HTTP server that answers each path with 200 pieces
+		When a caller requests "/a /b /c" with HTTP 1.1 and leaves once 3 answers are blocked
+		Then no request is open within 1000 ms
--- a/test/steps/relay-http-server.steps.ts
+++ b/test/steps/relay-http-server.steps.ts
@@ -121,14 +121,23 @@
 );
 
 cucumber.When(
-	'a caller requests {string} with HTTP {word} and reads once {int} answers are blocked',
-	async function (this: FleetWorld, paths: string, version: string, blocked: number) {
+	/^a caller requests "(.*)" with HTTP (\S+) and (reads|leaves) once (\d+) answers are blocked$/,
+	async function (
+		this: FleetWorld,
+		paths: string,
+		version: string,
+		action: string,
+		blocked: number,
+	) {
 		const writers = seen<PieceWriter[]>(this, 'writers');
 		const socket = connect(this).pause();
 		socket.write(encodeRequests(paths.split(' '), version));
 		while (writers.filter(({ blockedCount }) => blockedCount > 0).length < blocked) {
 			await new Promise((done) => setImmediate(done));
 		}
+		if (action === 'leaves') {
+			socket.destroy();
+		}
 		this.state.set('read', await readAll(this, socket));
 	},
 );
@@ -166,6 +175,15 @@
 	assert.equal(seen<PieceWriter[]>(this, 'writers').length, 0);
 });
 
+cucumber.Then('no request is open within {int} ms', async function (this: FleetWorld, ms: number) {
+	const relayServer = seen<RelayHttpServer>(this, 'relayServer');
+	const deadline = performance.now() + ms;
+	while (relayServer.openRequests > 0 && performance.now() < deadline) {
+		await new Promise((done) => setImmediate(done));
+	}
+	assert.equal(relayServer.openRequests, 0);
+});
+
 function assertOnlyStatus(read: Buffer, status: string): void {
 	const text = read.toString('latin1');
 	assert.match(text, new RegExp(`^HTTP/1.1 ${status} `));
