--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { Random } from '../definitions.js';
+import { CommonSilence } from '../engines/common-silence.js';
 import { RouteTable } from '../routing/route-table.js';
 import type { Customer, Route } from '../routing/types.js';
 import type { CallerRequest, CallerResponse } from './definitions.js';
@@ -32,6 +33,8 @@
 export class Relay {
 	private readonly open = new Set<RelayedRequest>();
 
+	private readonly commonSilence = new CommonSilence();
+
 	constructor(private readonly opts: RelayOptions) {}
 
 	get openRequests(): number {
@@ -48,8 +51,12 @@
 	/** Looks for engines that take over requests of silent ones; called several times a second. */
 	checkProgress(): void {
 		const now = this.opts.clock.monotonic();
-		for (const request of [...this.open]) {
-			request.checkProgress(now);
+		const open = [...this.open];
+		for (const service of new Set(open.map((request) => request.service))) {
+			this.commonSilence.update(service, this.opts.engines.getEligible(service), now);
+		}
+		for (const request of open) {
+			request.checkProgress(now, this.commonSilence.isEnding(request.service, now));
 		}
 	}
 
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -107,6 +107,10 @@
 		return this.routed.route;
 	}
 
+	get service(): string {
+		return this.routed.service;
+	}
+
 	get id(): string {
 		return this.routed.req.id;
 	}
@@ -140,15 +144,18 @@
 		});
 	}
 
-	/** Looks for an engine that takes over from one that is silent, or that failed while there was none. */
-	checkProgress(now: number): void {
+	/**
+	 * Looks for an engine that takes over from one that is silent, or that failed while there was none.
+	 * @param isSilenceEnding whether a silence of all engines is ending, so that silent ones are about to go on
+	 */
+	checkProgress(now: number, isSilenceEnding: boolean): void {
 		this.guard(() => {
 			if (this.outcome.isFinished || this.isPlacing) {
 				return;
 			}
 			if (this.isHeld) {
 				this.placeHeld(now);
-			} else if (this.shouldReplace(now)) {
+			} else if (!isSilenceEnding && this.shouldReplace(now)) {
 				this.placeReplacement(now);
 			}
 		});
--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -176,3 +176,19 @@
 		And "b" sends event 2
 		Then the call to "a" is over
 		And it was sent to "a, b", and the caller got "200 id:1 id:2"
+
+	Scenario Outline: Engines that were silent together are given time to go on
+		Given engines "a, b, c" of which "<busy>" have requests in flight
+		When <ms> ms pass without a byte
+		And "a" speaks
+		And 100 ms pass without a byte
+		Then the silence of all engines <now> ending
+		When 600 ms pass without a byte
+		Then the silence of all engines is not ending
+
+		Examples:
+			| busy    | ms   | now    |
+			| a, b, c | 1200 | is     |
+			| a, b    | 1200 | is     |
+			| a       | 1200 | is not |
+			| a, b, c | 300  | is not |
--- a/test/steps/silence-decisions.steps.ts
+++ b/test/steps/silence-decisions.steps.ts
@@ -107,7 +107,7 @@
 	'the relay looks {int} time(s) for an engine',
 	function (this: FleetWorld, n: number) {
 		for (let count = 0; count < n; count++) {
-			streamOf(this).request.checkProgress(clockOf(this).now);
+			streamOf(this).request.checkProgress(clockOf(this).now, false);
 		}
 	},
 );
