--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -70,6 +70,8 @@
 			| the id of an engine            |
 			| the registration of a VM       |
 			| an answer of the store         |
+			| the era of the store           |
+			| a quarantined key              |
 			| a peer's copy of the engines   |
 			| an address in a datagram       |
 			| a number in a datagram         |
--- a/test/steps/foreign-values.steps.ts
+++ b/test/steps/foreign-values.steps.ts
@@ -10,6 +10,7 @@
 import type { Log } from '../../src/core/definitions.js';
 import { UsageRecords, type UsageRecordsOptions } from '../../src/core/duties/usage-records.js';
 import { VmRegistry, type VmRegistryOptions } from '../../src/core/fleet/vm-registry.js';
+import { decodeTraitKey, encodeTraitKey } from '../../src/core/quarantine/traits.js';
 import { StoreError } from '../../src/core/store/definitions.js';
 import * as forwarding from '../../src/infra/relay/forwarding-headers.js';
 import { encodeGossip } from '../../src/infra/relay/gossip-codec.js';
@@ -17,6 +18,7 @@
 import * as datagrams from '../../src/infra/relay/peer-datagram-socket.js';
 import { encodeUsage } from '../../src/infra/relay/usage-codec.js';
 import * as platform from '../../src/platform/index.js';
+import { decodeEra } from '../../src/platform/store-wire.js';
 import { gossipMessage, ManualClock, registered, registration, silentLog } from './relay-fakes.js';
 import { fixtureOf } from './relay-fixture.js';
 import { newDirectory } from './relay-fleet.steps.js';
@@ -169,6 +171,21 @@
 	});
 }
 
+function checkEras(): Promise<void> {
+	assert.equal(decodeEra('3'), 3);
+	const eras = fc.constantFrom('x', '', '-1', '1.5', '1e300', '131072', ['3'], undefined);
+	return check(eras, (era) => assert.equal(decodeEra(era), undefined));
+}
+
+async function checkTraitKeys(): Promise<void> {
+	await check(fc.maxSafeNat(), (content) =>
+		assert.equal(decodeTraitKey(encodeTraitKey(content)), content),
+	);
+	const keys = fc.oneof(fc.constantFrom('5zz', '-5', '0x1f', ' 1f', 'f'.repeat(15)), fc.string());
+	const foreign = keys.filter((key) => !/^([0-9a-f]{1,14}$|part-)/.test(key));
+	await check(foreign, (key) => assert.equal(decodeTraitKey(key), Number.NaN));
+}
+
 function checkEngineCopies(world: FleetWorld): Promise<void> {
 	const item = registration('d', 5);
 	const sound = { revision: 5, digest: 1, ids: ['a', 'd'], items: [item] };
@@ -311,6 +328,8 @@
 	'the id of an engine': checkEngineIds,
 	'the registration of a VM': checkVmRegistrations,
 	'an answer of the store': checkStoreAnswers,
+	'the era of the store': checkEras,
+	'a quarantined key': checkTraitKeys,
 	"a peer's copy of the engines": checkEngineCopies,
 	'an address in a datagram': checkDatagrams,
 	'a number in a datagram': checkDatagramNumbers,
