--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -340,8 +340,9 @@
 			this.httpServer.closeIdleConnections();
 			await sleep(shutdownPollMs);
 		}
+		// In the same turn of the loop, as a request that is read from here on would not be answered any more.
+		this.httpServer.stopTaking();
 		this.relay.abortAll('the daemon stops');
-		this.httpServer.server.close();
 		await this.close();
 		this.log.info('daemon.stopped', { took_ms: Math.round(this.shutdown.elapsedMs) });
 	}
--- a/src/infra/relay/relay-http-server.ts
+++ b/src/infra/relay/relay-http-server.ts
@@ -48,6 +48,7 @@
 	private limits = defaultLimits;
 	private bufferedBytes = 0;
 	private isKeepAliveDisabled = false;
+	private isTaking = true;
 	private openCount = 0;
 
 	constructor(private readonly opts: RelayHttpServerOptions) {
@@ -85,10 +86,21 @@
 		this.server.closeIdleConnections();
 	}
 
+	/** Closes the port, and each connection without an open request: later requests are not read. */
+	stopTaking(): void {
+		this.isTaking = false;
+		this.server.close();
+		this.server.closeIdleConnections();
+	}
+
 	private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
 		if (!this.connections.take(req, res)) {
 			return;
 		}
+		if (!this.isTaking) {
+			req.socket.destroy();
+			return;
+		}
 		this.openCount++;
 		const bodySize = { bytes: 0 };
 		res.on('close', () => {
