--- a/test/features/silent-engines.feature
+++ b/test/features/silent-engines.feature
@@ -13,6 +13,7 @@
 			| 3   | 4       | 15    | POST /stream/resumed/ | 2      | 1500 |
 			| 2   | 1       | 10    | POST /stream/resumed/ | 1      | 1500 |
 			| 3   | 4       | 10    | POST /stream/once/    | 4      | 1500 |
+			| 9   | 3       | 12    | POST /stream/resumed/ | 2      | 1300 |
 
 	Scenario: Answers under way are whole though sound engines fall silent twice in a row
 		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
@@ -57,3 +58,114 @@
 		And 1 engines fall silent for 60000 ms
 		And 4 engines fall silent for 1500 ms
 		Then all these answers are whole
+
+	Scenario: Streams of an engine that ends go on though the others are silent
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When 8 "POST /stream/resumed/" requests are under way at each VM
+		And 4 engines fall silent for 1300 ms
+		And 1 engine ends
+		Then all these answers are whole
+
+	Scenario Outline: Events come once though two engines work on a stream
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When 10 "POST /stream/resumed/" requests are under way at each VM
+		And engines fall silent for "<ms>" ms
+		Then all these answers are whole
+		And some of these requests reached two engines
+		And no more of these requests were repeated than the retry budget allows
+
+		Examples:
+			| ms                     |
+			| 1500, 1500, 1500, 1500 |
+			| 1500, 1300, 1100, 900  |
+			| 1500, 0, 0, 0          |
+
+	# The first events of the replacements come as the silent engines go on.
+	Scenario Outline: Events come once though a silent engine goes on as another one takes over
+		Given a relay of 2 VMs with 5 engines whose streams send an event each 250 ms
+		When 10 "POST /stream/resumed/" requests are under way at each VM
+		And engines fall silent for "<ms>" ms
+		Then all these answers are whole
+		And no more of these requests were repeated than the retry budget allows
+
+		Examples:
+			| ms                 |
+			| 600, 640, 680, 720 |
+			| 760, 800, 840, 880 |
+
+	Scenario: Repeats count against the retry budget while all engines are silent twice
+		Given a relay of 5 VMs with 6 engines whose streams send an event each 250 ms
+		When 30 "POST /stream/resumed/" requests are under way at each VM
+		And 6 engines fall silent for 1300 ms
+		And 1400 ms pass in quiet
+		And 6 engines fall silent for 1000 ms
+		Then all these answers are whole
+		And no more of these requests were repeated than the retry budget allows
+
+	Scenario Outline: Requests that may run once reach one engine although it is silent
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When <early> "<call>" requests are under way at each VM
+		And <silent> engines fall silent for <ms> ms
+		And <late> more "<call>" requests are under way at each VM
+		Then all these answers are whole
+		And each of these requests reached one engine
+
+		Examples:
+			| call               | early | late | silent | ms   |
+			| POST /stream/once/ | 8     | 8    | 4      | 1500 |
+			| POST /stream/once/ | 8     | 8    | 2      | 1500 |
+			| POST /once/        | 0     | 10   | 3      | 750  |
+
+	Scenario Outline: Answers under way are whole though the configuration changes while sound engines are silent
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When 8 "POST /stream/resumed/" requests are under way at each VM
+		And 4 more "POST /stream/once/" requests are under way at each VM
+		And 4 engines fall silent for 1300 ms
+		And the configuration has <change> from now on
+		Then all these answers are whole
+
+		Examples:
+			| change                    |
+			| an idle time of 200 ms    |
+			| timeouts of 900 ms        |
+			| weights over two services |
+			| routes to another service |
+			| other keys                |
+
+	Scenario: Answers under way are whole though a VM gets new settings while sound engines are silent
+		Given a relay of 2 VMs with 4 engines whose streams send an event each 250 ms
+		When 10 "POST /stream/resumed/" requests are under way at each VM
+		And 4 engines fall silent for 1300 ms
+		And all VMs get settings with other bounds
+		Then all these answers are whole
+
+	Scenario Outline: Answers under way are whole though a VM is stopped while sound engines are silent
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When 10 "<call>" requests are under way at each VM
+		And <silent> engines fall silent for 1500 ms
+		And VM 1 is told to stop
+		Then all these answers are whole
+		And the VM ends by itself within 8000 ms
+
+		Examples:
+			| call                  | silent |
+			| POST /stream/resumed/ | 4      |
+			| POST /stream/resumed/ | 2      |
+			| POST /stream/once/    | 4      |
+
+	Scenario: Answers under way are whole though engines are replaced while they are silent
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When 8 "POST /stream/resumed/" requests are under way at each VM
+		And 4 more "POST /stream/once/" requests are under way at each VM
+		And 4 engines fall silent for 1400 ms
+		And one engine after the other leaves and a new one takes its place, each 300 ms
+		Then all these answers are whole
+
+	Scenario: Engines learn of callers that leave while they are silent
+		Given a relay of 3 VMs with 4 engines whose streams send an event each 250 ms
+		When 8 "POST /stream/resumed/" requests are under way at each VM
+		And 4 engines fall silent for 3000 ms
+		And 900 ms pass in quiet
+		Then some of these requests reached two engines
+		When all these callers leave
+		Then no engine works on these requests after 500 ms
