--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -256,8 +256,10 @@
 		engine.standIn.isDraining = true;
 		await sleep(injector.randomDurationMs());
 		engine.standIn.behaviour = injector.pickRandom(overloadedOrHealthy);
+		const end = deployment.recordFault(engine.standIn.id, engineFaults.overloaded);
 		await sleep(injector.randomDurationMs());
 		await deployment.removeEngine(engine, false);
+		end();
 	}
 };
 
--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -54,6 +54,8 @@
 	silent: 'falls silent',
 	/** The engine ends with the requests that it runs, and starts again at once. */
 	crashed: 'crashed',
+	/** The engine leaves and turns requests away meanwhile. */
+	overloaded: 'leaves overloaded',
 } as const;
 
 /** A time span in which a fault was injected. */
