--- a/test/soak/oracle.ts
+++ b/test/soak/oracle.ts
@@ -122,8 +122,8 @@
 }
 
 /**
- * Whether a fault hit the VM of a request or an engine that ran it. Silence, configurations, reloads, planned stops within their time
- * and faults of the store excuse nothing.
+ * Whether a fault hit the VM of a request or an engine that ran it, or such requests crashed engines before. Silence, configurations,
+ * reloads, planned stops within their time and faults of the store excuse nothing.
  */
 function wasHarmed(
 	{ injectedFaults, bounds }: SoakRecords,
@@ -135,6 +135,9 @@
 		if (from >= req.endedAt) {
 			return false;
 		}
+		if (req.hasCrashingPart && fault === engineFaults.crashed) {
+			return true;
+		}
 		if (target === req.vm) {
 			const isHarmless = planned && req.endedAt < from + bounds.stopMs;
 			return !isHarmless && until + bounds.contactMs > req.sentAt;
--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -8,6 +8,8 @@
 export interface CallerRecord {
 	id: string;
 	kind: RequestKind;
+	/** Whether its prompt has the part that may crash engines. */
+	hasCrashingPart?: boolean;
 	vm: string;
 	/** Number of the process start of the VM that received the request. */
 	incarnation: number;
