--- a/test/soak/types.ts
+++ b/test/soak/types.ts
@@ -8,6 +8,8 @@
 export interface CallerRecord {
 	id: string;
 	kind: RequestKind;
+	/** Whether its prompt has the part that may crash engines. */
+	hasCrashingPart?: boolean;
 	vm: string;
 	/** Number of the process start of the VM that received the request. */
 	incarnation: number;
@@ -48,6 +50,16 @@
 	requestKinds.nonResumable,
 ]);
 
+/** Faults of engines that checks tell apart from the others. */
+export const engineFaults = {
+	/** The engine sends nothing for a while and then goes on. */
+	silent: 'falls silent',
+	/** The engine ends with the requests that it runs, and starts again at once. */
+	crashed: 'crashed',
+	/** The engine leaves and turns requests away meanwhile. */
+	overloaded: 'leaves overloaded',
+} as const;
+
 /** A time span in which a fault was injected. */
 export interface InjectedFault {
 	/** Name of a VM, id of an engine, or `store`. */
