--- a/src/core/engines/engine-health.ts
+++ b/src/core/engines/engine-health.ts
@@ -1,13 +1,9 @@
 /**
- * Health of one engine as this VM observes it: a circuit breaker over failures, and detection of silence.
+ * Health of one engine as this VM observes it: circuit breakers over failures and over silence, and detection of silence.
  * @module
  */
+import { CircuitBreaker } from './circuit-breaker.js';
 
-/** Consecutive failures that open the circuit. */
-const failuresToOpen = 3;
-/** Initial and maximum time that the circuit stays open before a trial request, in milliseconds. */
-const initialOpenMs = 500;
-const maxOpenMs = 4000;
 /** How long an engine that keeps rejecting requests is skipped, in milliseconds: its queue drains quickly. */
 const rejectionOpenMs = 200;
 /** An engine with requests in flight counts as silent after this time without any bytes, in milliseconds. */
@@ -21,13 +17,13 @@
 const readingMargin = 2;
 
 export class EngineHealth {
-	private consecutiveFailures = 0;
-	private openUntil = 0;
-	private openMs = initialOpenMs;
-	/** A trial request is in flight: the circuit is half-open. */
-	private isTrialRunning = false;
+	private readonly failures = new CircuitBreaker();
+	/** Over requests that other engines answered first; any byte closes it, as silence proves no failure. */
+	private readonly silences = new CircuitBreaker();
 	/** Since when requests are in flight without any bytes received. */
 	private awaitingSince?: number;
+	/** Requests that ended unanswered in a silence, since the last byte or the last call of `takeUnanswered`. */
+	private unanswered = 0;
 	private lastBytesAt = Number.NEGATIVE_INFINITY;
 	private running = 0;
 	/** Estimated reading time of the prompts in flight, in milliseconds. */
@@ -39,17 +35,27 @@
 	}
 
 	isCircuitOpen(now: number): boolean {
-		return now < this.openUntil || this.isTrialRunning;
+		return this.failures.isOpen(now) || this.silences.isOpen(now);
 	}
 
 	isSilent(now: number): boolean {
-		const allowedMs = silenceMs + this.pendingReadingMs * readingMargin;
-		return this.awaitingSince !== undefined && now - this.awaitingSince > allowedMs;
+		return this.unexcusedSilenceMs(now) > silenceMs;
 	}
 
 	/** Whether nothing but a silence that sound engines may have speaks against the engine. */
 	isBrieflySilent(now: number): boolean {
-		return !this.isCircuitOpen(now) && this.isSilent(now) && this.silentMs(now) < maxSoundSilenceMs;
+		const isSilent = this.isSilent(now) && this.soundSilenceLeftMs(now) > 0;
+		return isSilent && !this.failures.isOpen(now);
+	}
+
+	/** How long a sound engine may still send nothing to the requests in flight, in milliseconds. */
+	soundSilenceLeftMs(now: number): number {
+		return Math.max(0, maxSoundSilenceMs - this.unexcusedSilenceMs(now));
+	}
+
+	/** Number of requests in flight. */
+	get runningCount(): number {
+		return this.running;
 	}
 
 	/** Whether requests are in flight. */
@@ -72,13 +78,16 @@
 		this.running++;
 		this.pendingReadingMs += readingMs;
 		this.awaitingSince ??= now;
-		this.isTrialRunning = this.openUntil > 0;
+		this.failures.recordSent();
+		this.silences.recordSent();
 	}
 
 	/** Records that bytes arrived from the engine. */
 	recordActivity(now: number): void {
 		this.lastBytesAt = now;
 		this.awaitingSince = this.running > 0 ? now : undefined;
+		this.unanswered = 0;
+		this.silences.close();
 	}
 
 	/**
@@ -88,25 +97,37 @@
 	recordEnd(readingMs: number): void {
 		this.running--;
 		this.pendingReadingMs -= readingMs;
-		// An inconclusive trial, such as one whose caller left, may be repeated.
-		this.isTrialRunning = false;
+		this.failures.recordEnd();
+		this.silences.recordEnd();
 		if (this.running === 0) {
 			this.awaitingSince = undefined;
 		}
 	}
 
 	recordSuccess(): void {
-		this.consecutiveFailures = 0;
-		this.openUntil = 0;
-		this.openMs = initialOpenMs;
-		this.isTrialRunning = false;
+		this.failures.close();
+		this.silences.close();
 	}
 
 	/** @returns whether this failure opened the circuit */
 	recordFailure(now: number): boolean {
-		this.consecutiveFailures++;
-		this.isTrialRunning = false;
-		return this.consecutiveFailures >= failuresToOpen && this.open(now);
+		return this.failures.recordFailure(now);
+	}
+
+	/**
+	 * Records that a request ended unanswered while the engine sent nothing to any request.
+	 * @returns whether this silence opened the circuit
+	 */
+	recordSilence(now: number): boolean {
+		this.unanswered++;
+		return this.silences.recordFailure(now);
+	}
+
+	/** Number of requests that ended unanswered since the last byte; each is returned once. */
+	takeUnanswered(): number {
+		const count = this.unanswered;
+		this.unanswered = 0;
+		return count;
 	}
 
 	/** The link works again: what was observed while it was down says nothing about the engine. */
@@ -117,11 +138,7 @@
 
 	/** Records that the engine was too busy and did not run the request. */
 	recordRejection(now: number): void {
-		this.consecutiveFailures++;
-		this.isTrialRunning = false;
-		if (this.consecutiveFailures >= failuresToOpen) {
-			this.openUntil = Math.max(this.openUntil, now + rejectionOpenMs);
-		}
+		this.failures.recordShortFailure(now, rejectionOpenMs);
 	}
 
 	/**
@@ -129,15 +146,10 @@
 	 * @returns whether the circuit was not open before
 	 */
 	recordUnreachable(now: number): boolean {
-		this.consecutiveFailures++;
-		this.isTrialRunning = false;
-		return this.open(now);
+		return this.failures.recordCertainFailure(now);
 	}
-
-	private open(now: number): boolean {
-		const wasOpen = now < this.openUntil;
-		this.openUntil = now + this.openMs;
-		this.openMs = Math.min(this.openMs * 2, maxOpenMs);
-		return !wasOpen;
+	/** Silence beyond the time that the engine may take to read prompts, in milliseconds. */
+	private unexcusedSilenceMs(now: number): number {
+		return Math.max(0, this.silentMs(now) - this.pendingReadingMs * readingMargin);
 	}
 }
--- a/src/core/engines/fleet-health.ts
+++ b/src/core/engines/fleet-health.ts
@@ -198,7 +198,7 @@
 
 	/** Counts from before the circuit opened have expired by now, so every answer belongs to the trial. */
 	private evaluateTrial(ref: EngineRef, total: EngineAnswerCounts, { openMs }: Circuit): void {
-		if (total.failed > 0) {
+		if (total.failed > 0 && hasOpeningShare(total)) {
 			this.open(ref, total, Math.min(openMs * 2, maxOpenMs));
 		} else if (total.served > 0) {
 			this.circuits.delete(ref);
@@ -208,8 +208,8 @@
 
 	private shouldOpen({ failed, served, failingVms }: EngineAnswerCounts): boolean {
 		const minVms = Math.min(vmsToOpen, this.opts.countLiveVms());
-		const share = failed / (failed + served);
-		return failed >= failuresToOpen && share >= failureShareToOpen && failingVms >= minVms;
+		const isFailing = failed >= failuresToOpen && failingVms >= minVms;
+		return isFailing && hasOpeningShare({ failed, served });
 	}
 
 	private open(ref: EngineRef, { failed, served }: EngineAnswerCounts, openMs: number): void {
@@ -225,6 +225,11 @@
 	}
 }
 
+/** Whether the share of failures among some answers opens a circuit. */
+function hasOpeningShare({ failed, served }: { failed: number; served: number }): boolean {
+	return failed / (failed + served) >= failureShareToOpen;
+}
+
 /** Counts that one VM sent last. */
 interface PeerAnswers {
 	rows: ReadonlyMap<EngineRef, EngineAnswerCounts>;
--- a/src/core/relay/attempt-results.ts
+++ b/src/core/relay/attempt-results.ts
@@ -59,20 +59,40 @@
 		this.recordFailure(attempt, reason);
 	}
 
-	/** The engine was silent until another one answered. */
-	recordSilence(attempt: Attempt, reason: string): void {
+	/**
+	 * The engine sent nothing to any request until this one was answered by another engine, or its deadline passed.
+	 * @param isLong whether it was silent for longer than sound engines are
+	 */
+	recordSilence(attempt: Attempt, reason: string, isLong: boolean): void {
+		const { engine, health } = attempt;
 		this.recordBrokenAttempt(attempt, reason, attemptFailures.silent);
-		this.recordFailure(attempt, reason);
+		if (health.recordSilence(this.now)) {
+			this.recordCircuitOpened(engine.id, reason);
+		}
+		if (isLong) {
+			this.recordLongSilence(attempt);
+		}
+	}
+
+	/** Counts what a silence left unanswered as failures, once it is longer than those of sound engines. */
+	recordLongSilence({ engine, health }: Attempt): void {
+		for (let left = health.takeUnanswered(); left > 0; left--) {
+			this.recordFleetFailure(engine);
+		}
 	}
 
 	/**
 	 * The deadline passed before the engine answered.
 	 * @param wasSilent whether the engine was silent towards all requests
+	 * @param isLong whether that was for longer than sound engines are silent
 	 */
-	recordTimeout(attempt: Attempt, wasSilent: boolean): void {
-		const reason = wasSilent ? 'the engine was silent until the deadline' : 'no answer in time';
-		const failure = wasSilent ? attemptFailures.silent : attemptFailures.late;
-		this.recordBrokenAttempt(attempt, reason, failure);
+	recordTimeout(attempt: Attempt, wasSilent: boolean, isLong: boolean): void {
+		if (wasSilent) {
+			this.recordSilence(attempt, 'the engine was silent until the deadline', isLong);
+			return;
+		}
+		const reason = 'no answer in time';
+		this.recordBrokenAttempt(attempt, reason, attemptFailures.late);
 		this.recordFailure(attempt, reason);
 	}
 
--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -82,6 +82,11 @@
 		return this.wasSent && (this.health.isSilent(now) || this.isStranded(now));
 	}
 
+	/** Whether the engine sent nothing to any request since this one was sent. */
+	get isEngineUnheard(): boolean {
+		return this.wasSent && this.health.activeAt < this.sentTime;
+	}
+
 	private isStranded(now: number): boolean {
 		const isLinkDown = this.helper === undefined && this.engine.isForwarded;
 		return isLinkDown && this.health.silentMs(now) >= strandedSilenceMs;
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -23,6 +23,7 @@
 import { RequestOutcome } from './request-outcome.js';
 import { RequestPlacement } from './request-placement.js';
 import { RequestRetries, retryRefusals } from './request-retries.js';
+import { SilentCalls } from './silent-calls.js';
 import type { RelayContext, RelayOutcome, RoutedRequest } from './types.js';
 import { relayOutcomes } from './types.js';
 
@@ -33,6 +34,7 @@
 	private readonly deadlineAt: number;
 	private readonly requestPlacement: RequestPlacement;
 	private readonly live = new LiveAttempts();
+	private readonly silentCalls: SilentCalls;
 	private readonly answer: CallerAnswer;
 	private readonly requestQuarantine: RequestQuarantine;
 	private readonly gate: QuarantineGate;
@@ -78,6 +80,10 @@
 			onLargeAnswer: (attempt) => this.handleLargeAnswer(attempt),
 		});
 		this.results = new AttemptResults(ctx, this.outcome, this.requestQuarantine);
+		this.silentCalls = new SilentCalls(
+			() => ctx.clock.monotonic(),
+			(attempt) => this.results.recordLongSilence(attempt),
+		);
 		this.sender = new AttemptSender(ctx, routed, this.outcome);
 		this.retries = new RequestRetries(ctx, routed, this.outcome, this.requestQuarantine);
 		this.requestPlacement = new RequestPlacement({
@@ -286,6 +292,9 @@
 		const ifCurrent = (action: () => void, ifFinished: () => void) => {
 			if (this.live.has(attempt)) {
 				this.guard(this.outcome.isFinished ? ifFinished : action);
+			} else if (this.silentCalls.has(attempt)) {
+				ifFinished();
+				this.silentCalls.end(attempt);
 			}
 		};
 		const recordActivity = () => attempt.recordActivity();
@@ -543,13 +552,24 @@
 		for (const other of this.live.listOthers(winner)) {
 			const wasSilent = other.sentAt < winner.sentAt && other.isSilent(now);
 			this.outcome.mayHaveRun ||= other.isSent;
-			this.live.abort(other);
-			this.recordReplacement(winner, other, wasSilent);
+			const isLong = other.health.soundSilenceLeftMs(now) === 0;
+			if (wasSilent && this.silentCalls.tryKeep(other)) {
+				this.live.release(other);
+			} else {
+				this.live.abort(other);
+			}
+			this.recordReplacement(winner, other, wasSilent, isLong);
 		}
 		this.outcome.clearNotReplaced();
 	}
 
-	private recordReplacement(winner: Attempt, loser: Attempt, wasSilent: boolean): void {
+	/** @param isLong whether the engine of the loser was silent for longer than sound ones are */
+	private recordReplacement(
+		winner: Attempt,
+		loser: Attempt,
+		wasSilent: boolean,
+		isLong: boolean,
+	): void {
 		this.outcome.log('request.replaced', {
 			engine: loser.engine.id,
 			by: winner.engine.id,
@@ -561,7 +581,7 @@
 		this.ctx.metrics.recordReplacement(this.routed.service, result);
 		if (wasSilent) {
 			loser.helper?.recordFailure();
-			this.results.recordSilence(loser, 'another engine answered first');
+			this.results.recordSilence(loser, 'another engine answered first', isLong);
 		}
 	}
 
@@ -588,15 +608,18 @@
 	private handleTimeout(): void {
 		const now = this.ctx.clock.monotonic();
 		const unanswered = this.live.list().filter(({ isSent, head }) => isSent && !head);
-		const silent = new Set(unanswered.filter((attempt) => attempt.isSilent(now)));
+		const silent = new Set(
+			unanswered.filter((attempt) => attempt.isSilent(now) || attempt.isEngineUnheard),
+		);
+		const areLong = unanswered.map(({ health }) => health.soundSilenceLeftMs(now) === 0);
 		this.abortAttempts();
 		if (this.outcome.isFinished) {
 			this.stopTimer();
 			return;
 		}
-		for (const attempt of unanswered) {
-			this.results.recordTimeout(attempt, silent.has(attempt));
-		}
+		unanswered.forEach((attempt, index) => {
+			this.results.recordTimeout(attempt, silent.has(attempt), areLong[index] === true);
+		});
 		if (this.answer.hasStarted) {
 			this.outcome.abort(relayOutcomes.timedOut, 'the deadline of the route or the caller passed');
 		} else if (this.outcome.mayHaveRun) {
--- a/test/features/silent-engines-decisions.feature
+++ b/test/features/silent-engines-decisions.feature
@@ -32,3 +32,65 @@
 			| 3      | 1      | 0       | may     |
 			| 3      | 1      | 1       | may not |
 			| 3      | 2      | 0       | may not |
+
+	Scenario Outline: A fleet does not hold silence against sound engines
+		Given <vms> simulated VMs that open <rate> streams a second each at <engines> engines
+		When <silent> simulated engines fall silent for <ms> ms, <times> times
+		Then no stream was refused
+		And no VM avoided an engine by what the fleet knew
+		And each VM may use each engine again
+
+		Examples:
+			| vms | rate | engines | silent | ms   | times |
+			| 2   | 10   | 6       | 6      | 1500 | 2     |
+			| 2   | 10   | 6       | 3      | 1500 | 2     |
+			| 9   | 10   | 6       | 6      | 1500 | 2     |
+			| 9   | 4    | 20      | 10     | 1000 | 2     |
+			| 62  | 4    | 20      | 20     | 1300 | 1     |
+			| 62  | 4    | 20      | 5      | 1500 | 2     |
+			| 300 | 4    | 60      | 60     | 1500 | 1     |
+			| 300 | 4    | 60      | 30     | 1500 | 2     |
+
+	Scenario Outline: A fleet soon avoids an engine that stays silent
+		Given <vms> simulated VMs that open <rate> streams a second each at <engines> engines
+		When 1 simulated engines fall silent for 60000 ms, 1 times
+		Then at most <most> attempts are sent to it in <s> s, and each VM avoids it at some time by what the fleet knows
+
+		Examples:
+			| vms | rate | engines | s | most |
+			| 2   | 10   | 6       | 6 | 12   |
+			| 9   | 10   | 6       | 6 | 40   |
+			| 62  | 4    | 20      | 6 | 50   |
+			| 300 | 4    | 60      | 6 | 70   |
+
+	Scenario: Silence closes an engine until it is heard, failures until it answers
+		Given an engine whose last 3 requests ended in its silence
+		Then it is not available
+		When a byte arrives from it
+		Then it is available
+		When it fails 3 requests
+		And a byte arrives from it
+		Then it is not available
+
+	Scenario Outline: A fleet's trial of an engine goes by the share of failures
+		Given 2 VMs that avoid an engine after failures
+		When one of them gets <failed> failures beside <served> answers in its trial
+		Then the engine is <state>
+
+		Examples:
+			| failed | served | state    |
+			| 1      | 26     | used     |
+			| 0      | 1      | used     |
+			| 1      | 0      | avoided  |
+			| 1      | 1      | avoided  |
+
+	Scenario Outline: The last call at a silent engine is kept until it is known whether the engine failed
+		Given a call that lost at an engine with <running> requests in flight, silent for <ms> ms
+		Then the call is <kept>
+		And an engine that stays silent has failed <failed> requests
+
+		Examples:
+			| running | ms   | kept  | failed |
+			| 1       | 1780 | kept  | 1      |
+			| 2       | 1780 | ended | 0      |
+			| 1       | 1900 | ended | 1      |
--- a/test/steps/silent-engines-decisions.steps.ts
+++ b/test/steps/silent-engines-decisions.steps.ts
@@ -4,14 +4,33 @@
  */
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
-import type { Engine } from '../../src/core/engines/engine.js';
+import { Engine } from '../../src/core/engines/engine.js';
+import { EngineHealth } from '../../src/core/engines/engine-health.js';
 import type { EnginePlacement } from '../../src/core/engines/placement.js';
 import { Quarantine } from '../../src/core/quarantine/quarantine.js';
-import { clockOf, seen, silentLog, unlimited } from './relay-fakes.js';
+import type { Attempt } from '../../src/core/relay/attempt.js';
+import { AttemptResults } from '../../src/core/relay/attempt-results.js';
+import { SilentCalls } from '../../src/core/relay/silent-calls.js';
+import { clockOf, entry, seen, silentLog, unlimited } from './relay-fakes.js';
 import { startEngines } from './relay-placement.steps.js';
+import { SilentFleet } from './silent-fleet.js';
+import type { SimulatedVm } from './simulated-fleet.js';
+import { SimulatedFleet } from './simulated-fleet.js';
 import type { FleetWorld } from './world.js';
 
+/** Time between two silences, in which engines are heard again, in milliseconds. */
+const betweenMs = 1000;
+
+/** Time in which VMs learn of each other, and of failures. */
+const settleMs = 1500;
+/** Time after which a circuit is due for a trial, with the time to settle. */
+const closedMs = 2500;
+/** A kept call is judged within this time, in milliseconds. */
+const judgedWithinMs = 100;
+const suspect = { ref: 7 };
 const now = 10_000;
+/** Longest silence of sound engines, in milliseconds. */
+const maxSilenceMs = 1500;
 const content = 17;
 
 /** @returns the engine of a request without a prompt; undefined if it is refused */
@@ -94,3 +113,146 @@
 	const isAllowed = seen<Quarantine>(this, 'quarantine').isRetryAllowed(content);
 	assert.equal(isAllowed, !not);
 });
+
+cucumber.Given(
+	'{int} simulated VMs that open {int} streams a second each at {int} engines',
+	function (this: FleetWorld, vms: number, perS: number, engines: number) {
+		this.state.set('fleet', new SilentFleet(vms, engines, perS));
+	},
+);
+
+cucumber.When(
+	'{int} simulated engines fall silent for {int} ms, {int} times',
+	function (this: FleetWorld, count: number, ms: number, times: number) {
+		const fleet = seen<SilentFleet>(this, 'fleet');
+		for (let index = 0; index < times; index++) {
+			fleet.silence(count, ms);
+			if (ms <= maxSilenceMs) {
+				fleet.run(ms + betweenMs);
+			}
+		}
+	},
+);
+
+cucumber.Then('no stream was refused', function (this: FleetWorld) {
+	assert.equal(seen<SilentFleet>(this, 'fleet').refused, 0);
+});
+
+cucumber.Then('no VM avoided an engine by what the fleet knew', function (this: FleetWorld) {
+	assert.deepEqual([...seen<SilentFleet>(this, 'fleet').avoidedBy.keys()], []);
+});
+
+cucumber.Then('each VM may use each engine again', function (this: FleetWorld) {
+	assert.equal(seen<SilentFleet>(this, 'fleet').closedCount, 0);
+});
+
+cucumber.Then(
+	'at most {int} attempts are sent to it in {int} s, and each VM avoids it at some time by what the fleet knows',
+	function (this: FleetWorld, most: number, seconds: number) {
+		const fleet = seen<SilentFleet>(this, 'fleet');
+		const before = fleet.sent[0] ?? 0;
+		fleet.run(seconds * 1000);
+		const sent = (fleet.sent[0] ?? 0) - before;
+		const avoiding = [...fleet.avoidedBy.values()].map(({ size }) => size);
+		assert.ok(sent <= most, `${sent} attempts`);
+		assert.deepEqual(avoiding, [fleet.vms.length]);
+	},
+);
+
+cucumber.Given(
+	'an engine whose last {int} requests ended in its silence',
+	function (this: FleetWorld, count: number) {
+		const health = new EngineHealth();
+		for (let index = 0; index < count; index++) {
+			health.recordSilence(clockOf(this).now);
+		}
+		this.state.set('health', health);
+	},
+);
+
+cucumber.When('a byte arrives from it', function (this: FleetWorld) {
+	seen<EngineHealth>(this, 'health').recordActivity(clockOf(this).now);
+});
+
+cucumber.When('it fails {int} requests', function (this: FleetWorld, count: number) {
+	for (let index = 0; index < count; index++) {
+		seen<EngineHealth>(this, 'health').recordFailure(clockOf(this).now);
+	}
+});
+
+cucumber.Then('it is available', function (this: FleetWorld) {
+	assert.ok(seen<EngineHealth>(this, 'health').isAvailable(clockOf(this).now));
+});
+
+cucumber.Given('2 VMs that avoid an engine after failures', function (this: FleetWorld) {
+	const fleet = new SimulatedFleet(2, 2);
+	fleet.run(settleMs);
+	for (const { health } of fleet.vms) {
+		health.recordFailure(suspect);
+		health.recordFailure(suspect);
+	}
+	fleet.run(settleMs);
+	this.state.set('fleet', fleet);
+	assert.ok(isAvoided(fleet));
+	fleet.run(closedMs);
+	assert.ok(!isAvoided(fleet));
+});
+
+cucumber.When(
+	'one of them gets {int} failures beside {int} answers in its trial',
+	function (this: FleetWorld, failed: number, served: number) {
+		const fleet = seen<SimulatedFleet>(this, 'fleet');
+		const { health } = fleet.vms[0] as SimulatedVm;
+		// Answers that come before the failure would close the circuit.
+		const counts = [{ engine: suspect.ref, failed, served, failingVms: Math.min(1, failed) }];
+		health.merge('vm-1', counts, false);
+	},
+);
+
+cucumber.Then(/^the engine is (used|avoided)$/, function (this: FleetWorld, state: string) {
+	assert.equal(isAvoided(seen<SimulatedFleet>(this, 'fleet')) ? 'avoided' : 'used', state);
+});
+
+function isAvoided({ vms }: SimulatedFleet): boolean {
+	const engines = [suspect, { ref: suspect.ref + 1 }];
+	return (vms[0] as SimulatedVm).health.filterAvailable(engines).length < engines.length;
+}
+
+cucumber.Given(
+	'a call that lost at an engine with {int} requests in flight, silent for {int} ms',
+	async function (this: FleetWorld, running: number, ms: number) {
+		const clock = clockOf(this);
+		const engine = new Engine(entry('a'));
+		const { health } = engine;
+		for (let index = 0; index < running; index++) {
+			health.recordSent(clock.now, 0);
+		}
+		clock.now += ms;
+		const failures: Engine[] = [];
+		const fleetHealth = { recordFailure: (failed: Engine) => failures.push(failed) };
+		const ctx = { clock, fleetHealth, metrics: { recordCircuitOpened() {} } };
+		const ports = [{ log() {} }, { recordFailure() {}, content: 0, parts: [] }] as never[];
+		const results = new AttemptResults(ctx as never, ports[0] as never, ports[1] as never);
+		const attempt = { engine, health, markEnded() {} } as unknown as Attempt;
+		const calls = new SilentCalls(
+			() => clock.now,
+			(silent) => results.recordLongSilence(silent),
+		);
+		const isLong = health.soundSilenceLeftMs(clock.now) === 0;
+		this.state.set('kept', calls.tryKeep(attempt));
+		results.recordSilence(attempt, 'another engine answered first', isLong);
+		await new Promise((done) => setTimeout(done, judgedWithinMs));
+		this.state.set('failures', failures);
+	},
+);
+
+cucumber.Then(/^the call is (kept|ended)$/, function (this: FleetWorld, result: string) {
+	assert.equal(seen<boolean>(this, 'kept') ? 'kept' : 'ended', result);
+});
+
+cucumber.Then(
+	'an engine that stays silent has failed {int} requests',
+	function (this: FleetWorld, count: number) {
+		assert.equal(seen<Engine[]>(this, 'failures').length, count);
+	},
+);
