--- a/src/core/engines/engine-health.ts
+++ b/src/core/engines/engine-health.ts
@@ -25,6 +25,8 @@
 	/** Requests that ended unanswered in a silence, since the last byte or the last call of `takeUnanswered`. */
 	private unanswered = 0;
 	private lastBytesAt = Number.NEGATIVE_INFINITY;
+	/** Length of the last silence that was long enough to count, and when it ended. */
+	private lastSilence = { ms: 0, endedAt: Number.NEGATIVE_INFINITY };
 	private running = 0;
 	/** Estimated reading time of the prompts in flight, in milliseconds. */
 	private pendingReadingMs = 0;
@@ -73,6 +75,16 @@
 		return this.awaitingSince === undefined ? 0 : now - this.awaitingSince;
 	}
 
+	/**
+	 * Whether the engine sent nothing to any request for longer than its work explains.
+	 * @param since start of the time to look at, in monotonic milliseconds
+	 * @param workMs estimated time of the work that was ahead then
+	 */
+	wasSilentSince(since: number, workMs: number): boolean {
+		const { ms, endedAt } = this.lastSilence;
+		return endedAt >= since && ms > silenceMs + workMs * readingMargin;
+	}
+
 	/** @param readingMs estimated time to read the prompt of the request */
 	recordSent(now: number, readingMs: number): void {
 		this.running++;
@@ -84,6 +96,9 @@
 
 	/** Records that bytes arrived from the engine. */
 	recordActivity(now: number): void {
+		if (this.silentMs(now) > silenceMs) {
+			this.lastSilence = { ms: this.silentMs(now), endedAt: now };
+		}
 		this.lastBytesAt = now;
 		this.awaitingSince = this.running > 0 ? now : undefined;
 		this.unanswered = 0;
--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -175,8 +175,13 @@
 	}
 
 	private recordFirstEvent(delayMs: number): void {
-		const { uncachedTokens, copiedTokens, work } = this.placement;
+		const { uncachedTokens, copiedTokens, work, readingMs, readMsPerToken } = this.placement;
 		const { engine } = this;
+		const workMs = readingMs + work.promptTokens * readMsPerToken;
+		if (this.health.wasSilentSince(this.sentTime, workMs)) {
+			// The time in which the engine answered nobody says nothing about its pace.
+			return;
+		}
 		this.ctx.costs.recordFirstEvent(this.service, {
 			promptTokens: uncachedTokens,
 			aheadTokens: work.promptTokens,
--- a/test/features/silent-engines-decisions.feature
+++ b/test/features/silent-engines-decisions.feature
@@ -94,3 +94,13 @@
 			| 1       | 1780 | kept  | 1      |
 			| 2       | 1780 | ended | 0      |
 			| 1       | 1900 | ended | 1      |
+
+	Scenario Outline: A silence does not make engines look slow
+		Given an engine that answers 100 prompts in 50 ms
+		When it is silent for <ms> ms and then answers 100 prompts that waited
+		Then 5000 queued tokens are expected to take less than <most> ms
+
+		Examples:
+			| ms   | most |
+			| 1000 | 120  |
+			| 1500 | 120  |
--- a/test/steps/silent-engines-decisions.steps.ts
+++ b/test/steps/silent-engines-decisions.steps.ts
@@ -4,13 +4,16 @@
  */
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
+import { CostModel } from '../../src/core/engines/cost-model.js';
 import { Engine } from '../../src/core/engines/engine.js';
 import { EngineHealth } from '../../src/core/engines/engine-health.js';
 import type { EnginePlacement } from '../../src/core/engines/placement.js';
+import type { Placement } from '../../src/core/engines/placement-types.js';
 import { Quarantine } from '../../src/core/quarantine/quarantine.js';
-import type { Attempt } from '../../src/core/relay/attempt.js';
+import { Attempt } from '../../src/core/relay/attempt.js';
 import { AttemptResults } from '../../src/core/relay/attempt-results.js';
 import { SilentCalls } from '../../src/core/relay/silent-calls.js';
+import type { RelayContext } from '../../src/core/relay/types.js';
 import { clockOf, entry, seen, silentLog, unlimited } from './relay-fakes.js';
 import { startEngines } from './relay-placement.steps.js';
 import { SilentFleet } from './silent-fleet.js';
@@ -27,6 +30,7 @@
 const closedMs = 2500;
 /** A kept call is judged within this time, in milliseconds. */
 const judgedWithinMs = 100;
+const promptTokens = 2000;
 const suspect = { ref: 7 };
 const now = 10_000;
 /** Longest silence of sound engines, in milliseconds. */
@@ -256,3 +260,62 @@
 		assert.equal(seen<Engine[]>(this, 'failures').length, count);
 	},
 );
+
+/** Sends prompts to one engine, which answers all of them after a time. */
+function answerPrompts(world: FleetWorld, count: number, ms: number): void {
+	const clock = clockOf(world);
+	const engine = seen<Engine>(world, 'engine');
+	const fleet = { changeWork() {}, recordPrefill() {} };
+	const costs = seen<CostModel>(world, 'costs');
+	const ctx = { clock, fleet, costs, onWorkChanged() {} } as unknown as RelayContext;
+	const attempts = Array.from({ length: count }, () => {
+		const placement = {
+			engine,
+			uncachedTokens: promptTokens,
+			copiedTokens: 0,
+			readingMs: 0,
+			readMsPerToken: 0,
+			work: { promptTokens: 0, running: 0 },
+		};
+		const attempt = new Attempt(ctx, placement as unknown as Placement, 'pool');
+		attempt.markSent([]);
+		return attempt;
+	});
+	clock.now += ms;
+	for (const attempt of attempts) {
+		attempt.recordActivity();
+		attempt.recordEvents(false);
+		attempt.markEnded();
+	}
+}
+
+cucumber.Given(
+	'an engine that answers {int} prompts in {int} ms',
+	function (this: FleetWorld, count: number, ms: number) {
+		this.state.set('costs', new CostModel());
+		this.state.set('engine', new Engine(entry('a')));
+		for (let index = 0; index < count; index++) {
+			answerPrompts(this, 1, ms);
+		}
+	},
+);
+
+cucumber.When(
+	'it is silent for {int} ms and then answers {int} prompts that waited',
+	function (this: FleetWorld, ms: number, count: number) {
+		answerPrompts(this, count, ms);
+	},
+);
+
+cucumber.Then(
+	'{int} queued tokens are expected to take less than {int} ms',
+	function (this: FleetWorld, tokens: number, most: number) {
+		const { ref } = seen<Engine>(this, 'engine');
+		const { readMsPerToken } = seen<CostModel>(this, 'costs').ofEngine(
+			'pool',
+			ref,
+			clockOf(this).now,
+		);
+		assert.ok(tokens * readMsPerToken < most, `${tokens * readMsPerToken} ms`);
+	},
+);
