--- a/src/core/relay/attempt.ts
+++ b/src/core/relay/attempt.ts
@@ -82,6 +82,11 @@
 		return this.wasSent && (this.health.isSilent(now) || this.isStranded(now));
 	}
 
+	/** Whether the engine sent nothing to any request since this one was sent. */
+	get isEngineUnheard(): boolean {
+		return this.wasSent && this.health.activeAt < this.sentTime;
+	}
+
 	private isStranded(now: number): boolean {
 		const isLinkDown = this.helper === undefined && this.engine.isForwarded;
 		return isLinkDown && this.health.silentMs(now) >= strandedSilenceMs;
@@ -170,8 +175,13 @@
 	}
 
 	private recordFirstEvent(delayMs: number): void {
-		const { uncachedTokens, copiedTokens, work } = this.placement;
+		const { uncachedTokens, copiedTokens, work, readingMs, readMsPerToken } = this.placement;
 		const { engine } = this;
+		const workMs = readingMs + work.promptTokens * readMsPerToken;
+		if (this.health.wasSilentSince(this.sentTime, workMs)) {
+			// The time in which the engine answered nobody says nothing about its pace.
+			return;
+		}
 		this.ctx.costs.recordFirstEvent(this.service, {
 			promptTokens: uncachedTokens,
 			aheadTokens: work.promptTokens,
