--- a/src/core/engines/circuit-breaker.ts
+++ b/src/core/engines/circuit-breaker.ts
@@ -5,9 +5,8 @@
 
 /** Consecutive failures that open the circuit. */
 const failuresToOpen = 3;
-/** Initial and maximum time that the circuit stays open before a trial, in milliseconds. */
+/** Initial time that the circuit stays open before a trial, in milliseconds; it doubles with each failed trial. */
 const initialOpenMs = 500;
-const maxOpenMs = 4000;
 
 export class CircuitBreaker {
 	private consecutiveFailures = 0;
@@ -16,6 +15,9 @@
 	/** A trial request is in flight: the circuit is half-open. */
 	private isTrialRunning = false;
 
+	/** @param maxOpenMs maximum time that it stays open before a trial, in milliseconds */
+	constructor(private readonly maxOpenMs: number) {}
+
 	isOpen(now: number): boolean {
 		return now < this.openUntil || this.isTrialRunning;
 	}
@@ -70,7 +72,7 @@
 	private open(now: number): boolean {
 		const wasOpen = now < this.openUntil;
 		this.openUntil = now + this.openMs;
-		this.openMs = Math.min(this.openMs * 2, maxOpenMs);
+		this.openMs = Math.min(this.openMs * 2, this.maxOpenMs);
 		return !wasOpen;
 	}
 }
--- a/src/core/engines/engine-health.ts
+++ b/src/core/engines/engine-health.ts
@@ -13,17 +13,25 @@
  * may have been sent one interval before.
  */
 const maxSoundSilenceMs = 1800;
+/** Requests that are further apart tell of two silences, in milliseconds: the engine may have spoken between them. */
+const maxUnansweredGapMs = 700;
+/** Maximum time that a circuit stays open before a trial, in milliseconds: after failures, and after silences, which end sooner. */
+const maxFailureOpenMs = 4000;
+const maxSilenceOpenMs = 500;
 /** Silence is excused for this multiple of the estimated reading time of the prompts in flight. */
 const readingMargin = 2;
 
 export class EngineHealth {
-	private readonly failures = new CircuitBreaker();
+	private readonly failures = new CircuitBreaker(maxFailureOpenMs);
 	/** Over requests that other engines answered first; any byte closes it, as silence proves no failure. */
-	private readonly silences = new CircuitBreaker();
+	private readonly silences = new CircuitBreaker(maxSilenceOpenMs);
 	/** Since when requests are in flight without any bytes received. */
 	private awaitingSince?: number;
 	/** Requests that ended unanswered in a silence, since the last byte or the last call of `takeUnanswered`. */
 	private unanswered = 0;
+	/** When the silence began in which they ended, and when the last one did, in monotonic milliseconds. */
+	private unansweredSince?: number;
+	private lastUnansweredAt = Number.NEGATIVE_INFINITY;
 	private lastBytesAt = Number.NEGATIVE_INFINITY;
 	/** Length of the last silence that was long enough to count, and when it ended. */
 	private lastSilence = { ms: 0, endedAt: Number.NEGATIVE_INFINITY };
@@ -46,18 +54,7 @@
 
 	/** Whether nothing but a silence that sound engines may have speaks against the engine. */
 	isBrieflySilent(now: number): boolean {
-		const isSilent = this.isSilent(now) && this.soundSilenceLeftMs(now) > 0;
-		return isSilent && !this.failures.isOpen(now);
-	}
-
-	/** How long a sound engine may still send nothing to the requests in flight, in milliseconds. */
-	soundSilenceLeftMs(now: number): number {
-		return Math.max(0, maxSoundSilenceMs - this.unexcusedSilenceMs(now));
-	}
-
-	/** Number of requests in flight. */
-	get runningCount(): number {
-		return this.running;
+		return this.isSilent(now) && !this.isSilentForLong(now) && !this.failures.isOpen(now);
 	}
 
 	/** Whether requests are in flight. */
@@ -102,6 +99,7 @@
 		this.lastBytesAt = now;
 		this.awaitingSince = this.running > 0 ? now : undefined;
 		this.unanswered = 0;
+		this.unansweredSince = undefined;
 		this.silences.close();
 	}
 
@@ -131,13 +129,27 @@
 
 	/**
 	 * Records that a request ended unanswered while the engine sent nothing to any request.
+	 * @param silentMs how long that had been
 	 * @returns whether this silence opened the circuit
 	 */
-	recordSilence(now: number): boolean {
+	recordSilence(now: number, silentMs: number): boolean {
+		const since = now - silentMs;
+		if (since - this.lastUnansweredAt > maxUnansweredGapMs) {
+			this.unansweredSince = since;
+			this.unanswered = 0;
+		}
+		this.unansweredSince = Math.min(this.unansweredSince ?? since, since);
+		this.lastUnansweredAt = now;
 		this.unanswered++;
 		return this.silences.recordFailure(now);
 	}
 
+	/** Whether the engine sent nothing for longer than sound engines are silent, as far as requests tell. */
+	isSilentForLong(now: number): boolean {
+		const unansweredMs = this.unansweredSince === undefined ? 0 : now - this.unansweredSince;
+		return Math.max(unansweredMs, this.unexcusedSilenceMs(now)) >= maxSoundSilenceMs;
+	}
+
 	/** Number of requests that ended unanswered since the last byte; each is returned once. */
 	takeUnanswered(): number {
 		const count = this.unanswered;
@@ -163,6 +175,7 @@
 	recordUnreachable(now: number): boolean {
 		return this.failures.recordCertainFailure(now);
 	}
+
 	/** Silence beyond the time that the engine may take to read prompts, in milliseconds. */
 	private unexcusedSilenceMs(now: number): number {
 		return Math.max(0, this.silentMs(now) - this.pendingReadingMs * readingMargin);
--- a/src/core/relay/attempt-results.ts
+++ b/src/core/relay/attempt-results.ts
@@ -60,35 +60,31 @@
 	}
 
 	/**
-	 * The engine sent nothing to any request until this one was answered by another engine, or its deadline passed.
-	 * @param isLong whether it was silent for longer than sound engines are
+	 * The engine sent nothing to any request until this one was answered by another engine, or its deadline passed. The fleet hears of
+	 * that once the engine has been silent for longer than sound ones are.
+	 * @param silentMs how long it had been silent as the call ended
 	 */
-	recordSilence(attempt: Attempt, reason: string, isLong: boolean): void {
+	recordSilence(attempt: Attempt, reason: string, silentMs: number): void {
 		const { engine, health } = attempt;
+		const { now } = this;
 		this.recordBrokenAttempt(attempt, reason, attemptFailures.silent);
-		if (health.recordSilence(this.now)) {
+		if (health.recordSilence(now, silentMs)) {
 			this.recordCircuitOpened(engine.id, reason);
 		}
-		if (isLong) {
-			this.recordLongSilence(attempt);
-		}
-	}
-
-	/** Counts what a silence left unanswered as failures, once it is longer than those of sound engines. */
-	recordLongSilence({ engine, health }: Attempt): void {
-		for (let left = health.takeUnanswered(); left > 0; left--) {
-			this.recordFleetFailure(engine);
+		if (health.isSilentForLong(now)) {
+			for (let left = health.takeUnanswered(); left > 0; left--) {
+				this.recordFleetFailure(engine);
+			}
 		}
 	}
 
 	/**
 	 * The deadline passed before the engine answered.
-	 * @param wasSilent whether the engine was silent towards all requests
-	 * @param isLong whether that was for longer than sound engines are silent
+	 * @param silentMs how long the engine had sent nothing to any request; undefined if it answered others
 	 */
-	recordTimeout(attempt: Attempt, wasSilent: boolean, isLong: boolean): void {
-		if (wasSilent) {
-			this.recordSilence(attempt, 'the engine was silent until the deadline', isLong);
+	recordTimeout(attempt: Attempt, silentMs: number | undefined): void {
+		if (silentMs !== undefined) {
+			this.recordSilence(attempt, 'the engine was silent until the deadline', silentMs);
 			return;
 		}
 		const reason = 'no answer in time';
--- a/src/core/relay/live-attempts.ts
+++ b/src/core/relay/live-attempts.ts
@@ -48,11 +48,6 @@
 		attempt.markEnded();
 	}
 
-	/** The call goes on, but no longer for the request. */
-	release(attempt: Attempt): void {
-		this.attempts.delete(attempt);
-	}
-
 	/** Ends the call, so that the engine stops working on it. */
 	abort(attempt: Attempt): void {
 		attempt.call?.abort();
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -24,7 +24,6 @@
 import { RequestPlacement } from './request-placement.js';
 import type { RetryRefusal } from './request-retries.js';
 import { RequestRetries, retryRefusals } from './request-retries.js';
-import { SilentCalls } from './silent-calls.js';
 import type { RelayContext, RelayOutcome, RoutedRequest } from './types.js';
 import { relayOutcomes } from './types.js';
 
@@ -35,7 +34,6 @@
 	private readonly deadlineAt: number;
 	private readonly requestPlacement: RequestPlacement;
 	private readonly live = new LiveAttempts();
-	private readonly silentCalls: SilentCalls;
 	private readonly answer: CallerAnswer;
 	private readonly requestQuarantine: RequestQuarantine;
 	private readonly gate: QuarantineGate;
@@ -81,10 +79,6 @@
 			onLargeAnswer: (attempt) => this.handleLargeAnswer(attempt),
 		});
 		this.results = new AttemptResults(ctx, this.outcome, this.requestQuarantine);
-		this.silentCalls = new SilentCalls(
-			() => ctx.clock.monotonic(),
-			(attempt) => this.results.recordLongSilence(attempt),
-		);
 		this.sender = new AttemptSender(ctx, routed, this.outcome);
 		this.retries = new RequestRetries(ctx, routed, this.outcome, this.requestQuarantine);
 		this.requestPlacement = new RequestPlacement({
@@ -308,9 +302,6 @@
 		const ifCurrent = (action: () => void, ifFinished: () => void) => {
 			if (this.live.has(attempt)) {
 				this.guard(this.outcome.isFinished ? ifFinished : action);
-			} else if (this.silentCalls.has(attempt)) {
-				ifFinished();
-				this.silentCalls.end(attempt);
 			}
 		};
 		const recordActivity = () => attempt.recordActivity();
@@ -582,15 +573,11 @@
 		const now = this.ctx.clock.monotonic();
 		for (const other of this.live.listOthers(winner)) {
 			const wasSilent = other.sentAt < winner.sentAt && other.isSilent(now);
+			const silentMs = wasSilent ? other.health.silentMs(now) : undefined;
 			this.outcome.mayHaveRun ||= other.isSent;
-			const isLong = other.health.soundSilenceLeftMs(now) === 0;
-			if (wasSilent && this.silentCalls.tryKeep(other)) {
-				this.live.release(other);
-			} else {
-				this.live.abort(other);
-			}
+			this.live.abort(other);
 			if (other.isSent) {
-				this.recordReplacement(winner, other, wasSilent, isLong);
+				this.recordReplacement(winner, other, silentMs);
 			} else {
 				this.retries.refundUnsent();
 			}
@@ -598,13 +585,9 @@
 		this.outcome.clearNotReplaced();
 	}
 
-	/** @param isLong whether the engine of the loser was silent for longer than sound ones are */
-	private recordReplacement(
-		winner: Attempt,
-		loser: Attempt,
-		wasSilent: boolean,
-		isLong: boolean,
-	): void {
+	/** @param silentMs how long the engine of the loser had been silent; undefined if it went on */
+	private recordReplacement(winner: Attempt, loser: Attempt, silentMs: number | undefined): void {
+		const wasSilent = silentMs !== undefined;
 		this.outcome.log('request.replaced', {
 			engine: loser.engine.id,
 			by: winner.engine.id,
@@ -616,7 +599,7 @@
 		this.ctx.metrics.recordReplacement(this.routed.service, result);
 		if (wasSilent) {
 			loser.helper?.recordFailure();
-			this.results.recordSilence(loser, 'another engine answered first', isLong);
+			this.results.recordSilence(loser, 'another engine answered first', silentMs);
 		}
 	}
 
@@ -643,17 +626,17 @@
 	private handleTimeout(): void {
 		const now = this.ctx.clock.monotonic();
 		const unanswered = this.live.list().filter(({ isSent, head }) => isSent && !head);
-		const silent = new Set(
-			unanswered.filter((attempt) => attempt.isSilent(now) || attempt.isEngineUnheard),
-		);
-		const areLong = unanswered.map(({ health }) => health.soundSilenceLeftMs(now) === 0);
+		const silences = unanswered.map((attempt) => {
+			const isSilent = attempt.isSilent(now) || attempt.isEngineUnheard;
+			return isSilent ? attempt.health.silentMs(now) : undefined;
+		});
 		this.abortAttempts();
 		if (this.outcome.isFinished) {
 			this.stopTimer();
 			return;
 		}
 		unanswered.forEach((attempt, index) => {
-			this.results.recordTimeout(attempt, silent.has(attempt), areLong[index] === true);
+			this.results.recordTimeout(attempt, silences[index]);
 		});
 		if (this.answer.hasStarted) {
 			this.outcome.abort(relayOutcomes.timedOut, 'the deadline of the route or the caller passed');
