--- a/test/soak/oracle.ts
+++ b/test/soak/oracle.ts
@@ -273,6 +273,9 @@
 		if (!informed || !notice || !(notice.isDraining || notice.backOffMs > 0)) {
 			continue;
 		}
+		if (mayBeCancelled(arrivals, id, engine, notice.at)) {
+			continue;
+		}
 		const later = arrivals.filter(({ id: other, ...arrival }) => {
 			const req = requests.get(other);
 			const isSameVm = req?.vm === informed.vm && req.incarnation === informed.incarnation;
@@ -303,6 +306,18 @@
 	}
 }
 
+/** Whether another engine had the request too, so that its VM may have cancelled it before the notice arrived. */
+function mayBeCancelled(
+	arrivals: readonly EngineArrival[],
+	id: string,
+	engine: string,
+	noticeAt: number,
+): boolean {
+	return arrivals.some(
+		(other) => other.id === id && other.engine !== engine && !other.rejected && other.at < noticeAt,
+	);
+}
+
 /** Whether a fault hit the VM in the time span. */
 function wasDisturbed(records: SoakRecords, vm: string, from: number, until: number): boolean {
 	return records.injectedFaults.some(
