--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -17,13 +17,11 @@
 import { AttemptSender } from './attempt-sender.js';
 import { CallerAnswer } from './caller-answer.js';
 import type { AnswerHead, CallerResponse, CallListener } from './definitions.js';
+import { EngineSearch } from './engine-search.js';
 import { LiveAttempts } from './live-attempts.js';
 import { replacementResults } from './metrics.js';
 import { QuarantineGate } from './quarantine-gate.js';
 import { RequestOutcome } from './request-outcome.js';
-import { RequestPlacement } from './request-placement.js';
-import type { RetryRefusal } from './request-retries.js';
-import { RequestRetries, retryRefusals } from './request-retries.js';
 import type { RelayContext, RelayOutcome, RoutedRequest } from './types.js';
 import { relayOutcomes } from './types.js';
 
@@ -32,7 +30,7 @@
 
 export class RelayedRequest {
 	private readonly deadlineAt: number;
-	private readonly requestPlacement: RequestPlacement;
+	private readonly search: EngineSearch;
 	private readonly live = new LiveAttempts();
 	private readonly answer: CallerAnswer;
 	private readonly requestQuarantine: RequestQuarantine;
@@ -41,12 +39,7 @@
 	private readonly answerRelay: AnswerRelay;
 	private readonly results: AttemptResults;
 	private readonly sender: AttemptSender;
-	private readonly retries: RequestRetries;
 	private readonly timer: NodeJS.Timeout;
-	/** An engine is being chosen, or a permit for it awaited. */
-	private isPlacing = false;
-	/** No engine works on the request, and it waits until one can take it over. */
-	private isHeld = false;
 
 	constructor(
 		private readonly ctx: RelayContext,
@@ -63,7 +56,7 @@
 		this.answer = new CallerAnswer(res, ctx.clock, () => this.live.resume());
 		this.outcome = new RequestOutcome(ctx, routed, this.answer, (outcome) => {
 			this.gate.cancel();
-			this.requestPlacement.cancel();
+			this.search.cancel();
 			this.stopTimer();
 			onEnd(outcome, this);
 		});
@@ -80,14 +73,18 @@
 		});
 		this.results = new AttemptResults(ctx, this.outcome, this.requestQuarantine);
 		this.sender = new AttemptSender(ctx, routed, this.outcome);
-		this.retries = new RequestRetries(ctx, routed, this.outcome, this.requestQuarantine);
-		this.requestPlacement = new RequestPlacement({
+		this.search = new EngineSearch({
 			ctx,
 			routed,
-			onPlaced: (placement) => this.handlePlaced(placement),
-			isRefusalFinal: () => this.live.isEmpty && !this.shouldHold,
-			onRefused: (reason, retryAfterS) => this.handleRefused(reason, retryAfterS),
+			live: this.live,
+			answer: this.answer,
+			answerRelay: this.answerRelay,
 			outcome: this.outcome,
+			requestQuarantine: this.requestQuarantine,
+			gate: this.gate,
+			isOverdue: () => this.leftMs <= 0,
+			onOverdue: () => this.handleTimeout(),
+			onFound: (placement) => this.send(placement),
 			guard,
 		});
 		res.onDisconnect(() => guard(() => this.handleCallerLeft()));
@@ -118,7 +115,7 @@
 	start(): void {
 		this.guard(() => {
 			this.ctx.retryBudget.recordRequest(this.routed.service, this.ctx.clock.monotonic());
-			this.place();
+			this.search.start();
 		});
 	}
 
@@ -150,25 +147,12 @@
 	 */
 	checkProgress(now: number, isSilenceEnding: boolean): void {
 		this.guard(() => {
-			if (this.outcome.isFinished || this.isPlacing) {
-				return;
-			}
-			if (this.isHeld) {
-				this.placeHeld(now);
-			} else if (!isSilenceEnding && this.shouldReplace(now)) {
-				this.placeReplacement(now);
+			if (!this.outcome.isFinished) {
+				this.search.update(now, isSilenceEnding);
 			}
 		});
 	}
 
-	/** Whether another engine may go on with the request although one may have run it. */
-	private get mayRepeat(): boolean {
-		const { route } = this.routed;
-		return this.answer.hasStarted
-			? route.isResumable && this.answerRelay.canBeContinued
-			: route.repeatability === repeatabilities.idempotent;
-	}
-
 	/** Time left until the deadline of route or caller, which also passes while the VM is suspended. */
 	private get leftMs(): number {
 		return this.deadlineAt - this.ctx.clock.sinceBoot();
@@ -189,103 +173,12 @@
 		}
 	}
 
-	private place(): void {
-		if (this.leftMs <= 0) {
-			this.handleTimeout();
-			return;
-		}
-		this.isPlacing = true;
-		this.gate.pass(() => this.requestPlacement.placeNext());
-	}
-
-	/** Silence proves no failure: the silent attempts go on beside their replacement until one of them answers. */
-	private shouldReplace(now: number): boolean {
-		const isWaitingForEngine = !this.live.isEmpty && !this.answer.isPaused;
-		if (!isWaitingForEngine || !this.mayRepeat || !this.live.areSilent(now)) {
-			return false;
-		}
-		// A check soon tells whether the engine is silent or this VM's link to it is down.
-		return this.ctx.links.getRunningCheck(this.routed.service) === undefined;
-	}
-
-	private placeReplacement(now: number): void {
-		if (this.leftMs <= 0) {
-			this.handleTimeout();
-			return;
-		}
-		const refusal = this.retries.findRefusal(now) ?? this.gate.refusal;
-		if (refusal !== undefined) {
-			this.outcome.recordNotReplaced(refusal);
-			return;
-		}
-		const engines = this.live.list().map(({ engine }) => engine.id);
-		this.retries.prepare(engines.join(','), 'the engine is silent');
-		this.isPlacing = true;
-		this.requestPlacement.startOver();
-		this.requestPlacement.placeNext();
-	}
-
-	private placeHeld(now: number): void {
-		const refusal = this.retries.findRefusal(now);
-		if (refusal === undefined) {
-			this.isHeld = false;
-			this.requestPlacement.startOver();
-			this.place();
-		} else if (refusal !== retryRefusals.budget) {
-			this.outcome.giveUp(refusal);
-		}
-	}
-
-	private handlePlaced(placement: Placement): void {
-		const isNeeded = this.live.isEmpty || this.live.areSilent(this.ctx.clock.monotonic());
-		const refusal = isNeeded
-			? this.retries.consume(this.answerRelay.lastEventId)
-			: 'the engine went on';
-		if (refusal === undefined) {
-			this.send(placement);
-		} else {
-			this.requestPlacement.release(placement.engine);
-			this.handleRefused(refusal, undefined);
-		}
-	}
-
-	private handleRefused(reason: string, retryAfterS: number | undefined): void {
-		this.isPlacing = false;
-		if (!this.live.isEmpty) {
-			this.outcome.recordNotReplaced(reason);
-		} else if (this.shouldHold) {
-			this.hold(reason);
-		} else {
-			this.outcome.giveUp(reason, retryAfterS);
-		}
-	}
-
-	/**
-	 * Whether to wait for an engine: a caller that has part of a stream is served by the rest only, and where engines are silent they
-	 * soon go on.
-	 */
-	private get shouldHold(): boolean {
-		if (!this.mayRepeat) {
-			return false;
-		}
-		return (
-			this.answer.hasStarted || (this.outcome.mayHaveRun && this.requestPlacement.hasSilentEngine)
-		);
-	}
-
-	private hold(reason: string): void {
-		this.isHeld = true;
-		this.outcome.recordNotReplaced(reason);
-	}
-
 	private send(placement: Placement): void {
-		this.isPlacing = false;
 		const progress = { leftMs: this.leftMs, lastEventId: this.answerRelay.lastEventId };
 		const attempt = this.sender.prepare(placement, progress);
 		if (!attempt) {
-			this.retries.refundUnsent();
-			this.requestPlacement.release(placement.engine);
-			this.handleRefused('no VM forwards the request', this.ctx.forwarding.retryAfterS);
+			const { retryAfterS } = this.ctx.forwarding;
+			this.search.handleNoWay(placement, 'no VM forwards the request', retryAfterS);
 			return;
 		}
 		this.live.add(attempt);
@@ -307,7 +200,7 @@
 		const recordActivity = () => attempt.recordActivity();
 		const endAttempt = () => this.endAttempt(attempt);
 		return {
-			shouldSend: () => this.requestPlacement.shouldSend(attempt.engine) && !this.gate.isClosed,
+			shouldSend: () => this.search.shouldSend(attempt.engine),
 			onWithdrawn: () => ifCurrent(() => this.handleWithdrawn(attempt), endAttempt),
 			onSent: () => ifCurrent(() => this.handleSent(attempt), recordActivity),
 			onHead: (head) => {
@@ -327,16 +220,13 @@
 	private handleSent(attempt: Attempt): void {
 		attempt.markSent(this.routed.req.promptSegments.slice(0, -1));
 		this.outcome.sentTo.add(attempt.engine.id);
-		this.retries.recordSent();
+		this.search.recordSent();
 	}
 
 	/** The engine asked for a back-off or set a limit while the connection was being established. */
 	private handleWithdrawn(attempt: Attempt): void {
-		this.requestPlacement.withdraw(attempt.engine);
 		this.endUnsent(attempt);
-		if (this.live.isEmpty) {
-			this.place();
-		}
+		this.search.handleWithdrawn(attempt.engine);
 	}
 
 	private handleHead(attempt: Attempt, head: AnswerHead): void {
@@ -410,10 +300,12 @@
 			this.results.recordFailure(attempt, reason);
 		}
 		const isFinal = !isServerError && !this.answer.hasStarted && !notRunStatuses.has(head.status);
-		const mayGoOn = isServerError ? this.canGoOnWithout(attempt) : this.hasOthers(attempt);
-		if (!isFinal && this.mayRepeat && mayGoOn) {
+		const mayGoOn = isServerError
+			? this.search.canGoOnWithout(attempt)
+			: this.search.hasOthers(attempt);
+		if (!isFinal && this.search.mayRepeat && mayGoOn) {
 			this.live.abort(attempt);
-			this.goOn(attempt, reason);
+			this.search.goOn(attempt, reason);
 		} else if (this.answer.hasStarted) {
 			this.live.abort(attempt);
 			this.outcome.abort(relayOutcomes.cut, reason);
@@ -437,8 +329,8 @@
 			attempt.health.recordRejection(this.ctx.clock.monotonic());
 		}
 		const reason = `rejected with ${head.status}`;
-		if (!this.goOn(attempt, reason)) {
-			this.outcome.giveUp(reason, this.requestPlacement.backOffLeftS);
+		if (!this.search.goOn(attempt, reason)) {
+			this.outcome.giveUp(reason, this.search.backOffLeftS);
 		}
 	}
 
@@ -455,7 +347,7 @@
 			this.results.recordEngineExit(attempt);
 		}
 		this.results.recordUnreachable(attempt, reason);
-		this.placeAfterUnreachable(reason);
+		this.search.placeAfterUnreachable(reason);
 	}
 
 	/** Nothing of the request reached the engine, so it counts as not sent. */
@@ -470,12 +362,12 @@
 		helper?.recordRefusal(refusal);
 		this.endUnsent(attempt);
 		if (refusal === forwardRefusals.engineUnavailable) {
-			this.placeAfterUnreachable(refusal);
+			this.search.placeAfterUnreachable(refusal);
 		} else if (refusal === forwardRefusals.engineUnreachable) {
 			this.results.recordUnreachable(attempt, refusal);
-			this.placeAfterUnreachable(refusal);
+			this.search.placeAfterUnreachable(refusal);
 		} else {
-			this.handlePlaced(attempt.placement);
+			this.search.use(attempt.placement);
 		}
 	}
 
@@ -486,7 +378,7 @@
 			return;
 		}
 		this.endUnsent(attempt);
-		this.handlePlaced(attempt.placement);
+		this.search.use(attempt.placement);
 	}
 
 	/** Handles an unusable answer to a request that may have run. */
@@ -494,7 +386,7 @@
 		this.live.abort(attempt);
 		this.outcome.mayHaveRun = true;
 		this.results.recordBroken(attempt, reason);
-		if (this.mayRepeat && this.goOn(attempt, reason)) {
+		if (this.search.mayRepeat && this.search.goOn(attempt, reason)) {
 			return;
 		}
 		if (this.answer.hasStarted) {
@@ -504,53 +396,6 @@
 		}
 	}
 
-	/** Whether other attempts or other engines may go on with the request. */
-	private canGoOnWithout(attempt: Attempt): boolean {
-		return this.hasOthers(attempt) || !this.isFinal(this.findRetryRefusal());
-	}
-
-	private findRetryRefusal(): RetryRefusal | undefined {
-		return this.retries.findRefusal(this.ctx.clock.monotonic());
-	}
-
-	/** Whether a retry that is refused now will not be allowed later either, or there is nothing to wait for. */
-	private isFinal(refusal: RetryRefusal | undefined): boolean {
-		const isTemporary = refusal === retryRefusals.budget && this.answer.hasStarted;
-		return refusal !== undefined && !isTemporary;
-	}
-
-	/** Whether other attempts go on, or one is about to be made. */
-	private hasOthers(attempt: Attempt): boolean {
-		return this.live.listOthers(attempt).length > 0 || this.isPlacing;
-	}
-
-	/**
-	 * Goes on with the other attempts, or on another engine.
-	 * @returns false if neither is possible
-	 */
-	private goOn({ engine }: Attempt, reason: string): boolean {
-		if (!this.live.isEmpty || this.isPlacing) {
-			return true;
-		}
-		const refusal = this.findRetryRefusal();
-		if (refusal !== undefined && this.isFinal(refusal)) {
-			this.outcome.recordNotReplaced(refusal);
-			return false;
-		}
-		this.retries.prepare(engine.id, reason);
-		if (refusal === undefined) {
-			this.place();
-		} else {
-			this.hold(refusal);
-		}
-		return true;
-	}
-
-	private placeAfterUnreachable(reason: string): void {
-		this.isPlacing = true;
-		this.requestPlacement.placeAfterUnreachable(reason);
-	}
-
 	private isStream(attempt: Attempt): boolean {
 		return this.routed.route.isStreamed && (attempt.head?.status ?? 0) < 300;
 	}
@@ -579,7 +424,7 @@
 			if (other.isSent) {
 				this.recordReplacement(winner, other, silentMs);
 			} else {
-				this.retries.refundUnsent();
+				this.search.recordUnsent();
 			}
 		}
 		this.outcome.clearNotReplaced();
@@ -598,7 +443,9 @@
 		const result = wasSilent ? replacementResults.used : replacementResults.notNeeded;
 		this.ctx.metrics.recordReplacement(this.routed.service, result);
 		if (wasSilent) {
-			loser.helper?.recordFailure();
+			if (loser.helper?.name !== winner.helper?.name) {
+				loser.helper?.recordFailure();
+			}
 			this.results.recordSilence(loser, 'another engine answered first', silentMs);
 		}
 	}
@@ -612,7 +459,7 @@
 
 	/** Ends an attempt of which nothing reached the engine. */
 	private endUnsent(attempt: Attempt): void {
-		this.retries.refundUnsent();
+		this.search.recordUnsent();
 		this.endAttempt(attempt);
 	}
 
