--- a/src/core/relay/live-attempts.ts
+++ b/src/core/relay/live-attempts.ts
@@ -16,11 +16,6 @@
 		return [...this.attempts].some(({ sinceFirstEventMs }) => sinceFirstEventMs !== undefined);
 	}
 
-	/** Whether some attempt was sent and may have begun to run. */
-	get isSent(): boolean {
-		return [...this.attempts].some((attempt) => attempt.isSent);
-	}
-
 	has(attempt: Attempt): boolean {
 		return this.attempts.has(attempt);
 	}
