A request whose time passes is ended after the sockets are read

Callers saw 504 for requests whose answer had arrived. Cause: the timer of a request runs before the sockets are read. A VM that stood still past the route's time-out wakes, the timer ends the request with 504 and drops the attempt, and the answer that waited in the kernel's buffer is never read.

--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -10,6 +10,7 @@
 import { RequestQuarantine } from '../quarantine/request-quarantine.js';
 import type { Route } from '../routing/types.js';
 import { repeatabilities } from '../routing/types.js';
+import { afterReads } from '../time/after-reads.js';
 import { AnswerRelay } from './answer-relay.js';
 import { applyEngineNotice } from './apply-engine-notice.js';
 import type { Attempt } from './attempt.js';
@@ -52,7 +53,8 @@
 		const timeoutMs = Math.min(req.deadlineMs ?? route.timeoutMs, route.timeoutMs);
 		this.deadlineAt = req.arrivedAt + timeoutMs;
 		this.requestQuarantine = new RequestQuarantine(ctx.quarantine, req, routed.customer?.name);
-		this.timer = setTimeout(() => guard(() => this.handleTimeout()), Math.max(1, this.leftMs));
+		const checkTimeout = () => afterReads(() => guard(() => this.handleTimeout()));
+		this.timer = setTimeout(checkTimeout, Math.max(1, this.leftMs));
 		this.answer = new CallerAnswer(res, ctx.clock, () => this.live.resume());
 		this.outcome = new RequestOutcome(ctx, routed, this.answer, (outcome) => {
 			this.gate.cancel();
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -17,6 +17,7 @@
 import type { RelaySettings } from '../../core/relay/settings.js';
 import { StartupQueue } from '../../core/relay/startup-queue.js';
 import { ConfigurationState } from '../../core/routing/configuration-state.js';
+import { afterReads } from '../../core/time/after-reads.js';
 import { UndiciEngineTransport } from '../../infra/relay/engine-transport.js';
 import { PrometheusMetrics } from '../../infra/relay/prometheus-metrics.js';
 import { createMetricsServer, createReadinessServer } from '../../infra/relay/readiness-server.js';
@@ -379,7 +380,7 @@
 		this.storeSync.update();
 		this.engines.sweep();
 		this.hub.update();
-		this.checkProgress();
+		afterReads(() => this.relay.checkProgress());
 		if (this.quarantineRecords.hasWork) {
 			this.supervise(this.quarantineRecords.update());
 		}
@@ -388,11 +389,6 @@
 		}
 	}
 
-	/** Bytes that have arrived are read first: after a late event loop engines would look silent otherwise. */
-	private checkProgress(): void {
-		setImmediate(() => setImmediate(() => this.relay.checkProgress()));
-	}
-
 	private sweep(): void {
 		this.coordinator.sweep();
 		this.hub.sweep();
--- /dev/null
+++ b/test/steps/standstill.steps.ts
@@ -0,0 +1,90 @@
+/**
+ * Steps for VMs that stand still or end while they have requests, with real daemons.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as cucumber from '@cucumber/cucumber';
+import { firstVm, fixtureOf } from './relay-fixture.js';
+import type { Answer, Vm } from './relay-world.js';
+import { until } from './relay-world.js';
+import type { FleetWorld } from './world.js';
+
+const requestCount = 6;
+/** Longer than the routes' time-out, so that a VM wakes after its callers were told. */
+const freezeMs = 1800;
+/** Time in which a request might still reach an engine, and in which answers end. */
+const settleMs = 1500;
+
+function sleep(ms: number): Promise<void> {
+	return new Promise((done) => setTimeout(done, ms));
+}
+
+async function standStill(vm: Vm, ms: number): Promise<void> {
+	vm.process.kill('SIGSTOP');
+	await sleep(ms);
+	vm.process.kill('SIGCONT');
+}
+
+cucumber.When(
+	'the VM stands still for {int} ms while {int} {string} requests are at their engines',
+	async function (this: FleetWorld, ms: number, count: number, call: string) {
+		const fixture = fixtureOf(this);
+		const open = Array.from({ length: count }, (_, index) => fixture.open(call, `body ${index}`));
+		const received = () =>
+			[...fixture.engines.values()].reduce(
+				(sum, engine) => sum + engine.receivedRequests.length,
+				0,
+			);
+		await until(() => received() === count);
+		await standStill(firstVm(this), ms);
+		fixture.answers = await Promise.all(open.map(({ answer }) => answer));
+	},
+);
+
+cucumber.When(
+	'the last VM stands still for {int} ms while the first VM sends it {string} requests, whose callers leave after {int} ms',
+	async function (this: FleetWorld, ms: number, call: string, leaveMs: number) {
+		const fixture = fixtureOf(this);
+		// Opens the connection between the VMs.
+		assert.equal((await fixture.open('GET /plain/').answer).status, 200);
+		for (const engine of fixture.engines.values()) {
+			engine.receivedRequests.length = 0;
+		}
+		const stopped = standStill(fixture.vms.at(-1) as Vm, ms);
+		const open = Array.from({ length: requestCount }, (_, index) => fixture.open(call, `${index}`));
+		await sleep(leaveMs);
+		for (const { req } of open) {
+			req.destroy();
+		}
+		await stopped;
+		await sleep(settleMs);
+	},
+);
+
+cucumber.When(
+	/^the last VM is (killed|frozen|cut off from all engines) (\d+) ms after the first VM sent it "(.*)" requests$/,
+	async function (this: FleetWorld, fault: string, ms: string, call: string) {
+		const fixture = fixtureOf(this);
+		const vm = fixture.vms.at(-1) as Vm;
+		const warmUp = await fixture.open('GET /plain/').answer;
+		assert.equal(warmUp.status, 200);
+		if (fault === 'frozen' && ms === '0') {
+			vm.process.kill('SIGSTOP');
+		}
+		const open: Promise<Answer>[] = [];
+		for (let index = 0; index < requestCount; index++) {
+			open.push(fixture.open(call, `body ${index}`).answer);
+			await sleep(2);
+		}
+		await sleep(Number(ms));
+		if (fault === 'killed') {
+			vm.process.kill('SIGKILL');
+		} else if (fault === 'frozen') {
+			await standStill(vm, freezeMs);
+		} else {
+			await fixture.setLinks(vm, 'hang');
+		}
+		this.state.set('answers', await Promise.all(open));
+		await sleep(settleMs);
+	},
+);
