An engine's error is given up only once another engine has answered

Callers of idempotent routes and streams got 502 for an error that their engine had answered whole. Cause: a 500 was dropped as soon as the retry budget allowed another attempt, before it was known whether any engine takes it: with one engine, or the others out of rotation, placement refuses and the request ends with 502 "the request may have run". A complete error is now held back until another engine has answered, and goes to the caller if none does (no engine, a broken answer, the deadline); one that is too large to be held is repeated only if some engine can be used.

--- a/src/core/relay/engine-search.ts
+++ b/src/core/relay/engine-search.ts
@@ -150,7 +150,8 @@
 
 	/** Whether other attempts or other engines may go on with the request. */
 	canGoOnWithout(attempt: Attempt): boolean {
-		return this.hasOthers(attempt) || !this.isFinal(this.findRetryRefusal());
+		const hasCandidate = this.opts.answer.hasStarted || this.placement.hasCandidate;
+		return this.hasOthers(attempt) || (hasCandidate && !this.isFinal(this.findRetryRefusal()));
 	}
 
 	/**
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -297,15 +297,13 @@
 			return;
 		}
 		this.outcome.mayHaveRun = true;
-		const isServerError = head.status >= 500;
-		if (isServerError) {
+		if (head.status >= 500) {
 			this.results.recordFailure(attempt, reason);
 		}
-		const isFinal = !isServerError && !this.answer.hasStarted && !notRunStatuses.has(head.status);
-		const mayGoOn = isServerError
-			? this.search.canGoOnWithout(attempt)
-			: this.search.hasOthers(attempt);
-		if (!isFinal && this.search.mayRepeat && mayGoOn) {
+		if (this.mayGoOnWithout(attempt, head)) {
+			if (isComplete && !notRunStatuses.has(head.status)) {
+				this.outcome.holdError({ head, body: Buffer.concat(attempt.buffered) });
+			}
 			this.live.abort(attempt);
 			this.search.goOn(attempt, reason);
 		} else if (this.answer.hasStarted) {
@@ -314,7 +312,7 @@
 		} else if (notRunStatuses.has(head.status)) {
 			// Without the engine's declaration the caller must not conclude that the request has not run.
 			this.live.abort(attempt);
-			this.outcome.respond(502, 'the engine failed', relayOutcomes.unknown);
+			this.outcome.fail(502, 'the engine failed', relayOutcomes.unknown);
 		} else if (isComplete) {
 			this.finishWith(attempt, head, relayOutcomes.engineFailure, reason);
 		} else {
@@ -322,6 +320,18 @@
 		}
 	}
 
+	/** Whether another attempt or another engine may answer in place of an error. */
+	private mayGoOnWithout(attempt: Attempt, { status }: AnswerHead): boolean {
+		const isServerError = status >= 500;
+		if (!isServerError && !this.answer.hasStarted && !notRunStatuses.has(status)) {
+			return false;
+		}
+		const hasOthers = isServerError
+			? this.search.canGoOnWithout(attempt)
+			: this.search.hasOthers(attempt);
+		return hasOthers && this.search.mayRepeat;
+	}
+
 	/** The engine declared that it did not run the request. */
 	private handleRejection(attempt: Attempt, head: AnswerHead): void {
 		if (head.isFromOtherEngine) {
@@ -394,7 +404,7 @@
 		if (this.answer.hasStarted) {
 			this.outcome.abort(relayOutcomes.cut, reason);
 		} else {
-			this.outcome.respond(502, 'the engine broke off', relayOutcomes.unknown, reason);
+			this.outcome.fail(502, 'the engine broke off', relayOutcomes.unknown, reason);
 		}
 	}
 
@@ -490,7 +500,7 @@
 		if (this.answer.hasStarted) {
 			this.outcome.abort(relayOutcomes.timedOut, 'the deadline of the route or the caller passed');
 		} else if (this.outcome.mayHaveRun) {
-			this.outcome.respond(504, 'no answer in time', relayOutcomes.timedOut);
+			this.outcome.fail(504, 'no answer in time', relayOutcomes.timedOut);
 		} else {
 			this.outcome.giveUp('the deadline of the route or the caller passed');
 		}
--- a/src/core/relay/request-outcome.ts
+++ b/src/core/relay/request-outcome.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { CallerAnswer } from './caller-answer.js';
-import type { RawHeaders } from './definitions.js';
+import type { AnswerHead, RawHeaders } from './definitions.js';
 import { replacementResults } from './metrics.js';
 import type { RelayContext, RelayOutcome, RoutedRequest } from './types.js';
 import { relayOutcomes } from './types.js';
@@ -17,6 +17,12 @@
 	status?: number;
 }
 
+/** A complete error answer of an engine. */
+export interface ErrorAnswer {
+	head: AnswerHead;
+	body: Buffer;
+}
+
 export type LogFields = Record<string, string | number | boolean | undefined>;
 
 export class RequestOutcome {
@@ -24,6 +30,8 @@
 	mayHaveRun = false;
 	/** Engines that received bytes of the request. */
 	readonly sentTo = new Set<string>();
+	/** Goes to the caller unless another engine answers. */
+	private heldError?: ErrorAnswer;
 	/** Why no other engine took over last. */
 	private notReplacedReason?: string;
 	private finished = false;
@@ -51,12 +59,17 @@
 		return (this.endedAt ?? this.ctx.clock.sinceBoot()) - this.routed.req.arrivedAt;
 	}
 
+	/** Holds an engine's error answer back while another engine is asked. */
+	holdError(error: ErrorAnswer): void {
+		this.heldError = error;
+	}
+
 	/** Ends a request that no engine runs now, and tells the caller whether it may have run. Like all ends, ignored after the first. */
 	giveUp(reason: string, retryAfterS = defaultRetryAfterS): void {
 		if (this.answer.hasStarted) {
 			this.abort(relayOutcomes.cut, reason);
 		} else if (this.mayHaveRun) {
-			this.respond(502, 'the request may have run', relayOutcomes.unknown, reason);
+			this.fail(502, 'the request may have run', relayOutcomes.unknown, reason);
 		} else {
 			const headers = ['Retry-After', String(retryAfterS)];
 			this.respond(503, 'the request has not run', relayOutcomes.refused, reason, headers);
@@ -68,6 +81,19 @@
 		this.end(outcome, { reason }, () => this.answer.abort());
 	}
 
+	/** Ends a request that may have run and has no answer: with the error that was held back, or else with a text of the router. */
+	fail(status: number, text: string, outcome: RelayOutcome, reason = text): void {
+		const { heldError } = this;
+		if (!heldError) {
+			this.respond(status, text, outcome, reason);
+			return;
+		}
+		this.end(relayOutcomes.engineFailure, { reason }, () => {
+			this.answer.writeHead(heldError.head);
+			this.answer.end(heldError.body);
+		});
+	}
+
 	/** Answers with a text that the router generates. */
 	respond(
 		status: number,
--- a/src/core/relay/request-placement.ts
+++ b/src/core/relay/request-placement.ts
@@ -121,6 +121,13 @@
 		this.retryUnsent();
 	}
 
+	/** Whether some engine that was not tried is available by its health, or may soon be. */
+	get hasCandidate(): boolean {
+		const { ctx, routed } = this.opts;
+		const untried = ctx.engines.getEligible(routed.service).filter(({ id }) => !this.tried.has(id));
+		return this.hasSilentEngine || untried.some(({ health }) => health.isAvailable(this.now));
+	}
+
 	/** Whether some engine of the service is silent, so that it may soon go on. */
 	get hasSilentEngine(): boolean {
 		const { ctx, routed } = this.opts;
--- /dev/null
+++ b/test/features/raw-answers.feature
@@ -0,0 +1,107 @@
+Feature: Unusual answers and requests
+
+	# Guards against answers that are mixed with others or look complete though they are not.
+	Scenario Outline: Answers of any form reach a caller on a kept connection as its engine sent them, or not at all
+		Given a relay of 1 VM with engines "a, b"
+		Then an answer of an engine to "<call>" with <form> reaches the caller <how>
+
+		Examples:
+			| form                                | call         | how            |
+			| no content                          | POST /once/  | unchanged      |
+			| no content                          | POST /plain/ | unchanged      |
+			| early hints                         | POST /once/  | unchanged      |
+			| trailers                            | POST /once/  | unchanged      |
+			| more than its length                | POST /once/  | unchanged      |
+			| more than its length                | POST /plain/ | unchanged      |
+			| an error with more than its length  | POST /plain/ | unchanged      |
+			| a length, then a reset              | POST /plain/ | unchanged      |
+			| an encoding                         | POST /plain/ | or is repeated |
+			| an encoding                         | POST /once/  | or is repeated |
+			| continue twice                      | POST /once/  | or is repeated |
+			| continue twice                      | POST /plain/ | or is repeated |
+			| another protocol                    | POST /once/  | or is repeated |
+			| half a small answer                 | POST /plain/ | or is repeated |
+			| half a small answer                 | POST /once/  | or is repeated |
+			| half a large answer with a length   | POST /plain/ | cut            |
+			| half a large answer in chunks       | POST /plain/ | cut            |
+			| half a large answer without a length | POST /plain/ | cut           |
+			| half a large answer without a length | POST /once/  | cut           |
+
+	Scenario: An answer to HEAD has no body
+		Given a relay of 1 VM with engines "a"
+		Then a HEAD request to "/plain/" is answered with the length alone, and the next one whole
+
+	Scenario Outline: A stream whose engine fails inside an event goes on behind the last whole one
+		Given a relay of 1 VM with engines "a, b"
+		And engine "a" sends <part> of a stream and then <then> the connection
+		Then each of 6 "POST /stream/resumed/" requests with the body "stream" is whole
+
+		Examples:
+			| part                              | then   |
+			| half of the first event           | resets |
+			| half of the first event           | closes |
+			| the first event but its last byte | resets |
+			| the first event but its last byte | closes |
+			| an event and a half               | closes |
+
+	Scenario Outline: A stream that may not be resumed ends cut when its engine fails inside an event
+		Given a relay of 1 VM with engines "a"
+		And all engines send <part> of a stream and then <then> the connection
+		Then each of 1 "POST /stream/once/" requests with the body "stream" is cut or told that it may have run
+
+		Examples:
+			| part                              | then   |
+			| half of the first event           | resets |
+			| the first event but its last byte | closes |
+			| an event and a half               | closes |
+
+	# Guards against refusals of requests that run all the same, and against callers that spoil an engine for others.
+	Scenario Outline: A request of an unusual form is answered whole, or does not run if its caller is told so
+		Given a relay of 1 VM with engines "a"
+		When a caller that <does> sends "POST /once/"
+		Then it is answered with "<answer>"
+		And it ran at most once, and not if it was told so
+		And requests after it are served
+
+		Examples:
+			| does                            | answer             |
+			| waits to be told to continue    | 200 answer to body |
+			| names a protocol to change to   | 200 answer to body |
+			| names headers of its connection | 200 answer to body |
+			| sends chunks with trailers      | 200 answer to body |
+			| speaks HTTP/1.0                 | 200 answer to body |
+
+	Scenario Outline: A caller that ends its part of the connection is not told that a request that ran has not
+		Given a relay of 1 VM with engines "a"
+		When a caller that <does> sends "POST /once/"
+		Then it ran at most once, and not if it was told so
+		And requests after it are served
+
+		Examples:
+			| does                          |
+			| ends its body early           |
+			| leaves its body unfinished    |
+			| stops writing behind its body |
+
+	# Guards against an engine's own answer that is given up for a retry that no engine takes.
+	Scenario Outline: An error of the only engine that can be used reaches the caller of a request that may be repeated
+		Given a relay of 1 VM with engines "a"
+		And engine "a" fails
+		When "<call>" with body "x" is sent
+		Then the answer is 500 "failed", signed by "a"
+
+		Examples:
+			| call                  |
+			| POST /plain/          |
+			| POST /stream/resumed/ |
+
+	Scenario: An error of any size of the only engine reaches the caller of a request that may be repeated
+		Given a relay of 1 VM with engines "a"
+		Then a 500 of an engine to "POST /plain/" reaches the caller as the engine's error
+
+	Scenario: An engine's error reaches the caller if the engine asked after it gives no answer
+		Given a relay of 1 VM with engines "a, b"
+		And engine "a" fails
+		And engine "b" resets
+		When "POST /plain/" with body "x" is sent 2 times
+		Then each answer is 500 "failed"
--- a/test/stand-ins/platform-engine.ts
+++ b/test/stand-ins/platform-engine.ts
@@ -77,6 +77,14 @@
 	framing: Framing;
 }
 
+/** An answer byte by byte. `SIGNED` in a head stands for the headers that prove its origin. */
+export interface RawEngineAnswer {
+	requestBody: string;
+	text: string;
+	/** Whether the connection is kept, closed or reset behind it. */
+	connection: 'keep' | 'close' | 'reset';
+}
+
 /** State of an engine that it announces in the head of an answer. */
 export interface EngineNotice {
 	/** Monotonic time in milliseconds. */
@@ -93,6 +101,9 @@
 /** Steps by which that delay differs between requests. */
 const crashDelayStepMs = 15;
 
+/** Time in which bytes before a reset reach the relay. */
+const rawResetDelayMs = 60;
+
 /** Interval at which a silent engine looks whether it may go on. */
 const silenceCheckMs = 50;
 
@@ -113,6 +124,8 @@
 	crashesSilently = false;
 	/** Error that the engine gives to one request, unless another engine has given it. */
 	errorAnswer?: ErrorAnswer & { wasGiven: boolean };
+	/** Bytes that the engine sends in place of its answer to requests with this body, and what becomes of the connection. */
+	rawAnswer?: RawEngineAnswer;
 	/** Parts of prompts that crash the engine once it has begun to answer; the last part of a prompt does not. */
 	crashParts: readonly string[] = [];
 	/** Whether all answers announce that the engine drains. */
@@ -231,6 +244,10 @@
 			this.sendError(req, res, signed, errorAnswer);
 			return;
 		}
+		if (this.rawAnswer?.requestBody === req.body) {
+			await this.sendRaw(this.rawAnswer, signed, res, socket);
+			return;
+		}
 		if (partsOf(req).some((part) => this.crashParts.includes(part))) {
 			await this.crashOnPart(req, res, signed);
 			return;
@@ -311,6 +328,25 @@
 		res.end(body.slice(bytes / 2));
 	}
 
+	private async sendRaw(
+		{ text, connection }: RawEngineAnswer,
+		signed: Record<string, string>,
+		res: http.ServerResponse,
+		socket: Socket,
+	): Promise<void> {
+		const lines = Object.entries(signed).map((header) => header.join(': '));
+		socket.write(text.replace('SIGNED', lines.join('\r\n')));
+		if (connection === 'close') {
+			socket.end();
+		} else if (connection === 'reset') {
+			await pause(rawResetDelayMs);
+			socket.resetAndDestroy();
+		} else {
+			// The response, of which nothing was sent, makes way for the next one on the connection.
+			res.emit('finish');
+		}
+	}
+
 	private async crashOnPart(
 		req: ReceivedRequest,
 		res: http.ServerResponse,
