An answer that breaks off ends with a reset where only its end marks it as whole

A caller that speaks HTTP/1.0 got a stream that its engine broke off as a whole one: without chunks and a length the end of the connection is the end of the answer, and the relay closed the connection in order. Such a connection is now reset.

Evidence: raw-answers.feature, "An answer in HTTP/1.0 that breaks off ends with a reset": closed on, reset with the change; a whole stream still ends in order.

--- a/src/infra/relay/relay-http-server.ts
+++ b/src/infra/relay/relay-http-server.ts
@@ -223,6 +223,7 @@
 class HttpCallerResponse implements CallerResponse {
 	/** Set once the head has been written to it and chunks may follow. */
 	private socket?: net.Socket;
+	private headers: RawHeaders = [];
 
 	constructor(
 		private readonly res: http.ServerResponse,
@@ -233,6 +234,7 @@
 		if (this.shouldClose()) {
 			this.res.shouldKeepAlive = false;
 		}
+		this.headers = headers;
 		this.res.writeHead(status, headers);
 	}
 
@@ -254,7 +256,19 @@
 	}
 
 	abort(): void {
-		this.res.destroy();
+		const { socket } = this.res;
+		if (socket && this.isEndedByClose) {
+			socket.resetAndDestroy();
+		} else {
+			this.res.destroy();
+		}
+	}
+
+	/** Whether only the end of the connection marks that of the answer. An orderly end would make a part look whole. */
+	private get isEndedByClose(): boolean {
+		const { res, headers } = this;
+		const hasLength = headers.some((name) => name.toLowerCase() === 'content-length');
+		return res.headersSent && !res.chunkedEncoding && !hasLength;
 	}
 
 	onDrain(callback: () => void): void {
--- a/test/features/raw-answers.feature
+++ b/test/features/raw-answers.feature
@@ -105,3 +105,15 @@
 		And engine "b" resets
 		When "POST /plain/" with body "x" is sent 2 times
 		Then each answer is 500 "failed"
+
+	# Guards against answers that end early and look complete, as their end is told by that of the connection.
+	Scenario Outline: An answer in HTTP/1.0 that breaks off ends with a reset
+		Given a relay of 1 VM with engines "a"
+		And engine "a" <does>
+		When a caller that speaks HTTP/1.0 sends "<call>"
+		Then its connection was <ended>
+
+		Examples:
+			| does            | call               | ended  |
+			| breaks-off      | POST /stream/once/ | reset  |
+			| well            | POST /stream/once/ | closed |
