A stopping VM closes a connection behind the last request that it took

A caller that sends requests behind one another lost those behind the first answer of a stopping VM: that answer closed the connection, although the requests behind it were at engines (LOST; a once-only request had run and its answer was thrown away). Only the newest request of a connection closes it now; no further one is taken after that.

--- a/src/infra/caller-connections.ts
+++ b/src/infra/caller-connections.ts
@@ -74,6 +74,11 @@
 		return this.find(res.req.socket).dropped?.includes(res) ?? false;
 	}
 
+	/** Whether no request was taken after this one. */
+	isNewest(res: http.ServerResponse): boolean {
+		return this.find(res.req.socket).open.at(-1) === res;
+	}
+
 	/** Makes this answer the last of its connection. */
 	takeNoneAfter(res: http.ServerResponse): void {
 		const connection = this.find(res.req.socket);
--- a/src/infra/relay/relay-http-server.ts
+++ b/src/infra/relay/relay-http-server.ts
@@ -77,7 +77,7 @@
 		this.server.keepAliveTimeout = limits.idleTimeoutMs;
 	}
 
-	/** Closes each connection after its next answer. */
+	/** Closes each connection after the answers to the requests that were taken. */
 	disableKeepAlive(): void {
 		this.isKeepAliveDisabled = true;
 	}
@@ -192,12 +192,13 @@
 		this.opts.handle(request, new HttpCallerResponse(res, () => this.shouldClose(res)));
 	}
 
-	/** Whether the answer that begins is the last of its connection. */
+	/** Whether the answer that begins is the last of its connection: requests behind it may be at engines. */
 	private shouldClose(res: http.ServerResponse): boolean {
-		if (this.isKeepAliveDisabled) {
+		const isLast = this.isKeepAliveDisabled && this.connections.isNewest(res);
+		if (isLast) {
 			this.connections.takeNoneAfter(res);
 		}
-		return this.isKeepAliveDisabled;
+		return isLast;
 	}
 
 	/** Refuses a request and closes its connection, since its body may be unread. */
--- a/test/features/raw-answers.feature
+++ b/test/features/raw-answers.feature
@@ -9,6 +9,7 @@
 			| form                                | call         | how            |
 			| no content                          | POST /once/  | unchanged      |
 			| no content                          | POST /plain/ | unchanged      |
+			| not modified                        | POST /once/  | unchanged      |
 			| early hints                         | POST /once/  | unchanged      |
 			| trailers                            | POST /once/  | unchanged      |
 			| more than its length                | POST /once/  | unchanged      |
--- a/test/steps/planned-stop.steps.ts
+++ b/test/steps/planned-stop.steps.ts
@@ -5,8 +5,10 @@
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
 import { streamAcceptanceMs } from '../../src/daemon/relay/graceful-shutdown.js';
+import type { RawAnswer } from './raw-caller.js';
+import { encodeRequest, RawCaller } from './raw-caller.js';
 import { seen } from './relay-fakes.js';
-import { fixtureOf } from './relay-fixture.js';
+import { firstVm, fixtureOf } from './relay-fixture.js';
 import type { Answer } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
@@ -17,6 +19,8 @@
 const staggerMs = 3;
 /** Requests to each VM, one each millisecond. */
 const requestCount = 20;
+/** Time in which a request reaches its engine. */
+const underWayMs = 150;
 
 interface LateRequest {
 	body: string;
@@ -59,6 +63,54 @@
 	},
 );
 
+cucumber.When(
+	'the VM is stopped and a caller sends {string} at once {int} ms later',
+	async function (this: FleetWorld, calls: string, ms: number) {
+		const vm = firstVm(this);
+		const words = calls.split(' ');
+		const requests = words.flatMap((method, index) =>
+			index % 2 === 0 ? [{ method, target: words[index + 1] ?? '', id: `pipelined-${index}` }] : [],
+		);
+		// Keeps the stopping VM running until the requests come.
+		const open = fixtureOf(this).open('POST /stream/once/', 'long');
+		for (const engine of fixtureOf(this).engines.values()) {
+			engine.eventIntervalMs = 600;
+		}
+		const caller = new RawCaller(vm);
+		await sleep(underWayMs);
+		vm.process.kill('SIGTERM');
+		await sleep(ms);
+		caller.write(requests.map((req) => encodeRequest({ ...req, body: req.id })).join(''));
+		const methods = requests.map(({ method }) => method);
+		const answers = await caller.untilAnswered(methods, 8000);
+		await open.answer;
+		caller.close();
+		const ids = requests.map(({ id }) => id);
+		this.state.set('pipelined', { ids, answers });
+	},
+);
+
+cucumber.Then(
+	'each request that ran is answered whole, and none that was refused ran',
+	function (this: FleetWorld) {
+		const { ids, answers } = seen<{ ids: string[]; answers: RawAnswer[] }>(this, 'pipelined');
+		const outcomes = ids.map((id, index) => {
+			const answer = answers[index];
+			const ran = fixtureOf(this).countReached(id);
+			const isRight = answer?.isWhole
+				? answer.status === 200
+					? ran === 1
+					: answer.status === 503 && ran === 0
+				: ran === 0;
+			return { isRight, told: answer?.status, isWhole: answer?.isWhole, ran };
+		});
+		assert.ok(
+			outcomes.every(({ isRight }) => isRight),
+			JSON.stringify(outcomes),
+		);
+	},
+);
+
 function sleep(ms: number): Promise<void> {
 	return new Promise((done) => setTimeout(done, ms));
 }
