An answer 304 with a length is whole without a body

Callers of a once-only route got 502 for a 304 of their engine. Cause: undici compares the length in the head with the bytes of the body, and a 304 may name the length of the answer that was not modified (RFC 9110, section 8.6). The relay took that for a broken answer. Such a 304 now ends its call; the connection, which undici has closed, is not used again.

--- a/src/infra/relay/engine-running-call.ts
+++ b/src/infra/relay/engine-running-call.ts
@@ -12,6 +12,9 @@
 import type { EngineConnection, EngineConnectionPool } from './engine-connection-pool.js';
 
 export const connectionRefusedCode = 'ECONNREFUSED';
+/** undici compares the length in a head with the bytes of the body, also where there is none by definition. */
+const lengthMismatchCode = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
+const notModifiedStatus = 304;
 
 /** Decodes the head of an answer. */
 export type AnswerDecoder = (status: number, rawHeaders: RawHeaders) => AnswerHead;
@@ -26,6 +29,7 @@
 	private resumeReading?: () => void;
 	private isPaused = false;
 	private isStarting = true;
+	private status = 0;
 	private isFramed = true;
 	private isDone = false;
 
@@ -85,6 +89,7 @@
 				headers.push(value.toString('latin1'));
 			}
 			const head = this.decodeAnswer(status, headers);
+			this.status = status;
 			this.isFramed = head.isFramed;
 			this.listener.onHead(head);
 		}
@@ -129,8 +134,14 @@
 	}
 
 	private fail(err: NodeJS.ErrnoException): void {
-		if (!this.isDone) {
-			this.discard();
+		if (this.isDone) {
+			return;
+		}
+		this.discard();
+		if (this.status === notModifiedStatus && err.code === lengthMismatchCode) {
+			// The length is that of the answer that was not modified (RFC 9110, section 8.6).
+			this.listener.onEnd();
+		} else {
 			this.listener.onError(err.message, err.code === connectionRefusedCode);
 		}
 	}
