A connection counts as timed out once the sockets are read

A VM that stood still for longer than 400 ms while it connected to an engine gave up connections that the kernel had made meanwhile: the timer of the attempt runs before the event of the socket. The engine counted as unreachable, here and in the fleet's health, and a request with no other engine was refused. The attempt and the probe of a port now wait for the reads.

Evidence: standstill.feature, "A connection that was made while the process stood still is used": "connection timed out" without the change of the pool, and a probe that fails without that of the transport; both pass with it.

--- a/src/infra/relay/engine-connection-pool.ts
+++ b/src/infra/relay/engine-connection-pool.ts
@@ -4,6 +4,7 @@
  */
 import * as net from 'node:net';
 import * as undici from 'undici';
+import { afterReads } from '../../core/time/after-reads.js';
 
 export const connectTimeoutMs = 400;
 /** Idle connections are closed after this time unless the engine's keep-alive header sets another. */
@@ -75,11 +76,13 @@
 			noDelay: true,
 			highWaterMark: receiveBufferBytes,
 		} as net.TcpNetConnectOpts);
-		const timer = setTimeout(
-			() => socket.destroy(new Error('connection timed out')),
-			connectTimeoutMs,
-		);
 		let isSettled = false;
+		const giveUp = () => {
+			if (!isSettled) {
+				socket.destroy(new Error('connection timed out'));
+			}
+		};
+		const timer = setTimeout(() => afterReads(giveUp), connectTimeoutMs);
 		socket.once('connect', () => {
 			isSettled = true;
 			clearTimeout(timer);
--- a/src/infra/relay/engine-transport.ts
+++ b/src/infra/relay/engine-transport.ts
@@ -13,6 +13,7 @@
 	RawHeaders,
 	RunningCall,
 } from '../../core/relay/definitions.js';
+import { afterReads } from '../../core/time/after-reads.js';
 import { connectTimeoutMs, EngineConnectionPool } from './engine-connection-pool.js';
 import type { AnswerDecoder } from './engine-running-call.js';
 import { connectionRefusedCode, EngineRunningCall } from './engine-running-call.js';
@@ -138,7 +139,7 @@
 			resolve(state);
 		};
 		socket.on('connect', () => end(portStates.open));
-		socket.on('timeout', () => end(portStates.unreachable));
+		socket.on('timeout', () => afterReads(() => end(portStates.unreachable)));
 		socket.on('error', ({ code }: NodeJS.ErrnoException) =>
 			end(code === connectionRefusedCode ? portStates.closed : portStates.unreachable),
 		);
--- a/test/features/standstill.feature
+++ b/test/features/standstill.feature
@@ -12,6 +12,14 @@
 			| POST /once/  |
 			| POST /plain/ |
 
+	# Guards against engines that are judged unreachable although their connections were made in time.
+	Scenario: A connection that was made while the process stood still is used
+		Given a transport to an engine that listens
+		When it sends a request, and the process stands still for 600 ms
+		Then the request is answered
+		When it tries a connection, and the process stands still for 600 ms
+		Then the connection can be made
+
 	# Guards against requests that reach an engine long after their callers have left.
 	Scenario Outline: A request whose caller leaves while the VM that forwards it stands still reaches no engine
 		Given a relay of 2 VMs whose links can fail, with engines "a"
--- a/test/steps/relay-http-server.steps.ts
+++ b/test/steps/relay-http-server.steps.ts
@@ -11,6 +11,7 @@
 import { SystemClock } from '../../src/infra/system-clock.js';
 import * as platform from '../../src/platform/index.js';
 import { seen } from './relay-fakes.js';
+import { blockLoop } from './standstill.steps.js';
 import type { FleetWorld } from './world.js';
 
 const pieceBytes = 64 * 1024;
@@ -95,7 +96,7 @@
 	async function (this: FleetWorld, pauseMs: number) {
 		const socket = seen<net.Socket>(this, 'socket');
 		socket.write(seen<string>(this, 'rest'));
-		standStill(pauseMs);
+		blockLoop(pauseMs);
 		this.state.set('read', await readAll(this, socket));
 	},
 );
@@ -104,7 +105,7 @@
 	'the process stands still for {int} ms and the caller sends the rest once it is answered',
 	async function (this: FleetWorld, pauseMs: number) {
 		const socket = seen<net.Socket>(this, 'socket');
-		standStill(pauseMs);
+		blockLoop(pauseMs);
 		socket.once('data', () => socket.end(seen<string>(this, 'rest')));
 		this.state.set('read', await readAll(this, socket));
 	},
@@ -206,11 +207,6 @@
 	return Buffer.concat(chunks);
 }
 
-/** Blocks the event loop, as a stop of the process does. */
-function standStill(ms: number): void {
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
-}
-
 /** Decodes text with `~` for line ends and a number behind `x` for its repetition. */
 function decodeText(text: string): string {
 	return text.replaceAll('~', '\r\n').replace(/x(\d+)/, (_, count) => 'x'.repeat(Number(count)));
--- a/test/steps/standstill.steps.ts
+++ b/test/steps/standstill.steps.ts
@@ -4,12 +4,22 @@
  */
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
+import type { AnswerListener } from '../../src/core/relay/definitions.js';
+import { UndiciEngineTransport } from '../../src/infra/relay/engine-transport.js';
+import * as platform from '../../src/platform/index.js';
+import { PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
+import { seen } from './relay-fakes.js';
 import { firstVm, fixtureOf } from './relay-fixture.js';
 import type { Answer, Vm } from './relay-world.js';
 import { until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
 const requestCount = 6;
+/** Blocks the event loop, as a stop of the process does. */
+export function blockLoop(ms: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
+
 /** Longer than the routes' time-out, so that a VM wakes after its callers were told. */
 const freezeMs = 1800;
 /** Time in which a request might still reach an engine, and in which answers end. */
@@ -88,3 +98,58 @@
 		await sleep(settleMs);
 	},
 );
+
+interface ListeningEngine {
+	engine: PlatformEngineStandIn;
+	address: string;
+	transport: UndiciEngineTransport;
+}
+
+cucumber.Given('a transport to an engine that listens', async function (this: FleetWorld) {
+	const engine = new PlatformEngineStandIn('a');
+	const address = await engine.start();
+	const transport = new UndiciEngineTransport(platform);
+	this.state.set('listening', { engine, address, transport });
+});
+
+cucumber.When(
+	'it sends a request, and the process stands still for {int} ms',
+	function (this: FleetWorld, ms: number) {
+		const { address, transport } = seen<ListeningEngine>(this, 'listening');
+		const result = new Promise<string>((done) => {
+			const listener: AnswerListener = {
+				shouldSend: () => true,
+				onWithdrawn: () => done('withdrawn'),
+				onSent() {},
+				onHead() {},
+				onData() {},
+				onEnd: () => done('answered'),
+				onError: done,
+			};
+			const req = { method: 'GET', target: '/plain/', headers: [], body: Buffer.alloc(0) };
+			transport.sendEncoded(address, req, listener);
+		});
+		blockLoop(ms);
+		this.state.set('result', result);
+	},
+);
+
+cucumber.Then('the request is answered', async function (this: FleetWorld) {
+	assert.equal(await seen<Promise<string>>(this, 'result'), 'answered');
+});
+
+cucumber.When(
+	'it tries a connection, and the process stands still for {int} ms',
+	function (this: FleetWorld, ms: number) {
+		const { address, transport } = seen<ListeningEngine>(this, 'listening');
+		this.state.set('result', transport.canConnect(address));
+		blockLoop(ms);
+	},
+);
+
+cucumber.Then('the connection can be made', async function (this: FleetWorld) {
+	const { engine, transport } = seen<ListeningEngine>(this, 'listening');
+	assert.equal(await seen<Promise<boolean>>(this, 'result'), true);
+	await transport.close();
+	engine.stop();
+});
