--- a/src/core/forwarding/link-monitor.ts
+++ b/src/core/forwarding/link-monitor.ts
@@ -62,7 +62,9 @@
 
 export class LinkMonitor {
 	private readonly byService = new Map<string, ServiceLinks>();
-	private quietCheckedAt = Number.NEGATIVE_INFINITY;
+	/** Last tries of a connection while requests were in flight, and while none were, in monotonic milliseconds. */
+	private silenceCheckedAt = Number.NEGATIVE_INFINITY;
+	private idleCheckedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly opts: LinkMonitorOptions) {}
 
@@ -137,7 +139,11 @@
 		if (!isQuiet || !this.isQuietCheckDue(isAwaiting, activeAt)) {
 			return;
 		}
-		this.quietCheckedAt = this.now;
+		if (isAwaiting) {
+			this.silenceCheckedAt = this.now;
+		} else {
+			this.idleCheckedAt = this.now;
+		}
 		const engine = this.pickRandom(engines);
 		if (engine) {
 			const { service } = engine.registration;
@@ -151,8 +157,8 @@
 	/** While no requests are in flight, once is enough: pooled connections are closed soon, and a new one shows the cut. */
 	private isQuietCheckDue(isAwaiting: boolean, activeAt: number): boolean {
 		return isAwaiting
-			? this.now - this.quietCheckedAt >= silenceSuspicionIntervalMs
-			: Number.isFinite(activeAt) && this.quietCheckedAt < activeAt;
+			? this.now - this.silenceCheckedAt >= silenceSuspicionIntervalMs
+			: Number.isFinite(activeAt) && Math.max(this.silenceCheckedAt, this.idleCheckedAt) < activeAt;
 	}
 
 	private get now(): number {
--- a/src/core/relay/relay.ts
+++ b/src/core/relay/relay.ts
@@ -56,10 +56,15 @@
 			this.commonSilence.update(service, this.opts.engines.getEligible(service), now);
 		}
 		for (const request of open) {
-			request.checkProgress(now, this.commonSilence.isEnding(request.service, now));
+			request.checkProgress(now, this.isSilenceEnding(request.service, now));
 		}
 	}
 
+	/** A silence that came from the links of this VM tells nothing about engines. */
+	private isSilenceEnding(service: string, now: number): boolean {
+		return !this.opts.links.isCutOff(service) && this.commonSilence.isEnding(service, now);
+	}
+
 	/** Withdraws requests that are quarantined now from engines that have not begun to answer them. */
 	withdrawQuarantined(): void {
 		for (const request of [...this.open]) {
--- a/src/core/relay/types.ts
+++ b/src/core/relay/types.ts
@@ -38,7 +38,7 @@
 	/** Detects engines that fail the requests of several VMs. */
 	fleetHealth: Pick<FleetHealth, 'filterAvailable' | 'recordFailure' | 'recordSuccess'>;
 	/** State of this VM's own links to engines. */
-	links: Pick<LinkMonitor, 'recordUnreachable' | 'getRunningCheck'>;
+	links: Pick<LinkMonitor, 'recordUnreachable' | 'getRunningCheck' | 'isCutOff'>;
 	/** Ways to engines through other VMs. */
 	forwarding: Pick<RequestForwarding, 'chooseHelper' | 'retryAfterS'>;
 	fleet: FleetView;
--- a/test/features/forwarding.feature
+++ b/test/features/forwarding.feature
@@ -17,6 +17,14 @@
 			| 6       | 3     | 17  | hang   | 3000   | no         | 10     |
 			| 95      | 20    | 10  | refuse | 3000   | no         | 40     |
 
+	# Guards against a check of an idle VM that puts off the next one, so that streams wait for it or are sent over the same links.
+	Scenario: A VM that was idle before its first requests finds out as soon as others that it lost its links
+		Given 6 engines of a service and 0 of another, with no requests in flight
+		When a request of 100 ms is sent each 300 ms for 1 s
+		And it is idle for 1200 ms, and then has requests in flight at all engines
+		And the links to 100 % of the engines "hang"
+		Then the VM counts as cut off within 1200 ms: yes
+
 	Scenario Outline: Silence of sound engines is no cut
 		Given <engines> engines of a service and 3 of another, with requests in flight at all
 		When <silent> of the engines send nothing for <ms> ms
--- a/test/steps/forwarding.steps.ts
+++ b/test/steps/forwarding.steps.ts
@@ -188,6 +188,17 @@
 	},
 );
 
+cucumber.When(
+	'it is idle for {int} ms, and then has requests in flight at all engines',
+	async function (this: FleetWorld, ms: number) {
+		const links = linksOf(this);
+		await links.run(ms);
+		links.hasStreams = true;
+		links.sendToAll();
+		await links.run(tickMs);
+	},
+);
+
 cucumber.When(
 	'the links to {int} % of the engines {string}',
 	function (this: FleetWorld, percent: number, fail: string) {
--- a/test/steps/relay-fakes.ts
+++ b/test/steps/relay-fakes.ts
@@ -76,6 +76,7 @@
 export const soundLinks: RelayContext['links'] = {
 	recordUnreachable() {},
 	getRunningCheck: () => undefined,
+	isCutOff: () => false,
 };
 
 /** Permits of a placement without engine limits. */
