Tests: orders of events around refusals and answers that nobody had tried

Answers that another VM forwards while engines fall silent or fail inside an event, errors whose engine pauses within them, a request refused for want of memory behind another one on its connection.

--- a/test/features/raw-answers.feature
+++ b/test/features/raw-answers.feature
@@ -56,6 +56,29 @@
 			| the first event but its last byte | closes |
 			| an event and a half               | closes |
 
+	Scenario: A stream that another VM forwards goes on behind its last whole event when its engine fails inside one
+		Given a relay of 2 VMs whose links can fail, with engines "a, b"
+		And the links of 1 VM to all engines "reset"
+		And 3000 ms pass in quiet
+		And engine "a" sends an event and a half of a stream and then resets the connection
+		Then each of 4 "POST /stream/resumed/" requests with the body "stream" is whole
+
+	Scenario Outline: Answers that another VM forwards are whole though engines fall silent
+		Given a relay of 3 VMs whose links can fail, with engines "a, b, c"
+		And each VM serves "GET /plain/" requests
+		And the links of 1 VM to all engines "reset"
+		And 3000 ms pass in quiet
+		And events of streams follow each other after 200 ms
+		When 4 "<call>" requests are sent to the first VM, and <silent> of the engines fall silent for <ms> ms
+		Then each of them is whole
+
+		Examples:
+			| call                  | silent | ms   |
+			| POST /stream/resumed/ | 3      | 1200 |
+			| POST /stream/resumed/ | 1      | 1500 |
+			| POST /plain/          | 3      | 800  |
+			| POST /once/           | 3      | 800  |
+
 	Scenario Outline: A stream that may not be resumed ends cut when its engine fails inside an event
 		Given a relay of 1 VM with engines "a"
 		And all engines send <part> of a stream and then <then> the connection
@@ -118,6 +141,17 @@
 		When "POST /plain/" with body "x" is sent 2 times
 		Then each answer is 500 "failed"
 
+	Scenario Outline: Errors whose engine pauses within them are whole, or another engine answers
+		Given a relay of 2 VMs with engines "a, b, c"
+		And engine "a" holds the second half of errors of <bytes> bytes back for 900 ms
+		When 12 "POST /plain/" requests are sent to each VM at once, each third of which that engine fails
+		Then each of them gets the answer of a sound engine, or that error whole
+
+		Examples:
+			| bytes  |
+			| 400000 |
+			| 700000 |
+
 	# Guards against answers that end early and look complete, as their end is told by that of the connection.
 	Scenario Outline: An answer in HTTP/1.0 that breaks off ends with a reset
 		Given a relay of 1 VM with engines "a"
--- a/test/features/relay-http-server.feature
+++ b/test/features/relay-http-server.feature
@@ -66,3 +66,14 @@
 		Given an HTTP server that answers each path with 200 pieces
 		When a caller requests "/a /b /c" with HTTP 1.1 and leaves once 3 answers are blocked
 		Then no request is open within 1000 ms
+
+	# Guards against a refusal for want of memory that ends the answer before it, or whose request runs.
+	Scenario: A request that is refused as too many bodies are held does not run, and the one before it is answered
+		Given an HTTP server that answers each path with 1 pieces
+		And it allows 3000 ms and 1000 bytes for heads, and 5000000 bytes for bodies
+		And it holds the answers to "/held"
+		And a caller that has sent a request to "/held"
+		When 9 other callers send 5000000 bytes of body each to "/held"
+		And the first caller sends requests to "/late /later" behind it
+		Then once answers are no longer held it receives that to "/held", and then only the status 503
+		And only requests to "/held" were handled
--- a/test/steps/raw-answers.steps.ts
+++ b/test/steps/raw-answers.steps.ts
@@ -9,14 +9,19 @@
 import type { RawAnswer } from './raw-caller.js';
 import { encodeRequest, RawCaller } from './raw-caller.js';
 import { seen } from './relay-fakes.js';
-import { firstVm, fixtureOf } from './relay-fixture.js';
+import { engineOf, firstVm, fixtureOf } from './relay-fixture.js';
+import type { Answer, RelayFixture } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
 /** Body of requests that get the unusual answer. */
 const unusualBody = 'unusual';
 const answerTimeoutMs = 4000;
+/** Time in which requests reach their engines. */
+const underWayMs = 150;
 /** Time in which bytes after the end of an answer would arrive. */
 const quietMs = 60;
+/** Tries of a caller whose requests are refused. */
+const maxTries = 5;
 /** More than the relay buffers of an answer. */
 const largeBytes = 600_000;
 
@@ -297,3 +302,89 @@
 		['200 answer to next'],
 	);
 });
+
+cucumber.Given(
+	'engine {string} holds the second half of errors of {int} bytes back for {int} ms',
+	function (this: FleetWorld, id: string, bytes: number, pauseMs: number) {
+		const body = 'e'.repeat(bytes);
+		const text = `HTTP/1.1 500 Error\r\nSIGNED\r\ncontent-length: ${bytes}\r\n\r\n${body}`;
+		const answer: RawEngineAnswer = { requestBody: unusualBody, text, pauseMs, connection: 'keep' };
+		engineOf(this, id).rawAnswer = answer;
+		this.state.set('error', body);
+	},
+);
+
+cucumber.When(
+	'{int} {string} requests are sent to each VM at once, each third of which that engine fails',
+	async function (this: FleetWorld, count: number, call: string) {
+		const fixture = fixtureOf(this);
+		const sent = fixture.vms.flatMap((vm) =>
+			Array.from({ length: count }, (_, index) => {
+				const body = index % 3 === 0 ? unusualBody : `${vm.address} ${index}`;
+				return fixture
+					.open(call, body, { vm })
+					.answer.then((answer) => ({ ...answer, sent: body }));
+			}),
+		);
+		this.state.set('pairs', await Promise.all(sent));
+	},
+);
+
+cucumber.Then(
+	'each of them gets the answer of a sound engine, or that error whole',
+	function (this: FleetWorld) {
+		const error = seen<string>(this, 'error');
+		const wrong = seen<(Answer & { sent: string })[]>(this, 'pairs').filter(
+			({ status, body, cut, sent }) => {
+				const isSound = status === 200 && !cut && body === `answer to ${sent}`;
+				return !isSound && !(status === 500 && !cut && body === error && sent === unusualBody);
+			},
+		);
+		const first = wrong.map(
+			({ status, body, cut }) => `${status}${cut ? ' cut' : ''} ${body.slice(0, 60)}`,
+		);
+		assert.deepEqual(first, []);
+	},
+);
+
+cucumber.When(
+	'{int} {string} requests are sent to the first VM, and {int} of the engines fall silent for {int} ms',
+	async function (this: FleetWorld, count: number, call: string, silent: number, ms: number) {
+		const fixture = fixtureOf(this);
+		const bodies = Array.from({ length: count }, (_, index) => `body ${index}`);
+		const open = bodies.map((body) => sendUntilAccepted(fixture, call, body));
+		await new Promise((done) => setTimeout(done, underWayMs));
+		for (const engine of [...fixture.engines.values()].slice(0, silent)) {
+			engine.fallSilent(ms);
+		}
+		const answers = await Promise.all(open);
+		const expected = bodies.map((body) =>
+			call.includes('/stream/') ? wholeStream(body) : `answer to ${body}`,
+		);
+		this.state.set('whole', { answers, expected });
+	},
+);
+
+/** Sends a request again when it is refused, as the VMs that forward may be too busy, at the time that the refusal tells. */
+async function sendUntilAccepted(
+	fixture: RelayFixture,
+	call: string,
+	body: string,
+): Promise<Answer> {
+	for (let count = 1; ; count++) {
+		const answer = await fixture.open(call, body).answer;
+		if (answer.status !== 503 || count === maxTries) {
+			return answer;
+		}
+		const retryAfterS = Number(answer.headers['retry-after']);
+		await new Promise((done) => setTimeout(done, retryAfterS * 1000));
+	}
+}
+
+cucumber.Then('each of them is whole', function (this: FleetWorld) {
+	const { answers, expected } = seen<{ answers: Answer[]; expected: string[] }>(this, 'whole');
+	assert.deepEqual(
+		answers.map(({ status, body, cut }) => ({ status, body, cut })),
+		expected.map((body) => ({ status: 200, body, cut: false })),
+	);
+});
