A refusal before a request is handled has a line in the log and a count

`callers.refused` names the status, the reason and the request if its head was read; slategauge_denied_total counts it.

Evidence: nine examples of relay-http-server.feature now also check the line and the count; their other steps are unchanged.

--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -574,6 +574,15 @@
 			held_bytes: 'bytes held',
 		},
 	},
+	{
+		name: 'callers.refused',
+		when: 'A request was refused before it was read completely, or cannot be decoded.',
+		fields: {
+			request: 'id of the request, if its head was read',
+			status: 'status of the answer',
+			reason: 'why; the error of the HTTP parser where there is one',
+		},
+	},
 	{
 		name: 'callers.body-broken',
 		when: 'A caller disconnected before its request was read completely (level debug).',
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -290,6 +290,8 @@
 			decode: platform.decodeRequest,
 			isEventLoopLagging: () => this.loopMonitor.delayMs > lateLoopMs,
 			handle: (req, res) => this.relay.handle(req, res),
+			requestIdOf: platform.requestIdOf,
+			onRefused: (status) => this.metrics.recordDenied(status),
 		});
 		this.loopMonitor = new EventLoopMonitor({
 			clock,
--- a/src/infra/relay/prometheus-metrics.ts
+++ b/src/infra/relay/prometheus-metrics.ts
@@ -65,7 +65,7 @@
 	);
 	private readonly deniedTotal = this.counter(
 		'slategauge_denied_total',
-		'Requests denied for their route or key, by response status',
+		'Requests denied for their form, route or key, by response status',
 		['status'],
 	);
 	private readonly retriesTotal = this.counter(
--- a/src/infra/relay/relay-http-server.ts
+++ b/src/infra/relay/relay-http-server.ts
@@ -40,6 +40,10 @@
 	/** Whether the event loop lags so much that callers may have disconnected unnoticed. */
 	isEventLoopLagging: () => boolean;
 	handle: (req: CallerRequest, res: CallerResponse) => void;
+	/** Id of the request with this head, for the log; empty without one. */
+	requestIdOf: (raw: RawHeaders) => string;
+	/** Called for each request that is refused before it is handled. */
+	onRefused: (status: number) => void;
 }
 
 export class RelayHttpServer {
@@ -63,7 +67,11 @@
 			},
 			(req, res) => this.accept(req, res),
 		);
-		this.connections = new CallerConnections(this.server, answerError);
+		this.connections = new CallerConnections(this.server, (err) => {
+			const answer = answerError(err);
+			this.recordRefusal(answer.status, err.message, []);
+			return answer;
+		});
 	}
 
 	/** Requests whose answer has not ended. */
@@ -213,8 +221,15 @@
 		if (shouldRetry) {
 			headers['retry-after'] = '0.2';
 		}
+		this.recordRefusal(status, reason, req.rawHeaders);
 		this.connections.refuse(req, res, status, headers, `${reason}\n`);
 	}
+
+	private recordRefusal(status: number, reason: string, rawHeaders: RawHeaders): void {
+		const request = this.opts.requestIdOf(rawHeaders) || undefined;
+		this.opts.log.warn('callers.refused', { request, status, reason });
+		this.opts.onRefused(status);
+	}
 }
 
 /**
--- a/test/features/relay-http-server.feature
+++ b/test/features/relay-http-server.feature
@@ -34,6 +34,7 @@
 		When the process stands still for <pause> ms and the caller sends the rest once it is answered
 		Then it receives only the status 408
 		And no request was handled
+		And a line in the log and a count tell 408
 
 		Examples:
 			| pause |
@@ -46,6 +47,7 @@
 		When a caller sends a request with the lines <lines> and one behind it
 		Then it receives only the status <status>
 		And no request was handled
+		And a line in the log and a count tell <status>
 
 		Examples:
 			| lines                                         | status |
--- a/test/steps/relay-http-server.steps.ts
+++ b/test/steps/relay-http-server.steps.ts
@@ -15,7 +15,6 @@
 import type { FleetWorld } from './world.js';
 
 const pieceBytes = 64 * 1024;
-const log = { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} };
 
 /** Writes pieces and waits for the caller to read when the connection is full. */
 class PieceWriter {
@@ -42,6 +41,12 @@
 	}
 }
 
+/** Statuses of refused requests. */
+interface Refusals {
+	logged: number[];
+	counted: number[];
+}
+
 interface HeldAnswers {
 	target: string;
 	writers: PieceWriter[];
@@ -63,6 +68,13 @@
 			}
 		};
 		const clock = new SystemClock();
+		const refusals: Refusals = { logged: [], counted: [] };
+		const warn = (event: string, fields?: Record<string, unknown>) => {
+			if (event === 'callers.refused') {
+				refusals.logged.push(Number(fields?.status));
+			}
+		};
+		const log = { debug() {}, info() {}, warn, error() {} };
 		const decode = platform.decodeRequest;
 		const relayServer = new RelayHttpServer({
 			clock,
@@ -70,7 +82,10 @@
 			decode,
 			isEventLoopLagging: () => false,
 			handle,
+			requestIdOf: platform.requestIdOf,
+			onRefused: (status) => refusals.counted.push(status),
 		});
+		this.state.set('refusals', refusals);
 		await new Promise<void>((done) => relayServer.server.listen(0, '127.0.0.1', done));
 		this.state.set('relayServer', relayServer);
 		this.state.set('writers', writers);
@@ -264,6 +279,13 @@
 	assertOnlyStatus(seen<Buffer>(this, 'read'), status);
 });
 
+cucumber.Then(
+	'a line in the log and a count tell {int}',
+	function (this: FleetWorld, status: number) {
+		assert.deepEqual(seen<Refusals>(this, 'refusals'), { logged: [status], counted: [status] });
+	},
+);
+
 cucumber.Then('no request was handled', function (this: FleetWorld) {
 	assert.equal(seen<PieceWriter[]>(this, 'writers').length, 0);
 });
--- a/test/steps/relay-transfers.steps.ts
+++ b/test/steps/relay-transfers.steps.ts
@@ -163,6 +163,8 @@
 		log: silentLog,
 		decode: ({ target }) => ({ target }) as CallerRequest,
 		isEventLoopLagging: () => true,
+		requestIdOf: () => '',
+		onRefused() {},
 		handle: ({ target }, res) => {
 			forwarded.push(target);
 			res.writeHead(200, ['Content-Length', '0']);
