--- a/test/features/standstill.feature
+++ b/test/features/standstill.feature
@@ -52,3 +52,8 @@
 			| frozen                   | 4     |
 			| frozen                   | 100   |
 			| cut off from all engines | 100   |
+
+	Scenario: A request to forward whose head comes in two parts around a freeze is answered, or does not run
+		Given a relay of 2 VMs with engines "a"
+		When the last VM freezes for 3500 ms between two parts of the head of a request to forward
+		Then the request ran once if its answer is that of engine "a", and else not at all
--- a/test/steps/standstill.steps.ts
+++ b/test/steps/standstill.steps.ts
@@ -3,13 +3,14 @@
  * @module
  */
 import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
 import * as cucumber from '@cucumber/cucumber';
 import type { AnswerListener } from '../../src/core/relay/definitions.js';
 import { UndiciEngineTransport } from '../../src/infra/relay/engine-transport.js';
 import * as platform from '../../src/platform/index.js';
 import { PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
 import { seen } from './relay-fakes.js';
-import { firstVm, fixtureOf } from './relay-fixture.js';
+import { engineOf, firstVm, fixtureOf } from './relay-fixture.js';
 import type { Answer, Vm } from './relay-world.js';
 import { until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
@@ -24,6 +25,9 @@
 const freezeMs = 1800;
 /** Time in which a request might still reach an engine, and in which answers end. */
 const settleMs = 1500;
+/** First part of a head, and the time between parts. */
+const partBytes = 60;
+const partDelayMs = 150;
 
 function sleep(ms: number): Promise<void> {
 	return new Promise((done) => setTimeout(done, ms));
@@ -153,3 +157,42 @@
 	await transport.close();
 	engine.stop();
 });
+
+cucumber.When(
+	'the last VM freezes for {int} ms between two parts of the head of a request to forward',
+	async function (this: FleetWorld, ms: number) {
+		const fixture = fixtureOf(this);
+		const [first, last] = fixture.vms as [Vm, Vm];
+		const engine = engineOf(this, 'a');
+		const head = [
+			'POST /once/ HTTP/1.1',
+			'host: relay.example',
+			'slategauge-attempt-id: hop',
+			`forward-to: ${fixture.addressOf(engine)} a 1 0`,
+			'content-length: 4',
+		].join('\r\n');
+		const opts = { host: last.address, port: last.ports.peers, localAddress: first.address };
+		const socket = net.connect({ ...opts, noDelay: true });
+		const chunks: Buffer[] = [];
+		socket.on('data', (chunk) => chunks.push(chunk));
+		socket.write(head.slice(0, partBytes));
+		await sleep(partDelayMs);
+		const frozen = standStill(last, ms);
+		await sleep(partDelayMs);
+		socket.write(`${head.slice(partBytes)}\r\n\r\nbody`);
+		await frozen;
+		await sleep(settleMs);
+		socket.destroy();
+		this.state.set('hop', Buffer.concat(chunks).toString());
+	},
+);
+
+cucumber.Then(
+	'the request ran once if its answer is that of engine {string}, and else not at all',
+	function (this: FleetWorld, id: string) {
+		const answer = seen<string>(this, 'hop');
+		const isEngines = /\r\nforward-result: answer\r\n/i.test(answer);
+		assert.match(answer, /^HTTP\/1\.1 \d{3} /);
+		assert.equal(engineOf(this, id).receivedRequests.length, isEngines ? 1 : 0, answer);
+	},
+);
