Tests: crowds of clients that misbehave, and single clients within the limits

What users saw: clients that they do not control made a process run out of memory. Each crowd is a process of its own that sends for 6 s and reads nothing; the VM runs as the deploy file says, with 200 MB and 1,000 descriptors in its settings (a daemon of a fleet: 350 MB and 4,100). It must live, stay under both (peak of /proc/PID/status, /proc/PID/fd) and answer one ordinary request afterwards.

The examples with bodies of 4 MB were wrong at first: their route gave 1.2 s, and the test copied all that it had read each time. They now have a route of 60 s.

--- a/test/steps/raw-caller.ts
+++ b/test/steps/raw-caller.ts
@@ -23,6 +23,8 @@
 	id: string;
 	/** @default 1.1 */
 	version?: string;
+	/** @default 5000 */
+	deadlineMs?: number;
 	/** Further lines of the head. */
 	lines?: readonly string[];
 	body?: string;
@@ -34,6 +36,7 @@
 	target,
 	id,
 	version,
+	deadlineMs = 5000,
 	lines = [],
 	body,
 }: RawRequest): string {
@@ -43,7 +46,7 @@
 		`host: ${host}`,
 		`authorization: Bearer ${key}`,
 		`slategauge-attempt-id: ${id}`,
-		'slategauge-deadline-ms: 5000',
+		`slategauge-deadline-ms: ${deadlineMs}`,
 		...(body !== undefined && !isFramed ? [`content-length: ${body.length}`] : []),
 		...lines,
 	];
@@ -81,6 +84,10 @@
 		return Buffer.concat(this.chunks).toString('latin1');
 	}
 
+	get receivedBytes(): number {
+		return this.chunks.reduce((bytes, { length }) => bytes + length, 0);
+	}
+
 	write(text: string): void {
 		this.socket.write(text);
 	}
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -50,6 +50,9 @@
 	readonly crashTimes: number[] = [];
 	/** Program started for each VM. */
 	program = 'dist/src/daemon/relay/main.js';
+	nodeFlags: readonly string[] = [];
+	/** Memory and descriptors of each VM. */
+	vmLimits = { 'memory-mb': 350, 'max-fds': 4100 };
 	/** Whether `setLinks` can make links of VMs to engines fail. */
 	hasCuttableLinks = false;
 	private nextId = 1;
@@ -128,6 +131,13 @@
 					type: 'non_idempotent',
 					'max-attempts': 2,
 				},
+				{
+					...plain,
+					name: 'patient',
+					'path-prefix': '/patient/',
+					type: 'non_idempotent',
+					'timeout-ms': 60_000,
+				},
 				{ ...stream, name: 'cut', 'path-prefix': '/stream/once/', 'max-attempts': 1 },
 				{
 					...stream,
@@ -257,7 +267,7 @@
 			},
 			'port-range': [ports.peers, ports.metrics],
 			'seed-nodes': opts.seeds ?? [],
-			limits: { 'memory-mb': 350, 'max-fds': 4100 },
+			limits: this.vmLimits,
 			bounds: {},
 			platform: { address: opts.store ?? this.store.addressFor(address) },
 			'not-known-yet': 1,
@@ -270,7 +280,11 @@
 		await fs.writeFile(file, JSON.stringify(settings));
 		const child = childProcess.spawn(
 			process.execPath,
-			[...(this.hasCuttableLinks ? ['--require', cuttableLinks] : []), this.program],
+			[
+				...this.nodeFlags,
+				...(this.hasCuttableLinks ? ['--require', cuttableLinks] : []),
+				this.program,
+			],
 			{
 				env: { ...process.env, SLATEGAUGE_SETTINGS: file },
 				stdio: [
