What callers hold is bounded, and their requests are read one at a time

Callers saw: a crowd that sends ahead and reads nothing, or stops short of the end of its bodies, ended a VM's process or kept it from answering anyone, for more than 20 s after the crowd had gone.

Causes, which share one place: Node parses up to 64 KB at once, several thousand requests, keeps an object for each until it is answered, and the relay ran each at once with a connection of its own to an engine; the bound of 40 MB for bodies was looked at when a request arrived and was never freed by those that stopped; one turn of the event loop parsed all that had arrived. Ruled out: garbage alone (a process with a small heap limit ends); Node's own backpressure (it counts answers that were written and not taken).

Change: core/connections decides (ledger: who reads on, who gives way, whether a request may run; turns: who reads on now), from memory and descriptors in the settings; MeteredReader takes the place of the parser's listener on the socket and feeds it request by request. Both daemons. Reading less goes before refusing, refusing before closing; a request that runs is never given up. Requests without a host are refused by the servers themselves, as Node's own answer reads on.

Why it works: what is counted is what the process holds, at the moment at which it grows, and nothing is parsed that is not counted.

The scenario about bodies that are held has its bound set by the test now, so that the same ten requests fit and the next does not.

--- a/src/core/errors/errors-data.ts
+++ b/src/core/errors/errors-data.ts
@@ -133,6 +133,15 @@
 	status: 503,
 } as const satisfies ErrorData;
 
+export const Overloaded = {
+	name: 'Overloaded',
+	title: 'No memory or connections are left',
+	message:
+		'Callers hold as much memory, or as many connections, as this VM has for them. It did not run.',
+	hint: 'Come back after the time in Retry-After.',
+	status: 503,
+} as const satisfies ErrorData;
+
 export const DeadlinePassed = {
 	name: 'DeadlinePassed',
 	title: 'The deadline passed before an endpoint was free',
--- a/src/core/relay/log-events.ts
+++ b/src/core/relay/log-events.ts
@@ -569,9 +569,10 @@
 	},
 	{
 		name: 'callers.memory-full',
-		when: 'Buffered request bodies reached their memory limit; a request was refused before its body was read.',
+		when: 'Callers hold as much memory, or as many sockets, as they may; a request was refused before its body was read.',
 		fields: {
 			held_bytes: 'bytes held',
+			sockets: 'connections of callers, and requests that run',
 		},
 	},
 	{
--- a/src/core/relay/settings.ts
+++ b/src/core/relay/settings.ts
@@ -2,6 +2,7 @@
  * Settings of a relaying daemon.
  * @module
  */
+import type { Machine } from '../connections/connection-limits.js';
 
 export interface HostPort {
 	host: string;
@@ -37,6 +38,7 @@
 export interface RelaySettings {
 	/** `cores` is the processor capacity of the VM, in cores of standard speed. */
 	vm: { id: string; address: string; domain: string; cores: number };
+	machine: Machine;
 	listen: {
 		callers: HostPort;
 		readiness: HostPort;
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -47,6 +47,10 @@
 });
 
 const limits = zod.strictObject({
+	/** Memory of the process, which bounds what its clients may hold, in MB. @default 350 */
+	memory_mb: zod.number().positive().default(350),
+	/** File descriptors of the process, which bound connections and running requests. @default 4100 */
+	max_descriptors: zod.int().min(1).default(4100),
 	/** Maximum size of a request body, in bytes. @default 4194304 */
 	body_bytes: zod
 		.int()
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -8,6 +8,9 @@
 import type { Endpoint, VersionedConfiguration } from '../core/configuration/index.js';
 import { ConfigurationView, policies } from '../core/configuration/index.js';
 import { ConfigurationWriter } from '../core/configuration/writer.js';
+import { ConnectionLedger } from '../core/connections/connection-ledger.js';
+import { deriveLimits, SocketPool } from '../core/connections/connection-limits.js';
+import { ReadTurns } from '../core/connections/read-turns.js';
 import type { LoadReport, Log } from '../core/definitions.js';
 import * as errors from '../core/errors/index.js';
 import * as rendezvous from '../core/membership/rendezvous.js';
@@ -128,7 +131,12 @@
 
 	async start(): Promise<void> {
 		const { vm, listen: ports, limits } = this.settings;
+		const machine = { memoryMb: limits.memory_mb, maxDescriptors: limits.max_descriptors };
+		const sockets = new SocketPool(machine);
+		const turns = new ReadTurns(this.clock, (callback) => void setImmediate(callback));
+		const callersLedger = new ConnectionLedger(deriveLimits(machine), sockets);
 		this.callers = new CallersServer({
+			meter: { ledger: callersLedger, turns },
 			router: this.router,
 			clock: this.clock,
 			random: this.random,
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -3,6 +3,10 @@
  * @module
  */
 import type * as http from 'node:http';
+import { ConnectionLedger } from '../../core/connections/connection-ledger.js';
+import type { ConnectionLimits } from '../../core/connections/connection-limits.js';
+import { deriveLimits, SocketPool } from '../../core/connections/connection-limits.js';
+import { ReadTurns } from '../../core/connections/read-turns.js';
 import type { Log } from '../../core/definitions.js';
 import type { SizingStrategy } from '../../core/duties/engine-sizing.js';
 import { sizingStrategies } from '../../core/duties/engine-sizing.js';
@@ -18,6 +22,7 @@
 import { StartupQueue } from '../../core/relay/startup-queue.js';
 import { ConfigurationState } from '../../core/routing/configuration-state.js';
 import { afterReads } from '../../core/time/after-reads.js';
+import type { ConnectionMeter } from '../../infra/connections/metered-server.js';
 import { UndiciEngineTransport } from '../../infra/relay/engine-transport.js';
 import { PrometheusMetrics } from '../../infra/relay/prometheus-metrics.js';
 import { createMetricsServer, createReadinessServer } from '../../infra/relay/readiness-server.js';
@@ -88,6 +93,13 @@
 		const { clock, random } = this;
 		const transport = new UndiciEngineTransport(platform, settings.vm.address);
 		this.transport = transport;
+		const { machine } = settings;
+		const sockets = new SocketPool(machine);
+		const turns = new ReadTurns(clock, (callback) => void setImmediate(callback));
+		const createMeter = (limits: ConnectionLimits): ConnectionMeter => ({
+			ledger: new ConnectionLedger(limits, sockets),
+			turns,
+		});
 		const incarnation = Math.floor(random.next() * 2 ** 32);
 		this.store = new platform.PlatformStore(
 			settings.store.address,
@@ -287,6 +299,7 @@
 		this.httpServer = new RelayHttpServer({
 			clock,
 			log,
+			...createMeter(deriveLimits(machine)),
 			decode: platform.decodeRequest,
 			isEventLoopLagging: () => this.loopMonitor.delayMs > lateLoopMs,
 			handle: (req, res) => this.relay.handle(req, res),
--- a/src/infra/callers/callers-server.ts
+++ b/src/infra/callers/callers-server.ts
@@ -12,7 +12,13 @@
 import type { Request } from '../../core/requests/types.js';
 import { outcomes } from '../../core/requests/types.js';
 import type { ClientError, ErrorAnswer } from '../caller-connections.js';
-import { CallerConnections, clientErrorCodes } from '../caller-connections.js';
+import {
+	CallerConnections,
+	clientErrorCodes,
+	meteredServerOptions,
+} from '../caller-connections.js';
+import type { ConnectionMeter } from '../connections/metered-server.js';
+import { isHostMissing } from '../connections/metered-server.js';
 import { answerHeaderNames, errorBody, errorHeaders } from './error-body.js';
 import * as requestBody from './request-body.js';
 import { JsonSink, ServiceSink, StreamSink } from './sinks.js';
@@ -23,6 +29,8 @@
 	completion: '/v1/completions',
 } as const;
 const servicePathPattern = /^\/services\/([a-z0-9._-]+)(\/.*)?$/;
+/** Retry time of a request that is refused for want of memory or connections, in seconds. */
+const overloadedRetryS = 0.2;
 /** Estimated memory of a queued request besides its body. */
 const requestOverheadBytes = 1024;
 
@@ -31,6 +39,8 @@
 	clock: Clock;
 	random: Random;
 	log: Log;
+	/** What callers may hold. */
+	meter: ConnectionMeter;
 	limits: { body_bytes: number; header_bytes: number; answer_bytes: number };
 	/** The current configuration; undefined until one is loaded. */
 	configuration: () => ConfigurationView | undefined;
@@ -44,11 +54,16 @@
 	private nextTicket = 1;
 
 	constructor(private readonly opts: CallersServerOptions) {
-		const httpOptions = { maxHeaderSize: opts.limits.header_bytes, keepAliveTimeout: 65_000 };
+		const httpOptions = {
+			...meteredServerOptions,
+			maxHeaderSize: opts.limits.header_bytes,
+			keepAliveTimeout: 65_000,
+		};
 		this.server = http.createServer(httpOptions, (req, res) => void this.handle(req, res));
-		this.connections = new CallerConnections(this.server, (err) =>
-			answerError(err, opts.limits.header_bytes),
-		);
+		this.connections = new CallerConnections(this.server, {
+			...opts.meter,
+			answerError: (err) => answerError(err, opts.limits.header_bytes),
+		});
 	}
 
 	private async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
@@ -63,6 +78,9 @@
 	}
 
 	private async route(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (isHostMissing(req)) {
+			throw new errors.UserError(errors.data.BadRequest, ['the head names no host']);
+		}
 		const path = (req.url ?? '/').split('?')[0] ?? '/';
 		if (path === '/healthz') {
 			sendJson(res, 200, { status: 'alive' });
@@ -73,6 +91,9 @@
 			sendJson(res, refusal ? 503 : 200, { status: refusal ? refusal.name : 'ready' });
 			return;
 		}
+		if (!this.connections.canRun()) {
+			throw new errors.UserError(errors.data.Overloaded, [], { retryAfterS: overloadedRetryS });
+		}
 		const cfg = this.requireConfiguration();
 		const service = servicePathPattern.exec(path);
 		if (path === '/v1/models' && req.method === 'GET') {
@@ -117,7 +138,7 @@
 		isChat: boolean,
 	): Promise<void> {
 		const options = callerRequest.readRequestOptions(cfg, req.headers);
-		const raw = await requestBody.readBody(req, this.opts.limits.body_bytes);
+		const raw = await this.readBody(req, res);
 		const parsed = requestBody.parseModelBody(raw, isChat);
 		const target: RoutingTarget = `model:${parsed.model}`;
 		const template: CallTemplate = {
@@ -141,7 +162,7 @@
 		res: http.ServerResponse,
 	): Promise<void> {
 		const options = callerRequest.readRequestOptions(cfg, req.headers);
-		const raw = await requestBody.readBody(req, this.opts.limits.body_bytes);
+		const raw = await this.readBody(req, res);
 		const path = (req.url ?? '').slice(`/services/${name}`.length) || '/';
 		const contentType = req.headers['content-type'];
 		const template: CallTemplate = {
@@ -155,6 +176,22 @@
 		this.submit(request, template, new ServiceSink(res, request.id), res);
 	}
 
+	/** Reads the whole body; throws `TooLarge` when it exceeds the limit. */
+	private async readBody(req: http.IncomingMessage, res: http.ServerResponse): Promise<Buffer> {
+		const { body_bytes: limit } = this.opts.limits;
+		const tooLarge = new errors.UserError(errors.data.TooLarge, [String(limit)]);
+		if (Number(req.headers['content-length'] ?? 0) > limit) {
+			throw tooLarge;
+		}
+		return await new Promise((resolve, reject) => {
+			this.connections.readBody(req, res, limit, {
+				onBody: resolve,
+				onTooLarge: () => reject(tooLarge),
+				onBroken: reject,
+			});
+		});
+	}
+
 	private makeRequest(
 		cfg: ConfigurationView,
 		options: callerRequest.CallerRequestOptions,
@@ -222,12 +259,9 @@
 	}
 }
 
-/** Answers a request whose head is too large or malformed, which Node.js never passes to the request handler. */
+/** Answers a request that is malformed, too large or given up while it was read. */
 function answerError(err: ClientError, limit: number): ErrorAnswer {
-	const error =
-		err.code === clientErrorCodes.headTooLarge
-			? new errors.UserError(errors.data.HeadTooLarge, [String(limit)])
-			: new errors.UserError(errors.data.BadRequest, ['it is not valid HTTP']);
+	const error = describeError(err, limit);
 	return {
 		status: error.data.status ?? 400,
 		reason: error.data.title,
@@ -236,6 +270,17 @@
 	};
 }
 
+function describeError({ code }: ClientError, limit: number): errors.UserError {
+	switch (code) {
+		case clientErrorCodes.headTooLarge:
+			return new errors.UserError(errors.data.HeadTooLarge, [String(limit)]);
+		case clientErrorCodes.overloaded:
+			return new errors.UserError(errors.data.Overloaded, [], { retryAfterS: overloadedRetryS });
+		default:
+			return new errors.UserError(errors.data.BadRequest, ['it is not valid HTTP']);
+	}
+}
+
 function sendJson(res: http.ServerResponse, status: number, value: unknown): void {
 	res.writeHead(status, {
 		'content-type': 'application/json',
--- a/src/infra/callers/request-body.ts
+++ b/src/infra/callers/request-body.ts
@@ -1,11 +1,9 @@
 /**
- * Reads and validates the body of a caller's request and derives the body that is sent to the engine.
+ * Validates the body of a caller's request and derives the body that is sent to the engine.
  * @module
  */
-import type * as http from 'node:http';
 import * as zod from 'zod';
 import * as errors from '../../core/errors/index.js';
-import { BodyCollector } from '../connections/body-collector.js';
 
 /** Fields of an OpenAI-compatible request that the router interprets; all others pass through. */
 const bodySchema = zod.looseObject({
@@ -25,23 +23,6 @@
 	engineBody: Uint8Array;
 }
 
-/** Reads the whole body; throws `TooLarge` when it exceeds `limit` bytes. */
-export async function readBody(req: http.IncomingMessage, limit: number): Promise<Buffer> {
-	const tooLarge = () => new errors.UserError(errors.data.TooLarge, [String(limit)]);
-	if (Number(req.headers['content-length'] ?? 0) > limit) {
-		throw tooLarge();
-	}
-	const body = new BodyCollector();
-	// Keeps the request open on an early return, so that the refusal can drain the rest of the body.
-	for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
-		body.add(chunk);
-		if (body.size > limit) {
-			throw tooLarge();
-		}
-	}
-	return body.take();
-}
-
 /** Parses a chat or completion body; throws `BadRequest` when it is invalid. */
 export function parseModelBody(raw: Buffer, chat: boolean): ModelBody {
 	const body = parseAndValidate(raw);
--- /dev/null
+++ b/src/infra/connections/metered-reader.ts
@@ -0,0 +1,135 @@
+/**
+ * Hands what a connection receives to Node's parser request by request. Node itself parses all that was read at once,
+ * up to several thousand requests, and keeps each of them until it is answered.
+ * @module
+ */
+import type * as net from 'node:net';
+import type { ReadTurns } from '../../core/connections/read-turns.js';
+
+/** Most bytes that are parsed at once, unless they belong to one body of a known length. */
+const maxStepBytes = 4 * 1024;
+/** Bytes of heads and chunks that a connection may parse in a turn of the event loop whatever others do. */
+const freeBytes = 4 * 1024;
+/** A smaller rest is copied, so that it does not hold the buffer that it was read into. */
+const minRestBytes = 32 * 1024;
+/** What ends a head or a chunked body, after the line before it. */
+const emptyLines = [Buffer.from('\n\r\n'), Buffer.from('\n\n')];
+
+const lineFeed = 0x0a;
+const carriageReturn = 0x0d;
+
+/** What the reader asks about its connection. */
+export interface ReadSource {
+	/** Whether what is read from here on is dropped. */
+	isDropped: () => boolean;
+	/** Whether the next bytes may be parsed; if not, `readOn` is called later. */
+	mayRead: () => boolean;
+	/** Bytes that the body that is being read still lacks; 0 if that is not known. */
+	getMissingBytes: () => number;
+	/** Called after each part that was parsed. */
+	onParsed: (bytes: number) => void;
+	/** Called once what has arrived was parsed or held back. */
+	onRead: () => void;
+}
+
+export class MeteredReader {
+	private readonly parse: (bytes: Buffer) => void;
+	private isHeld = false;
+	private readonly readInTurn = () => this.readOn();
+
+	/** Takes the place of the parser as the listener of the socket. */
+	constructor(
+		private readonly socket: net.Socket,
+		private readonly source: ReadSource,
+		private readonly turns: ReadTurns,
+	) {
+		this.parse = socket.listeners('data')[0] as (bytes: Buffer) => void;
+		socket.on('data', (bytes) => this.read(bytes));
+		socket.removeListener('data', this.parse);
+		socket.once('close', () => turns.remove(this.readInTurn));
+	}
+
+	/** Whether bytes have arrived that were not parsed. */
+	get hasUnparsed(): boolean {
+		return this.socket.readableLength > 0;
+	}
+
+	/** Goes on after bytes were held back. */
+	readOn(): void {
+		if (this.isHeld) {
+			this.isHeld = false;
+			this.socket.resume();
+		}
+	}
+
+	private read(bytes: Buffer): void {
+		const { socket, source } = this;
+		if (this.isHeld) {
+			// Node resumes a socket whenever the body of a request is read.
+			socket.pause();
+			socket.unshift(bytes);
+			return;
+		}
+		let at = 0;
+		let freeLeft = freeBytes;
+		let hasTime = true;
+		while (at < bytes.length && hasTime && !socket.destroyed && !socket.isPaused()) {
+			if (source.isDropped()) {
+				freeLeft -= bytes.length - at;
+				at = bytes.length;
+			} else if (source.mayRead()) {
+				const missing = Math.min(source.getMissingBytes(), bytes.length - at);
+				const length = missing > 0 ? missing : measureStep(bytes, at);
+				freeLeft -= missing > 0 ? 0 : length;
+				this.parse(bytes.subarray(at, at + length));
+				source.onParsed(length);
+				at += length;
+			} else {
+				this.pause();
+			}
+			hasTime = freeLeft >= 0 || this.turns.hasTime();
+		}
+		if (socket.destroyed) {
+			return;
+		}
+		if (!hasTime && !socket.isPaused()) {
+			this.pause();
+			this.turns.enqueue(this.readInTurn);
+		}
+		this.putBack(bytes, at);
+		source.onRead();
+	}
+
+	private pause(): void {
+		this.isHeld = true;
+		this.socket.pause();
+	}
+
+	/** Keeps the rest for when the socket is resumed, here or, after backpressure, by Node. */
+	private putBack(bytes: Buffer, at: number): void {
+		const rest = bytes.subarray(at);
+		if (rest.length > 0) {
+			this.socket.unshift(rest.length < minRestBytes ? Buffer.from(rest) : rest);
+		}
+	}
+}
+
+/** Returns the length of the next part: up to the end of a head, if that is not far. */
+function measureStep(bytes: Buffer, start: number): number {
+	const part = bytes.subarray(start, start + maxStepBytes);
+	let length = part.length;
+	// The first part of the empty line may have come before.
+	if (part[0] === lineFeed) {
+		return 1;
+	}
+	if (part[0] === carriageReturn && part[1] === lineFeed) {
+		return 2;
+	}
+	for (const emptyLine of emptyLines) {
+		const at = part.indexOf(emptyLine);
+		if (at >= 0) {
+			length = Math.min(length, at + emptyLine.length);
+		}
+	}
+	return length;
+}
--- a/src/infra/relay/http-caller-response.ts
+++ b/src/infra/relay/http-caller-response.ts
@@ -18,6 +18,8 @@
 	constructor(
 		private readonly res: http.ServerResponse,
 		private readonly shouldClose: () => boolean,
+		/** Called when the client has stopped to take the answer, and when it takes it again. */
+		private readonly onBackpressure: () => void,
 	) {}
 
 	writeHead(status: number, headers: RawHeaders): void {
@@ -29,6 +31,14 @@
 	}
 
 	write(chunk: Buffer): boolean {
+		const hasCapacity = this.writeChunk(chunk);
+		if (!hasCapacity) {
+			this.onBackpressure();
+		}
+		return hasCapacity;
+	}
+
+	private writeChunk(chunk: Buffer): boolean {
 		const { res, socket } = this;
 		if (socket && !socket.destroyed) {
 			return chunk.length === 0 || socket.write(encodeChunk(chunk));
@@ -62,7 +72,10 @@
 	}
 
 	onDrain(callback: () => void): void {
-		(this.socket ?? this.res).once('drain', callback);
+		(this.socket ?? this.res).once('drain', () => {
+			this.onBackpressure();
+			callback();
+		});
 	}
 
 	onDisconnect(callback: () => void): void {
--- a/src/infra/relay/peer-transfers.ts
+++ b/src/infra/relay/peer-transfers.ts
@@ -6,7 +6,7 @@
 import * as http from 'node:http';
 import * as undici from 'undici';
 import type { Log } from '../../core/definitions.js';
-import { maxHeadBytes } from './relay-http-server.js';
+import { maxHeadBytes } from '../caller-connections.js';
 
 const maxConcurrentSends = 3;
 /** A transfer without data for this long is aborted; leaves time to wait in the peer's queue. */
--- a/src/infra/relay/relay-http-server.ts
+++ b/src/infra/relay/relay-http-server.ts
@@ -3,16 +3,20 @@
  * @module
  */
 import * as http from 'node:http';
+import type { ConnectionLedger } from '../../core/connections/connection-ledger.js';
+import type { ReadTurns } from '../../core/connections/read-turns.js';
 import type { Clock, Log } from '../../core/definitions.js';
 import type { CallerRequest, CallerResponse, RawHeaders } from '../../core/relay/definitions.js';
 import type { CallerLimits } from '../../core/routing/types.js';
 import type { ClientError, ErrorAnswer } from '../caller-connections.js';
-import { CallerConnections, clientErrorCodes } from '../caller-connections.js';
-import { BodyCollector } from '../connections/body-collector.js';
+import {
+	CallerConnections,
+	clientErrorCodes,
+	maxHeadBytes,
+	meteredServerOptions,
+} from '../caller-connections.js';
 import { HttpCallerResponse } from './http-caller-response.js';
 
-/** Upper bound for request heads; the configured limit may be lower. */
-export const maxHeadBytes = 65_536;
 /** Interval between checks for heads that exceed their time-out. */
 const headCheckIntervalMs = 1000;
 /** In force until a configuration is loaded. */
@@ -22,8 +26,8 @@
 	headTimeoutMs: 3000,
 	idleTimeoutMs: 15_000,
 };
-/** Bound for the bodies of all open requests together; new requests are refused above it. */
-const maxBufferedBytes = 40 * 1024 * 1024;
+/** Retry time of a request that is refused for want of memory or sockets, in seconds. */
+const overloadedRetryS = '0.2';
 
 /**
  * Decodes a request head, as defined by the platform adapter.
@@ -37,6 +41,9 @@
 export interface RelayHttpServerOptions {
 	clock: Clock;
 	log: Log;
+	/** What callers may hold. */
+	ledger: ConnectionLedger;
+	turns: ReadTurns;
 	decode: RequestDecoder;
 	/** Whether the event loop lags so much that callers may have disconnected unnoticed. */
 	isEventLoopLagging: () => boolean;
@@ -51,7 +58,6 @@
 	readonly server: http.Server;
 	private readonly connections: CallerConnections;
 	private limits = defaultLimits;
-	private bufferedBytes = 0;
 	private isKeepAliveDisabled = false;
 	private isTaking = true;
 	private openCount = 0;
@@ -59,6 +65,7 @@
 	constructor(private readonly opts: RelayHttpServerOptions) {
 		this.server = http.createServer(
 			{
+				...meteredServerOptions,
 				maxHeaderSize: maxHeadBytes,
 				headersTimeout: defaultLimits.headTimeoutMs,
 				requestTimeout: 0,
@@ -68,10 +75,15 @@
 			},
 			(req, res) => this.accept(req, res),
 		);
-		this.connections = new CallerConnections(this.server, (err) => {
-			const answer = answerError(err);
-			this.recordRefusal(answer.status, err.message, []);
-			return answer;
+		const { ledger, turns } = opts;
+		this.connections = new CallerConnections(this.server, {
+			ledger,
+			turns,
+			answerError: (err) => {
+				const answer = answerError(err);
+				this.recordRefusal(answer.status, err.message, []);
+				return answer;
+			},
 		});
 	}
 
@@ -111,10 +123,8 @@
 			return;
 		}
 		this.openCount++;
-		const bodySize = { bytes: 0 };
 		res.on('close', () => {
 			this.openCount--;
-			this.bufferedBytes -= bodySize.bytes;
 		});
 		const arrivedAt = this.opts.clock.sinceBoot();
 		if (headBytes(req.rawHeaders) > this.limits.headBytes) {
@@ -125,43 +135,17 @@
 			this.refuse(req, res, 413, 'the body is too large');
 			return;
 		}
-		if (this.bufferedBytes > maxBufferedBytes) {
-			this.opts.log.warn('callers.memory-full', { held_bytes: this.bufferedBytes });
-			this.refuse(req, res, 503, 'too many bodies are held', true);
+		if (!this.connections.canRun()) {
+			const { totalBytes: held_bytes, sockets } = this.opts.ledger;
+			this.opts.log.warn('callers.memory-full', { held_bytes, sockets });
+			this.refuse(req, res, 503, 'no memory or sockets for further requests', true);
 			return;
 		}
-		this.readBody(req, res, bodySize, (body) =>
-			this.unlessDisconnected(req, () => this.forward(req, res, body, arrivedAt)),
-		);
-	}
-
-	private readBody(
-		req: http.IncomingMessage,
-		res: http.ServerResponse,
-		bodySize: { bytes: number },
-		done: (body: Buffer) => void,
-	): void {
-		const body = new BodyCollector();
-		req.on('data', (chunk: Buffer) => {
-			bodySize.bytes += chunk.length;
-			this.bufferedBytes += chunk.length;
-			if (bodySize.bytes > this.limits.bodyBytes && !res.headersSent) {
-				body.clear();
-				this.refuse(req, res, 413, 'the body is too large');
-				return;
-			}
-			body.add(chunk);
-		});
-		req.on('end', () => {
-			if (!res.headersSent) {
-				done(body.take());
-			}
-		});
-		req.on('error', (err) => {
-			this.opts.log.debug('callers.body-broken', {
-				error: err.message,
-				body_bytes: bodySize.bytes,
-			});
+		this.connections.readBody(req, res, this.limits.bodyBytes, {
+			onBody: (body) => this.unlessDisconnected(req, () => this.forward(req, res, body, arrivedAt)),
+			onTooLarge: () => this.refuse(req, res, 413, 'the body is too large'),
+			onBroken: ({ message: error }, bytes) =>
+				this.opts.log.debug('callers.body-broken', { error, body_bytes: bytes }),
 		});
 	}
 
@@ -198,7 +182,12 @@
 			this.refuse(req, res, 400, 'the head names no request or host');
 			return;
 		}
-		this.opts.handle(request, new HttpCallerResponse(res, () => this.shouldClose(res)));
+		const response = new HttpCallerResponse(
+			res,
+			() => this.shouldClose(res),
+			() => this.connections.recordBackpressure(res),
+		);
+		this.opts.handle(request, response);
 	}
 
 	/** Whether the answer that begins is the last of its connection: requests behind it may be at engines. */
@@ -220,7 +209,7 @@
 	): void {
 		const headers: http.OutgoingHttpHeaders = { 'content-type': 'text/plain' };
 		if (shouldRetry) {
-			headers['retry-after'] = '0.2';
+			headers['retry-after'] = overloadedRetryS;
 		}
 		this.recordRefusal(status, reason, req.rawHeaders);
 		this.connections.refuse(req, res, status, headers, `${reason}\n`);
@@ -241,13 +230,17 @@
 	return bytes;
 }
 
-/** Answers a head that is late or too large, or bytes that are no valid HTTP request. */
+/** Answers a request that is late, too large or given up while it was read, or bytes that are no valid HTTP request. */
 function answerError(err: ClientError): ErrorAnswer {
 	switch (err.code) {
 		case clientErrorCodes.headTooLarge:
 			return { status: 431, reason: 'Request Header Fields Too Large' };
 		case clientErrorCodes.late:
 			return { status: 408, reason: 'Request Timeout' };
+		case clientErrorCodes.overloaded: {
+			const headers = { 'retry-after': overloadedRetryS };
+			return { status: 503, reason: 'Service Unavailable', headers };
+		}
 		default:
 			return { status: 400, reason: 'Bad Request' };
 	}
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -41,8 +41,9 @@
 	'port-range': zod.tuple([port, port]),
 	'seed-nodes': zod._default(zod.array(hostPortSchema), []),
 	limits: zod.object({
-		'memory-mb': zod.number(),
-		'max-fds': zod.int(),
+		/** Memory and descriptors of the process; bound what its clients may hold. */
+		'memory-mb': positive,
+		'max-fds': zod.int().check(zod.positive()),
 		/** CPU quota as a fraction of one core. */
 		'cpu-quota': zod._default(positive, 1),
 		/** Speed of that core relative to a typical core. */
@@ -110,6 +111,7 @@
 	const cores = limits['cpu-quota'] * limits['cpu-cores'];
 	return {
 		vm: { id: raw['node-name'], address: raw.ip, domain: raw.zone, cores },
+		machine: { memoryMb: limits['memory-mb'], maxDescriptors: limits['max-fds'] },
 		listen: {
 			callers: raw.listen.frontend,
 			readiness: raw.listen.readiness,
--- a/test/steps/relay-fakes.ts
+++ b/test/steps/relay-fakes.ts
@@ -2,7 +2,10 @@
  * Fakes and builders for steps that test single decisions of the relay: clock, routes, registrations, gossip.
  * @module
  */
-import type { Log } from '../../src/core/definitions.js';
+import { ConnectionLedger } from '../../src/core/connections/connection-ledger.js';
+import { deriveLimits, SocketPool } from '../../src/core/connections/connection-limits.js';
+import { ReadTurns } from '../../src/core/connections/read-turns.js';
+import type { Clock, Log } from '../../src/core/definitions.js';
 import { CostModel } from '../../src/core/engines/cost-model.js';
 import type { AnswerGossip } from '../../src/core/engines/fleet-health.js';
 import { FleetView } from '../../src/core/fleet/fleet-view.js';
@@ -12,6 +15,7 @@
 import { CrashLedger } from '../../src/core/quarantine/crash-ledger.js';
 import type { RelayContext, RequestLimits } from '../../src/core/relay/types.js';
 import type { Route, RoutingConfiguration } from '../../src/core/routing/types.js';
+import type { ConnectionMeter } from '../../src/infra/connections/metered-server.js';
 import * as platform from '../../src/platform/index.js';
 import type { FleetWorld } from './world.js';
 
@@ -197,3 +201,16 @@
 	peer.changeWork(engine, { running });
 	return gossipMessage({ work: peer.composeGroup()[0]?.work ?? [], ...part });
 }
+
+/** Bounds of a port for callers on a VM of the usual size. */
+export function createTestMeter(clock: Clock, heldBytes?: number): ConnectionMeter {
+	const machine = { memoryMb: 350, maxDescriptors: 4100 };
+	const limits = deriveLimits(machine);
+	return {
+		ledger: new ConnectionLedger(
+			{ ...limits, heldBytes: heldBytes ?? limits.heldBytes },
+			new SocketPool(machine),
+		),
+		turns: new ReadTurns(clock, (callback) => void setImmediate(callback)),
+	};
+}
--- a/test/steps/relay-http-server.steps.ts
+++ b/test/steps/relay-http-server.steps.ts
@@ -10,11 +10,13 @@
 import { RelayHttpServer } from '../../src/infra/relay/relay-http-server.js';
 import { SystemClock } from '../../src/infra/system-clock.js';
 import * as platform from '../../src/platform/index.js';
-import { seen } from './relay-fakes.js';
+import { createTestMeter, seen } from './relay-fakes.js';
 import { blockLoop } from './standstill.steps.js';
 import type { FleetWorld } from './world.js';
 
 const pieceBytes = 64 * 1024;
+/** What nine callers with bodies of 5 MB and one more request may hold; a further request is too much. */
+const heldBytes = 9 * 5_000_000 + 10 * 8192 + 4096;
 
 /** Writes pieces and waits for the caller to read when the connection is full. */
 class PieceWriter {
@@ -79,6 +81,7 @@
 		const relayServer = new RelayHttpServer({
 			clock,
 			log,
+			...createTestMeter(clock, heldBytes),
 			decode,
 			isEventLoopLagging: () => false,
 			handle,
--- a/test/steps/relay-transfers.steps.ts
+++ b/test/steps/relay-transfers.steps.ts
@@ -8,7 +8,7 @@
 import type { CallerRequest } from '../../src/core/relay/definitions.js';
 import { PeerTransfers } from '../../src/infra/relay/peer-transfers.js';
 import { RelayHttpServer } from '../../src/infra/relay/relay-http-server.js';
-import { clockOf, seededRandom, seen, silentLog } from './relay-fakes.js';
+import { clockOf, createTestMeter, seededRandom, seen, silentLog } from './relay-fakes.js';
 import type { FleetWorld } from './world.js';
 
 const path = '/configuration';
@@ -161,6 +161,7 @@
 	const relayServer = new RelayHttpServer({
 		clock: clockOf(this),
 		log: silentLog,
+		...createTestMeter(clockOf(this)),
 		decode: ({ target }) => ({ target }) as CallerRequest,
 		isEventLoopLagging: () => true,
 		requestIdOf: () => '',
