The ports for readiness and metrics are bounded

The platform saw: answers sent ahead and unread at the port that says ready, or at that for metrics, took 331 and 1,825 MB of a VM with 200 MB.

Cause: both servers were Node's own, without any bound. Red before, green after, in misbehaving-clients.feature.

--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -5,7 +5,11 @@
 import type * as http from 'node:http';
 import { ConnectionLedger } from '../../core/connections/connection-ledger.js';
 import type { ConnectionLimits } from '../../core/connections/connection-limits.js';
-import { deriveLimits, SocketPool } from '../../core/connections/connection-limits.js';
+import {
+	deriveAuxiliaryLimits,
+	deriveLimits,
+	SocketPool,
+} from '../../core/connections/connection-limits.js';
 import { ReadTurns } from '../../core/connections/read-turns.js';
 import type { Log } from '../../core/definitions.js';
 import type { SizingStrategy } from '../../core/duties/engine-sizing.js';
@@ -268,7 +272,9 @@
 			duties: this.duties,
 			onRestored: () => this.metrics.recordStoreRestored(),
 		});
-		this.metricsServer = createMetricsServer(() => this.metrics.render());
+		this.metricsServer = createMetricsServer(createMeter(deriveAuxiliaryLimits(machine)), () =>
+			this.metrics.render(),
+		);
 		this.startupQueue = new StartupQueue({ clock, log, isLoaded: () => this.isLoaded });
 		this.relay = new Relay({
 			startupQueue: this.startupQueue,
@@ -313,7 +319,9 @@
 			onSuspended: () => this.storeSync.handleSuspension(),
 		});
 		this.shutdown = new GracefulShutdown(clock, () => this.settings.stopMs);
-		this.readiness = createReadinessServer(() => this.isReady());
+		this.readiness = createReadinessServer(createMeter(deriveAuxiliaryLimits(machine)), () =>
+			this.isReady(),
+		);
 	}
 
 	/** Opens the ports and starts all loops and timers. */
