The port for other VMs is bounded

Seen: requests for configurations sent ahead and unread at the port for peers took 468 MB of a VM with 200 MB, unknown paths 310 MB.

Cause: its server took all requests of a connection at once, and the queue of transfers kept each. Change: a ledger of its own (half of the callers' memory, at most 60 % of the sockets), one request of a connection at a time; a VM that asks to forward is refused as "overloaded" when the ledger is full, as it was at 20 MB of bodies. Red before, green after, in misbehaving-clients.feature; forwarding.feature and relay-transfers.feature pass.

--- a/src/daemon/relay/fleet-coordinator.ts
+++ b/src/daemon/relay/fleet-coordinator.ts
@@ -2,7 +2,6 @@
  * Connects the components that share state with the other VMs: registry, gossip, fleet view, engine limits and health.
  * @module
  */
-import type * as http from 'node:http';
 import type { Clock, Log, Random } from '../../core/definitions.js';
 import type { CostModel } from '../../core/engines/cost-model.js';
 import type { EngineDirectory } from '../../core/engines/engine-directory.js';
@@ -17,6 +16,8 @@
 import type { HostPort, RelaySettings } from '../../core/relay/settings.js';
 import type { ConfigurationState } from '../../core/routing/configuration-state.js';
 import type { Store } from '../../core/store/definitions.js';
+import type { ConnectionMeter } from '../../infra/connections/metered-server.js';
+import type { ForwardHandler } from '../../infra/relay/peer-transfers.js';
 import type { FleetDuties } from './fleet-duties.js';
 import { LimitExchange } from './limit-exchange.js';
 import { PeerExchange } from './peer-exchange.js';
@@ -40,7 +41,9 @@
 	/** Undefined where the VM performs no duties. */
 	duties: () => FleetDuties | undefined;
 	/** Handles a request that a peer asks this VM to forward; returns false for any other request. */
-	handleForward: (req: http.IncomingMessage, res: http.ServerResponse) => boolean;
+	handleForward: ForwardHandler;
+	/** What clients of the port for peers may hold. */
+	meter: ConnectionMeter;
 	sleep: (ms: number) => Promise<void>;
 }
 
@@ -119,6 +122,7 @@
 			exportEngines: (since) => storeSync().exportEngines(since),
 			applyEngines: (text) => engines.applyCopy(text),
 			enginesRevision: () => engines.revision,
+			meter: opts.meter,
 			handleForward: opts.handleForward,
 			onUsage: (usage) => duties()?.handleUsage(usage),
 			onUsageAck: (ack) => duties()?.handleUsageAck(ack),
--- a/src/daemon/relay/forwarding-hub.ts
+++ b/src/daemon/relay/forwarding-hub.ts
@@ -11,6 +11,7 @@
 import { HelperSelection } from '../../core/forwarding/helper-selection.js';
 import { LinkMonitor } from '../../core/forwarding/link-monitor.js';
 import { RequestForwarding } from '../../core/forwarding/request-forwarding.js';
+import type { CallerConnections } from '../../infra/caller-connections.js';
 import type { UndiciEngineTransport } from '../../infra/relay/engine-transport.js';
 import { ForwardingServer } from '../../infra/relay/forwarding-server.js';
 import * as platform from '../../platform/index.js';
@@ -99,8 +100,12 @@
 	}
 
 	/** @returns false for a request that asks for no forwarding */
-	handle(req: http.IncomingMessage, res: http.ServerResponse): boolean {
-		return this.server.handle(req, res);
+	handle(
+		req: http.IncomingMessage,
+		res: http.ServerResponse,
+		connections: CallerConnections,
+	): boolean {
+		return this.server.handle(req, res, connections);
 	}
 
 	/** Runs what is due; called several times a second. */
--- a/src/daemon/relay/peer-exchange.ts
+++ b/src/daemon/relay/peer-exchange.ts
@@ -14,7 +14,9 @@
 import type { PermitRequest, PermitResponse } from '../../core/limits/types.js';
 import type { HostPort } from '../../core/relay/settings.js';
 import { storedRevision } from '../../core/store/revisions.js';
+import type { ConnectionMeter } from '../../infra/connections/metered-server.js';
 import { PeerDatagramSocket } from '../../infra/relay/peer-datagram-socket.js';
+import type { ForwardHandler } from '../../infra/relay/peer-transfers.js';
 import { PeerTransfers } from '../../infra/relay/peer-transfers.js';
 import { DueTimer } from './due-timer.js';
 
@@ -45,7 +47,9 @@
 	/** Store revision of this VM's engines. */
 	enginesRevision: () => number;
 	/** Handles a request that a peer asks this VM to forward; returns false for any other request. */
-	handleForward: (req: http.IncomingMessage, res: http.ServerResponse) => boolean;
+	handleForward: ForwardHandler;
+	/** What clients of the port for peers may hold. */
+	meter: ConnectionMeter;
 	/** Called with the usage counts of another VM, and with an acknowledgement of this VM's counts. */
 	onUsage: (usage: UsageCounts) => void;
 	onUsageAck: (ack: UsageAck) => void;
@@ -88,7 +92,8 @@
 		this.transfers = new PeerTransfers({
 			log,
 			getDocument: (target) => this.contentOf(target),
-			handleForward: (req, res) => opts.handleForward(req, res),
+			meter: opts.meter,
+			handleForward: opts.handleForward,
 		});
 	}
 
--- a/src/daemon/relay/relay-daemon.ts
+++ b/src/daemon/relay/relay-daemon.ts
@@ -8,6 +8,7 @@
 import {
 	deriveAuxiliaryLimits,
 	deriveLimits,
+	derivePeerLimits,
 	SocketPool,
 } from '../../core/connections/connection-limits.js';
 import { ReadTurns } from '../../core/connections/read-turns.js';
@@ -164,7 +165,8 @@
 			configuration: () => this.configuration,
 			storeSync: () => this.storeSync,
 			duties: () => this.duties,
-			handleForward: (req, res) => this.hub.handle(req, res),
+			meter: createMeter(derivePeerLimits(machine)),
+			handleForward: (req, res, connections) => this.hub.handle(req, res, connections),
 			sleep,
 		});
 		const { fleet, registry, peers, limits, fleetHealth } = this.coordinator;
--- a/src/infra/relay/forwarding-server.ts
+++ b/src/infra/relay/forwarding-server.ts
@@ -11,7 +11,7 @@
 import type { ForwardOrder, ForwardRefusal } from '../../core/forwarding/types.js';
 import { forwardRefusals } from '../../core/forwarding/types.js';
 import type { AnswerHead, RawHeaders } from '../../core/relay/definitions.js';
-import { BodyCollector } from '../connections/body-collector.js';
+import type { CallerConnections } from '../caller-connections.js';
 import type { EncodedRequest, UndiciEngineTransport } from './engine-transport.js';
 import {
 	decodeOrder,
@@ -21,8 +21,8 @@
 	stripForwardHeaders,
 } from './forwarding-headers.js';
 
-/** Bound for the bodies of all requests that are read or wait for their engine; further ones are refused. */
-const maxHeldBytes = 20 * 1024 * 1024;
+/** A larger body is more than a VM can hold for another one. */
+const maxBodyBytes = 20 * 1024 * 1024;
 
 export interface ForwardingServerOptions extends ForwardingContext {
 	transport: Pick<UndiciEngineTransport, 'sendEncoded'>;
@@ -36,13 +36,7 @@
 	onOrder: (refusal: string | undefined) => void;
 }
 
-/** Bytes of one request's body that are held. */
-interface HeldBody {
-	bytes: number;
-}
-
 export class ForwardingServer {
-	private heldBytes = 0;
 	private openCount = 0;
 
 	constructor(private readonly opts: ForwardingServerOptions) {}
@@ -53,20 +47,22 @@
 	}
 
 	/** @returns false for a request that asks for no forwarding */
-	handle(req: http.IncomingMessage, res: http.ServerResponse): boolean {
+	handle(
+		req: http.IncomingMessage,
+		res: http.ServerResponse,
+		connections: CallerConnections,
+	): boolean {
 		const order = decodeOrder(req.headers[orderHeader]);
 		if (!order) {
 			return false;
 		}
-		const held = { bytes: 0 };
 		this.openCount++;
 		res.on('close', () => {
 			this.openCount--;
-			this.heldBytes -= held.bytes;
 		});
 		const sender = req.socket.remoteAddress ?? '';
 		const requestId = this.opts.requestIdOf(req.rawHeaders);
-		void this.admit({ ...order, sender, requestId }, req, res, held);
+		void this.admit({ ...order, sender, requestId }, req, res, connections);
 		return true;
 	}
 
@@ -74,10 +70,10 @@
 		order: ForwardOrder,
 		req: http.IncomingMessage,
 		res: http.ServerResponse,
-		held: HeldBody,
+		connections: CallerConnections,
 	): Promise<void> {
-		const refusal = await this.decide(order);
-		if (res.destroyed) {
+		const refusal = await this.decide(order, connections.canRun());
+		if (res.destroyed || res.headersSent) {
 			return;
 		}
 		this.opts.onOrder(refusal);
@@ -90,27 +86,19 @@
 			response.refuse(refusal);
 			return;
 		}
-		this.readBody(req, held, (body) => this.forward(order, req, body, response));
+		connections.readBody(req, res, maxBodyBytes, {
+			onBody: (body) => this.forward(order, req, body, response),
+			onTooLarge: () => response.refuse(forwardRefusals.overloaded),
+		});
 	}
 
-	private async decide(order: ForwardOrder): Promise<ForwardRefusal | undefined> {
+	private async decide(order: ForwardOrder, hasRoom: boolean): Promise<ForwardRefusal | undefined> {
 		const { admission, refreshVms } = this.opts;
 		if (admission.getRefusal(order) === forwardRefusals.unknownSender) {
 			// It may have registered since the registrations were read.
 			await refreshVms();
 		}
-		const isFull = this.heldBytes > maxHeldBytes;
-		return admission.getRefusal(order) ?? (isFull ? forwardRefusals.overloaded : undefined);
-	}
-
-	private readBody(req: http.IncomingMessage, held: HeldBody, done: (body: Buffer) => void): void {
-		const body = new BodyCollector();
-		req.on('data', (chunk: Buffer) => {
-			held.bytes += chunk.length;
-			this.heldBytes += chunk.length;
-			body.add(chunk);
-		});
-		req.on('end', () => done(body.take()));
+		return admission.getRefusal(order) ?? (hasRoom ? undefined : forwardRefusals.overloaded);
 	}
 
 	private forward(
--- a/src/infra/relay/peer-transfers.ts
+++ b/src/infra/relay/peer-transfers.ts
@@ -3,10 +3,13 @@
  * at once, since all members of an aggregator fetch a new configuration at the same time over a shared link.
  * @module
  */
-import * as http from 'node:http';
+import type * as http from 'node:http';
 import * as undici from 'undici';
 import type { Log } from '../../core/definitions.js';
+import type { CallerConnections } from '../caller-connections.js';
 import { maxHeadBytes } from '../caller-connections.js';
+import type { ConnectionMeter, MeteredHandler } from '../connections/metered-server.js';
+import { createMeteredServer, ignoringBodies } from '../connections/metered-server.js';
 
 const maxConcurrentSends = 3;
 /** A transfer without data for this long is aborted; leaves time to wait in the peer's queue. */
@@ -28,12 +31,21 @@
 
 export interface PeerTransfersOptions {
 	log: Log;
+	/** What clients of the server may hold. */
+	meter: ConnectionMeter;
 	/** Returns the document for a path with its query; undefined when this VM does not have it. */
 	getDocument: (target: string) => string | undefined;
 	/** Handles a request that a peer asks this VM to forward; returns false for any other request. */
-	handleForward: (req: http.IncomingMessage, res: http.ServerResponse) => boolean;
+	handleForward: ForwardHandler;
 }
 
+/** @returns false for a request that asks for no forwarding */
+export type ForwardHandler = (
+	req: http.IncomingMessage,
+	res: http.ServerResponse,
+	connections: CallerConnections,
+) => boolean;
+
 export class PeerTransfers {
 	readonly server: http.Server;
 	private readonly agent = new undici.Agent({ connect: { timeout: connectTimeoutMs } });
@@ -45,9 +57,13 @@
 	private readonly cachedDocuments: { text: string; compressed: Buffer }[] = [];
 
 	constructor(private readonly opts: PeerTransfersOptions) {
-		this.server = http.createServer({ maxHeaderSize: maxForwardHeadBytes }, (req, res) =>
-			this.serve(req, res),
-		);
+		const serve = ignoringBodies((req, res) => this.serve(req, res));
+		const handle: MeteredHandler = (req, res, connections) => {
+			if (!opts.handleForward(req, res, connections)) {
+				serve(req, res, connections);
+			}
+		};
+		this.server = createMeteredServer(opts.meter, handle, maxForwardHeadBytes);
 	}
 
 	/**
@@ -108,9 +124,6 @@
 	}
 
 	private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
-		if (this.opts.handleForward(req, res)) {
-			return;
-		}
 		const text = this.opts.getDocument(req.url ?? '');
 		if (text === undefined) {
 			res.writeHead(404).end();
--- a/test/steps/relay-transfers.steps.ts
+++ b/test/steps/relay-transfers.steps.ts
@@ -46,6 +46,7 @@
 function createTransfers(world: FleetWorld, text?: string): PeerTransfers {
 	const transfers = new PeerTransfers({
 		log: silentLog,
+		meter: createTestMeter(clockOf(world)),
 		getDocument: () => text,
 		handleForward: () => false,
 	});
