The port for operators is bounded

Seen: calls sent ahead and unread at the control port took 1,056 MB, bodies in chunks of one byte 1,302 MB, of 350.

Cause: tRPC's own server had no bound, and its adapter keeps each chunk of a body in a stream of its own. Red before, green after, in misbehaving-clients.feature; operators.feature passes.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,7 +9,11 @@
 import { ConfigurationView, policies } from '../core/configuration/index.js';
 import { ConfigurationWriter } from '../core/configuration/writer.js';
 import { ConnectionLedger } from '../core/connections/connection-ledger.js';
-import { deriveLimits, SocketPool } from '../core/connections/connection-limits.js';
+import {
+	deriveLimits,
+	derivePeerLimits,
+	SocketPool,
+} from '../core/connections/connection-limits.js';
 import { ReadTurns } from '../core/connections/read-turns.js';
 import type { LoadReport, Log } from '../core/definitions.js';
 import * as errors from '../core/errors/index.js';
@@ -135,6 +139,7 @@
 		const sockets = new SocketPool(machine);
 		const turns = new ReadTurns(this.clock, (callback) => void setImmediate(callback));
 		const callersLedger = new ConnectionLedger(deriveLimits(machine), sockets);
+		const controlLedger = new ConnectionLedger(derivePeerLimits(machine), sockets);
 		this.callers = new CallersServer({
 			meter: { ledger: callersLedger, turns },
 			router: this.router,
@@ -145,7 +150,7 @@
 			configuration: () => this.view,
 			getRefusal: () => this.getRefusal(),
 		});
-		this.control = createControlServer(new DaemonControl(this));
+		this.control = createControlServer({ ledger: controlLedger, turns }, new DaemonControl(this));
 		const callersPort = await listenOn(this.callers.server, vm.address, ports.callers_port);
 		const controlPort = await listenOnTcpAndUdp(
 			this.control,
