An idle connection that is closed makes room at once

Callers saw: on a VM whose sockets are all taken by connections at rest, each new connection was closed too: the ledger closed an idle one for it, but counted that one until its socket had closed. Found by reading the diff; "Connections without a request give way to new ones" now closes sockets later, as Node does: red before, green after. Connections with bytes that wait to be parsed are no longer taken for idle ones, which hold nothing.

--- a/src/core/connections/connection-ledger.ts
+++ b/src/core/connections/connection-ledger.ts
@@ -29,6 +29,8 @@
 	heldBytes = 0;
 	/** Whether a request has been read in part. */
 	isUnfinished = false;
+	/** Whether it was closed, which may be told again once its socket has closed. */
+	isClosed = false;
 
 	constructor(readonly actions: ConnectionActions) {}
 }
@@ -72,6 +74,10 @@
 
 	/** Removes a connection that has closed. */
 	close(entry: ConnectionEntry): void {
+		if (entry.isClosed) {
+			return;
+		}
+		entry.isClosed = true;
 		this.connections--;
 		this.openRequests -= entry.openRequests;
 		this.pool.used -= 1 + entry.openRequests;
@@ -157,7 +163,7 @@
 			const [idle] = this.idle;
 			const [unfinished] = this.unfinished;
 			if (idle) {
-				this.idle.delete(idle);
+				this.close(idle);
 				idle.actions.close();
 			} else if (unfinished && unfinished.openRequests === 0) {
 				this.giveUp(unfinished);
--- a/src/infra/caller-connections.ts
+++ b/src/infra/caller-connections.ts
@@ -265,7 +265,8 @@
 		for (const body of bodies.values()) {
 			heldBytes += body.heldBytes;
 		}
-		const isUnfinished = findIncomplete(connection) !== undefined || headBytes > 0;
+		const isUnread = open.length === 0 && socket.readableLength > 0;
+		const isUnfinished = findIncomplete(connection) !== undefined || headBytes > 0 || isUnread;
 		this.opts.ledger.update(connection.entry, heldBytes, isUnfinished && !dropped);
 	}
 
--- a/test/steps/connection-decisions.steps.ts
+++ b/test/steps/connection-decisions.steps.ts
@@ -26,7 +26,10 @@
 
 	constructor(private readonly ledger: ConnectionLedger) {
 		this.entry = ledger.open({
-			close: () => this.leave(),
+			// The socket closes later, and tells the ledger again.
+			close: () => {
+				this.isConnected = false;
+			},
 			refuseUnfinished: () => {
 				this.wasGivenUp = true;
 			},
@@ -67,11 +70,6 @@
 		assert.ok(this.entry);
 		return this.entry;
 	}
-
-	private leave(): void {
-		this.isConnected = false;
-		this.ledger.close(this.connected);
-	}
 }
 
 function ledgerOf(world: FleetWorld): ConnectionLedger {
