A head and its body are parsed at once where no other head can be complete

Cause: the reader fed each head and its body to Node's parser in two parts, at some 6 µs each. A read within 4 KB that holds one empty line can complete one request only, and is parsed at once. The ledger does nothing where nothing has changed.

--- a/src/core/connections/connection-ledger.ts
+++ b/src/core/connections/connection-ledger.ts
@@ -141,6 +141,9 @@
 
 	/** Records progress of a connection, and gives up others if more is held than there is memory. */
 	update(entry: ConnectionEntry, heldBytes: number, isUnfinished: boolean): void {
+		if (heldBytes === entry.heldBytes && !isUnfinished && !entry.isUnfinished) {
+			return;
+		}
 		this.heldBytes += heldBytes - entry.heldBytes;
 		entry.heldBytes = heldBytes;
 		entry.isUnfinished = isUnfinished;
@@ -149,6 +152,9 @@
 	}
 
 	private freeMemory(): void {
+		if (this.heldBytes <= this.limits.heldBytes) {
+			return;
+		}
 		for (const entry of this.unfinished) {
 			if (this.heldBytes <= this.limits.heldBytes) {
 				return;
--- a/src/infra/connections/metered-reader.ts
+++ b/src/infra/connections/metered-reader.ts
@@ -128,14 +128,23 @@
 	if (part[0] === carriageReturn && part[1] === lineFeed) {
 		return 2;
 	}
-	let length = part.length;
-	let hasEnd = false;
+	const end = findEmptyLine(part, 0);
+	if (end === undefined) {
+		return Math.min(part.length, maxStepBytes);
+	}
+	// A head and what has arrived of its body are parsed at once, unless another head may be complete.
+	const isRest = start + part.length === bytes.length;
+	return isRest && findEmptyLine(part, end) === undefined ? part.length : end;
+}
+
+/** Returns the position behind the first empty line from `start` on. */
+function findEmptyLine(bytes: Buffer, start: number): number | undefined {
+	let end: number | undefined;
 	for (const emptyLine of emptyLines) {
-		const at = part.indexOf(emptyLine);
+		const at = bytes.indexOf(emptyLine, start);
 		if (at >= 0) {
-			length = Math.min(length, at + emptyLine.length);
-			hasEnd = true;
+			end = Math.min(end ?? bytes.length, at + emptyLine.length);
 		}
 	}
-	return hasEnd ? length : Math.min(length, maxStepBytes);
+	return end;
 }
