--- a/review/lib-2/lab.mjs
+++ b/review/lib-2/lab.mjs
@@ -49,7 +49,10 @@
 	}
 
 	async start(vmCount, configuration, settings = {}) {
-		await this.store.start();
+		// Its own `start` listens at all addresses; a case keeps to loopback.
+		const { server } = this.store;
+		await new Promise((done) => server.listen(0, '127.0.0.1', done));
+		this.storeAddress = `127.0.0.1:${server.address().port}`;
 		for (const engine of this.engines) {
 			await engine.start();
 			this.register(engine);
@@ -84,7 +87,7 @@
 			limits: { 'cpu-quota': 0.675, 'cpu-cores': 1, 'memory-mb': 350, 'max-fds': 4100 },
 			'heartbeat-ms': 1200,
 			bounds: { 'drain-ms': 2000, 'grace-s': 8, 'config-apply-ms': 2000, 'retry-extra': 56 },
-			platform: { address: this.store.addressFor(address), 'ttl-min-ms': 1000 },
+			platform: { address: this.storeAddress, 'ttl-min-ms': 1000 },
 			...settings,
 		};
 		fs.writeFileSync(file, JSON.stringify(content));
