A reset during an early answer without a length is told from its end

What callers saw: an engine answered an upload of 12 MB at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The part came as a complete answer; a stream ended behind the event that had come.

Cause: a reset that arrives with the last bytes is reported by Node as the end of the stream (libuv sees the hang-up behind a short read). To tell the two apart the relay wrote an empty line at the end of the stream and looked at the error of that write. Behind bytes of the upload that are still unwritten this write waits; undici has taken the answer for whole meanwhile and destroys the socket, and the write then fails with undici's own error, which counted as an orderly end.

Evidence: broken-answers.feature on, 11 of the 12 examples with a reset red (2 to 5 of 6 uploads passed on as whole; also in HTTP/1.0, with Connection: close, with no byte of a body, in streams, and with a VM that stood still for 60 ms while the bytes and the reset came); green there: a reset 100 ms later. Of the client by itself, the example with an upload and a reset was red.

Change: ClientSocket decides when the end arrives, by what the system knows: after a reset a socket has no peer any more, after an orderly end it has one until it is closed here. This needs no write, so it does not matter what is unwritten. It hands undici an error in place of the end, and one with a code of its own in place of ECONNRESET, after which undici would complete the answer. So each reader of undici's callbacks is told, and nothing is written to an engine at the end of an answer any more. isFramed, which nothing reads now, goes.

An answer that ended in order, and whose engine has reset the connection since, because it closed it without reading the rest of the upload, is no certain end any more if both are read together: it is told as broken. An engine that reads on until the upload has ended is not concerned.

Result: 19 of 19 examples green, those with a sound early answer among them (whole 6 of 6 before and now).

--- a/src/core/relay/definitions.ts
+++ b/src/core/relay/definitions.ts
@@ -92,8 +92,6 @@
 	hasNotRun: boolean;
 	/** Whether another engine now listens at the address. */
 	isFromOtherEngine: boolean;
-	/** Whether the head delimits the body; otherwise the body ends with the connection. */
-	isFramed: boolean;
 	/** Whether the body has a content encoding other than identity. */
 	isEncoded: boolean;
 	/** Applies to the engine, whatever the outcome of the request. */
--- /dev/null
+++ b/src/infra/client-socket.ts
@@ -0,0 +1,81 @@
+/**
+ * TCP sockets for undici's clients. undici takes the end of a connection, and a reset too, for the end of an answer
+ * without a length.
+ * @module
+ */
+import * as net from 'node:net';
+import type * as undici from 'undici';
+import { afterReads } from '../core/time/after-reads.js';
+
+const resetCode = 'ECONNRESET';
+
+export interface ConnectOptions {
+	host: string;
+	port: number;
+	/** IP to connect from; undefined for any. */
+	localAddress?: string;
+	timeoutMs: number;
+	/** Bytes that are read ahead of a paused reader. */
+	highWaterMark?: number;
+}
+
+/** The other side reset the connection. Its code differs from that of the system, after which undici completes an answer. */
+export class ConnectionResetError extends Error {
+	override readonly name = 'ConnectionResetError';
+	readonly code = 'ERR_CONNECTION_RESET';
+}
+
+/** Reports `end` after an orderly end of the connection only, else an error. */
+export class ClientSocket extends net.Socket {
+	/** Receives bytes, or null for the end of the connection. */
+	override push(chunk: unknown, encoding?: BufferEncoding): boolean {
+		if (chunk === null && !this.isConnected) {
+			this.destroy(new ConnectionResetError('connection reset'));
+			return false;
+		}
+		return super.push(chunk, encoding);
+	}
+
+	override _destroy(err: Error | null, callback: (err?: Error | null) => void): void {
+		const isReset = (err as NodeJS.ErrnoException | null)?.code === resetCode;
+		super._destroy(isReset ? new ConnectionResetError(err?.message) : err, callback);
+	}
+
+	/**
+	 * Whether the system still knows a peer. It forgets the peer on a reset, which Node reports as the end of the stream if it
+	 * arrives with the last bytes. Node caches the address, so nothing else may ask for it before.
+	 */
+	private get isConnected(): boolean {
+		return this.remoteAddress !== undefined;
+	}
+}
+
+/** Opens a connection for an undici client. */
+export function connectClient(
+	{ host, port, localAddress, timeoutMs, highWaterMark }: ConnectOptions,
+	callback: undici.buildConnector.Callback,
+): ClientSocket {
+	const opts = { host, port, localAddress, highWaterMark, noDelay: true };
+	// Node takes the options of a stream and of a connection in the same object.
+	const socket = new ClientSocket(opts as net.SocketConstructorOpts);
+	let isSettled = false;
+	const giveUp = () => {
+		if (!isSettled) {
+			socket.destroy(new Error('connection timed out'));
+		}
+	};
+	const timer = setTimeout(() => afterReads(giveUp), timeoutMs);
+	socket.once('connect', () => {
+		isSettled = true;
+		clearTimeout(timer);
+		callback(null, socket);
+	});
+	socket.on('error', (err) => {
+		if (!isSettled) {
+			isSettled = true;
+			clearTimeout(timer);
+			callback(err, null);
+		}
+	});
+	return socket.connect(opts);
+}
--- a/src/infra/relay/engine-connection-pool.ts
+++ b/src/infra/relay/engine-connection-pool.ts
@@ -2,9 +2,8 @@
  * Pool of undici connections to one engine, with one request at a time on each.
  * @module
  */
-import * as net from 'node:net';
 import * as undici from 'undici';
-import { afterReads } from '../../core/time/after-reads.js';
+import { connectClient } from '../client-socket.js';
 
 export const connectTimeoutMs = 400;
 /** Idle connections are closed after this time unless the engine's keep-alive header sets another. */
@@ -16,17 +15,8 @@
 /** Bytes of an answer that are buffered for a slow caller before the engine is throttled. */
 const receiveBufferBytes = 64 * 1024;
 
-/** Error code that undici uses to close a connection that it no longer needs. */
-const clientCloseCode = 'UND_ERR_INFO';
-/** Servers ignore an empty line before a request (RFC 9112, section 2.2). */
-const emptyLine = '\r\n';
-
-/** Connection to an engine. Detects resets, which undici reports as the end of an answer without a length. */
+/** Connection to an engine. */
 export class EngineConnection {
-	/** Whether the connection failed rather than being closed by the engine. */
-	isBroken = false;
-	/** Resolves once `isBroken` is final; undefined until the engine ends the connection. */
-	resetChecked?: Promise<void>;
 	private readonly client: undici.Client;
 
 	/**
@@ -66,53 +56,18 @@
 	}
 
 	private connect(callback: undici.buildConnector.Callback): void {
-		this.isBroken = false;
-		this.resetChecked = undefined;
-		const { hostname: host, port } = this.origin;
-		const socket = net.connect({
-			host,
-			port: Number(port),
-			localAddress: this.localAddress,
-			noDelay: true,
-			highWaterMark: receiveBufferBytes,
-		} as net.TcpNetConnectOpts);
-		let isSettled = false;
-		const giveUp = () => {
-			if (!isSettled) {
-				socket.destroy(new Error('connection timed out'));
-			}
-		};
-		const timer = setTimeout(() => afterReads(giveUp), connectTimeoutMs);
-		socket.once('connect', () => {
-			isSettled = true;
-			clearTimeout(timer);
-			callback(null, socket);
-		});
-		socket.on('error', (err: NodeJS.ErrnoException) => {
-			this.isBroken ||= err.code !== clientCloseCode;
-			if (!isSettled) {
-				isSettled = true;
-				clearTimeout(timer);
-				callback(err, null);
-			}
-		});
-		socket.prependListener('end', () => this.detectReset(socket));
+		const socket = connectClient(
+			{
+				host: this.origin.hostname,
+				port: Number(this.origin.port),
+				localAddress: this.localAddress,
+				timeoutMs: connectTimeoutMs,
+				highWaterMark: receiveBufferBytes,
+			},
+			callback,
+		);
 		socket.on('close', () => this.onClose(this));
 	}
-
-	/**
-	 * Tells a reset from an orderly end. Node reports a reset that arrives with the last bytes as the end
-	 * of the stream; a write fails after a reset and succeeds after an orderly end.
-	 */
-	private detectReset(socket: net.Socket): void {
-		this.resetChecked = new Promise((resolve) => {
-			socket.write(emptyLine, (err) => {
-				const { code } = (err ?? {}) as NodeJS.ErrnoException;
-				this.isBroken ||= code === 'EPIPE' || code === 'ECONNRESET';
-				resolve();
-			});
-		});
-	}
 }
 
 export class EngineConnectionPool {
--- a/src/infra/relay/engine-running-call.ts
+++ b/src/infra/relay/engine-running-call.ts
@@ -30,7 +30,6 @@
 	private isPaused = false;
 	private isStarting = true;
 	private status = 0;
-	private isFramed = true;
 	private isDone = false;
 
 	constructor(
@@ -90,7 +89,6 @@
 			}
 			const head = this.decodeAnswer(status, headers);
 			this.status = status;
-			this.isFramed = head.isFramed;
 			this.listener.onHead(head);
 		}
 		return !this.isPaused;
@@ -104,14 +102,11 @@
 	}
 
 	onComplete(): void {
-		if (this.isFramed || !this.connection.resetChecked) {
-			this.finish();
-			return;
+		if (!this.isDone) {
+			this.isDone = true;
+			this.pool.release(this.connection);
+			this.listener.onEnd();
 		}
-		this.connection.resetChecked.then(
-			() => this.finish(),
-			(err: Error) => this.fail(err),
-		);
 	}
 
 	onError(err: Error): void {
@@ -123,16 +118,6 @@
 		}
 	}
 
-	private finish(): void {
-		if (!this.isFramed && this.connection.isBroken) {
-			this.fail(new Error('connection reset during an answer without a length'));
-		} else if (!this.isDone) {
-			this.isDone = true;
-			this.pool.release(this.connection);
-			this.listener.onEnd();
-		}
-	}
-
 	private fail(err: NodeJS.ErrnoException): void {
 		if (this.isDone) {
 			return;
--- a/src/platform/http-messages.ts
+++ b/src/platform/http-messages.ts
@@ -125,7 +125,6 @@
 		isSigned,
 		hasNotRun: status === 421 || values.has(headerNames.notExecuted),
 		isFromOtherEngine: status === 421,
-		isFramed: values.has('content-length') || values.has('transfer-encoding'),
 		isEncoded: encoding !== undefined && encoding !== 'identity',
 		notice: {
 			isDraining: values.get(headerNames.draining) === '1',
--- /dev/null
+++ b/test/features/broken-answers.feature
@@ -0,0 +1,47 @@
+Feature: Answers that engines break
+
+	# Guards against a part of an answer that looks whole: a reset that arrives with the last bytes looks like an orderly end.
+	Scenario Outline: An early answer without a length whose connection is reset is not passed on as whole
+		Given engines that send any bytes
+		And a relay of 1 VM with engines "a, b"
+		When 6 "<call>" uploads of 12 MB are answered early by <form> without a length, and the connection is <end>
+		Then none of these answers is a part that looks whole
+
+		Examples:
+			| call                  | form                        | end                             |
+			| POST /patient/        | 20 KB                       | reset at once                   |
+			| POST /plain/          | 20 KB                       | reset at once                   |
+			| POST /patient/        | 20 KB and Connection: close | reset at once                   |
+			| POST /patient/        | 20 KB in HTTP/1.0           | reset at once                   |
+			| POST /patient/        | no byte                     | reset at once                   |
+			| POST /stream/once/    | an event of a stream        | reset at once                   |
+			| POST /patient/        | 20 KB                       | reset while the VM stands still |
+			| POST /plain/          | 20 KB                       | reset while the VM stands still |
+			| POST /patient/        | no byte                     | reset while the VM stands still |
+			| POST /stream/once/    | an event of a stream        | reset while the VM stands still |
+			| POST /stream/resumed/ | an event of a stream        | reset while the VM stands still |
+			| POST /patient/        | 20 KB                       | reset 100 ms later              |
+
+	Scenario Outline: An early answer without a length that ends in order is whole
+		Given engines that send any bytes
+		And a relay of 1 VM with engines "a, b"
+		When 6 "POST /patient/" uploads of 12 MB are answered early by <form> without a length, and the connection is <end>
+		Then each of these answers is the whole one of its engine
+
+		Examples:
+			| form              | end                                             |
+			| 20 KB             | closed in order while the upload is read on     |
+			| 20 KB in HTTP/1.0 | closed in order while the upload is read on     |
+			| 20 KB             | closed in order while the VM stands still       |
+
+	Scenario Outline: A client takes an answer without a length for whole only after an orderly end that it has read up to
+		Given a server that answers <request> with <parts> without a length and <end> the connection
+		When an <kind>'s client calls it and reads <reading>
+		Then the answer is reported as <result>
+
+		Examples:
+			| kind     | request   | parts   | end    | reading     | result |
+			| engine   | a request | 1 part  | closes | at once     | whole  |
+			| engine   | a request | 1 part  | resets | at once     | broken |
+			| engine   | an upload | 1 part  | closes | at once     | whole  |
+			| engine   | an upload | 1 part  | resets | at once     | broken |
--- /dev/null
+++ b/test/steps/answer-ends.steps.ts
@@ -0,0 +1,135 @@
+/**
+ * Steps for the ends of answers without a length, as the clients of engines and endpoints report them.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as cucumber from '@cucumber/cucumber';
+import { EngineConnectionPool } from '../../src/infra/relay/engine-connection-pool.js';
+import { EngineRunningCall } from '../../src/infra/relay/engine-running-call.js';
+import { UndiciEndpointClient } from '../../src/infra/undici-endpoint-client.js';
+import { decodeAnswer } from '../../src/platform/http-messages.js';
+import { seen } from './relay-fakes.js';
+import { until } from './relay-world.js';
+import type { FleetWorld } from './world.js';
+
+/** More than the buffers of the kernel take. */
+const uploadBytes = 12_000_000;
+const partBytes = 20_000;
+const partGapMs = 60;
+/** Longer than the server takes for the whole answer. */
+const pauseMs = 400;
+
+const ends = {
+	closes: (socket: net.Socket) => socket.end(),
+	resets: (socket: net.Socket) => socket.resetAndDestroy(),
+} as const;
+
+/** What a client has reported of one answer. */
+class Recorder {
+	bytes = 0;
+	result?: 'whole' | 'broken';
+	/** Resumes and pauses the call; undefined for a reader that never pauses. */
+	call?: { pause(): void; resume(): void };
+
+	shouldSend(): boolean {
+		return true;
+	}
+
+	onWithdrawn(): void {}
+	onSent(): void {}
+	onHead(): void {}
+	onEvents(): void {}
+
+	onData({ length }: Uint8Array): void {
+		this.bytes += length;
+		const { call } = this;
+		// undici reports no bytes when it goes on after a pause.
+		if (call && length > 0) {
+			call.pause();
+			setTimeout(() => call.resume(), pauseMs);
+		}
+	}
+
+	onBytes(chunk: Uint8Array): void {
+		this.onData(chunk);
+	}
+
+	onEnd(): void {
+		this.result = 'whole';
+	}
+
+	onError(): void {
+		this.result = 'broken';
+	}
+}
+
+cucumber.Given(
+	/^a server that answers (a request|an upload) with (\d+) parts? without a length and (closes|resets) the connection$/,
+	async function (this: FleetWorld, request: string, parts: string, end: keyof typeof ends) {
+		const part = 'x'.repeat(partBytes);
+		const server = net.createServer((socket) => {
+			socket.on('error', () => {});
+			socket.once('data', async () => {
+				if (end === 'resets') {
+					socket.pause();
+				} else {
+					socket.resume();
+				}
+				socket.write(`HTTP/1.1 200 OK\r\n\r\n${part}`);
+				for (let index = 1; index < Number(parts); index++) {
+					await new Promise((done) => setTimeout(done, partGapMs));
+					socket.write(part);
+				}
+				ends[end](socket);
+			});
+		});
+		await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
+		this.state.set('server', server);
+		this.state.set('body', request === 'an upload' ? Buffer.alloc(uploadBytes) : Buffer.alloc(1));
+		this.state.set('bytes', Number(parts) * partBytes);
+	},
+);
+
+cucumber.When(
+	/^an (engine|endpoint)'s client calls it and reads (at once|with pauses)$/,
+	async function (this: FleetWorld, kind: string, reading: string) {
+		const { port } = seen<net.Server>(this, 'server').address() as net.AddressInfo;
+		const body = seen<Buffer>(this, 'body');
+		const recorder = new Recorder();
+		const { call, close } =
+			kind === 'engine' ? callEngine(port, body, recorder) : callEndpoint(port, body, recorder);
+		recorder.call = reading === 'with pauses' ? call : undefined;
+		await until(() => recorder.result !== undefined);
+		await close();
+		seen<net.Server>(this, 'server').close();
+		this.state.set('recorder', recorder);
+	},
+);
+
+function callEngine(port: number, body: Buffer, recorder: Recorder) {
+	const pool = new EngineConnectionPool(`127.0.0.1:${port}`);
+	const call = new EngineRunningCall(decodeAnswer, recorder, pool);
+	const headers = ['content-length', String(body.length)];
+	call.start({ method: 'POST', path: '/', headers, body });
+	return { call, close: () => pool.destroy() };
+}
+
+function callEndpoint(port: number, body: Buffer, recorder: Recorder) {
+	const client = new UndiciEndpointClient();
+	const common = { id: 'call', method: 'POST', path: '/', headers: {}, priority: 0, offset: 0 };
+	const url = `http://127.0.0.1:${port}`;
+	const call = client.open({ ...common, url, body, stallMs: 10_000 }, recorder);
+	return { call, close: () => client.close() };
+}
+
+cucumber.Then(
+	/^the answer is reported as (whole|broken)$/,
+	function (this: FleetWorld, expected: string) {
+		const { result, bytes } = seen<Recorder>(this, 'recorder');
+		assert.equal(result, expected);
+		if (expected === 'whole') {
+			assert.equal(bytes, seen<number>(this, 'bytes'));
+		}
+	},
+);
--- /dev/null
+++ b/test/steps/broken-answers.steps.ts
@@ -0,0 +1,149 @@
+/**
+ * Steps about answers that engines break in any way, as real relay daemons pass them on.
+ * @module
+ */
+import * as assert from 'node:assert/strict';
+import * as cucumber from '@cucumber/cucumber';
+import type { RawArrival, RawReply } from '../stand-ins/raw-engine.js';
+import { RawEngine, soundBody } from '../stand-ins/raw-engine.js';
+import type { RawAnswer } from './raw-caller.js';
+import { encodeRequest, RawCaller } from './raw-caller.js';
+import { seen } from './relay-fakes.js';
+import { firstVm, fixtureOf } from './relay-fixture.js';
+import type { FleetWorld } from './world.js';
+
+/** More than the buffers of the kernel take, so that a part of the upload is unwritten when its answer comes. */
+const uploadBytes = 12_000_000;
+const answerTimeoutMs = 8000;
+/** Time in which bytes after the end of an answer would arrive. */
+const quietMs = 60;
+/** Time for which a VM stands still before and behind the bytes of an engine. */
+const standstillMs = 60;
+/** Marks requests whose first engine sends the bytes of the scenario. */
+const marker = 'x-marked: 1';
+
+const part = 'x'.repeat(20_000);
+const event = 'id: 1\ndata: token 1\n\n';
+const eventStream = 'content-type: text/event-stream';
+
+/** Answers without a length, by name. */
+const unframedAnswers: Readonly<Record<string, string>> = {
+	'20 KB': `HTTP/1.1 200 OK\r\nSIGNED\r\n\r\n${part}`,
+	'20 KB and Connection: close': `HTTP/1.1 200 OK\r\nSIGNED\r\nconnection: close\r\n\r\n${part}`,
+	'20 KB in HTTP/1.0': `HTTP/1.0 200 OK\r\nSIGNED\r\n\r\n${part}`,
+	'no byte': 'HTTP/1.1 200 OK\r\nSIGNED\r\n\r\n',
+	'an event of a stream': `HTTP/1.1 200 OK\r\nSIGNED\r\n${eventStream}\r\n\r\n${event}`,
+};
+
+cucumber.Given('engines that send any bytes', function (this: FleetWorld) {
+	const fixture = fixtureOf(this);
+	fixture.requestLimits = { 'max-body-bytes': uploadBytes };
+	fixture.createEngine = (id) => new RawEngine(id, (arrival) => seenChooser(this)?.(arrival));
+});
+
+function seenChooser(
+	world: FleetWorld,
+): ((arrival: RawArrival) => RawReply | undefined) | undefined {
+	return world.state.get('reply chooser') as ReturnType<typeof seenChooser>;
+}
+
+/** The first engine that a marked request reaches sends this reply; the others are sound. */
+function replyOnce(world: FleetWorld, reply: RawReply): void {
+	const arrivedIds = new Set<string>();
+	world.state.set('arrived ids', arrivedIds);
+	world.state.set('reply chooser', ({ id, head }: RawArrival) => {
+		const isFirst = head.includes(marker) && !arrivedIds.has(id);
+		arrivedIds.add(id);
+		return isFirst ? reply : undefined;
+	});
+}
+
+/** Sends a marked request on a connection of its own. */
+async function sendMarked(
+	world: FleetWorld,
+	call: string,
+	id: string,
+	body: string,
+): Promise<string> {
+	const [method = '', target = ''] = call.split(' ');
+	const caller = new RawCaller(firstVm(world));
+	caller.write(encodeRequest({ method, target, id, body, lines: [marker] }));
+	await caller.untilAnswered([method], answerTimeoutMs);
+	await new Promise((done) => setTimeout(done, quietMs));
+	const [answer] = caller.decode([method]);
+	caller.close();
+	return describe(answer, seen<Set<string>>(world, 'arrived ids').has(id));
+}
+
+cucumber.When(
+	/^(\d+) "(.*)" uploads of 12 MB are answered early by (.*) without a length, and the connection is (reset at once|reset \d+ ms later|reset while the VM stands still|closed in order while the upload is read on|closed in order while the VM stands still)$/,
+	{ timeout: 60_000 },
+	async function (this: FleetWorld, count: string, call: string, name: string, end: string) {
+		const text = unframedAnswers[name];
+		assert.ok(text, name);
+		const delay = /(\d+) ms/.exec(end)?.[1];
+		const reply: RawReply = {
+			pieces: [text],
+			isEarly: true,
+			readsOn: end.startsWith('closed'),
+			connection: end.startsWith('closed') ? 'close' : 'reset',
+			endDelayMs: delay === undefined ? undefined : Number(delay),
+			...(end.endsWith('stands still') ? standstillOf(this) : undefined),
+		};
+		replyOnce(this, reply);
+		const body = 'u'.repeat(uploadBytes);
+		const answers: string[] = [];
+		for (let index = 0; index < Number(count); index++) {
+			answers.push(await sendMarked(this, call, `upload-${index}`, body));
+		}
+		this.state.set('answers', answers);
+	},
+);
+
+/** Stops the VM while an engine sends its bytes and ends the connection, so that both are read together. */
+function standstillOf(world: FleetWorld): Pick<RawReply, 'beforeSend' | 'afterEnd'> {
+	const { process } = firstVm(world);
+	const pause = () => new Promise<void>((done) => setTimeout(done, standstillMs));
+	return {
+		beforeSend: async () => {
+			process.kill('SIGSTOP');
+			await pause();
+		},
+		afterEnd: async () => {
+			await pause();
+			process.kill('SIGCONT');
+		},
+	};
+}
+
+cucumber.Then(
+	'none of these answers is a part that looks whole',
+	async function (this: FleetWorld) {
+		const told = seen<string[]>(this, 'answers');
+		const allowed = new Set([`200 ${soundBody}`, '200 cut', '502', '503 and not run', 'no answer']);
+		assert.deepEqual(
+			told.filter((answer) => !allowed.has(answer)),
+			[],
+		);
+	},
+);
+
+cucumber.Then('each of these answers is the whole one of its engine', function (this: FleetWorld) {
+	const told = seen<string[]>(this, 'answers');
+	assert.deepEqual([...new Set(told)], [`200 ${part.length} bytes`]);
+});
+
+/** @param hasArrived whether the request reached an engine */
+function describe(answer: RawAnswer | undefined, hasArrived: boolean): string {
+	if (!answer) {
+		return 'no answer';
+	}
+	const { status, body, isWhole } = answer;
+	if (status >= 300) {
+		return hasArrived ? String(status) : `${status} and not run`;
+	}
+	if (!isWhole) {
+		return `${status} cut`;
+	}
+	return body === soundBody ? `${status} ${body}` : `${status} ${body.length} bytes`;
+}
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -48,11 +48,15 @@
 	answers: Answer[] = [];
 	/** Monotonic times of engine crashes, in milliseconds. */
 	readonly crashTimes: number[] = [];
+	/** Creates the engines of the start. */
+	createEngine = (id: string) => new PlatformEngineStandIn(id);
 	/** Program started for each VM. */
 	program = 'dist/src/daemon/relay/main.js';
 	nodeFlags: readonly string[] = [];
 	/** Memory and descriptors of each VM. */
 	vmLimits = { 'memory-mb': 350, 'max-fds': 4100 };
+	/** Bounds of requests in the configuration. */
+	requestLimits: Readonly<Record<string, number>> = {};
 	/** Whether `setLinks` can make links of VMs to engines fail. */
 	hasCuttableLinks = false;
 	private nextId = 1;
@@ -64,7 +68,7 @@
 	async start(vms: number, engines: readonly string[], configured = true): Promise<void> {
 		await this.store.start();
 		for (const id of engines) {
-			const engine = new PlatformEngineStandIn(id);
+			const engine = this.createEngine(id);
 			this.engines.set(id, engine);
 			await this.register(engine, await engine.start());
 		}
@@ -148,7 +152,7 @@
 				},
 			],
 			services: [{ name: 'pool', 'health-path': '/healthz', 'max-connections': 50 }],
-			limits: {},
+			limits: this.requestLimits,
 			tenants: [{ name: 'station', 'api-keys': keys }],
 		};
 	}
--- a/test/steps/silence-decisions.steps.ts
+++ b/test/steps/silence-decisions.steps.ts
@@ -64,7 +64,6 @@
 	isSigned: true,
 	hasNotRun: false,
 	isFromOtherEngine: false,
-	isFramed: true,
 	isEncoded: false,
 	notice: { isDraining: false },
 	headers: [],
