A paused answer whose connection ends does not end the process

What callers saw, or would: a VM's process ended by itself, and all its requests with it, when a sound engine had sent a stream without a length to a caller that reads slowly and then closed the connection in order.

Cause: undici asserts that an answer is not paused when its connection ends or is reset (Parser.finish). Node emits the end with the read that empties the buffer, and the bytes of that read may make the caller's connection full, so that the answer is paused before the end is handled; an end that comes while an answer is paused is emitted at once if nothing is buffered. The assertion is thrown in an event handler of the socket, where nobody catches it.

Change: ClientSocket holds the end back until its reader has read all that came before and goes on reading, which it finds out by telling it to read: one that has paused does not. The same for a reset, so that bytes that arrived before are delivered.

--- a/src/infra/client-socket.ts
+++ b/src/infra/client-socket.ts
@@ -1,6 +1,6 @@
 /**
  * TCP sockets for undici's clients. undici takes the end of a connection, and a reset too, for the end of an answer
- * without a length.
+ * without a length, and it cannot handle either while the reader has paused the answer.
  * @module
  */
 import * as net from 'node:net';
@@ -25,15 +25,37 @@
 	readonly code = 'ERR_CONNECTION_RESET';
 }
 
-/** Reports `end` after an orderly end of the connection only, else an error. */
+/** How the other side ended the connection. */
+const endings = { orderly: 'orderly', reset: 'reset' } as const;
+type Ending = (typeof endings)[keyof typeof endings];
+
+/** Reports the end of the connection once all that came before has been read: `end` after an orderly one, else an error. */
 export class ClientSocket extends net.Socket {
+	/** Set from when the end arrives until it is reported. */
+	private ending?: Ending;
+	/** Whether the reader has read since it was last told to. */
+	private hasRead = false;
+
 	/** Receives bytes, or null for the end of the connection. */
 	override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-		if (chunk === null && !this.isConnected) {
-			this.destroy(new ConnectionResetError('connection reset'));
-			return false;
+		if (chunk !== null) {
+			return super.push(chunk, encoding);
 		}
-		return super.push(chunk, encoding);
+		this.ending = this.isConnected ? endings.orderly : endings.reset;
+		this.reportEnd();
+		return false;
+	}
+
+	override read(size?: number): unknown {
+		const chunk = super.read(size);
+		// A size of 0 is Node's own way to refill the buffer.
+		if (size !== 0) {
+			this.hasRead = true;
+			if (this.ending) {
+				process.nextTick(() => this.reportEnd());
+			}
+		}
+		return chunk;
 	}
 
 	override _destroy(err: Error | null, callback: (err?: Error | null) => void): void {
@@ -48,6 +70,26 @@
 	private get isConnected(): boolean {
 		return this.remoteAddress !== undefined;
 	}
+
+	private reportEnd(): void {
+		const { ending } = this;
+		if (!ending || this.destroyed || this.readableLength > 0 || this.isReaderPaused()) {
+			return;
+		}
+		this.ending = undefined;
+		if (ending === endings.reset) {
+			this.destroy(new ConnectionResetError('connection reset'));
+		} else {
+			super.push(null);
+		}
+	}
+
+	/** Tells the reader to read; one that has paused does so only when it goes on. */
+	private isReaderPaused(): boolean {
+		this.hasRead = false;
+		this.emit('readable');
+		return !this.hasRead;
+	}
 }
 
 /** Opens a connection for an undici client. */
--- a/test/features/broken-answers.feature
+++ b/test/features/broken-answers.feature
@@ -34,6 +34,33 @@
 			| 20 KB in HTTP/1.0 | closed in order while the upload is read on     |
 			| 20 KB             | closed in order while the VM stands still       |
 
+	# Guards against a process that ends by itself: undici asserts that an answer is not paused when its connection ends.
+	Scenario Outline: An answer without a length is whole, and its VM goes on, though its caller reads slowly
+		Given engines that send any bytes
+		And a relay of 1 VM with engines "a, b"
+		When 4 callers that read slowly send "<call>", and an answer of <mb> MB without a length is closed in order
+		Then the VM has not ended
+		And each of them gets the whole answer
+
+		Examples:
+			| call               | mb |
+			| POST /patient/     | 1  |
+			| POST /patient/     | 24 |
+			| POST /stream/once/ | 24 |
+
+	Scenario Outline: An answer without a length that is reset is cut, and its VM goes on, though its caller reads slowly
+		Given engines that send any bytes
+		And a relay of 1 VM with engines "a, b"
+		When 4 callers that read slowly send "<call>", and an answer of <mb> MB without a length is reset
+		Then the VM has not ended
+		And none of these answers is a part that looks whole
+
+		Examples:
+			| call               | mb |
+			| POST /patient/     | 1  |
+			| POST /patient/     | 24 |
+			| POST /stream/once/ | 24 |
+
 	Scenario Outline: A client takes an answer without a length for whole only after an orderly end that it has read up to
 		Given a server that answers <request> with <parts> without a length and <end> the connection
 		When an <kind>'s client calls it and reads <reading>
@@ -45,3 +72,5 @@
 			| engine   | a request | 1 part  | resets | at once     | broken |
 			| engine   | an upload | 1 part  | closes | at once     | whole  |
 			| engine   | an upload | 1 part  | resets | at once     | broken |
+			| engine   | a request | 3 parts | closes | with pauses | whole  |
+			| engine   | a request | 3 parts | resets | with pauses | broken |
--- a/test/steps/broken-answers.steps.ts
+++ b/test/steps/broken-answers.steps.ts
@@ -10,6 +10,7 @@
 import { encodeRequest, RawCaller } from './raw-caller.js';
 import { seen } from './relay-fakes.js';
 import { firstVm, fixtureOf } from './relay-fixture.js';
+import { until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
 /** More than the buffers of the kernel take, so that a part of the upload is unwritten when its answer comes. */
@@ -19,6 +20,10 @@
 const quietMs = 60;
 /** Time for which a VM stands still before and behind the bytes of an engine. */
 const standstillMs = 60;
+/** Pause of a caller that reads slowly, after each part of an answer. */
+const slowReadMs = 5;
+/** Time in which engines have sent most of an answer that is read slowly. */
+const slowAnswerMs = 300;
 /** Marks requests whose first engine sends the bytes of the scenario. */
 const marker = 'x-marked: 1';
 
@@ -133,6 +138,73 @@
 	assert.deepEqual([...new Set(told)], [`200 ${part.length} bytes`]);
 });
 
+cucumber.When(
+	/^(\d+) callers that read slowly send "(.*)", and an answer of (\d+) MB without a length is (closed in order|reset)$/,
+	{ timeout: 60_000 },
+	async function (this: FleetWorld, count: string, call: string, mb: string, end: string) {
+		const isStream = call.includes('/stream/');
+		const body = isStream ? longStream(Number(mb) * 1_000_000) : 'x'.repeat(Number(mb) * 1_000_000);
+		const head = `HTTP/1.1 200 OK\r\nSIGNED${isStream ? `\r\n${eventStream}` : ''}\r\n\r\n`;
+		replyOnce(this, {
+			pieces: [`${head}${body}`],
+			connection: end === 'reset' ? 'reset' : 'close',
+			endDelayMs: end === 'reset' ? slowAnswerMs : undefined,
+		});
+		const answers = Array.from({ length: Number(count) }, (_, index) =>
+			readSlowly(this, call, `slow-${index}`, body.length),
+		);
+		const told = (await Promise.all(answers)).map((answer) => {
+			const isPart = answer?.isWhole && answer.body.length < body.length;
+			return isPart ? 'a part that looks whole' : describe(answer, true);
+		});
+		this.state.set('answers', told);
+		this.state.set('whole', `200 ${body.length} bytes`);
+	},
+);
+
+async function readSlowly(
+	world: FleetWorld,
+	call: string,
+	id: string,
+	bytes: number,
+): Promise<RawAnswer | undefined> {
+	const [method = '', target = ''] = call.split(' ');
+	const caller = new RawCaller(firstVm(world));
+	const { socket } = caller;
+	socket.on('data', () => {
+		socket.pause();
+		setTimeout(() => socket.resume(), slowReadMs);
+	});
+	caller.write(
+		encodeRequest({ method, target, id, body: id, lines: [marker], deadlineMs: 30_000 }),
+	);
+	await until(() => caller.receivedBytes > bytes || caller.hasEnded, 4 * answerTimeoutMs);
+	const [answer] = await caller.untilAnswered([method], answerTimeoutMs);
+	caller.close();
+	return answer;
+}
+
+/** A stream of at least this length. */
+function longStream(bytes: number): string {
+	const events: string[] = [];
+	for (let length = 0, id = 1; length < bytes; id++) {
+		const text = `id: ${id}\ndata: ${'t'.repeat(200)}\n\n`;
+		events.push(text);
+		length += text.length;
+	}
+	return events.join('');
+}
+
+cucumber.Then('each of them gets the whole answer', function (this: FleetWorld) {
+	const told = seen<string[]>(this, 'answers');
+	assert.deepEqual([...new Set(told)], [seen<string>(this, 'whole')]);
+});
+
+cucumber.Then('the VM has not ended', function (this: FleetWorld) {
+	const { process, errors } = firstVm(this);
+	assert.equal(process.exitCode, null, errors);
+});
+
 /** @param hasArrived whether the request reached an engine */
 function describe(answer: RawAnswer | undefined, hasArrived: boolean): string {
 	if (!answer) {
