slategauged: a reset behind a part of an endpoint's answer is told from its end

What callers saw, or would: the answer of a plain service without a length, reset after a part of it, came as a complete one, with the outcome "complete"; no long upload was needed. Streams of engines were safe, as they end with an event of their own. A caller that reads slowly could end the daemon, as at the relay.

Cause: as at the relay; here nothing looked at how the connection had ended.

Change: endpoints at http URLs are called through the same ClientSocket; it keeps the TCP keep-alive that undici's own connector sets. URLs with https keep undici's connector: not looked at.

The other readers do not depend on the end of a connection: the store's answers and the list of VMs are JSON, which does not parse in part; copies from peers have a length and are compressed; of the API for duties, orders and weights only the status is read. An answer that another VM forwards has chunks or a length.

--- a/src/infra/undici-endpoint-client.ts
+++ b/src/infra/undici-endpoint-client.ts
@@ -15,10 +15,15 @@
 	StreamEvent,
 } from '../core/definitions.js';
 import { callFailures } from '../core/definitions.js';
+import { connectClient } from './client-socket.js';
 
 /** Connections to one endpoint; high enough that slots, not connections, limit concurrency. */
 const maxConnections = 4096;
 const connectTimeoutMs = 1000;
+/** Port of `http` URLs that name none. */
+const defaultPort = 80;
+/** Idle time after which TCP checks whether the endpoint is still there. */
+const keepAliveDelayMs = 60_000;
 const loadTimeoutMs = 1000;
 
 export class UndiciEndpointClient implements EndpointClient {
@@ -69,17 +74,28 @@
 	}
 
 	private pool(url: string): undici.Pool {
-		const origin = new URL(url).origin;
+		const { origin, protocol } = new URL(url);
 		let pool = this.pools.get(origin);
 		if (!pool) {
-			const connect = { timeout: connectTimeoutMs };
-			pool = new undici.Pool(origin, { connections: maxConnections, pipelining: 1, connect });
+			pool = new undici.Pool(origin, {
+				connections: maxConnections,
+				pipelining: 1,
+				connect: protocol === 'http:' ? connectTcp : { timeout: connectTimeoutMs },
+			});
 			this.pools.set(origin, pool);
 		}
 		return pool;
 	}
 }
 
+function connectTcp(
+	{ hostname: host, port }: undici.buildConnector.Options,
+	callback: undici.buildConnector.Callback,
+): void {
+	const opts = { host, port: Number(port || defaultPort), timeoutMs: connectTimeoutMs };
+	connectClient(opts, callback).setKeepAlive(true, keepAliveDelayMs);
+}
+
 function buildHeaders(call: EndpointCall): Record<string, string> {
 	const headers: Record<string, string> = { ...call.headers, 'x-request-id': call.id };
 	headers['x-priority'] = String(call.priority);
--- a/test/features/broken-answers.feature
+++ b/test/features/broken-answers.feature
@@ -74,3 +74,9 @@
 			| engine   | an upload | 1 part  | resets | at once     | broken |
 			| engine   | a request | 3 parts | closes | with pauses | whole  |
 			| engine   | a request | 3 parts | resets | with pauses | broken |
+			| endpoint | a request | 1 part  | closes | at once     | whole  |
+			| endpoint | a request | 1 part  | resets | at once     | broken |
+			| endpoint | an upload | 1 part  | closes | at once     | whole  |
+			| endpoint | an upload | 1 part  | resets | at once     | broken |
+			| endpoint | a request | 3 parts | closes | with pauses | whole  |
+			| endpoint | a request | 3 parts | resets | with pauses | broken |
