Tests: bytes that are no answer, in one piece and byte by byte

A status line that names HTTP/2.0 is passed on, as before, and now has an example. Its framing is read as that of HTTP/1.1, so its end is as certain as any other's, it needs the engine's proof of origin, and the caller gets HTTP/1.1: refusing it would lose a whole answer.

--- a/test/features/broken-answers.feature
+++ b/test/features/broken-answers.feature
@@ -80,3 +80,36 @@
 			| endpoint | an upload | 1 part  | resets | at once     | broken |
 			| endpoint | a request | 3 parts | closes | with pauses | whole  |
 			| endpoint | a request | 3 parts | resets | with pauses | broken |
+
+	Scenario Outline: A client takes bytes that are no answer for none
+		Then an <kind>'s client reports each malformed answer as broken, whole or in pieces, and a sound one as whole
+
+		Examples:
+			| kind     |
+			| engine   |
+			| endpoint |
+
+	Scenario Outline: Bytes that are no answer do not reach a caller
+		Given engines that send any bytes
+		And a relay of 1 VM with engines "a, b"
+		Then no caller of "<call>" gets any part of a malformed answer
+
+		Examples:
+			| call                  |
+			| POST /once/           |
+			| POST /plain/          |
+			| POST /stream/once/    |
+			| POST /stream/resumed/ |
+
+	Scenario Outline: Bytes that are no answer do not reach a caller whose request another VM forwards
+		Given engines that send any bytes
+		And a relay of 2 VMs whose links can fail, with engines "a, b"
+		And the links of 1 VM to all engines "reset"
+		And 3000 ms pass in quiet
+		Then no caller of "<call>" gets any part of a malformed answer
+
+		Examples:
+			| call               |
+			| POST /once/        |
+			| POST /plain/       |
+			| POST /stream/once/ |
--- a/test/features/raw-answers.feature
+++ b/test/features/raw-answers.feature
@@ -12,6 +12,7 @@
 			| not modified                        | POST /once/  | unchanged      |
 			| early hints                         | POST /once/  | unchanged      |
 			| trailers                            | POST /once/  | unchanged      |
+			| a later version                     | POST /once/  | unchanged      |
 			| more than its length                | POST /once/  | unchanged      |
 			| more than its length                | POST /plain/ | unchanged      |
 			| an error with more than its length  | POST /plain/ | unchanged      |
--- a/test/stand-ins/raw-engine.ts
+++ b/test/stand-ins/raw-engine.ts
@@ -37,7 +37,14 @@
 /** @returns the reply to a request; undefined for a sound answer */
 export type ReplyChooser = (arrival: RawArrival) => RawReply | undefined;
 
-export const soundBody = 'sound answer';
+/** A whole event, so that it is a sound answer to requests for streams, too. */
+export const soundBody = 'id: 1\ndata: sound answer\n\n';
+const soundAnswer = [
+	'HTTP/1.1 200 OK',
+	'SIGNED',
+	'content-type: text/event-stream',
+	`content-length: ${soundBody.length}${headEnd}${soundBody}`,
+].join('\r\n');
 
 export class RawEngine extends PlatformEngineStandIn {
 	/** Times at which connections ended, in monotonic milliseconds. */
@@ -83,9 +90,8 @@
 
 	private async send(socket: Socket, { id }: RawArrival, reply?: RawReply): Promise<void> {
 		const signed = `slategauge-attempt-id: ${id}\r\nslategauge-response-signature: by-${this.id}`;
-		const sound = `HTTP/1.1 200 OK\r\nSIGNED\r\ncontent-length: ${soundBody.length}${headEnd}${soundBody}`;
 		const { pieces, gapMs, endless, connection, endDelayMs, beforeSend, afterEnd }: RawReply =
-			reply ?? { pieces: [sound], connection: 'keep' };
+			reply ?? { pieces: [soundAnswer], connection: 'keep' };
 		await beforeSend?.();
 		for (const [index, piece] of pieces.entries()) {
 			if (index > 0) {
--- a/test/steps/answer-ends.steps.ts
+++ b/test/steps/answer-ends.steps.ts
@@ -9,6 +9,7 @@
 import { EngineRunningCall } from '../../src/infra/relay/engine-running-call.js';
 import { UndiciEndpointClient } from '../../src/infra/undici-endpoint-client.js';
 import { decodeAnswer } from '../../src/platform/http-messages.js';
+import { malformedAnswers } from '../stand-ins/malformed-answers.js';
 import { seen } from './relay-fakes.js';
 import { until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
@@ -123,6 +124,52 @@
 	return { call, close: () => client.close() };
 }
 
+cucumber.Then(
+	/^an (engine|endpoint)'s client reports each malformed answer as broken, whole or in pieces, and a sound one as whole$/,
+	async function (this: FleetWorld, kind: string) {
+		const wrong: string[] = [];
+		const sound = 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nsound';
+		assert.equal(await callPieces(kind, [sound]), 'whole');
+		assert.equal(await callPieces(kind, [...sound]), 'whole');
+		for (const [name, text] of malformedAnswers) {
+			const bytes = text.replace('SIGNED', 'x-signed: 1');
+			for (const pieces of [[bytes], [...bytes]]) {
+				const result = await callPieces(kind, pieces);
+				if (result !== 'broken') {
+					wrong.push(`${name} in ${pieces.length} pieces: ${result}`);
+				}
+			}
+		}
+		assert.deepEqual(wrong, []);
+	},
+);
+
+/** @returns what a client reports of an answer that comes in these pieces */
+async function callPieces(kind: string, pieces: readonly string[]): Promise<string | undefined> {
+	const server = net.createServer({ noDelay: true }, (socket) => {
+		socket.on('error', () => {});
+		socket.once('data', async () => {
+			for (const piece of pieces) {
+				socket.write(piece, 'latin1');
+				await new Promise((done) => setImmediate(done));
+			}
+			socket.end();
+		});
+	});
+	await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
+	const { port } = server.address() as net.AddressInfo;
+	const recorder = new Recorder();
+	const { close } = (kind === 'engine' ? callEngine : callEndpoint)(
+		port,
+		Buffer.alloc(1),
+		recorder,
+	);
+	await until(() => recorder.result !== undefined);
+	await close();
+	server.close();
+	return recorder.result;
+}
+
 cucumber.Then(
 	/^the answer is reported as (whole|broken)$/,
 	function (this: FleetWorld, expected: string) {
--- a/test/steps/broken-answers.steps.ts
+++ b/test/steps/broken-answers.steps.ts
@@ -4,6 +4,7 @@
  */
 import * as assert from 'node:assert/strict';
 import * as cucumber from '@cucumber/cucumber';
+import { malformedAnswers } from '../stand-ins/malformed-answers.js';
 import type { RawArrival, RawReply } from '../stand-ins/raw-engine.js';
 import { RawEngine, soundBody } from '../stand-ins/raw-engine.js';
 import type { RawAnswer } from './raw-caller.js';
@@ -16,6 +17,8 @@
 /** More than the buffers of the kernel take, so that a part of the upload is unwritten when its answer comes. */
 const uploadBytes = 12_000_000;
 const answerTimeoutMs = 8000;
+/** Tries of a caller whose requests are refused. */
+const maxTries = 20;
 /** Time in which bytes after the end of an answer would arrive. */
 const quietMs = 60;
 /** Time for which a VM stands still before and behind the bytes of an engine. */
@@ -205,6 +208,40 @@
 	assert.equal(process.exitCode, null, errors);
 });
 
+cucumber.Then(
+	'no caller of {string} gets any part of a malformed answer',
+	{ timeout: 120_000 },
+	async function (this: FleetWorld, call: string) {
+		const wrong: string[] = [];
+		for (const [name, text] of malformedAnswers) {
+			const middle = Math.floor(text.length / 3);
+			replyOnce(this, {
+				pieces: [text.slice(0, middle), text.slice(middle)],
+				gapMs: 5,
+				connection: 'close',
+			});
+			const told = await untilArrived(this, call, name);
+			if (told !== '502' && told !== `200 ${soundBody}`) {
+				wrong.push(`${name}: ${told}`);
+			}
+		}
+		assert.deepEqual(wrong, []);
+	},
+);
+
+/** Sends marked requests until one is not refused without having run, with sound ones between them, which bring engines back. */
+async function untilArrived(world: FleetWorld, call: string, name: string): Promise<string> {
+	for (let count = 1; ; count++) {
+		const id = `${name.replaceAll(' ', '-')}-${count}`;
+		// Contents of their own, as the same one that breaks off at several engines is quarantined.
+		const told = await sendMarked(world, call, id, id);
+		if (!told.endsWith('not run') || count === maxTries) {
+			return told;
+		}
+		await fixtureOf(world).open(call, 'sound').answer;
+	}
+}
+
 /** @param hasArrived whether the request reached an engine */
 function describe(answer: RawAnswer | undefined, hasArrived: boolean): string {
 	if (!answer) {
--- a/test/steps/raw-answers.steps.ts
+++ b/test/steps/raw-answers.steps.ts
@@ -59,6 +59,11 @@
 		connection: 'keep',
 		expected: '200 whole',
 	},
+	'a later version': {
+		text: whole.replace('HTTP/1.1', 'HTTP/2.0'),
+		connection: 'keep',
+		expected: '200 whole',
+	},
 	'more than its length': { text: `${whole} and more`, connection: 'keep', expected: '200 whole' },
 	'a length, then a reset': { text: whole, connection: 'reset', expected: '200 whole' },
 	'an encoding': {
