Answers in many small chunks without end do not hold up other requests

What callers saw: engines sent chunks of 5 bytes without end. Their requests were cut seconds after the time-out of their route, and the requests to sound engines at the same VM waited as long.

Cause, two parts of one: each chunk was handled and written to the caller alone, some 6,500 for one read of 64 KB; and while more bytes are there, Node makes up to 32 such reads from one connection before any other connection or timer has its turn.

Change: EngineRunningCall hands on what came with one read together. ClientSocket makes one full read in a turn of the event loop, at both daemons; reads that are not full are as before.

Not looked at: slategauged writes each chunk of a plain service's answer alone, as before.

--- a/src/infra/client-socket.ts
+++ b/src/infra/client-socket.ts
@@ -8,6 +8,8 @@
 import { afterReads } from '../core/time/after-reads.js';
 
 const resetCode = 'ECONNRESET';
+/** Bytes that Node reads at once. A read of so many is followed by others within the same turn of the event loop. */
+const fullReadBytes = 64 * 1024;
 
 export interface ConnectOptions {
 	host: string;
@@ -36,14 +38,43 @@
 	/** Whether the reader has read since it was last told to. */
 	private hasRead = false;
 
+	/** Whether a full read was made in this turn of the event loop; others wait for the next one. */
+	private hasReadFully = false;
+	/** Bytes asked for meanwhile. */
+	private deferredSize?: number;
+
 	/** Receives bytes, or null for the end of the connection. */
-	override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-		if (chunk !== null) {
-			return super.push(chunk, encoding);
+	override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
+		if (chunk === null) {
+			this.ending = this.isConnected ? endings.orderly : endings.reset;
+			this.reportEnd();
+			return false;
+		}
+		if (chunk.length >= fullReadBytes) {
+			this.yieldTurn();
 		}
-		this.ending = this.isConnected ? endings.orderly : endings.reset;
-		this.reportEnd();
-		return false;
+		return super.push(chunk, encoding) && !this.hasReadFully;
+	}
+
+	override _read(size: number): void {
+		if (this.hasReadFully) {
+			this.deferredSize = size;
+		} else {
+			super._read(size);
+		}
+	}
+
+	/** Lets other connections have their turn, also if this one always has bytes that take long to handle. */
+	private yieldTurn(): void {
+		this.hasReadFully = true;
+		setImmediate(() => {
+			this.hasReadFully = false;
+			const { deferredSize } = this;
+			this.deferredSize = undefined;
+			if (deferredSize !== undefined && !this.destroyed) {
+				super._read(deferredSize);
+			}
+		});
 	}
 
 	override read(size?: number): unknown {
--- a/src/infra/relay/engine-running-call.ts
+++ b/src/infra/relay/engine-running-call.ts
@@ -31,6 +31,8 @@
 	private isStarting = true;
 	private status = 0;
 	private isDone = false;
+	/** Parts of the answer that were read at once and are about to be handed on. */
+	private parts: Buffer[] = [];
 
 	constructor(
 		private readonly decodeAnswer: AnswerDecoder,
@@ -95,13 +97,15 @@
 	}
 
 	onData(chunk: Buffer): boolean {
-		if (!this.isDone) {
-			this.listener.onData(chunk);
+		if (this.parts.length === 0) {
+			process.nextTick(() => this.flush());
 		}
+		this.parts.push(chunk);
 		return !this.isPaused;
 	}
 
 	onComplete(): void {
+		this.flush();
 		if (!this.isDone) {
 			this.isDone = true;
 			this.pool.release(this.connection);
@@ -118,7 +122,18 @@
 		}
 	}
 
+	/** Hands on what was read at once together, as handling each of many small chunks alone would take the event loop. */
+	private flush(): void {
+		const { parts } = this;
+		const [first] = parts;
+		this.parts = [];
+		if (first && !this.isDone) {
+			this.listener.onData(parts.length === 1 ? first : Buffer.concat(parts));
+		}
+	}
+
 	private fail(err: NodeJS.ErrnoException): void {
+		this.flush();
 		if (this.isDone) {
 			return;
 		}
--- a/test/features/broken-answers.feature
+++ b/test/features/broken-answers.feature
@@ -113,3 +113,23 @@
 			| POST /once/        |
 			| POST /plain/       |
 			| POST /stream/once/ |
+
+	# Guards against an event loop that is busy with the many small parts of one answer, and against memory that they fill.
+	# The time-out of the route is 1,200 ms.
+	Scenario Outline: Answers without end are given up, and others are served meanwhile
+		Given engines that send any bytes
+		And a relay of 1 VM with engines "a, b, c, d, e, f"
+		When 4 "POST /once/" requests are answered by <form> without end, and others are sent meanwhile
+		Then these end within 1700 ms, the others are answered within 1200 ms, and the VM stays within its memory
+
+		Examples:
+			| form                        |
+			| chunks of 5 bytes           |
+			| chunks of 1 byte            |
+			| a chunk extension           |
+			| a status line               |
+			| the name of a field         |
+			| fields of a head            |
+			| trailers                    |
+			| informational heads         |
+			| heads that tell to continue |
--- a/test/steps/broken-answers.steps.ts
+++ b/test/steps/broken-answers.steps.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import * as assert from 'node:assert/strict';
+import * as fs from 'node:fs/promises';
 import * as cucumber from '@cucumber/cucumber';
 import { malformedAnswers } from '../stand-ins/malformed-answers.js';
 import type { RawArrival, RawReply } from '../stand-ins/raw-engine.js';
@@ -11,6 +12,7 @@
 import { encodeRequest, RawCaller } from './raw-caller.js';
 import { seen } from './relay-fakes.js';
 import { firstVm, fixtureOf } from './relay-fixture.js';
+import type { Vm } from './relay-world.js';
 import { until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
@@ -19,6 +21,9 @@
 const answerTimeoutMs = 8000;
 /** Tries of a caller whose requests are refused. */
 const maxTries = 20;
+/** Requests before an answer without end, and the interval of those beside it. */
+const warmUpCount = 20;
+const otherIntervalMs = 50;
 /** Time in which bytes after the end of an answer would arrive. */
 const quietMs = 60;
 /** Time for which a VM stands still before and behind the bytes of an engine. */
@@ -43,6 +48,37 @@
 	'an event of a stream': `HTTP/1.1 200 OK\r\nSIGNED\r\n${eventStream}\r\n\r\n${event}`,
 };
 
+const chunkedHead = 'HTTP/1.1 200 OK\r\nSIGNED\r\ntransfer-encoding: chunked\r\n\r\n';
+const manyBytes = 'x'.repeat(64 * 1024);
+
+/** Replies without end, by name. */
+const endlessReplies: Readonly<Record<string, Pick<RawReply, 'pieces' | 'endless'>>> = {
+	'chunks of 5 bytes': { pieces: [chunkedHead], endless: '5\r\nabcde\r\n'.repeat(2000) },
+	'chunks of 1 byte': { pieces: [chunkedHead], endless: '1\r\na\r\n'.repeat(2000) },
+	'a chunk extension': { pieces: [`${chunkedHead}5;`], endless: manyBytes },
+	'a body': { pieces: ['HTTP/1.1 200 OK\r\nSIGNED\r\n\r\n'], endless: manyBytes },
+	'a status line': { pieces: ['HTTP/1.1 200 '], endless: manyBytes },
+	'the name of a field': { pieces: ['HTTP/1.1 200 OK\r\n'], endless: manyBytes },
+	'fields of a head': { pieces: ['HTTP/1.1 200 OK\r\n'], endless: 'x-a: 1\r\n'.repeat(2000) },
+	trailers: { pieces: [`${chunkedHead}0\r\n`], endless: 'x-a: 1\r\n'.repeat(2000) },
+	'informational heads': { pieces: [''], endless: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(500) },
+	'heads that tell to continue': {
+		pieces: [''],
+		endless: 'HTTP/1.1 100 Continue\r\n\r\n'.repeat(500),
+	},
+	'an event': {
+		pieces: [`HTTP/1.1 200 OK\r\nSIGNED\r\n${eventStream}\r\n\r\ndata: `],
+		endless: manyBytes,
+	},
+};
+
+interface EndlessOutcome {
+	/** Times that the requests took whose answers have no end, in milliseconds. */
+	endless: number[];
+	others: { status: number; tookMs: number }[];
+	peakMb: number;
+}
+
 cucumber.Given('engines that send any bytes', function (this: FleetWorld) {
 	const fixture = fixtureOf(this);
 	fixture.requestLimits = { 'max-body-bytes': uploadBytes };
@@ -242,6 +278,65 @@
 	}
 }
 
+cucumber.When(
+	/^(\d+) "(.*)" requests are answered by (.*) without end, and others are sent meanwhile$/,
+	async function (this: FleetWorld, count: string, call: string, name: string) {
+		const fixture = fixtureOf(this);
+		const reply = endlessReplies[name];
+		assert.ok(reply, name);
+		this.state.set('reply chooser', ({ head }: RawArrival) =>
+			head.includes(marker) ? { ...reply, connection: 'keep' } : undefined,
+		);
+		const [key = '', value] = marker.split(': ');
+		const send = async (body: string, headers: Record<string, string | undefined>) => {
+			const sentAt = performance.now();
+			const { status } = await fixture.open(call, body, { headers }).answer;
+			return { status, tookMs: Math.round(performance.now() - sentAt) };
+		};
+		const warmUp = Array.from({ length: warmUpCount }, (_, index) => send(`first ${index}`, {}));
+		await Promise.all(warmUp);
+		const endless = Array.from({ length: Number(count) }, (_, index) =>
+			send(`endless ${index}`, { [key]: value }),
+		);
+		let hasEnded = false;
+		const ended = Promise.all(endless).finally(() => {
+			hasEnded = true;
+		});
+		const others: ReturnType<typeof send>[] = [];
+		let peakMb = 0;
+		while (!hasEnded) {
+			others.push(send(`other ${others.length}`, {}));
+			await new Promise((done) => setTimeout(done, otherIntervalMs));
+			peakMb = Math.max(peakMb, await readMemoryMb(firstVm(this)));
+		}
+		const outcome: EndlessOutcome = {
+			endless: (await ended).map(({ tookMs }) => tookMs),
+			others: await Promise.all(others),
+			peakMb,
+		};
+		this.state.set('endless outcome', outcome);
+	},
+);
+
+async function readMemoryMb({ process }: Vm): Promise<number> {
+	const status = await fs.readFile(`/proc/${process.pid}/status`, 'utf8');
+	return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]) / 1024;
+}
+
+cucumber.Then(
+	'these end within {int} ms, the others are answered within {int} ms, and the VM stays within its memory',
+	function (this: FleetWorld, endMs: number, otherMs: number) {
+		const { endless, others, peakMb } = seen<EndlessOutcome>(this, 'endless outcome');
+		const late = {
+			endless: endless.filter((tookMs) => tookMs > endMs),
+			others: others.filter(({ status, tookMs }) => status !== 200 || tookMs > otherMs),
+		};
+		assert.deepEqual(late, { endless: [], others: [] });
+		const { 'memory-mb': limitMb } = fixtureOf(this).vmLimits;
+		assert.ok(peakMb <= limitMb, `${Math.round(peakMb)} MB`);
+	},
+);
+
 /** @param hasArrived whether the request reached an engine */
 function describe(answer: RawAnswer | undefined, hasArrived: boolean): string {
 	if (!answer) {
