An event without end does not hold up other requests

What callers saw, or would: four engines sent an event of a stream that did not end. The requests to sound engines at that VM took 4.6 s in the middle and 9.0 s at most, three of 185 were told 503, and the four themselves got their 504 after 9.4 s, 4.4 s behind their deadline.

Cause: the bytes of an event that is not complete were joined and searched again from the start with each read, so the time grew with the square of its length, and its length had no bound.

Change: EventSplitter keeps the parts and searches each byte once; an event of more than 4 MB is taken for a broken answer, so its stream goes on at another engine where it may, and is cut or told 502 where it may not.

--- a/src/core/relay/event-splitter.ts
+++ b/src/core/relay/event-splitter.ts
@@ -14,25 +14,54 @@
 	lastId?: string;
 }
 
+/** Larger events are taken for bytes without end. */
+const maxEventBytes = 4 * 1024 * 1024;
+/** Bytes before a chunk that may belong to an empty line which it completes. */
+const overlapBytes = 3;
+
 export class EventSplitter {
-	private partialEvent: Buffer = Buffer.alloc(0);
+	/** Parts of an incomplete event. */
+	private parts: Buffer[] = [];
+	private partialBytes = 0;
+	/** The last bytes of the parts. */
+	private overlap: Buffer = Buffer.alloc(0);
 
 	/** Whether bytes of an incomplete event are buffered. */
 	get hasPartialEvent(): boolean {
-		return this.partialEvent.length > 0;
+		return this.partialBytes > 0;
+	}
+
+	/** Whether the incomplete event is too large to be one. */
+	get hasOversizedEvent(): boolean {
+		return this.partialBytes > maxEventBytes;
 	}
 
 	/** @returns the events that the chunk completes; undefined if there are none */
 	feed(chunk: Buffer): CompleteEvents | undefined {
-		const bytes = this.partialEvent.length > 0 ? Buffer.concat([this.partialEvent, chunk]) : chunk;
-		const end = endOfLastEvent(bytes);
-		this.partialEvent = bytes.subarray(end);
-		if (end === 0) {
+		const { overlap } = this;
+		const searched = overlap.length > 0 ? Buffer.concat([overlap, chunk]) : chunk;
+		const end = endOfLastEvent(searched) - overlap.length;
+		if (end <= 0) {
+			this.keep(chunk, searched);
 			return undefined;
 		}
-		const complete = bytes.subarray(0, end);
+		const last = chunk.subarray(0, end);
+		const complete = this.parts.length > 0 ? Buffer.concat([...this.parts, last]) : last;
+		const rest = chunk.subarray(end);
+		this.parts = [];
+		this.partialBytes = 0;
+		this.keep(rest, rest);
 		return { bytes: complete, lastId: lastIdOf(complete) };
 	}
+
+	/** @param searched the part, behind the bytes before it */
+	private keep(part: Buffer, searched: Buffer): void {
+		if (part.length > 0) {
+			this.parts.push(part);
+		}
+		this.partialBytes += part.length;
+		this.overlap = searched.subarray(-overlapBytes);
+	}
 }
 
 /** Index after the last empty line; 0 if there is none. */
--- a/src/core/relay/relayed-request.ts
+++ b/src/core/relay/relayed-request.ts
@@ -252,6 +252,9 @@
 		attempt.recordActivity();
 		this.requestQuarantine.recordProgress(attempt);
 		this.answerRelay.relayData(attempt, chunk, this.isStream(attempt));
+		if (attempt.splitter.hasOversizedEvent) {
+			this.handleBrokenAnswer(attempt, 'an event of the stream is too large');
+		}
 	}
 
 	private handleEnd(attempt: Attempt): void {
--- a/test/features/broken-answers.feature
+++ b/test/features/broken-answers.feature
@@ -133,3 +133,15 @@
 			| trailers                    |
 			| informational heads         |
 			| heads that tell to continue |
+
+	# Callers wait for 5,000 ms.
+	Scenario: Events without end are given up, and others are served meanwhile
+		Given engines that send any bytes
+		And a relay of 1 VM with engines "a, b, c, d, e, f"
+		When 4 "POST /stream/once/" requests are answered by an event without end, and others are sent meanwhile
+		Then these end within 5500 ms, the others are answered within 1200 ms, and the VM stays within its memory
+
+	Scenario: Large events are whole, and an event without end is told after 4 MB of it
+		Given a stream of events of 1 MB
+		Then pieces of 64 KB yield each event once it is complete
+		And an event of 5 MB is told to be too large
--- a/test/steps/relay-log.steps.ts
+++ b/test/steps/relay-log.steps.ts
@@ -54,6 +54,38 @@
 	);
 });
 
+const pieceBytes = 64 * 1024;
+const eventBytes = 1_000_000;
+
+cucumber.Given('a stream of events of 1 MB', function (this: FleetWorld) {
+	const events = [1, 2, 3].map((id) => `id: ${id}\ndata: ${'x'.repeat(eventBytes)}\n\n`);
+	this.state.set('stream', Buffer.from(events.join('')));
+});
+
+/** @returns what a splitter makes of a stream that comes in pieces of 64 KB */
+function feedPieces(splitter: EventSplitter, stream: Buffer): (string | undefined)[] {
+	const ids: (string | undefined)[] = [];
+	for (let from = 0; from < stream.length; from += pieceBytes) {
+		const events = splitter.feed(stream.subarray(from, from + pieceBytes));
+		if (events) {
+			ids.push(events.lastId);
+		}
+	}
+	return ids;
+}
+
+cucumber.Then('pieces of 64 KB yield each event once it is complete', function (this: FleetWorld) {
+	const splitter = new EventSplitter();
+	assert.deepEqual(feedPieces(splitter, seen<Buffer>(this, 'stream')), ['1', '2', '3']);
+	assert.deepEqual([splitter.hasPartialEvent, splitter.hasOversizedEvent], [false, false]);
+});
+
+cucumber.Then('an event of 5 MB is told to be too large', () => {
+	const splitter = new EventSplitter();
+	assert.deepEqual(feedPieces(splitter, Buffer.alloc(5 * eventBytes, 'x')), []);
+	assert.equal(splitter.hasOversizedEvent, true);
+});
+
 cucumber.Given('a log whose reader takes nothing', function (this: FleetWorld) {
 	// The writer runs in a separate process, whose output pipe is not read.
 	const program = `
