Tests: requests at any time of a planned stop's grace

Requests on new connections every 100 ms until a stopping VM has ended: answers that take most of the route's time, streams, uploads that end 0.9 s after their head, with a VM that halts for 60 ms at a time; and through VMs that forward, with links reset or silent, as the VM that asks or the one that forwards is stopped.

--- a/test/steps/planned-stop.steps.ts
+++ b/test/steps/planned-stop.steps.ts
@@ -9,7 +9,7 @@
 import { encodeRequest, RawCaller } from './raw-caller.js';
 import { seen } from './relay-fakes.js';
 import { firstVm, fixtureOf } from './relay-fixture.js';
-import type { Answer } from './relay-world.js';
+import type { Answer, Vm } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
 /** Time that engines take, so that a request is open as the process ends. */
@@ -111,6 +111,91 @@
 	},
 );
 
+/** Interval of the requests that come during a grace. */
+const graceIntervalMs = 100;
+/** How long a VM that halts stands still, and how long it runs between. */
+const haltMs = 60;
+const runMs = 120;
+const uploadMs = 900;
+
+cucumber.Given(
+	'engines answer after {int} ms, with events every {int} ms',
+	function (this: FleetWorld, ms: number, eventMs: number) {
+		for (const engine of fixtureOf(this).engines.values()) {
+			engine.answerDelayMs = ms;
+			engine.eventIntervalMs = eventMs;
+		}
+	},
+);
+
+cucumber.When(
+	/^(?:the VM|VM (\d+)) is stopped, and callers(?: of the first VM)? send "(.*)" until it has ended, each (at once|as an upload of 900 ms)(, while the VM halts for 60 ms at a time)?$/,
+	async function (
+		this: FleetWorld,
+		number: string | null,
+		call: string,
+		sending: string,
+		halting: string | null,
+	) {
+		const vm = fixtureOf(this).vms[Number(number ?? 1) - 1];
+		assert.ok(vm);
+		let hasEnded = false;
+		const ended = vm.ended.then(() => {
+			hasEnded = true;
+		});
+		vm.process.kill('SIGTERM');
+		const halts = halting ? haltUntil(vm, () => hasEnded) : undefined;
+		const late: LateRequest[] = [];
+		while (!hasEnded) {
+			const body = `late ${late.length}`;
+			const answer =
+				sending === 'at once' ? fixtureOf(this).open(call, body).answer : upload(this, call, body);
+			late.push({ body, answer });
+			await sleep(graceIntervalMs);
+		}
+		await Promise.all([ended, halts]);
+		this.state.set('late requests', late);
+	},
+);
+
+/** Stops and continues a process again and again. */
+async function haltUntil(vm: Vm, hasEnded: () => boolean): Promise<void> {
+	while (!hasEnded()) {
+		vm.process.kill('SIGSTOP');
+		await sleep(haltMs);
+		vm.process.kill('SIGCONT');
+		await sleep(runMs);
+	}
+}
+
+/** Sends the last byte of a body late. */
+async function upload(world: FleetWorld, call: string, body: string): Promise<Answer> {
+	const headers = { 'content-length': String(body.length) };
+	const { req, answer } = fixtureOf(world).begin(call, { headers });
+	req.write(body.slice(0, -1));
+	await sleep(uploadMs);
+	req.end(body.slice(-1));
+	return answer;
+}
+
+cucumber.Then(
+	/^each request that reached an engine is answered whole(, and some were refused)?$/,
+	async function (this: FleetWorld, areRefused: string | null) {
+		const lost: string[] = [];
+		let refused = 0;
+		for (const { body, answer } of seen<LateRequest[]>(this, 'late requests')) {
+			const { status, cut } = await answer;
+			const ran = fixtureOf(this).countReached(body) > 0;
+			refused += status === 503 ? 1 : 0;
+			if (ran && (status !== 200 || cut)) {
+				lost.push(`${body}: ${status}${cut ? ' cut' : ''}`);
+			}
+		}
+		assert.deepEqual(lost, []);
+		assert.ok(!areRefused || refused > 0, 'none was refused');
+	},
+);
+
 function sleep(ms: number): Promise<void> {
 	return new Promise((done) => setTimeout(done, ms));
 }
--- a/test/steps/relay-world.ts
+++ b/test/steps/relay-world.ts
@@ -221,6 +221,16 @@
 		call: string,
 		body = '',
 		opts: SendOptions = {},
+	): { req: http.ClientRequest; answer: Promise<Answer> } {
+		const { req, answer } = this.begin(call, opts);
+		req.end(body);
+		return { req, answer };
+	}
+
+	/** Begins a request whose body the caller writes and ends. */
+	begin(
+		call: string,
+		opts: SendOptions = {},
 	): { req: http.ClientRequest; answer: Promise<Answer> } {
 		const [method, target] = call.split(' ');
 		const vm = opts.vm ?? (this.vms[0] as Vm);
@@ -240,7 +250,6 @@
 			},
 		});
 		const answer = readAnswer(req, String(req.getHeader('slategauge-attempt-id')));
-		req.end(body);
 		return { req, answer };
 	}
 
