slategauged: an odd entry of the list of VMs costs only itself

Here: an entry that is no object made the daemon drop the whole list at each read, with a line at level debug only; one with a port out of range, no address or no id was taken for a VM.

Cause: each entry was converted without a check, and one that cannot be converted failed the list.

Evidence: the new row "an entry of the list of VMs" failed before (TypeError at null); 36 odd entries, ports of 0, 65536, 99999, below zero and 1e400 and 200,000 levels of nesting among them.

Change: entries that cannot be used are passed over, each with a warning vm-list.unreadable.

With it a test of real relays for the entries that the store holds: 3 VMs, 84 odd values below servers/, vms/ and quarantine/, and in place of the configuration and of the duties' keys, over a watch and at a start.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -261,7 +261,11 @@
 			log: this.log,
 			timeline: this.timeline,
 			router: this.router,
-			vmList: new HttpVmList({ url: platform.vm_list, timeoutMs: platform.timeout_ms }),
+			vmList: new HttpVmList({
+				url: platform.vm_list,
+				timeoutMs: platform.timeout_ms,
+				log: this.log,
+			}),
 			transport: this.transport,
 			onListedLeaving: (leaving) => {
 				this.isListedLeaving = leaving;
--- a/test/features/relay.feature
+++ b/test/features/relay.feature
@@ -340,6 +340,16 @@
 		And 2500 ms pass in quiet
 		Then 20 "GET /plain/" requests at each VM are answered, and no VM has ended
 
+	# Guards against entries that are very deeply nested, or hold numbers or ports out of range.
+	Scenario: Odd entries of another writer end no VM, and engines that come after them are used
+		Given a relay of 3 VMs with engines "a, b"
+		When another writer leaves odd entries among those of engines, of VMs and of quarantined contents
+		And another writer leaves each odd value in place of the configuration and of the duties, for a moment
+		And another engine begins, and VM 2 is started again
+		And 1000 ms pass in quiet
+		Then 30 "GET /plain/" requests at each VM are answered, and no VM has ended
+		And that engine was used
+
 	# Guards against foreign bytes on a caller's kept connection after an error that was retried.
 	Scenario Outline: Error answers of any size are whole, or retried with nothing of the first sent
 		Given a relay of 1 VM with engines "a, b, c, d"
--- a/test/steps/foreign-values.steps.ts
+++ b/test/steps/foreign-values.steps.ts
@@ -12,6 +12,7 @@
 import { VmRegistry, type VmRegistryOptions } from '../../src/core/fleet/vm-registry.js';
 import { decodeTraitKey, encodeTraitKey } from '../../src/core/quarantine/traits.js';
 import { StoreError } from '../../src/core/store/definitions.js';
+import { HttpVmList } from '../../src/infra/http-vm-list.js';
 import * as forwarding from '../../src/infra/relay/forwarding-headers.js';
 import { encodeGossip } from '../../src/infra/relay/gossip-codec.js';
 import { encodePermitResponse } from '../../src/infra/relay/limit-codec.js';
@@ -19,9 +20,12 @@
 import { encodeUsage } from '../../src/infra/relay/usage-codec.js';
 import * as platform from '../../src/platform/index.js';
 import { decodeEra } from '../../src/platform/store-wire.js';
+import { PlatformEngineStandIn } from '../stand-ins/platform-engine.js';
 import { gossipMessage, ManualClock, registered, registration, silentLog } from './relay-fakes.js';
-import { fixtureOf } from './relay-fixture.js';
+import { engineOf, fixtureOf } from './relay-fixture.js';
 import { newDirectory } from './relay-fleet.steps.js';
+import type { Vm } from './relay-world.js';
+import { key as callerKey, until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
 
 const vmPrefix = platform.storeKeys.vms;
@@ -114,12 +118,15 @@
 
 const soundItem = { 'private-key': 'k/sound', value: 'YQ==', revision: 3, 'lease-id': 0 };
 
+type StoreAction = (store: platform.PlatformStore, unreadable: string[]) => Promise<void>;
+
+function withStore(body: unknown, action: StoreAction): Promise<void> {
+	return withStoreText(JSON.stringify(body), action);
+}
+
 /** Runs an action with a client of a store that gives the same answer to every call. */
-async function withStore(
-	body: unknown,
-	action: (store: platform.PlatformStore, unreadable: string[]) => Promise<void>,
-): Promise<void> {
-	const server = http.createServer((_req, res) => res.end(JSON.stringify(body)));
+async function withStoreText(text: string, action: StoreAction): Promise<void> {
+	const server = http.createServer((_req, res) => res.end(text));
 	await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
 	const { port } = server.address() as net.AddressInfo;
 	const unreadable: string[] = [];
@@ -171,6 +178,62 @@
 	});
 }
 
+async function checkNestedStoreEntries(): Promise<void> {
+	const text = `{"entries":[${nestedList},${nestedObject},${JSON.stringify(soundItem)}],"timestamp":3}`;
+	await withStoreText(text, async (store, unreadable) => {
+		const { items } = await store.range('k/');
+		assert.deepEqual(
+			items.map(({ key }) => key),
+			[soundItem['private-key']],
+		);
+		assert.equal(unreadable.length, 2);
+	});
+}
+
+const listedVm = {
+	id: 'vm-1',
+	address: '10.0.0.1',
+	callers_port: 8000,
+	control_port: 8001,
+	failure_domain: 'z',
+	state: 'ready',
+};
+
+async function checkListedVms(): Promise<void> {
+	const ports = [0, -1, 65_536, 99_999, 1.5, 1e300, 'x', null, {}];
+	const rows = [
+		...[null, 1, 'x', [], {}].map((row) => JSON.stringify(row)),
+		...['callers_port', 'control_port'].flatMap((field) =>
+			ports.map((port) => JSON.stringify({ ...listedVm, [field]: port })),
+		),
+		...['', 'a.example', '10.0.1', '::g', 7, null].map((address) =>
+			JSON.stringify({ ...listedVm, address }),
+		),
+		...['', 7, null, []].map((id) => JSON.stringify({ ...listedVm, id })),
+		JSON.stringify(listedVm).replace('8000', '1e400'),
+		nestedList,
+		nestedObject,
+	];
+	for (const row of rows) {
+		const events: string[] = [];
+		const server = http.createServer((_req, res) =>
+			res.end(`[${row},${JSON.stringify(listedVm)}]`),
+		);
+		await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
+		const { port } = server.address() as net.AddressInfo;
+		const log = recordingLog(events);
+		const list = new HttpVmList({ url: `http://127.0.0.1:${port}`, timeoutMs: 5000, log });
+		try {
+			const ids = (await list.list()).map(({ id }) => id);
+			assert.deepEqual(ids, [listedVm.id], row.slice(0, 100));
+			assert.deepEqual(events, ['vm-list.unreadable']);
+		} finally {
+			server.close();
+			server.closeAllConnections();
+		}
+	}
+}
+
 function checkEras(): Promise<void> {
 	assert.equal(decodeEra('3'), 3);
 	const eras = fc.constantFrom('x', '', '-1', '1.5', '1e300', '131072', ['3'], undefined);
@@ -333,6 +396,8 @@
 	"a peer's copy of the engines": checkEngineCopies,
 	'an address in a datagram': checkDatagrams,
 	'a number in a datagram': checkDatagramNumbers,
+	'an entry of the store that is nested deeply': checkNestedStoreEntries,
+	'an entry of the list of VMs': checkListedVms,
 	'an order to forward a request': checkForwardOrders,
 	'the earlier usage reports': checkUsageReports,
 	'the settings': checkSettings,
@@ -358,6 +423,81 @@
 	},
 );
 
+/** More levels than a recursive function could visit. */
+const nestingLevels = 200_000;
+const nestedList = `${'['.repeat(nestingLevels)}${']'.repeat(nestingLevels)}`;
+const nestedObject = `${'{"a":'.repeat(nestingLevels)}1${'}'.repeat(nestingLevels)}`;
+const absurdNumbers = ['1e400', '-1e400', '1e308', '-1', '0', '1.5', '65536', nestedList];
+const absurdAddresses = ['0', '65536', '99999', '-1'].map((port) => `127.0.0.1:${port}`);
+
+/** Values that no writer of ours leaves, as text. */
+function oddTexts(sound: Readonly<Record<string, unknown>>): string[] {
+	const fields = Object.keys(sound).flatMap((field) =>
+		absurdNumbers.map((text) =>
+			JSON.stringify({ ...sound, [field]: 'ODD' }).replace('"ODD"', text),
+		),
+	);
+	const addresses = absurdAddresses.map((address) => JSON.stringify({ ...sound, address }));
+	const noValues = ['', 'null', '[]', '"\\ud800"', '\u0000\u0001\u007f', 'x'.repeat(300_000)];
+	return [nestedList, nestedObject, ...noValues, ...fields, ...addresses];
+}
+
+cucumber.When(
+	'another writer leaves odd entries among those of engines, of VMs and of quarantined contents',
+	async function (this: FleetWorld) {
+		const { store } = fixtureOf(this);
+		for (const prefix of [platform.storeKeys.engines, vmPrefix, platform.storeKeys.quarantine]) {
+			// Entries that can be read name engines that do not exist, of a service without requests.
+			const other = { ...registered, service: 'other' };
+			for (const [index, text] of oddTexts(other).entries()) {
+				store.put(`${prefix}odd-${index}`, text);
+			}
+			store.put(`${prefix}\u0001\ud800`, 'x');
+			await new Promise((done) => setTimeout(done, 300));
+		}
+	},
+);
+
+cucumber.When(
+	'another writer leaves each odd value in place of the configuration and of the duties, for a moment',
+	async function (this: FleetWorld) {
+		const { configuration, dutyHolder, usageReports } = platform.storeKeys;
+		const { store } = fixtureOf(this);
+		const old = { version: 1, routes: [], services: [], limits: {}, tenants: [] };
+		// A configuration with a later version that can be read is in force.
+		const texts = oddTexts(old).filter((text) => !text.includes('"version":65536'));
+		for (const text of texts) {
+			for (const key of [dutyHolder, usageReports, configuration]) {
+				store.put(key, text);
+			}
+			await new Promise((done) => setTimeout(done, 20));
+		}
+		store.remove(dutyHolder);
+		store.remove(usageReports);
+		fixtureOf(this).configure([callerKey]);
+	},
+);
+
+cucumber.When(
+	'another engine begins, and VM 2 is started again',
+	async function (this: FleetWorld) {
+		const fixture = fixtureOf(this);
+		const engine = new PlatformEngineStandIn('late');
+		fixture.engines.set(engine.id, engine);
+		await fixture.register(engine, await engine.start());
+		const vm = fixture.vms[1];
+		assert.ok(vm);
+		vm.process.kill('SIGKILL');
+		await vm.ended;
+		fixture.vms[1] = await fixture.startVm(vm.address, 'vm-2', vm.ports);
+		await until(() => fixture.isReady(fixture.vms[1] as Vm));
+	},
+);
+
+cucumber.Then('that engine was used', function (this: FleetWorld) {
+	assert.ok(engineOf(this, 'late').receivedRequests.length > 0);
+});
+
 cucumber.When(
 	'a stranger asks each VM for {string} as a peer does',
 	async function (this: FleetWorld, path: string) {
