A deeply nested entry of the store's answer costs only itself

Here: not by a value, which arrives as base64 and is passed over, but by an entry of a page or a watch that names no key and is nested 200,000 levels deep: the whole answer failed with a RangeError, again at each read.

Cause: an entry that cannot be read was written as JSON for the log, and JSON.stringify recurses.

Change: an entry that cannot be written as JSON is described by that error.

--- a/src/platform/store-wire.ts
+++ b/src/platform/store-wire.ts
@@ -102,13 +102,22 @@
 	return raw.flatMap((entry) => {
 		const decoded = decode(entry);
 		if (decoded === undefined) {
-			onUnreadable(String(JSON.stringify(entry)));
+			onUnreadable(describe(entry));
 			return [];
 		}
 		return [decoded];
 	});
 }
 
+/** @returns the entry as JSON, unless it is nested too deeply for that */
+function describe(entry: unknown): string {
+	try {
+		return String(JSON.stringify(entry));
+	} catch (err) {
+		return (err as Error).message;
+	}
+}
+
 function isRevision(raw: unknown): raw is number {
 	return Number.isSafeInteger(raw) && (raw as number) >= 0 && (raw as number) < revisionsPerEra;
 }
--- a/test/features/relay-decisions.feature
+++ b/test/features/relay-decisions.feature
@@ -79,6 +79,7 @@
 			| the earlier usage reports      |
 			| the settings                   |
 			| a number of the configuration  |
+			| an entry of the store that is nested deeply |
 			| an entry of the list of VMs    |
 
 	Scenario: A VM fetches changed registrations from a peer
