slategauged: many small chunks of an endpoint's answer are handed on together

What joins the parts of one read is a class of its own now, which both clients use.

Evidence: 20,000 chunks of 1 byte were reported in 20,000 parts by an endpoint's client before, and in less than 200 now; an engine's client was green before this commit.

--- a/src/infra/relay/engine-running-call.ts
+++ b/src/infra/relay/engine-running-call.ts
@@ -9,6 +9,7 @@
 	RawHeaders,
 	RunningCall,
 } from '../../core/relay/definitions.js';
+import { ChunkBatch } from '../chunk-batch.js';
 import type { EngineConnection, EngineConnectionPool } from './engine-connection-pool.js';
 
 export const connectionRefusedCode = 'ECONNREFUSED';
@@ -31,8 +32,7 @@
 	private isStarting = true;
 	private status = 0;
 	private isDone = false;
-	/** Parts of the answer that were read at once and are about to be handed on. */
-	private parts: Buffer[] = [];
+	private readonly batch = new ChunkBatch((bytes) => this.handleBytes(bytes));
 
 	constructor(
 		private readonly decodeAnswer: AnswerDecoder,
@@ -97,15 +97,12 @@
 	}
 
 	onData(chunk: Buffer): boolean {
-		if (this.parts.length === 0) {
-			process.nextTick(() => this.flush());
-		}
-		this.parts.push(chunk);
+		this.batch.add(chunk);
 		return !this.isPaused;
 	}
 
 	onComplete(): void {
-		this.flush();
+		this.batch.flush();
 		if (!this.isDone) {
 			this.isDone = true;
 			this.pool.release(this.connection);
@@ -122,18 +119,14 @@
 		}
 	}
 
-	/** Hands on what was read at once together, as handling each of many small chunks alone would take the event loop. */
-	private flush(): void {
-		const { parts } = this;
-		const [first] = parts;
-		this.parts = [];
-		if (first && !this.isDone) {
-			this.listener.onData(parts.length === 1 ? first : Buffer.concat(parts));
+	private handleBytes(bytes: Buffer): void {
+		if (!this.isDone) {
+			this.listener.onData(bytes);
 		}
 	}
 
 	private fail(err: NodeJS.ErrnoException): void {
-		this.flush();
+		this.batch.flush();
 		if (this.isDone) {
 			return;
 		}
--- a/src/infra/undici-endpoint-client.ts
+++ b/src/infra/undici-endpoint-client.ts
@@ -15,6 +15,7 @@
 	StreamEvent,
 } from '../core/definitions.js';
 import { callFailures } from '../core/definitions.js';
+import { ChunkBatch } from './chunk-batch.js';
 import { connectClient } from './client-socket.js';
 
 /** Connections to one endpoint; high enough that slots, not connections, limit concurrency. */
@@ -114,6 +115,7 @@
 	private hasStarted = false;
 	private isDone = false;
 	private isPaused = false;
+	private readonly batch = new ChunkBatch((bytes) => this.handleBytes(bytes));
 
 	constructor(private readonly sink: AnswerSink) {}
 
@@ -158,6 +160,26 @@
 	}
 
 	onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+		this.batch.add(chunk);
+	}
+
+	onResponseEnd(): void {
+		this.batch.flush();
+		if (!this.isDone) {
+			this.isDone = true;
+			this.sink.onEnd();
+		}
+	}
+
+	onResponseError(_controller: undici.Dispatcher.DispatchController, err: Error): void {
+		this.batch.flush();
+		if (!this.isDone) {
+			this.isDone = true;
+			this.sink.onError(this.hasStarted ? callFailures.broken : callFailures.notSent, err.message);
+		}
+	}
+
+	private handleBytes(chunk: Buffer): void {
 		if (this.isDone) {
 			return;
 		}
@@ -176,20 +198,6 @@
 		}
 	}
 
-	onResponseEnd(): void {
-		if (!this.isDone) {
-			this.isDone = true;
-			this.sink.onEnd();
-		}
-	}
-
-	onResponseError(_controller: undici.Dispatcher.DispatchController, err: Error): void {
-		if (!this.isDone) {
-			this.isDone = true;
-			this.sink.onError(this.hasStarted ? callFailures.broken : callFailures.notSent, err.message);
-		}
-	}
-
 	private enqueueEvent(event: eventsource.EventSourceMessage): void {
 		const offset = event.id === undefined ? undefined : Number(event.id);
 		this.pendingEvents.push({ data: event.data, offset });
--- a/test/features/broken-answers.feature
+++ b/test/features/broken-answers.feature
@@ -89,6 +89,14 @@
 			| engine   |
 			| endpoint |
 
+	Scenario Outline: A client hands on many small chunks together
+		Then an <kind>'s client reports 20000 chunks of 1 byte in less than 200 parts
+
+		Examples:
+			| kind     |
+			| engine   |
+			| endpoint |
+
 	Scenario Outline: Bytes that are no answer do not reach a caller
 		Given engines that send any bytes
 		And a relay of 1 VM with engines "a, b"
--- a/test/steps/answer-ends.steps.ts
+++ b/test/steps/answer-ends.steps.ts
@@ -29,6 +29,8 @@
 /** What a client has reported of one answer. */
 class Recorder {
 	bytes = 0;
+	/** How often bytes were reported. */
+	reports = 0;
 	result?: 'whole' | 'broken';
 	/** Resumes and pauses the call; undefined for a reader that never pauses. */
 	call?: { pause(): void; resume(): void };
@@ -44,6 +46,7 @@
 
 	onData({ length }: Uint8Array): void {
 		this.bytes += length;
+		this.reports++;
 		const { call } = this;
 		// undici reports no bytes when it goes on after a pause.
 		if (call && length > 0) {
@@ -144,8 +147,23 @@
 	},
 );
 
-/** @returns what a client reports of an answer that comes in these pieces */
+cucumber.Then(
+	/^an (engine|endpoint)'s client reports (\d+) chunks of 1 byte in less than (\d+) parts$/,
+	async function (this: FleetWorld, kind: string, count: string, parts: string) {
+		const chunks = '1\r\na\r\n'.repeat(Number(count));
+		const head = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+		const recorder = await callFor(kind, [`${head}${chunks}0\r\n\r\n`]);
+		assert.deepEqual([recorder.result, recorder.bytes], ['whole', Number(count)]);
+		assert.ok(recorder.reports < Number(parts), `${recorder.reports} parts`);
+	},
+);
+
 async function callPieces(kind: string, pieces: readonly string[]): Promise<string | undefined> {
+	return (await callFor(kind, pieces)).result;
+}
+
+/** @returns what a client reports of an answer that comes in these pieces */
+async function callFor(kind: string, pieces: readonly string[]): Promise<Recorder> {
 	const server = net.createServer({ noDelay: true }, (socket) => {
 		socket.on('error', () => {});
 		socket.once('data', async () => {
@@ -167,7 +185,7 @@
 	await until(() => recorder.result !== undefined);
 	await close();
 	server.close();
-	return recorder.result;
+	return recorder;
 }
 
 cucumber.Then(
