--- a/src/infra/client-socket.ts
+++ b/src/infra/client-socket.ts
@@ -37,10 +37,9 @@
 	private ending?: Ending;
 	/** Whether the reader has read since it was last told to. */
 	private hasRead = false;
-
 	/** Whether a full read was made in this turn of the event loop; others wait for the next one. */
 	private hasReadFully = false;
-	/** Bytes asked for meanwhile. */
+	/** Size of the read that waits for it. */
 	private deferredSize?: number;
 
 	/** Receives bytes, or null for the end of the connection. */
--- a/src/infra/http-vm-list.ts
+++ b/src/infra/http-vm-list.ts
@@ -24,7 +24,7 @@
 		});
 		const rows = await res.body.json();
 		if (!Array.isArray(rows)) {
-			throw new Error('the VM list is no list');
+			throw new Error('the VM list is not an array');
 		}
 		return rows.flatMap((row, index) => {
 			const entry = toVmEntry(row);
