slategauged: an answer of an https endpoint is whole only after an orderly end

What callers saw: a part of an answer without a length from an endpoint at an https URL was passed on as whole when the endpoint reset the connection. If the reader had paused such an answer, its end made undici assert in an event handler, which ends the process, also after an orderly end.

Cause: undici's own connector was kept for https. undici completes an answer without a length on ECONNRESET and on any end of the connection, and asserts that the answer is not paused then. Only TCP connections had ClientSocket.

Change: what ClientSocket did about ends is now connection-end (holdEnd), which both kinds of socket use. It replaces methods of the socket, as Node creates TLS sockets itself. Verification of certificates stays undici's.

--- a/src/infra/client-socket.ts
+++ b/src/infra/client-socket.ts
@@ -1,13 +1,12 @@
 /**
- * TCP sockets for undici's clients. undici takes the end of a connection, and a reset too, for the end of an answer
- * without a length, and it cannot handle either while the reader has paused the answer.
+ * Connections for undici's clients, over TCP and TLS.
  * @module
  */
 import * as net from 'node:net';
 import type * as undici from 'undici';
 import { afterReads } from '../core/time/after-reads.js';
+import { holdEnd } from './connection-end.js';
 
-const resetCode = 'ECONNRESET';
 /** Bytes that Node reads at once. A read of so many is followed by others within the same turn of the event loop. */
 const fullReadBytes = 64 * 1024;
 
@@ -21,35 +20,20 @@
 	highWaterMark?: number;
 }
 
-/** The other side reset the connection. Its code differs from that of the system, after which undici completes an answer. */
-export class ConnectionResetError extends Error {
-	override readonly name = 'ConnectionResetError';
-	readonly code = 'ERR_CONNECTION_RESET';
-}
-
-/** How the other side ended the connection. */
-const endings = { orderly: 'orderly', reset: 'reset' } as const;
-type Ending = (typeof endings)[keyof typeof endings];
-
-/** Reports the end of the connection once all that came before has been read: `end` after an orderly one, else an error. */
+/** Reads in turns with other connections. The end of a connection is reported as `holdEnd` says. */
 export class ClientSocket extends net.Socket {
-	/** Set from when the end arrives until it is reported. */
-	private ending?: Ending;
-	/** Whether the reader has read since it was last told to. */
-	private hasRead = false;
 	/** Whether a full read was made in this turn of the event loop; others wait for the next one. */
 	private hasReadFully = false;
 	/** Size of the read that waits for it. */
 	private deferredSize?: number;
 
-	/** Receives bytes, or null for the end of the connection. */
+	constructor(opts: net.SocketConstructorOpts) {
+		super(opts);
+		holdEnd(this);
+	}
+
 	override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
-		if (chunk === null) {
-			this.ending = this.isConnected ? endings.orderly : endings.reset;
-			this.reportEnd();
-			return false;
-		}
-		if (chunk.length >= fullReadBytes) {
+		if (chunk && chunk.length >= fullReadBytes) {
 			this.yieldTurn();
 		}
 		return super.push(chunk, encoding) && !this.hasReadFully;
@@ -75,51 +59,6 @@
 			}
 		});
 	}
-
-	override read(size?: number): unknown {
-		const chunk = super.read(size);
-		// A size of 0 is Node's own way to refill the buffer.
-		if (size !== 0) {
-			this.hasRead = true;
-			if (this.ending) {
-				process.nextTick(() => this.reportEnd());
-			}
-		}
-		return chunk;
-	}
-
-	override _destroy(err: Error | null, callback: (err?: Error | null) => void): void {
-		const isReset = (err as NodeJS.ErrnoException | null)?.code === resetCode;
-		super._destroy(isReset ? new ConnectionResetError(err?.message) : err, callback);
-	}
-
-	/**
-	 * Whether the system still knows a peer. It forgets the peer on a reset, which Node reports as the end of the stream if it
-	 * arrives with the last bytes. Node caches the address, so nothing else may ask for it before.
-	 */
-	private get isConnected(): boolean {
-		return this.remoteAddress !== undefined;
-	}
-
-	private reportEnd(): void {
-		const { ending } = this;
-		if (!ending || this.destroyed || this.readableLength > 0 || this.isReaderPaused()) {
-			return;
-		}
-		this.ending = undefined;
-		if (ending === endings.reset) {
-			this.destroy(new ConnectionResetError('connection reset'));
-		} else {
-			super.push(null);
-		}
-	}
-
-	/** Tells the reader to read; one that has paused does so only when it goes on. */
-	private isReaderPaused(): boolean {
-		this.hasRead = false;
-		this.emit('readable');
-		return !this.hasRead;
-	}
 }
 
 /** Opens a connection for an undici client. */
--- a/src/infra/undici-endpoint-client.ts
+++ b/src/infra/undici-endpoint-client.ts
@@ -17,6 +17,7 @@
 import { callFailures } from '../core/definitions.js';
 import { ChunkBatch } from './chunk-batch.js';
 import { connectClient } from './client-socket.js';
+import { holdEnd } from './connection-end.js';
 
 /** Connections to one endpoint; high enough that slots, not connections, limit concurrency. */
 const maxConnections = 4096;
@@ -27,6 +28,8 @@
 const keepAliveDelayMs = 60_000;
 const loadTimeoutMs = 1000;
 
+const openTls = undici.buildConnector({ timeout: connectTimeoutMs });
+
 export class UndiciEndpointClient implements EndpointClient {
 	private readonly pools = new Map<string, undici.Pool>();
 
@@ -81,7 +84,7 @@
 			pool = new undici.Pool(origin, {
 				connections: maxConnections,
 				pipelining: 1,
-				connect: protocol === 'http:' ? connectTcp : { timeout: connectTimeoutMs },
+				connect: protocol === 'http:' ? connectTcp : connectTls,
 			});
 			this.pools.set(origin, pool);
 		}
@@ -97,6 +100,19 @@
 	connectClient(opts, callback).setKeepAlive(true, keepAliveDelayMs);
 }
 
+function connectTls(
+	opts: undici.buildConnector.Options,
+	callback: undici.buildConnector.Callback,
+): void {
+	openTls(opts, (...result) => {
+		const [, socket] = result;
+		if (socket) {
+			holdEnd(socket);
+		}
+		callback(...result);
+	});
+}
+
 function buildHeaders(call: EndpointCall): Record<string, string> {
 	const headers: Record<string, string> = { ...call.headers, 'x-request-id': call.id };
 	headers['x-priority'] = String(call.priority);
--- a/test/features/broken-answers.feature
+++ b/test/features/broken-answers.feature
@@ -81,6 +81,20 @@
 			| endpoint | a request | 3 parts | closes | with pauses | whole  |
 			| endpoint | a request | 3 parts | resets | with pauses | broken |
 
+	Scenario Outline: A client of an https endpoint takes an answer without a length for whole only after an orderly end
+		Given a server with a certificate that answers <request> with <parts> without a length and <end> the connection
+		When an https endpoint's client calls it and reads <reading>
+		Then the answer is reported as <result>
+
+		Examples:
+			| request   | parts   | end    | reading     | result |
+			| a request | 1 part  | closes | at once     | whole  |
+			| a request | 1 part  | resets | at once     | broken |
+			| an upload | 1 part  | closes | at once     | whole  |
+			| an upload | 1 part  | resets | at once     | broken |
+			| a request | 3 parts | closes | with pauses | whole  |
+			| a request | 3 parts | resets | with pauses | broken |
+
 	Scenario Outline: A client takes bytes that are no answer for none
 		Then an <kind>'s client reports each malformed answer as broken, whole or in pieces, and a sound one as whole
 
--- a/test/steps/answer-ends.steps.ts
+++ b/test/steps/answer-ends.steps.ts
@@ -4,12 +4,14 @@
  */
 import * as assert from 'node:assert/strict';
 import * as net from 'node:net';
+import * as tls from 'node:tls';
 import * as cucumber from '@cucumber/cucumber';
 import { EngineConnectionPool } from '../../src/infra/relay/engine-connection-pool.js';
 import { EngineRunningCall } from '../../src/infra/relay/engine-running-call.js';
 import { UndiciEndpointClient } from '../../src/infra/undici-endpoint-client.js';
 import { decodeAnswer } from '../../src/platform/http-messages.js';
 import { malformedAnswers } from '../stand-ins/malformed-answers.js';
+import { serverCertificate } from '../stand-ins/server-certificate.js';
 import { seen } from './relay-fakes.js';
 import { until } from './relay-world.js';
 import type { FleetWorld } from './world.js';
@@ -21,9 +23,12 @@
 /** Longer than the server takes for the whole answer. */
 const pauseMs = 400;
 
+/** The server's certificate is its own, so the client must not verify it. */
+const verificationVariable = 'NODE_TLS_REJECT_UNAUTHORIZED';
+
 const ends = {
 	closes: (socket: net.Socket) => socket.end(),
-	resets: (socket: net.Socket) => socket.resetAndDestroy(),
+	resets: (_socket: net.Socket, connection: net.Socket) => connection.resetAndDestroy(),
 } as const;
 
 /** What a client has reported of one answer. */
@@ -69,10 +74,20 @@
 }
 
 cucumber.Given(
-	/^a server that answers (a request|an upload) with (\d+) parts? without a length and (closes|resets) the connection$/,
-	async function (this: FleetWorld, request: string, parts: string, end: keyof typeof ends) {
+	/^a server (with a certificate )?that answers (a request|an upload) with (\d+) parts? without a length and (closes|resets) the connection$/,
+	async function (
+		this: FleetWorld,
+		certificate: string | null,
+		request: string,
+		parts: string,
+		end: keyof typeof ends,
+	) {
 		const part = 'x'.repeat(partBytes);
-		const server = net.createServer((socket) => {
+		const server = net.createServer((connection) => {
+			connection.on('error', () => {});
+			const socket = certificate
+				? new tls.TLSSocket(connection, { isServer: true, ...serverCertificate })
+				: connection;
 			socket.on('error', () => {});
 			socket.once('data', async () => {
 				if (end === 'resets') {
@@ -85,7 +100,7 @@
 					await new Promise((done) => setTimeout(done, partGapMs));
 					socket.write(part);
 				}
-				ends[end](socket);
+				ends[end](socket, connection);
 			});
 		});
 		await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
@@ -96,16 +111,22 @@
 );
 
 cucumber.When(
-	/^an (engine|endpoint)'s client calls it and reads (at once|with pauses)$/,
+	/^an (engine|endpoint|https endpoint)'s client calls it and reads (at once|with pauses)$/,
 	async function (this: FleetWorld, kind: string, reading: string) {
 		const { port } = seen<net.Server>(this, 'server').address() as net.AddressInfo;
 		const body = seen<Buffer>(this, 'body');
 		const recorder = new Recorder();
+		if (kind === 'https endpoint') {
+			process.env[verificationVariable] = '0';
+		}
 		const { call, close } =
-			kind === 'engine' ? callEngine(port, body, recorder) : callEndpoint(port, body, recorder);
+			kind === 'engine'
+				? callEngine(port, body, recorder)
+				: callEndpoint(port, body, recorder, kind === 'endpoint' ? 'http' : 'https');
 		recorder.call = reading === 'with pauses' ? call : undefined;
 		await until(() => recorder.result !== undefined);
 		await close();
+		delete process.env[verificationVariable];
 		seen<net.Server>(this, 'server').close();
 		this.state.set('recorder', recorder);
 	},
@@ -119,10 +140,10 @@
 	return { call, close: () => pool.destroy() };
 }
 
-function callEndpoint(port: number, body: Buffer, recorder: Recorder) {
+function callEndpoint(port: number, body: Buffer, recorder: Recorder, scheme = 'http') {
 	const client = new UndiciEndpointClient();
 	const common = { id: 'call', method: 'POST', path: '/', headers: {}, priority: 0, offset: 0 };
-	const url = `http://127.0.0.1:${port}`;
+	const url = `${scheme}://127.0.0.1:${port}`;
 	const call = client.open({ ...common, url, body, stallMs: 10_000 }, recorder);
 	return { call, close: () => client.close() };
 }
